--- /dev/null
+++ b/cmd/bellgapd/main.go
@@ -0,0 +1,12 @@
+// Command bellgapd is the daemon that runs on every entry box.
+package main
+
+import (
+	"os"
+
+	"github.com/bellgap/bellgap/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Daemon(os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/box/box.go
@@ -0,0 +1,283 @@
+// Package box puts the parts of one box together and runs them until it leaves.
+package box
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/thejerf/suture/v4"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/feed"
+	"github.com/bellgap/bellgap/internal/gateway"
+	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/member"
+	"github.com/bellgap/bellgap/internal/metric"
+	"github.com/bellgap/bellgap/internal/operator"
+	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/peer"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/settings"
+)
+
+// Connections kept open to one peer, engine or service.
+const (
+	connsPerPeer    = 64
+	connsPerEngine  = 256
+	connsPerService = 64
+)
+
+// leavePoll is how often a leaving box looks whether it may go.
+const leavePoll = 20 * time.Millisecond
+
+// Config configures a Box.
+type Config struct {
+	Settings settings.Settings
+}
+
+// Box is one running box.
+type Box struct {
+	cfg       Config
+	done      chan struct{}
+	root      *suture.Supervisor
+	metrics   *metric.Metrics
+	catalog   *catalog.Catalog
+	feed      *feed.Feed
+	owners    *owner.Set
+	node      *member.Node
+	gateway   *gateway.Gateway
+	listeners listeners
+}
+
+type listeners struct {
+	caller, peer, operator net.Listener
+}
+
+// New opens the listeners and builds the parts; Run runs them.
+func New(cfg Config) (*Box, error) {
+	ls, err := listen(cfg.Settings.Listen)
+	if err != nil {
+		return nil, err
+	}
+	b := &Box{
+		cfg: cfg, done: make(chan struct{}), listeners: ls, metrics: metric.New(cfg.Settings.Box.Name), catalog: catalog.New(),
+		root: suture.New("box", suture.Spec{EventHook: logEvent}),
+	}
+	api := platform.NewClient(platform.ClientConfig{
+		Address: cfg.Settings.Platform.Address.String(), HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
+	})
+	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
+	b.feed = feed.New(feed.Config{Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return api }})
+	b.buildOwners()
+	b.buildNode(api, peers)
+	b.buildGateway()
+	b.serve(api)
+	return b, nil
+}
+
+func listen(l settings.Listen) (listeners, error) {
+	var ls listeners
+	for _, p := range []struct {
+		address netip.AddrPort
+		into    *net.Listener
+	}{{l.Caller, &ls.caller}, {l.Peer, &ls.peer}, {l.Operator, &ls.operator}} {
+		var err error
+		if *p.into, err = net.Listen("tcp", p.address.String()); err != nil {
+			return ls, eris.Wrap(err, "box: listen")
+		}
+	}
+	return ls, nil
+}
+
+func logEvent(e suture.Event) {
+	klog.InfoS("supervisor", "event", e.String())
+}
+
+func (b *Box) buildOwners() {
+	s := b.cfg.Settings
+	local := loads.NewLocal(loads.LocalConfig{Budget: loads.Budget{PerSecond: s.Loads.PerSecond, AtOnce: s.Loads.AtOnce}})
+	b.root.Add(local)
+	b.owners = owner.NewSet(owner.SetConfig{
+		Supervisor: b.root, Loads: local, Scope: b.metrics.Scope,
+		Client:    engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
+		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
+		Lookup:    b.lookupEngine,
+	})
+}
+
+func (b *Box) lookupEngine(name string) (*resource.Engine, int) {
+	t := b.catalog.Topology()
+	e, ok := t.Engines[name]
+	if !ok {
+		return nil, 0
+	}
+	if s := t.Serving[e.Spec.BaseModel]; s != nil {
+		return e.Spec, s.MaxQueue
+	}
+	return e.Spec, 0
+}
+
+func (b *Box) buildNode(api platform.API, peers *peer.Client) {
+	s := b.cfg.Settings
+	b.node = member.New(member.Config{
+		Zone: s.Box.Zone, API: api, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text,
+		Self: coordinator.Member{
+			Box: s.Box.Name, Incarnation: rand.Text(), Caller: b.CallerAddress(), Peer: addressOf(b.listeners.peer),
+		},
+		Timing: member.Timing{Beat: s.Timing.Beat, LeaseTTL: s.Timing.LeaseTTL, Term: s.Timing.Term, Drain: s.Timing.Drain},
+	})
+}
+
+func addressOf(l net.Listener) netip.AddrPort {
+	a, ok := l.Addr().(*net.TCPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	ap := a.AddrPort()
+	return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
+}
+
+func (b *Box) buildGateway() {
+	s := b.cfg.Settings
+	b.gateway = gateway.New(gateway.Config{
+		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Scope: b.metrics.Scope, NewID: rand.Text,
+		Engines:      engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
+		Hop:          &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
+		Services:     &http.Client{Transport: httpx.NewTransport(connsPerService), CheckRedirect: noRedirect},
+		ServicesOnce: &http.Client{Transport: httpx.NewOnceTransport(), CheckRedirect: noRedirect},
+		Limits: gateway.Limits{
+			BodyBytes: s.Request.BodyBytes, BodyTime: s.Request.BodyTime, DefaultWait: s.Request.DefaultWait,
+			Longest: s.Request.Longest, LocateKeep: s.Request.LocateKeep,
+		},
+		Ready: b.feed.IsReady, Leaving: func() bool { return b.node.Leaving() },
+	})
+}
+
+// noRedirect passes a service's redirect on to the caller instead of following it.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func (b *Box) serve(api platform.API) {
+	peerMux := http.NewServeMux()
+	peer.NewHandler(peer.HandlerConfig{Catalog: b.catalog, Beat: b.node.HandleBeat}).Register(peerMux)
+	b.gateway.RegisterPeer(peerMux)
+	op := operator.New(operator.Config{
+		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.feed.IsReady,
+		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.inFlight, Scope: b.metrics.Scope,
+	})
+	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
+	b.root.Add(server{b.listeners.peer, peerMux})
+	b.root.Add(server{b.listeners.operator, op.Handler()})
+	b.root.Add(b.feed)
+	b.root.Add(afterReady{b.feed, b.node})
+}
+
+// server is a listener's service.
+type server struct {
+	listener net.Listener
+	handler  http.Handler
+}
+
+// Serve implements suture.Service.
+func (s server) Serve(ctx context.Context) error {
+	err := httpx.Serve(ctx, httpx.NewServer(s.handler), s.listener)
+	if ctx.Err() == nil {
+		// A listener that broke cannot be opened again by a restart of this part.
+		return errors.Join(err, suture.ErrTerminateSupervisorTree)
+	}
+	return err
+}
+
+// afterReady starts membership once the catalog is there, so that a box owns nothing it does not know.
+type afterReady struct {
+	feed *feed.Feed
+	node *member.Node
+}
+
+// Serve implements suture.Service.
+func (a afterReady) Serve(ctx context.Context) error {
+	select {
+	case <-a.feed.Ready():
+		return a.node.Serve(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// CallerAddress returns where callers connect.
+func (b *Box) CallerAddress() netip.AddrPort { return addressOf(b.listeners.caller) }
+
+// OperatorAddress returns where operators connect.
+func (b *Box) OperatorAddress() netip.AddrPort { return addressOf(b.listeners.operator) }
+
+// Topology returns the fleet as this box knows it.
+func (b *Box) Topology() *catalog.Topology { return b.catalog.Topology() }
+
+// Done is closed when Run has ended.
+func (b *Box) Done() <-chan struct{} { return b.done }
+
+func (b *Box) inFlight() int { return b.gateway.InFlight() + b.owners.InFlight() }
+
+// Run serves until ctx ends, then leaves: it takes nothing new, hands its engines over and finishes what is in flight.
+func (b *Box) Run(ctx context.Context) error {
+	defer close(b.done)
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return b.root.Serve(running) })
+	group.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			b.leave(running)
+		case <-running.Done():
+		}
+		return nil
+	})
+	err := group.Wait()
+	if cerr := b.metrics.Close(); cerr != nil {
+		klog.ErrorS(cerr, "metrics")
+	}
+	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// leave waits until nothing is in flight and all engines have another owner, at most the time for leaving.
+// Handing over may take two terms; after that there is nobody to take the engines.
+func (b *Box) leave(ctx context.Context) {
+	timing := b.cfg.Settings.Timing
+	klog.InfoS("leaving", "box", b.cfg.Settings.Box.Name)
+	b.node.Leave()
+	began := time.Now()
+	limit := time.NewTimer(timing.Leave)
+	defer limit.Stop()
+	tick := time.NewTicker(leavePoll)
+	defer tick.Stop()
+	for {
+		handedOver := len(b.owners.Status()) == 0 || time.Since(began) > 2*timing.Term
+		if handedOver && b.inFlight() == 0 {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-limit.C:
+			klog.InfoS("leaving with requests in flight", "in_flight", b.inFlight())
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/box/harness_test.go
@@ -0,0 +1,198 @@
+package box_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bellgap/bellgap/internal/box"
+	"github.com/bellgap/bellgap/internal/fakeengine"
+	"github.com/bellgap/bellgap/internal/fakeplatform"
+	"github.com/bellgap/bellgap/internal/fakeservice"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/settings"
+)
+
+const (
+	baseModel = "plain-7b"
+	zone      = "hall-a"
+	adapter   = "boundary"
+	modelName = "boundary@3"
+)
+
+// fleet is some boxes in one process, on real sockets, before stand-ins.
+type fleet struct {
+	c        *qt.C
+	platform *fakeplatform.Store
+	address  netip.AddrPort
+	engines  []*fakeengine.Engine
+	service  *fakeservice.Service
+	boxes    []*running
+}
+
+type running struct {
+	*box.Box
+	stop  context.CancelFunc
+	group errgroup.Group
+}
+
+// fleetConfig says what a fleet consists of.
+type fleetConfig struct {
+	boxes   int
+	engines []fakeengine.Config
+}
+
+func startFleet(c *qt.C, cfg fleetConfig) *fleet {
+	f := &fleet{c: c, platform: fakeplatform.New(), service: fakeservice.New("titles")}
+	f.address = f.listen(f.platform.Handler())
+	f.declare("downs", &resource.Cooperative{MaxInFlight: 1000})
+	f.declare("gate", &resource.Priority{Urgency: 50, MaxWait: resource.Duration(time.Minute)})
+	f.declare("titles", &resource.Service{
+		Addresses: []netip.AddrPort{f.listen(f.service.Handler())}, Timeout: resource.Duration(time.Minute), Unrepeatable: []string{"/notice"},
+	})
+	for i, e := range cfg.engines {
+		engine := fakeengine.New(e)
+		f.engines = append(f.engines, engine)
+		f.declare(fmt.Sprintf("engine-%d", i+1), &resource.Engine{
+			Address: f.listen(engine.Handler()), Zone: zone, BaseModel: baseModel, Slots: e.Slots, Batch: e.Batch, ChecksOrders: e.ChecksOrders,
+		})
+	}
+	f.declareAdapter(modelName)
+	for i := range cfg.boxes {
+		f.addBox(fmt.Sprintf("box-%d", i+1))
+	}
+	f.settle(cfg.boxes, len(cfg.engines))
+	return f
+}
+
+func smallEngine() fakeengine.Config {
+	return fakeengine.Config{Slots: 4, Batch: 8, Step: time.Millisecond, ChecksOrders: true}
+}
+
+func (f *fleet) listen(h http.Handler) netip.AddrPort {
+	s := httptest.NewServer(h)
+	f.c.Cleanup(s.CloseClientConnections)
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func (f *fleet) declare(name string, spec resource.Spec) {
+	kinds := map[string]resource.Kind{
+		"*resource.Adapter": resource.KindAdapter, "*resource.AdapterVersion": resource.KindAdapterVersion,
+		"*resource.Priority": resource.KindPriority, "*resource.Cooperative": resource.KindCooperative,
+		"*resource.Engine": resource.KindEngine, "*resource.Service": resource.KindService,
+	}
+	kind := kinds[fmt.Sprintf("%T", spec)]
+	value, err := json.Marshal(resource.Resource{Kind: kind, Name: name, Spec: spec})
+	f.c.Assert(err, qt.IsNil)
+	ctx := context.Background()
+	have, err := f.platform.Get(ctx, string(kind), name)
+	if err != nil {
+		f.c.Assert(err, qt.ErrorIs, platform.ErrNotFound)
+	}
+	_, err = f.platform.Put(ctx, string(kind), name, have.Version, value)
+	f.c.Assert(err, qt.IsNil)
+}
+
+func (f *fleet) declareAdapter(model string) {
+	name, _, _ := strings.Cut(model, "@")
+	f.declare(name, &resource.Adapter{BaseModel: baseModel, Cooperative: "downs", Priority: "gate"})
+	f.declare(model, &resource.AdapterVersion{Weights: model})
+}
+
+func (f *fleet) settings(name string) settings.Settings {
+	s := settings.Default()
+	any0 := netip.MustParseAddrPort("127.0.0.1:0")
+	s.Box = settings.Box{Name: name, Zone: zone}
+	s.Listen = settings.Listen{Caller: any0, Peer: any0, Operator: any0}
+	s.Platform.Address = f.address
+	s.Timing.Beat, s.Timing.LeaseTTL, s.Timing.Term = 50*time.Millisecond, 500*time.Millisecond, 500*time.Millisecond
+	s.Loads = settings.Loads{PerSecond: 1000, AtOnce: 16}
+	s.Request.BodyBytes, s.Request.BodyTime = 64<<10, 200*time.Millisecond
+	return s
+}
+
+func (f *fleet) addBox(name string) *running {
+	b, err := box.New(box.Config{Settings: f.settings(name)})
+	f.c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Box: b, stop: cancel}
+	r.group.Go(func() error { return b.Run(ctx) })
+	f.boxes = append(f.boxes, r)
+	f.c.Cleanup(func() {
+		cancel()
+		f.c.Check(r.group.Wait(), qt.IsNil)
+	})
+	return r
+}
+
+// settle waits until every box knows all boxes and an owner for each engine.
+func (f *fleet) settle(boxes, engines int) {
+	for _, b := range f.boxes {
+		f.until(func() bool {
+			t := b.Topology()
+			n := 0
+			for _, m := range t.Boxes {
+				if !m.Leaving {
+					n++
+				}
+			}
+			return n == boxes && len(t.ByModel[baseModel]) == engines
+		})
+	}
+}
+
+// until waits for a condition; the test's own time limit ends a wait in vain.
+func (f *fleet) until(ok func() bool) {
+	for !ok() {
+		select {
+		case <-f.c.Context().Done():
+			f.c.Fatal("gave up waiting")
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// ask sends a request to a box.
+func (f *fleet) ask(b *running, path, body string, header ...string) answer {
+	return f.send(http.MethodPost, "http://"+b.CallerAddress().String()+path, strings.NewReader(body), header...)
+}
+
+func (f *fleet) send(method, url string, body io.Reader, header ...string) answer {
+	req, err := http.NewRequest(method, url, body)
+	f.c.Assert(err, qt.IsNil)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	f.c.Assert(err, qt.IsNil)
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		b = append(b, []byte("\nbroken: "+err.Error())...)
+	}
+	return answer{resp.StatusCode, resp.Header, string(b)}
+}
+
+func completion(model string, tokens int, stream bool) string {
+	var b bytes.Buffer
+	_, _ = fmt.Fprintf(&b, `{"model":%q,"max_tokens":%d,"stream":%t,"prompt":"x"}`, model, tokens, stream)
+	return b.String()
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,269 @@
+// Package catalog holds what is declared and the zone maps, as this box knows them; it never goes back.
+package catalog
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"unique"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// maxTombstones bounds how many deletions are remembered for other boxes.
+const maxTombstones = 4096
+
+// ErrBehind says that a source knows less than this box does.
+var ErrBehind = eris.New("catalog: the source is behind what this box has")
+
+type key struct {
+	kind string
+	name string
+}
+
+type entry struct {
+	version int64
+	// value is a resource.Spec or a *coordinator.Map.
+	value any
+}
+
+// Catalog is safe for use by many goroutines.
+type Catalog struct {
+	mu sync.RWMutex
+	// entries holds objects by kind and name.
+	entries  map[string]map[string]entry
+	versions map[string][]string
+	deleted  map[key]int64
+	// floor is the newest deletion no longer remembered.
+	floor    int64
+	revision int64
+	changed  chan struct{}
+	skipped  int
+	// topology is computed when asked for and dropped when a kind it is made of changes.
+	topology *Topology
+}
+
+// New returns an empty Catalog.
+func New() *Catalog {
+	return &Catalog{entries: map[string]map[string]entry{}, versions: map[string][]string{}, deleted: map[key]int64{}, changed: make(chan struct{})}
+}
+
+// WatchedKinds lists the object kinds that a catalog holds.
+func WatchedKinds() []string {
+	kinds := []string{coordinator.MapKind}
+	for _, k := range resource.Kinds() {
+		kinds = append(kinds, string(k))
+	}
+	return kinds
+}
+
+// Revision returns the store-wide revision up to which the catalog is complete.
+func (c *Catalog) Revision() int64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.revision
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Catalog) Changed() <-chan struct{} {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.changed
+}
+
+// Skipped returns how many objects could not be read.
+func (c *Catalog) Skipped() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.skipped
+}
+
+// Apply takes changes since an earlier revision. Objects that are not newer than what is held are passed over.
+func (c *Catalog) Apply(ch platform.Changes) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range ch.Objects {
+		c.apply(o)
+	}
+	c.advance(ch.Revision, len(ch.Objects) > 0)
+}
+
+// Replace takes a full list: what is not in it and not newer than it is gone. A list older than the catalog is refused with ErrBehind.
+func (c *Catalog) Replace(ch platform.Changes) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ch.Revision < c.revision {
+		return ErrBehind
+	}
+	listed := make(map[key]bool, len(ch.Objects))
+	for _, o := range ch.Objects {
+		listed[key{o.Kind, o.Name}] = true
+		c.apply(o)
+	}
+	for kind, byName := range c.entries {
+		for name, e := range byName {
+			if k := (key{kind, name}); !listed[k] && e.version <= ch.Revision {
+				c.remove(k, ch.Revision)
+			}
+		}
+	}
+	c.advance(ch.Revision, true)
+	return nil
+}
+
+func (c *Catalog) advance(revision int64, changed bool) {
+	c.revision = max(c.revision, revision)
+	if changed {
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+}
+
+func (c *Catalog) apply(o platform.Object) {
+	k := key{unique.Make(o.Kind).Value(), o.Name}
+	if o.Version <= c.entries[k.kind][k.name].version || o.Version <= c.deleted[k] {
+		return
+	}
+	if o.Deleted {
+		c.remove(k, o.Version)
+		return
+	}
+	v, err := decode(o)
+	if err != nil {
+		// An object this box cannot read keeps its last readable form.
+		c.skipped++
+		return
+	}
+	if _, known := c.entries[k.kind][k.name]; !known && k.kind == string(resource.KindAdapterVersion) {
+		adapter, version, _ := strings.Cut(k.name, "@")
+		c.versions[adapter] = append(c.versions[adapter], version)
+	}
+	delete(c.deleted, k)
+	c.set(k, entry{version: o.Version, value: v})
+}
+
+func (c *Catalog) set(k key, e entry) {
+	if c.entries[k.kind] == nil {
+		c.entries[k.kind] = map[string]entry{}
+	}
+	c.entries[k.kind][k.name] = e
+	c.touched(k.kind)
+}
+
+// touched drops the routing view if it is made of kind.
+func (c *Catalog) touched(kind string) {
+	switch kind {
+	case coordinator.MapKind, string(resource.KindEngine), string(resource.KindServing):
+		c.topology = nil
+	}
+}
+
+func (c *Catalog) remove(k key, version int64) {
+	delete(c.entries[k.kind], k.name)
+	c.touched(k.kind)
+	if adapter, v, ok := strings.Cut(k.name, "@"); ok && k.kind == string(resource.KindAdapterVersion) {
+		c.versions[adapter] = slices.DeleteFunc(c.versions[adapter], func(s string) bool { return s == v })
+		if len(c.versions[adapter]) == 0 {
+			delete(c.versions, adapter)
+		}
+	}
+	c.deleted[k] = version
+	if len(c.deleted) > maxTombstones {
+		c.forgetDeletions()
+	}
+}
+
+// forgetDeletions drops the older half; sources that ask from before then have to list.
+func (c *Catalog) forgetDeletions() {
+	all := make([]int64, 0, len(c.deleted))
+	for _, v := range c.deleted {
+		all = append(all, v)
+	}
+	slices.Sort(all)
+	c.floor = all[len(all)/2]
+	for k, v := range c.deleted {
+		if v <= c.floor {
+			delete(c.deleted, k)
+		}
+	}
+}
+
+func decode(o platform.Object) (any, error) {
+	if o.Kind == coordinator.MapKind {
+		m := &coordinator.Map{}
+		return m, json.Unmarshal(o.Value, m)
+	}
+	var r resource.Resource
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return nil, err
+	}
+	if string(r.Kind) != o.Kind || r.Name != o.Name {
+		return nil, errors.New("catalog: kind or name does not match the object")
+	}
+	return shareText(r.Spec), r.Check()
+}
+
+// shareText keeps one copy of the words that thousands of adapters have in common.
+func shareText(s resource.Spec) resource.Spec {
+	if a, ok := s.(*resource.Adapter); ok {
+		a.BaseModel = unique.Make(a.BaseModel).Value()
+		a.Cooperative = unique.Make(a.Cooperative).Value()
+		a.Priority = unique.Make(a.Priority).Value()
+	}
+	return s
+}
+
+// Since returns what changed after revision from, or platform.ErrGone if that is no longer known.
+func (c *Catalog) Since(from int64) (platform.Changes, error) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if from < c.floor || from > c.revision {
+		return platform.Changes{}, platform.ErrGone
+	}
+	ch := platform.Changes{Revision: c.revision}
+	if from == c.revision {
+		return ch, nil
+	}
+	for kind, byName := range c.entries {
+		for name, e := range byName {
+			if e.version > from {
+				ch.Objects = append(ch.Objects, encode(key{kind, name}, e))
+			}
+		}
+	}
+	for k, v := range c.deleted {
+		if v > from {
+			ch.Objects = append(ch.Objects, platform.Object{Kind: k.kind, Name: k.name, Version: v, Deleted: true})
+		}
+	}
+	return ch, nil
+}
+
+// All returns everything, for a box that starts.
+func (c *Catalog) All() platform.Changes {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	ch := platform.Changes{Revision: c.revision}
+	for kind, byName := range c.entries {
+		for name, e := range byName {
+			ch.Objects = append(ch.Objects, encode(key{kind, name}, e))
+		}
+	}
+	return ch
+}
+
+func encode(k key, e entry) platform.Object {
+	v := e.value
+	if s, ok := v.(resource.Spec); ok {
+		v = resource.Resource{Kind: resource.Kind(k.kind), Name: k.name, Spec: s}
+	}
+	// The types held here have no values that cannot be encoded.
+	b, _ := json.Marshal(v)
+	return platform.Object{Kind: k.kind, Name: k.name, Version: e.version, Value: b}
+}
--- /dev/null
+++ b/internal/catalog/lookup.go
@@ -0,0 +1,89 @@
+package catalog
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+func lookup[T any](c *Catalog, kind, name string) (*T, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	v, ok := c.entries[kind][name].value.(*T)
+	return v, ok
+}
+
+// Adapter returns a declared adapter.
+func (c *Catalog) Adapter(name string) (*resource.Adapter, bool) {
+	return lookup[resource.Adapter](c, string(resource.KindAdapter), name)
+}
+
+// Version returns a declared adapter version.
+func (c *Catalog) Version(ref resource.Ref) (*resource.AdapterVersion, bool) {
+	return lookup[resource.AdapterVersion](c, string(resource.KindAdapterVersion), ref.String())
+}
+
+// Versions returns the versions of an adapter.
+func (c *Catalog) Versions(adapter string) []string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return slices.Clone(c.versions[adapter])
+}
+
+// Priority returns a declared priority.
+func (c *Catalog) Priority(name string) (*resource.Priority, bool) {
+	return lookup[resource.Priority](c, string(resource.KindPriority), name)
+}
+
+// Cooperative returns a declared co-operative.
+func (c *Catalog) Cooperative(name string) (*resource.Cooperative, bool) {
+	return lookup[resource.Cooperative](c, string(resource.KindCooperative), name)
+}
+
+// Service returns a declared service.
+func (c *Catalog) Service(name string) (*resource.Service, bool) {
+	return lookup[resource.Service](c, string(resource.KindService), name)
+}
+
+// Engine returns a declared engine.
+func (c *Catalog) Engine(name string) (*resource.Engine, bool) {
+	return lookup[resource.Engine](c, string(resource.KindEngine), name)
+}
+
+// Map returns the map of a zone and its object version.
+func (c *Catalog) Map(zone string) (coordinator.Map, int64, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	e := c.entries[coordinator.MapKind][zone]
+	m, ok := e.value.(*coordinator.Map)
+	if !ok {
+		return coordinator.Map{}, 0, false
+	}
+	return *m, e.version, true
+}
+
+// Item is one held resource.
+type Item struct {
+	Resource resource.Resource `json:"resource"`
+	Version  int64             `json:"version"`
+}
+
+// Resources returns the resources of a kind whose names start with prefix, ordered by name.
+func (c *Catalog) Resources(kind resource.Kind, prefix string) []Item {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.resources(kind, prefix)
+}
+
+func (c *Catalog) resources(kind resource.Kind, prefix string) []Item {
+	var items []Item
+	for name, e := range c.entries[string(kind)] {
+		if s, ok := e.value.(resource.Spec); ok && strings.HasPrefix(name, prefix) {
+			items = append(items, Item{resource.Resource{Kind: kind, Name: name, Spec: s}, e.version})
+		}
+	}
+	slices.SortFunc(items, func(a, b Item) int { return strings.Compare(a.Resource.Name, b.Resource.Name) })
+	return items
+}
--- /dev/null
+++ b/internal/catalog/topology.go
@@ -0,0 +1,95 @@
+package catalog
+
+import (
+	"slices"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// EngineView is a declared engine with its owner, if it has one.
+type EngineView struct {
+	Name  string
+	Spec  *resource.Engine
+	Owner coordinator.Member
+	Epoch uint64
+}
+
+// Topology is the routing view of one catalog state. It is never changed.
+type Topology struct {
+	// Engines holds all declared engines by name.
+	Engines map[string]EngineView
+	// ByModel lists the names of the engines with a live owner, for each base model.
+	ByModel map[string][]string
+	// Boxes lists the live boxes of all zones by name.
+	Boxes map[string]coordinator.Member
+	// Zones lists all zones that have an engine or a map.
+	Zones []string
+	// Serving holds the serving configuration of each base model.
+	Serving map[string]*resource.Serving
+}
+
+// Topology returns the routing view of the present state.
+func (c *Catalog) Topology() *Topology {
+	c.mu.RLock()
+	t := c.topology
+	c.mu.RUnlock()
+	if t != nil {
+		return t
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.topology == nil {
+		c.topology = c.computeTopology()
+	}
+	return c.topology
+}
+
+func (c *Catalog) computeTopology() *Topology {
+	t := &Topology{
+		Engines: map[string]EngineView{}, ByModel: map[string][]string{},
+		Boxes: map[string]coordinator.Member{}, Serving: map[string]*resource.Serving{},
+	}
+	owners := map[string]coordinator.Ownership{}
+	for zone, e := range c.entries[coordinator.MapKind] {
+		t.Zones = append(t.Zones, zone)
+		t.addMap(e, owners)
+	}
+	for _, it := range c.resources(resource.KindEngine, "") {
+		if e, ok := it.Resource.Spec.(*resource.Engine); ok {
+			t.addEngine(it.Resource.Name, e, owners[it.Resource.Name])
+		}
+	}
+	for _, it := range c.resources(resource.KindServing, "") {
+		if s, ok := it.Resource.Spec.(*resource.Serving); ok && t.Serving[s.BaseModel] == nil {
+			t.Serving[s.BaseModel] = s
+		}
+	}
+	slices.Sort(t.Zones)
+	return t
+}
+
+func (t *Topology) addMap(e entry, owners map[string]coordinator.Ownership) {
+	m, ok := e.value.(*coordinator.Map)
+	if !ok {
+		return
+	}
+	for _, b := range m.Members {
+		t.Boxes[b.Box] = b
+	}
+	for _, o := range m.Owners {
+		owners[o.Engine] = o
+	}
+}
+
+func (t *Topology) addEngine(name string, e *resource.Engine, o coordinator.Ownership) {
+	if !slices.Contains(t.Zones, e.Zone) {
+		t.Zones = append(t.Zones, e.Zone)
+	}
+	v := EngineView{Name: name, Spec: e, Epoch: o.Epoch}
+	if b, ok := t.Boxes[o.Owner]; ok {
+		v.Owner = b
+		t.ByModel[e.BaseModel] = append(t.ByModel[e.BaseModel], name)
+	}
+	t.Engines[name] = v
+}
--- /dev/null
+++ b/internal/cli/ask.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bellgap/bellgap/internal/gateway"
+	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+func askCommand() *cli.Command {
+	return &cli.Command{
+		Name: "ask", Usage: "locate an adapter and stream one answer from it", ArgsUsage: "ADAPTER@VERSION PROMPT",
+		Flags:  []cli.Flag{&cli.StringFlag{Name: "at", Required: true, Usage: "ask the caller address `ADDRESS` of any box"}},
+		Action: runAsk,
+	}
+}
+
+func runAsk(ctx context.Context, cmd *cli.Command) error {
+	model, prompt := cmd.Args().First(), cmd.Args().Get(1)
+	client := &operatorClient{base: "http://" + cmd.String("at"), http: &http.Client{Transport: httpx.NewTransport(1)}}
+	var where gateway.Located
+	if err := client.call(ctx, http.MethodGet, "/locate?model="+model, nil, &where); err != nil {
+		return err
+	}
+	if len(where.Addresses) == 0 {
+		return eris.New("locate named no address")
+	}
+	body, err := json.Marshal(map[string]any{
+		"model": model, "stream": true, "messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+where.Addresses[0]+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := client.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := cmd.Root().Writer
+	if _, err := io.Copy(out, resp.Body); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "box %s, engine %s, result %s\n",
+		resp.Header.Get(result.HeaderBox), resp.Header.Get(result.HeaderEngine), resp.Header.Get(result.HeaderCode))
+	return err
+}
--- /dev/null
+++ b/internal/cli/daemon.go
@@ -0,0 +1,86 @@
+// Package cli holds the command lines of the programs.
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/box"
+	"github.com/bellgap/bellgap/internal/settings"
+)
+
+// Daemon runs bellgapd and returns its exit status.
+func Daemon(args []string, out, errOut io.Writer) int {
+	cmd := &cli.Command{
+		Name: "bellgapd", Usage: "serve LoRA adapters from a fleet of engines", Writer: out, ErrWriter: errOut,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Aliases: []string{"s"}, Usage: "read the settings from `FILE`", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+			&cli.StringFlag{Name: "address-file", Usage: "write the addresses to `FILE` once listening"},
+		},
+		Action: runDaemon,
+	}
+	return run(cmd, args, errOut)
+}
+
+// run runs a command until it ends or the process is told to stop.
+func run(cmd *cli.Command, args []string, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cmd.ExitErrHandler = func(context.Context, *cli.Command, error) {}
+	if err := cmd.Run(ctx, args); err != nil {
+		// Nothing is left to tell if even this cannot be written.
+		_, _ = fmt.Fprintf(errOut, "%s: %v\n", cmd.Name, err)
+		return exitStatus(err)
+	}
+	return 0
+}
+
+func runDaemon(ctx context.Context, cmd *cli.Command) error {
+	s, err := settings.Load(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("check") {
+		_, err := fmt.Fprintln(cmd.Root().Writer, "settings are good")
+		return err
+	}
+	if err := setLog(s.Log.Level); err != nil {
+		return err
+	}
+	b, err := box.New(box.Config{Settings: s})
+	if err != nil {
+		return err
+	}
+	klog.InfoS("listening", "box", s.Box.Name, "caller", b.CallerAddress(), "operator", b.OperatorAddress())
+	if path := cmd.String("address-file"); path != "" {
+		if err := writeAddress(path, fmt.Sprintf("%s %s", b.CallerAddress(), b.OperatorAddress())); err != nil {
+			return err
+		}
+	}
+	return b.Run(ctx)
+}
+
+func setLog(level int) error {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	return fs.Set("v", strconv.Itoa(level))
+}
+
+// writeAddress writes the file whole or not at all.
+func writeAddress(path, text string) error {
+	const mode = 0o644
+	if err := os.WriteFile(path+".part", []byte(text+"\n"), mode); err != nil {
+		return err
+	}
+	return os.Rename(path+".part", path)
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,105 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/operator"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "print the state of the box and of the fleet as it sees it",
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "wait", Usage: "wait up to `TIME` until the box is ready and every engine has an owner"},
+			&cli.Int64Flag{Name: "revision", Usage: "with --wait, also until the box has `REVISION` in force"},
+		},
+		Action: runStatus,
+	}
+}
+
+const statusPoll = 100 * time.Millisecond
+
+func runStatus(ctx context.Context, cmd *cli.Command) error {
+	c, err := newOperatorClient(cmd)
+	if err != nil {
+		return err
+	}
+	until := time.Now().Add(cmd.Duration("wait"))
+	for {
+		st, t, err := readStatus(ctx, c)
+		if err == nil && (cmd.Duration("wait") == 0 || settled(st, t, cmd.Int64("revision"))) {
+			return printStatus(cmd, st, t)
+		}
+		if !time.Now().Before(until) {
+			if err == nil {
+				err = result.New(result.NotReady, "not settled within %s", cmd.Duration("wait"))
+			}
+			return err
+		}
+		time.Sleep(statusPoll)
+	}
+}
+
+func readStatus(ctx context.Context, c *operatorClient) (operator.Status, catalog.Topology, error) {
+	var st operator.Status
+	var t catalog.Topology
+	if err := c.call(ctx, http.MethodGet, "/status", nil, &st); err != nil {
+		return st, t, err
+	}
+	err := c.call(ctx, http.MethodGet, "/boxes", nil, &t)
+	return st, t, err
+}
+
+func settled(st operator.Status, t catalog.Topology, revision int64) bool {
+	for _, e := range t.Engines {
+		if e.Owner.Box == "" {
+			return false
+		}
+	}
+	return st.Ready && len(t.Engines) > 0 && st.Revision >= revision
+}
+
+func printStatus(cmd *cli.Command, st operator.Status, t catalog.Topology) error {
+	if cmd.Root().String("output") == formatJSON {
+		return printJSON(cmd, struct {
+			Status   operator.Status  `json:"status"`
+			Topology catalog.Topology `json:"topology"`
+		}{st, t})
+	}
+	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+	// The tab writer keeps errors for Flush.
+	_, _ = fmt.Fprintf(w, "box %s ready=%t revision=%d in_flight=%d zone=%s coordinator=%s frozen=%t\n",
+		st.Box, st.Ready, st.Revision, st.InFlight, st.Member.Zone, st.Member.Coordinator, st.Member.Frozen)
+	_, _ = fmt.Fprintln(w, "ENGINE\tZONE\tMODEL\tOWNER\tEPOCH")
+	for _, name := range sortedKeys(t.Engines) {
+		e := t.Engines[name]
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", name, e.Spec.Zone, e.Spec.BaseModel, e.Owner.Box, e.Epoch)
+	}
+	for _, e := range st.Engines {
+		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, strings.Join(e.Loaded, " "))
+	}
+	return w.Flush()
+}
+
+func codesCommand() *cli.Command {
+	return &cli.Command{
+		Name: "codes", Usage: "print the result codes",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+			for _, i := range result.All() {
+				// The tab writer keeps errors for Flush.
+				_, _ = fmt.Fprintf(w, "%d\t%s\t%d\tran=%s\t%s\n", i.Code, i.Name, i.Status, i.Ran, i.Text)
+			}
+			return w.Flush()
+		},
+	}
+}
--- /dev/null
+++ b/internal/coordinator/message.go
@@ -0,0 +1,69 @@
+// Package coordinator decides, for one zone, which boxes are members and which box owns which engine. It does no I/O.
+package coordinator
+
+import (
+	"net/netip"
+	"time"
+)
+
+// MapKind is the object kind of zone maps.
+const MapKind = "ZoneMap"
+
+// Member is one box of a zone as others see it.
+type Member struct {
+	Box string `json:"box"`
+	// Incarnation tells one process of a box from the next.
+	Incarnation string `json:"incarnation"`
+	// Caller and Peer are the addresses for callers and for other boxes.
+	Caller  netip.AddrPort `json:"caller"`
+	Peer    netip.AddrPort `json:"peer"`
+	Leaving bool           `json:"leaving,omitempty"`
+}
+
+// Ownership says which box owns an engine.
+type Ownership struct {
+	Engine string `json:"engine"`
+	Owner  string `json:"owner"`
+	// Epoch grows with each change of owner; orders carry it.
+	Epoch uint64 `json:"epoch"`
+	// Previous names the last owner until all it may have in flight on the engine has ended.
+	Previous string `json:"previous,omitempty"`
+}
+
+// Map is the published state of a zone.
+type Map struct {
+	Zone string `json:"zone"`
+	// Lease is the epoch of the coordinator's lease.
+	Lease   uint64      `json:"lease"`
+	Members []Member    `json:"members"`
+	Owners  []Ownership `json:"owners"`
+}
+
+// Beat is a heartbeat from a box.
+type Beat struct {
+	Member Member `json:"member"`
+	// Released lists engines this box no longer admits requests or gives orders to.
+	Released []string `json:"released,omitempty"`
+	// Draining lists engines this box still has requests in flight on without owning them.
+	Draining []string `json:"draining,omitempty"`
+	// Owned lists what this box holds, for a new coordinator.
+	Owned []Ownership `json:"owned,omitempty"`
+}
+
+// Reply answers a Beat.
+type Reply struct {
+	// Lease is the epoch of the coordinator's lease.
+	Lease uint64 `json:"lease"`
+	// Term is how long the grants hold, counted from when the beat was sent.
+	Term time.Duration `json:"term"`
+	// Frozen says that the coordinator cannot renew its lease: grants are neither extended nor changed.
+	Frozen bool `json:"frozen,omitempty"`
+	// Grants lists the engines the box owns.
+	Grants []Ownership `json:"grants"`
+	// Release lists owned engines to hand over.
+	Release []string `json:"release,omitempty"`
+	// LeaseVersion is the version of the lease object; seeing it in a reply is as good as reading the lease.
+	LeaseVersion int64 `json:"lease_version"`
+	// Revision is the configuration revision that the coordinator has.
+	Revision int64 `json:"revision"`
+}
--- /dev/null
+++ b/internal/coordinator/state.go
@@ -0,0 +1,254 @@
+package coordinator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bellgap/bellgap/internal/placement"
+)
+
+// Config configures a State.
+type Config struct {
+	Zone string
+	// Lease is the epoch of the lease under which this coordinator acts.
+	Lease uint64
+	// Term is how long a grant holds after the beat that asked for it was sent.
+	Term time.Duration
+	// Drain is how long, after its term, a silent box may still have requests in flight: serve-on time and longest request.
+	Drain time.Duration
+	// Started is when the lease was taken; no engine changes hands within Term of it, as the last coordinator's grants may hold.
+	Started time.Time
+}
+
+type member struct {
+	Member
+	seen     time.Time
+	released []string
+	draining []string
+}
+
+// State is the coordinator's state. One goroutine uses it.
+type State struct {
+	cfg     Config
+	members map[string]*member
+	owners  map[string]*Ownership
+	// freedAt is when an engine lost its last owner, heldUntil how long that owner may still give orders.
+	freedAt   map[string]time.Time
+	heldUntil map[string]time.Time
+	published Map
+	epoch     uint64
+}
+
+// New returns a State that continues from the zone's last published map.
+func New(cfg Config, last Map) *State {
+	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, published: last}
+	for _, m := range last.Members {
+		s.members[m.Box] = &member{Member: m, seen: cfg.Started}
+	}
+	for _, o := range last.Owners {
+		s.adopt(o)
+	}
+	return s
+}
+
+func (s *State) adopt(o Ownership) {
+	s.epoch = max(s.epoch, o.Epoch)
+	if have, ok := s.owners[o.Engine]; ok && have.Epoch >= o.Epoch {
+		return
+	}
+	s.owners[o.Engine] = &o
+	if o.Previous != "" {
+		s.freedAt[o.Engine] = s.cfg.Started
+	}
+}
+
+// Beat takes a heartbeat in. The answer is made by Reply once the map it implies is published.
+func (s *State) Beat(now time.Time, b Beat) {
+	m := s.members[b.Member.Box]
+	if m != nil && m.Incarnation != b.Member.Incarnation {
+		// The old process may be frozen rather than gone: it counts as silent, not as drained.
+		s.forget(now, m.Box, m.seen.Add(s.cfg.Term), m.Box+"/"+m.Incarnation)
+	}
+	s.members[b.Member.Box] = &member{Member: b.Member, seen: now, released: b.Released, draining: b.Draining}
+	for _, o := range b.Owned {
+		s.adopt(o)
+	}
+}
+
+// forget takes the engines from a box; they may be given on from until.
+func (s *State) forget(now time.Time, box string, until time.Time, previous string) {
+	for _, o := range s.owners {
+		if o.Owner == box {
+			s.unown(now, o, previous)
+			s.heldUntil[o.Engine] = until
+		}
+	}
+}
+
+func (s *State) unown(now time.Time, o *Ownership, previous string) {
+	o.Previous, o.Owner = previous, ""
+	s.freedAt[o.Engine] = now
+}
+
+// Tick drops silent members and assigns the zone's engines.
+func (s *State) Tick(now time.Time, engines []string) {
+	s.dropSilent(now)
+	for name := range s.owners {
+		if !slices.Contains(engines, name) {
+			delete(s.owners, name)
+			delete(s.freedAt, name)
+			delete(s.heldUntil, name)
+		}
+	}
+	for _, name := range engines {
+		if s.owners[name] == nil {
+			s.owners[name] = &Ownership{Engine: name}
+		}
+	}
+	for _, o := range s.owners {
+		s.settlePrevious(now, o)
+		s.handOver(now, o)
+	}
+	s.assign(now)
+}
+
+func (s *State) dropSilent(now time.Time) {
+	for box, m := range s.members {
+		if now.Sub(m.seen) > s.cfg.Term {
+			s.forget(now, box, now, box)
+			delete(s.members, box)
+		}
+	}
+}
+
+// settlePrevious clears the previous owner once nothing it sent can be in flight.
+func (s *State) settlePrevious(now time.Time, o *Ownership) {
+	if o.Previous == "" {
+		return
+	}
+	m := s.members[o.Previous]
+	drained := m != nil && m.seen.After(s.freedAt[o.Engine]) && !slices.Contains(m.draining, o.Engine)
+	if drained || now.Sub(s.freedAt[o.Engine]) > s.cfg.Term+s.cfg.Drain {
+		o.Previous = ""
+		delete(s.freedAt, o.Engine)
+	}
+}
+
+// handOver takes an engine from an owner that has released it.
+func (s *State) handOver(now time.Time, o *Ownership) {
+	if m := s.members[o.Owner]; m != nil && slices.Contains(m.released, o.Engine) {
+		s.unown(now, o, o.Owner)
+	}
+}
+
+// assign gives engines without an owner to the live member with the best hash that is under its share.
+func (s *State) assign(now time.Time) {
+	if now.Sub(s.cfg.Started) < s.cfg.Term {
+		return
+	}
+	live := s.live()
+	if len(live) == 0 {
+		return
+	}
+	load := s.load()
+	share := s.share(len(live))
+	for _, name := range s.engineNames() {
+		o := s.owners[name]
+		if o.Owner != "" || now.Before(s.heldUntil[name]) {
+			continue
+		}
+		order := placement.Rank(name, live)
+		pick := order[0]
+		for _, box := range order {
+			if load[box] < share {
+				pick = box
+				break
+			}
+		}
+		load[pick]++
+		s.epoch++
+		o.Owner, o.Epoch = pick, s.epoch
+	}
+}
+
+func (s *State) engineNames() []string {
+	names := make([]string, 0, len(s.owners))
+	for n := range s.owners {
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *State) live() []string {
+	var boxes []string
+	for b, m := range s.members {
+		if !m.Leaving {
+			boxes = append(boxes, b)
+		}
+	}
+	slices.Sort(boxes)
+	return boxes
+}
+
+func (s *State) load() map[string]int {
+	load := map[string]int{}
+	for _, o := range s.owners {
+		load[o.Owner]++
+	}
+	return load
+}
+
+func (s *State) share(boxes int) int { return (len(s.owners) + boxes - 1) / boxes }
+
+// Published says that mp is stored; from now on its owners may be told.
+func (s *State) Published(mp Map) { s.published = mp }
+
+// Reply returns the answer to the last beat of box. It grants only what is published and still meant.
+func (s *State) Reply(now time.Time, box string) Reply {
+	r := Reply{Lease: s.cfg.Lease, Term: s.cfg.Term}
+	m := s.members[box]
+	if m == nil {
+		return r
+	}
+	for _, o := range s.published.Owners {
+		if meant := s.owners[o.Engine]; o.Owner == box && meant != nil && meant.Owner == box && meant.Epoch == o.Epoch {
+			r.Grants = append(r.Grants, *meant)
+		}
+	}
+	r.Release = s.release(now, m, r.Grants)
+	return r
+}
+
+// release picks what a member should hand over: all when it leaves, and what is above its share when boxes have joined.
+func (s *State) release(now time.Time, m *member, grants []Ownership) []string {
+	live := s.live()
+	if len(live) == 0 || now.Sub(s.cfg.Started) < s.cfg.Term {
+		return nil
+	}
+	keep := s.share(len(live))
+	if m.Leaving {
+		keep = 0
+	}
+	var names []string
+	for _, o := range grants[min(keep, len(grants)):] {
+		if o.Previous == "" || m.Leaving {
+			names = append(names, o.Engine)
+		}
+	}
+	return names
+}
+
+// Map returns the map to publish, in a fixed order.
+func (s *State) Map() Map {
+	mp := Map{Zone: s.cfg.Zone, Lease: s.cfg.Lease}
+	for _, m := range s.members {
+		mp.Members = append(mp.Members, m.Member)
+	}
+	slices.SortFunc(mp.Members, func(a, b Member) int { return cmp.Compare(a.Box, b.Box) })
+	for _, name := range s.engineNames() {
+		mp.Owners = append(mp.Owners, *s.owners[name])
+	}
+	return mp
+}
--- /dev/null
+++ b/internal/engine/message.go
@@ -0,0 +1,56 @@
+// Package engine is the client of model engines: requests, orders and reports.
+package engine
+
+import "time"
+
+// Action is what an order asks for.
+type Action string
+
+// The actions of an order.
+const (
+	ActionLoad   Action = "load"
+	ActionUnload Action = "unload"
+)
+
+// Order asks an engine to change what it holds. Engines that check orders refuse an epoch older than the newest they have seen.
+type Order struct {
+	Epoch   uint64 `json:"epoch"`
+	Action  Action `json:"action"`
+	Model   string `json:"model"`
+	Weights string `json:"weights,omitempty"`
+}
+
+// Report is what an engine says of itself; it lags.
+type Report struct {
+	// Incarnation changes when the engine restarts; it then holds no adapter.
+	Incarnation string `json:"incarnation"`
+	// Epoch is the newest epoch seen in an order.
+	Epoch uint64 `json:"epoch"`
+	// Loaded lists the models that are loaded.
+	Loaded []string `json:"loaded"`
+	// Running and Waiting count sequences.
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+	// Steps counts engine steps and Filled the sequences in them, since the start.
+	Steps  int64 `json:"steps"`
+	Filled int64 `json:"filled"`
+	// TakenAt is when the report was true, on the engine's clock.
+	TakenAt time.Time `json:"taken_at"`
+}
+
+// Refusal is the body of an engine's answer that says it did not run the request.
+type Refusal struct {
+	Error struct {
+		Type    string `json:"type"`
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// Types of a Refusal.
+const (
+	RefusalNotLoaded  = "adapter_not_loaded"
+	RefusalStaleEpoch = "stale_epoch"
+	RefusalLoadFailed = "load_failed"
+	RefusalNoSlot     = "no_slot"
+	RefusalBadRequest = "bad_request"
+)
--- /dev/null
+++ b/internal/fakeplatform/store.go
@@ -0,0 +1,250 @@
+// Package fakeplatform stands in for the platform: the object API and the box list.
+package fakeplatform
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/bellgap/bellgap/internal/platform"
+)
+
+// historyLimit is how many changes are kept for watches.
+const historyLimit = 4096
+
+// Faults are switched on by tests and by POST /faults.
+type Faults struct {
+	// Down refuses every call.
+	Down bool `json:"down"`
+	// Delay is added to every call.
+	Delay time.Duration `json:"delay"`
+	// LoseAnswers lets this many writes take effect and loses their answers.
+	LoseAnswers int `json:"lose_answers"`
+}
+
+// Counts are the calls taken so far.
+type Counts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+type key struct{ kind, name string }
+
+// Store is the in-memory object store. It implements platform.API without a network.
+type Store struct {
+	mu       sync.Mutex
+	objects  map[key]platform.Object
+	history  []platform.Object
+	dropped  int64
+	revision int64
+	changed  chan struct{}
+	boxes    []platform.Box
+	faults   Faults
+	counts   Counts
+}
+
+var _ platform.API = (*Store)(nil)
+
+// New returns an empty Store.
+func New() *Store {
+	return &Store{objects: map[key]platform.Object{}, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// SetBoxes replaces the box list.
+func (s *Store) SetBoxes(boxes []platform.Box) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boxes = slices.Clone(boxes)
+}
+
+// Counts returns the calls taken so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Snapshot returns a copy of all that is stored, for Restore.
+func (s *Store) Snapshot() platform.Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list(nil)
+}
+
+// Restore puts an older copy back, as a platform restored from a backup does.
+func (s *Store) Restore(c platform.Changes) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects = map[key]platform.Object{}
+	for _, o := range c.Objects {
+		s.objects[key{o.Kind, o.Name}] = o
+	}
+	s.history, s.dropped, s.revision = nil, c.Revision, c.Revision
+	s.wake()
+}
+
+// Get implements platform.API.
+func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if err := s.enter(ctx, false); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key{kind, name}]
+	if !ok {
+		return o, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+// List implements platform.API.
+func (s *Store) List(ctx context.Context, kinds []string) (platform.Changes, error) {
+	if err := s.enter(ctx, false); err != nil {
+		return platform.Changes{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.list(kinds), nil
+}
+
+func (s *Store) list(kinds []string) platform.Changes {
+	c := platform.Changes{Revision: s.revision}
+	for _, o := range s.objects {
+		if len(kinds) == 0 || slices.Contains(kinds, o.Kind) {
+			c.Objects = append(c.Objects, o)
+		}
+	}
+	slices.SortFunc(c.Objects, func(a, b platform.Object) int { return strings.Compare(a.Kind+"/"+a.Name, b.Kind+"/"+b.Name) })
+	return c
+}
+
+// Watch implements platform.API.
+func (s *Store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
+	if err := s.enter(ctx, false); err != nil {
+		return platform.Changes{}, err
+	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		s.mu.Lock()
+		c, err := s.since(kinds, from)
+		changed, down := s.changed, s.faults.Down
+		s.mu.Unlock()
+		if down {
+			return platform.Changes{}, platform.ErrUnavailable
+		}
+		if err != nil || len(c.Objects) > 0 {
+			return c, err
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return c, nil
+		case <-ctx.Done():
+			return c, platform.ErrUnavailable
+		}
+	}
+}
+
+func (s *Store) since(kinds []string, from int64) (platform.Changes, error) {
+	if from < s.dropped || from > s.revision {
+		return platform.Changes{}, platform.ErrGone
+	}
+	c := platform.Changes{Revision: s.revision}
+	for _, o := range s.history {
+		if o.Version > from && slices.Contains(kinds, o.Kind) {
+			c.Objects = append(c.Objects, o)
+		}
+	}
+	return c, nil
+}
+
+// Put implements platform.API.
+func (s *Store) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
+	return s.write(ctx, platform.Object{Kind: kind, Name: name, Value: value}, expect)
+}
+
+// Delete implements platform.API.
+func (s *Store) Delete(ctx context.Context, kind, name string, expect int64) error {
+	_, err := s.write(ctx, platform.Object{Kind: kind, Name: name, Deleted: true}, expect)
+	return err
+}
+
+func (s *Store) write(ctx context.Context, o platform.Object, expect int64) (int64, error) {
+	if err := s.enter(ctx, true); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := key{o.Kind, o.Name}
+	if s.objects[k].Version != expect {
+		return 0, platform.ErrConflict
+	}
+	s.revision++
+	o.Version = s.revision
+	if o.Deleted {
+		delete(s.objects, k)
+	} else {
+		s.objects[k] = o
+	}
+	s.history = append(s.history, o)
+	if len(s.history) > historyLimit {
+		s.dropped = s.history[0].Version
+		s.history = slices.Delete(s.history, 0, 1)
+	}
+	s.wake()
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return 0, platform.ErrAnswerLost
+	}
+	return o.Version, nil
+}
+
+// Boxes implements platform.API.
+func (s *Store) Boxes(ctx context.Context) ([]platform.Box, error) {
+	if err := s.enter(ctx, false); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.boxes), nil
+}
+
+// enter counts the call and applies the delay and the outage.
+func (s *Store) enter(ctx context.Context, write bool) error {
+	s.mu.Lock()
+	if write {
+		s.counts.Writes++
+	} else {
+		s.counts.Reads++
+	}
+	f := s.faults
+	s.mu.Unlock()
+	if f.Down {
+		return platform.ErrUnavailable
+	}
+	if f.Delay <= 0 {
+		return nil
+	}
+	select {
+	case <-time.After(f.Delay):
+		return nil
+	case <-ctx.Done():
+		return platform.ErrUnavailable
+	}
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,123 @@
+// Package feed keeps a catalog up to date from the coordinator of the zone, or from the platform.
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/platform"
+
+	"github.com/bellgap/bellgap/internal/part"
+)
+
+// Timings of a Feed.
+const (
+	watchWait  = 20 * time.Second
+	minPause   = 100 * time.Millisecond
+	maxBackoff = 5 * time.Second
+)
+
+// Source gives changes: the platform or another box.
+type Source interface {
+	List(ctx context.Context, kinds []string) (platform.Changes, error)
+	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error)
+}
+
+// Config configures a Feed.
+type Config struct {
+	Catalog *catalog.Catalog
+	// Pick returns the source for the next call.
+	Pick func() Source
+	// Scope counts calls.
+	Scope tally.Scope
+}
+
+// Feed is the part that watches.
+type Feed struct {
+	cfg   Config
+	done  chan struct{}
+	ready chan struct{}
+	once  sync.Once
+}
+
+// New returns a Feed; its Serve has to run.
+func New(cfg Config) *Feed {
+	return &Feed{cfg: cfg, done: make(chan struct{}), ready: make(chan struct{})}
+}
+
+// Done is closed when Serve has ended.
+func (f *Feed) Done() <-chan struct{} { return f.done }
+
+// Ready is closed once the catalog holds a full list.
+func (f *Feed) Ready() <-chan struct{} { return f.ready }
+
+// IsReady reports whether the catalog holds a full list.
+func (f *Feed) IsReady() bool {
+	select {
+	case <-f.ready:
+		return true
+	default:
+		return false
+	}
+}
+
+// Serve watches until ctx ends.
+func (f *Feed) Serve(ctx context.Context) error {
+	defer part.CloseAtEnd(ctx, f.done)
+	backoff := minPause
+	for ctx.Err() == nil {
+		pause := minPause
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.cfg.Scope.Counter("feed_failures").Inc(1)
+			klog.V(1).InfoS("feed", "err", err)
+			backoff = min(2*backoff, maxBackoff)
+			pause = backoff/2 + rand.N(backoff)
+		} else {
+			backoff = minPause
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// step makes one call: a list until there has been one, then watches.
+func (f *Feed) step(ctx context.Context) error {
+	src := f.cfg.Pick()
+	if !f.IsReady() {
+		return f.list(ctx, src)
+	}
+	f.cfg.Scope.Counter("feed_watches").Inc(1)
+	ch, err := src.Watch(ctx, catalog.WatchedKinds(), f.cfg.Catalog.Revision(), watchWait)
+	if errors.Is(err, platform.ErrGone) {
+		return f.list(ctx, src)
+	}
+	if err != nil {
+		return err
+	}
+	f.cfg.Catalog.Apply(ch)
+	return nil
+}
+
+func (f *Feed) list(ctx context.Context, src Source) error {
+	f.cfg.Scope.Counter("feed_lists").Inc(1)
+	ch, err := src.List(ctx, catalog.WatchedKinds())
+	if err != nil {
+		return err
+	}
+	if err := f.cfg.Catalog.Replace(ch); err != nil {
+		f.cfg.Scope.Counter("feed_behind").Inc(1)
+		return err
+	}
+	f.once.Do(func() { close(f.ready) })
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// localTries is how often a request is offered to the same engine when it turns out not to hold the adapter.
+const localTries = 2
+
+// attempt is a request that an engine is answering.
+type attempt struct {
+	answer *engine.Answer
+	engine string
+	box    string
+	// stalled is how long the request waited for its adapter.
+	stalled time.Duration
+	// end frees what the attempt holds.
+	end func(owner.End)
+}
+
+// place offers a job to the candidate engines in turn until one answers.
+func (g *Gateway) place(ctx context.Context, j *job) (*attempt, *result.Error) {
+	g.retries.earn()
+	last := result.New(result.NoEngine, "base model %s", j.baseModel)
+	for i, e := range g.candidates(j.ref, j.baseModel) {
+		if i > 0 && !g.retries.spend() {
+			g.cfg.Scope.Counter("retries_over_budget").Inc(1)
+			break
+		}
+		a, err := g.try(ctx, j, e)
+		if err == nil {
+			return a, nil
+		}
+		last = err
+		if !tryElsewhere(err, j.repeatable) || !time.Now().Before(j.startBy) {
+			break
+		}
+		g.cfg.Scope.Tagged(map[string]string{"reason": err.Code.String()}).Counter("retries").Inc(1)
+	}
+	return nil, last
+}
+
+// tryElsewhere says whether another engine may be asked after err.
+func tryElsewhere(err *result.Error, repeatable bool) bool {
+	switch err.Code {
+	case result.NotOwner, result.TryNext, result.QueueFull, result.LoadFailed, result.LoadBudget, result.Leaving,
+		result.BackendRefused, result.BackendUnreachable, result.NotReady:
+		return true
+	case result.AnswerLost, result.StreamCut, result.WrongAnswer:
+		return repeatable
+	default:
+		return false
+	}
+}
+
+func (g *Gateway) try(ctx context.Context, j *job, e catalog.EngineView) (*attempt, *result.Error) {
+	if r, ok := g.cfg.Owners.Get(e.Name); ok {
+		return g.tryLocal(ctx, j, r)
+	}
+	if e.Owner.Box == g.cfg.Box {
+		return nil, result.New(result.NotOwner, "%s is being handed over", e.Name)
+	}
+	return g.tryHop(ctx, j, e)
+}
+
+// tryLocal runs the job on an engine that this box owns.
+func (g *Gateway) tryLocal(ctx context.Context, j *job, r *owner.Runner) (*attempt, *result.Error) {
+	var last *result.Error
+	for range localTries {
+		grant, err := r.Acquire(ctx, owner.Request{Ref: j.ref, Weights: j.weights, Urgency: j.urgency, StartBy: j.startBy})
+		if err != nil {
+			return nil, result.From(err, result.QueueFull)
+		}
+		a, rerr := g.runGranted(ctx, j, grant)
+		if rerr == nil {
+			return a, nil
+		}
+		last = rerr
+		if rerr.Code != result.BackendRefused {
+			break
+		}
+	}
+	return nil, last
+}
+
+// runGranted sends the job to the engine that the grant is for.
+func (g *Gateway) runGranted(ctx context.Context, j *job, grant *owner.Grant) (*attempt, *result.Error) {
+	answer, err := g.cfg.Engines.Run(ctx, engine.Call{
+		Address: grant.Engine.Address, Path: j.path, Ref: j.ref, RunID: j.runID, Urgency: strconv.Itoa(j.urgency), Body: j.body,
+	})
+	if err != nil {
+		rerr := result.From(err, result.AnswerLost)
+		grant.Release(endOf(rerr))
+		return nil, rerr
+	}
+	return &attempt{answer: answer, engine: grant.Name, box: g.cfg.Box, stalled: grant.Stalled, end: grant.Release}, nil
+}
+
+// endOf says what an error means for the engine's adapter.
+func endOf(err *result.Error) owner.End {
+	switch {
+	case err.Code == result.BackendRefused:
+		return owner.EndNotLoaded
+	case err.Code.Info().Ran == result.RanNo:
+		return owner.EndWhole
+	default:
+		return owner.EndBroken
+	}
+}
+
+// finish closes the answer and frees what the attempt holds.
+func (a *attempt) finish(err *result.Error) {
+	a.answer.Close()
+	if err == nil {
+		a.end(owner.EndWhole)
+		return
+	}
+	a.end(endOf(err))
+}
--- /dev/null
+++ b/internal/gateway/route.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/placement"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// maxCandidates is how many engines are tried for one request.
+const maxCandidates = 3
+
+// candidates returns the engines for an adapter version, best first; engines whose owner is suspected come last.
+func (g *Gateway) candidates(ref resource.Ref, baseModel string) []catalog.EngineView {
+	t := g.cfg.Catalog.Topology()
+	var good, doubtful []catalog.EngineView
+	for _, name := range placement.Top(ref.String(), t.ByModel[baseModel], maxCandidates) {
+		e := t.Engines[name]
+		if e.Owner.Box != g.cfg.Box && (e.Owner.Leaving || g.suspects.has(e.Owner.Box)) {
+			doubtful = append(doubtful, e)
+			continue
+		}
+		good = append(good, e)
+	}
+	return append(good, doubtful...)
+}
--- /dev/null
+++ b/internal/httpx/httpx.go
@@ -0,0 +1,95 @@
+// Package httpx holds the settings that every HTTP client and server of the project shares.
+package httpx
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// Bounds of every listener and connection.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 90 * time.Second
+	maxHeaderBytes    = 32 << 10
+	dialTimeout       = time.Second
+	drainLimit        = 64 << 10
+	// continueTimeout lies past every deadline: the body is never sent unasked.
+	continueTimeout = 24 * time.Hour
+)
+
+// NewServer returns a server with the bounds of every listener set.
+func NewServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// NewTransport returns a transport for many calls to few peers.
+func NewTransport(connsPerHost int) *http.Transport {
+	return &http.Transport{
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    connsPerHost,
+		IdleConnTimeout:        idleTimeout / 2,
+		ExpectContinueTimeout:  continueTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		DisableCompression:     true,
+	}
+}
+
+// NewOnceTransport returns a transport that uses each connection for one call, so that it has no broken reused connection to repeat a call on.
+func NewOnceTransport() *http.Transport {
+	t := NewTransport(1)
+	t.DisableKeepAlives = true
+	return t
+}
+
+// Sent tells whether any part of a request may have reached the far side.
+type Sent struct {
+	Request *http.Request
+	wrote   atomic.Bool
+}
+
+// TraceSent returns req with a trace of whether its writing has begun.
+func TraceSent(req *http.Request) *Sent {
+	s := &Sent{}
+	trace := &httptrace.ClientTrace{
+		GotConn:      func(httptrace.GotConnInfo) { s.wrote.Store(true) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { s.wrote.Store(true) },
+	}
+	s.Request = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
+	return s
+}
+
+// Started reports whether a connection had been given to the request, from when on its bytes may have left.
+func (s *Sent) Started() bool { return s.wrote.Load() }
+
+// Drain reads a little of what is left, so that the connection can be used again, and closes body.
+func Drain(body io.ReadCloser) {
+	// Errors here only cost the connection.
+	_, _ = io.CopyN(io.Discard, body, drainLimit)
+	_ = body.Close()
+}
+
+// WriteJSON sends v with the status.
+func WriteJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The reader may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Serve serves l until ctx ends, then closes the server at once.
+func Serve(ctx context.Context, s *http.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	if err := s.Serve(l); ctx.Err() == nil {
+		return err
+	}
+	return ctx.Err()
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,169 @@
+// Package lease holds a lease as one object of the platform, taken and renewed by conditional updates alone.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bellgap/bellgap/internal/platform"
+)
+
+// Kind is the object kind of leases.
+const Kind = "Lease"
+
+// Record is the value of a lease object.
+type Record struct {
+	// Holder names the box that holds the lease; empty means it was given up.
+	Holder string `json:"holder"`
+	// Address is the holder's peer address.
+	Address string `json:"address"`
+	// Epoch grows by one with each change of holder.
+	Epoch uint64 `json:"epoch"`
+	// Token tells one write from another, to settle a lost answer.
+	Token string `json:"token"`
+}
+
+// Config configures a Lease.
+type Config struct {
+	API platform.API
+	// Name is the name of the lease object.
+	Name string
+	// Holder and Address describe this box.
+	Holder  string
+	Address string
+	// TTL is how long the lease is valid after a renewal was sent, and how long it must be seen unchanged before another box takes it.
+	TTL time.Duration
+	// NewToken returns a token that no other write carries.
+	NewToken func() string
+}
+
+// Lease is one box's view of a lease. One goroutine uses it.
+type Lease struct {
+	cfg     Config
+	record  Record
+	version int64
+	// changedAt is when the present version was first seen.
+	changedAt time.Time
+	// validUntil is when our own tenure ends unless renewed; zero when not held.
+	validUntil time.Time
+}
+
+// New returns a Lease that has not been read yet.
+func New(cfg Config) *Lease { return &Lease{cfg: cfg} }
+
+// Record returns the last state read or written.
+func (l *Lease) Record() Record { return l.record }
+
+// Held reports whether this box holds the lease at now.
+func (l *Lease) Held(now time.Time) bool { return now.Before(l.validUntil) }
+
+// ValidUntil returns when the tenure of this box ends unless it is renewed.
+func (l *Lease) ValidUntil() time.Time { return l.validUntil }
+
+// Refresh reads the lease.
+func (l *Lease) Refresh(ctx context.Context) error {
+	o, err := l.cfg.API.Get(ctx, Kind, l.cfg.Name)
+	if errors.Is(err, platform.ErrNotFound) {
+		l.saw(platform.Object{}, Record{})
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var r Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return eris.Wrapf(err, "lease: %s", l.cfg.Name)
+	}
+	l.saw(o, r)
+	return nil
+}
+
+func (l *Lease) saw(o platform.Object, r Record) {
+	if o.Version != l.version || l.changedAt.IsZero() {
+		l.changedAt = time.Now()
+	}
+	l.version, l.record = o.Version, r
+}
+
+// Version returns the version of the lease object as last read or written.
+func (l *Lease) Version() int64 { return l.version }
+
+// Observe notes at now that the holder itself named version as the newest.
+func (l *Lease) Observe(now time.Time, version int64) {
+	if version == l.version {
+		l.changedAt = now
+	}
+}
+
+// Free reports whether the lease may be taken: it was given up, never existed, or stood unchanged for TTL and grace.
+func (l *Lease) Free(now time.Time, grace time.Duration) bool {
+	if l.changedAt.IsZero() {
+		return false
+	}
+	if l.record.Holder == "" {
+		return now.Sub(l.changedAt) >= grace
+	}
+	return now.Sub(l.changedAt) >= l.cfg.TTL+grace
+}
+
+// Take writes this box as the holder with the next epoch. Only call it when Free or when this box is the recorded holder.
+func (l *Lease) Take(ctx context.Context) error {
+	return l.write(ctx, Record{Holder: l.cfg.Holder, Address: l.cfg.Address, Epoch: l.record.Epoch + 1})
+}
+
+// Renew extends the tenure of this box.
+func (l *Lease) Renew(ctx context.Context) error {
+	return l.write(ctx, Record{Holder: l.cfg.Holder, Address: l.cfg.Address, Epoch: l.record.Epoch})
+}
+
+// GiveUp ends the tenure so that another box need not wait.
+func (l *Lease) GiveUp(ctx context.Context) error {
+	l.validUntil = time.Time{}
+	return l.write(ctx, Record{Epoch: l.record.Epoch})
+}
+
+// write puts r if nobody wrote since, and settles a lost answer by reading back.
+func (l *Lease) write(ctx context.Context, r Record) error {
+	r.Token = l.cfg.NewToken()
+	value, err := json.Marshal(r)
+	if err != nil {
+		return eris.Wrap(err, "lease: encode")
+	}
+	sentAt := time.Now()
+	version, err := l.cfg.API.Put(ctx, Kind, l.cfg.Name, l.version, value)
+	if errors.Is(err, platform.ErrAnswerLost) {
+		version, err = l.settle(ctx, r.Token)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		l.validUntil = time.Time{}
+		return errors.Join(err, l.Refresh(ctx))
+	}
+	if err != nil {
+		return err
+	}
+	l.record, l.version, l.changedAt = r, version, time.Now()
+	if r.Holder != "" {
+		l.validUntil = sentAt.Add(l.cfg.TTL)
+	}
+	return nil
+}
+
+// settle reads the lease back and says whether the write with token took effect.
+func (l *Lease) settle(ctx context.Context, token string) (int64, error) {
+	o, err := l.cfg.API.Get(ctx, Kind, l.cfg.Name)
+	if err != nil {
+		return 0, err
+	}
+	var r Record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return 0, eris.Wrapf(err, "lease: %s", l.cfg.Name)
+	}
+	if r.Token != token {
+		return 0, platform.ErrConflict
+	}
+	return o.Version, nil
+}
--- /dev/null
+++ b/internal/member/node.go
@@ -0,0 +1,419 @@
+// Package member keeps one box in its zone: heartbeats, the coordinator's lease, and the grants that follow.
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/lease"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/result"
+
+	"github.com/bellgap/bellgap/internal/part"
+)
+
+// Peers sends heartbeats to other boxes. It is an interface at the network boundary.
+type Peers interface {
+	Beat(ctx context.Context, address string, b coordinator.Beat) (coordinator.Reply, error)
+}
+
+// Holder is what the node tells about and updates: the engines of this box.
+type Holder interface {
+	Update(grants []coordinator.Ownership, release []string)
+	Released() (released, draining []string)
+}
+
+// Timing holds the periods of membership.
+type Timing struct {
+	// Beat is the time between heartbeats.
+	Beat time.Duration
+	// Renew is the time between renewals of the coordinator's lease.
+	Renew time.Duration
+	// LeaseTTL is how long the lease is valid after a renewal.
+	LeaseTTL time.Duration
+	// Term is how long a grant is valid after its heartbeat was sent.
+	Term time.Duration
+	// Drain is how long after its term a silent box may have requests in flight.
+	Drain time.Duration
+}
+
+// DefaultTiming returns the periods for boxes about a millisecond apart.
+func DefaultTiming() Timing {
+	return Timing{Beat: time.Second, Renew: time.Second, LeaseTTL: 4 * time.Second, Term: 8 * time.Second, Drain: 2 * time.Minute}
+}
+
+// Config configures a Node.
+type Config struct {
+	Zone    string
+	Self    coordinator.Member
+	API     platform.API
+	Peers   Peers
+	Catalog *catalog.Catalog
+	Holder  Holder
+	Timing  Timing
+	Scope   tally.Scope
+	// NewToken returns a token that no other write carries.
+	NewToken func() string
+}
+
+type grant struct {
+	coordinator.Ownership
+	until time.Time
+}
+
+// Node is this box's membership of its zone.
+type Node struct {
+	cfg  Config
+	done chan struct{}
+
+	// The fields below belong to the loop of Serve.
+	lease      *lease.Lease
+	mapVersion int64
+	published  coordinator.Map
+	lastSeek   time.Time
+
+	mu sync.Mutex
+	// state is set while this box coordinates.
+	state *coordinator.State
+	// tenure is what the loop last knew of the lease.
+	tenure    tenure
+	grants    map[string]grant
+	leaving   bool
+	frozen    bool
+	lastReply time.Time
+}
+
+// tenure is the part of the lease that others than the loop read.
+type tenure struct {
+	record     lease.Record
+	version    int64
+	validUntil time.Time
+}
+
+// New returns a Node; its Serve has to run.
+func New(cfg Config) *Node {
+	l := lease.New(lease.Config{
+		API: cfg.API, Name: "zone-" + cfg.Zone, Holder: cfg.Self.Box, Address: cfg.Self.Peer.String(),
+		TTL: cfg.Timing.LeaseTTL, NewToken: cfg.NewToken,
+	})
+	return &Node{cfg: cfg, done: make(chan struct{}), lease: l, grants: map[string]grant{}}
+}
+
+// Done is closed when Serve has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Status is what a Node shows of itself.
+type Status struct {
+	Zone        string `json:"zone"`
+	Coordinator string `json:"coordinator"`
+	Coordinates bool   `json:"coordinates"`
+	// Frozen says that the coordinator cannot renew its lease: no engine changes hands.
+	Frozen bool `json:"frozen"`
+	// SinceReply is the time since the coordinator last answered.
+	SinceReply time.Duration `json:"since_reply"`
+	Leaving    bool          `json:"leaving"`
+}
+
+// Status returns what the node shows of itself.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	return Status{
+		Zone: n.cfg.Zone, Coordinator: n.tenure.record.Holder, Coordinates: now.Before(n.tenure.validUntil),
+		Frozen: n.frozen, SinceReply: now.Sub(n.lastReply), Leaving: n.leaving,
+	}
+}
+
+// Leave makes every further heartbeat say that this box is leaving.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.leaving = true
+}
+
+// Leaving reports whether this box is leaving.
+func (n *Node) Leaving() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.leaving
+}
+
+// Authority returns the epoch under which this box may give the engine orders, and whether it may now.
+func (n *Node) Authority(engine string, now time.Time) (uint64, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	g, ok := n.grants[engine]
+	if !ok {
+		return 0, false
+	}
+	if now.Before(g.until) {
+		return g.Epoch, true
+	}
+	// An engine that checks orders settles by itself who its owner is.
+	e, declared := n.cfg.Catalog.Engine(engine)
+	return g.Epoch, declared && e.ChecksOrders
+}
+
+// Serve beats and, while it holds the lease, coordinates, until ctx ends.
+func (n *Node) Serve(ctx context.Context) error {
+	defer part.CloseAtEnd(ctx, n.done)
+	for {
+		n.round(ctx)
+		jitter := time.Duration(rand.Int64N(int64(n.cfg.Timing.Beat/10) + 1))
+		select {
+		case <-time.After(n.cfg.Timing.Beat - jitter):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// round renews the lease and publishes the map if this box coordinates, then sends one heartbeat, and seeks the lease if that fails.
+func (n *Node) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timing.LeaseTTL)
+	defer cancel()
+	if state := n.coordinating(); state != nil {
+		n.coordinate(ctx, state)
+	}
+	err := n.beat(ctx)
+	if err != nil {
+		n.cfg.Scope.Counter("beat_failures").Inc(1)
+		klog.V(1).InfoS("heartbeat failed", "zone", n.cfg.Zone, "err", err)
+	}
+	if err != nil || (n.isFrozen() && time.Since(n.lastSeek) >= n.cfg.Timing.LeaseTTL) {
+		n.seekLease(ctx)
+	}
+}
+
+func (n *Node) coordinating() *coordinator.State {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.state
+}
+
+func (n *Node) isFrozen() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frozen
+}
+
+// setTenure shows the loop's view of the lease to the others.
+func (n *Node) setTenure(state *coordinator.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tenure = tenure{record: n.lease.Record(), version: n.lease.Version(), validUntil: n.lease.ValidUntil()}
+	n.state = state
+}
+
+// seekLease reads the lease and takes it if it is free.
+func (n *Node) seekLease(ctx context.Context) {
+	n.lastSeek = time.Now()
+	if err := n.lease.Refresh(ctx); err != nil {
+		n.cfg.Scope.Counter("lease_read_failures").Inc(1)
+		return
+	}
+	n.setTenure(n.coordinating())
+	if n.coordinating() != nil || n.Leaving() || !n.lease.Free(time.Now(), 0) {
+		return
+	}
+	state, err := n.takeLease(ctx)
+	if err != nil {
+		klog.InfoS("lease not taken", "zone", n.cfg.Zone, "err", err)
+	}
+	n.setTenure(state)
+}
+
+// takeLease takes the lease and continues from the zone's last map.
+func (n *Node) takeLease(ctx context.Context) (*coordinator.State, error) {
+	if err := n.lease.Take(ctx); err != nil {
+		return nil, err
+	}
+	last, version, err := readMap(ctx, n.cfg.API, n.cfg.Zone)
+	if err != nil {
+		return nil, err
+	}
+	n.mapVersion, n.published = version, last
+	epoch := n.lease.Record().Epoch
+	n.cfg.Scope.Counter("leases_taken").Inc(1)
+	klog.InfoS("coordinating", "zone", n.cfg.Zone, "lease", epoch)
+	return coordinator.New(coordinator.Config{
+		Zone: n.cfg.Zone, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
+	}, last), nil
+}
+
+func readMap(ctx context.Context, api platform.API, zone string) (coordinator.Map, int64, error) {
+	var m coordinator.Map
+	o, err := api.Get(ctx, coordinator.MapKind, zone)
+	if errors.Is(err, platform.ErrNotFound) {
+		return m, 0, nil
+	}
+	if err != nil {
+		return m, 0, err
+	}
+	return m, o.Version, json.Unmarshal(o.Value, &m)
+}
+
+// coordinate renews the lease and publishes what changed.
+func (n *Node) coordinate(ctx context.Context, state *coordinator.State) {
+	err := n.lease.Renew(ctx)
+	if errors.Is(err, platform.ErrConflict) {
+		klog.InfoS("lease lost", "zone", n.cfg.Zone, "holder", n.lease.Record().Holder)
+		state = nil
+	}
+	n.setTenure(state)
+	if err != nil {
+		n.cfg.Scope.Counter("lease_renew_failures").Inc(1)
+		return
+	}
+	if err := n.publish(ctx, state); err != nil {
+		n.cfg.Scope.Counter("map_write_failures").Inc(1)
+		klog.InfoS("map not written", "zone", n.cfg.Zone, "err", err)
+	}
+}
+
+// nextMap lets time pass in the coordinator's state and returns the map that follows.
+func (n *Node) nextMap(state *coordinator.State) coordinator.Map {
+	engines := n.zoneEngines()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state.Tick(time.Now(), engines)
+	return state.Map()
+}
+
+// publish writes the map if it differs from the stored one. Writing conditionally on the last map keeps out a coordinator that was replaced.
+func (n *Node) publish(ctx context.Context, state *coordinator.State) error {
+	m := n.nextMap(state)
+	if sameMap(m, n.published) {
+		return nil
+	}
+	value, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	version, err := n.cfg.API.Put(ctx, coordinator.MapKind, n.cfg.Zone, n.mapVersion, value)
+	if errors.Is(err, platform.ErrAnswerLost) {
+		version, err = n.settleMap(ctx, m)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		n.setTenure(nil)
+	}
+	if err != nil {
+		return err
+	}
+	n.mapVersion, n.published = version, m
+	n.cfg.Scope.Counter("map_writes").Inc(1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state.Published(m)
+	return nil
+}
+
+// settleMap reads the map back after a lost answer.
+func (n *Node) settleMap(ctx context.Context, wrote coordinator.Map) (int64, error) {
+	m, version, err := readMap(ctx, n.cfg.API, n.cfg.Zone)
+	if err != nil {
+		return 0, err
+	}
+	if sameMap(m, wrote) {
+		return version, nil
+	}
+	if m.Lease != wrote.Lease {
+		return 0, platform.ErrConflict
+	}
+	return 0, platform.ErrUnavailable
+}
+
+func sameMap(a, b coordinator.Map) bool {
+	return a.Zone == b.Zone && a.Lease == b.Lease && slices.Equal(a.Members, b.Members) && slices.Equal(a.Owners, b.Owners)
+}
+
+func (n *Node) zoneEngines() []string {
+	var names []string
+	for name, e := range n.cfg.Catalog.Topology().Engines {
+		if e.Spec.Zone == n.cfg.Zone {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// HandleBeat answers the heartbeat of a box; only the coordinator does.
+func (n *Node) HandleBeat(b coordinator.Beat) (coordinator.Reply, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	if n.state == nil {
+		return coordinator.Reply{}, result.New(result.StaleBeat, "%s does not coordinate %s", n.cfg.Self.Box, n.cfg.Zone)
+	}
+	// Beats count even while frozen, so that nobody is taken for silent when the platform is back.
+	n.state.Beat(now, b)
+	r := n.state.Reply(now, b.Member.Box)
+	r.Frozen = !now.Before(n.tenure.validUntil)
+	r.LeaseVersion = n.tenure.version
+	r.Revision = n.cfg.Catalog.Revision()
+	return r, nil
+}
+
+// beat sends one heartbeat to the coordinator and takes the reply in.
+func (n *Node) beat(ctx context.Context) error {
+	b, address := n.nextBeat()
+	if address == "" {
+		return errors.New("member: no coordinator known")
+	}
+	sentAt := time.Now()
+	var r coordinator.Reply
+	var err error
+	if address == n.cfg.Self.Peer.String() {
+		r, err = n.HandleBeat(b)
+	} else {
+		r, err = n.cfg.Peers.Beat(ctx, address, b)
+	}
+	if err != nil {
+		return err
+	}
+	n.accept(sentAt, r)
+	return nil
+}
+
+func (n *Node) nextBeat() (coordinator.Beat, string) {
+	released, draining := n.cfg.Holder.Released()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	self := n.cfg.Self
+	self.Leaving = n.leaving
+	b := coordinator.Beat{Member: self, Released: released, Draining: draining}
+	for _, g := range n.grants {
+		b.Owned = append(b.Owned, g.Ownership)
+	}
+	return b, n.tenure.record.Address
+}
+
+// accept takes a reply in. A frozen reply changes nothing, but shows that the coordinator is there.
+func (n *Node) accept(sentAt time.Time, r coordinator.Reply) {
+	now := time.Now()
+	n.mu.Lock()
+	n.lastReply, n.frozen = now, r.Frozen
+	if r.Frozen {
+		n.mu.Unlock()
+		return
+	}
+	n.grants = map[string]grant{}
+	for _, g := range r.Grants {
+		n.grants[g.Engine] = grant{g, sentAt.Add(r.Term)}
+	}
+	n.mu.Unlock()
+	n.lease.Observe(now, r.LeaseVersion)
+	n.cfg.Holder.Update(r.Grants, r.Release)
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,91 @@
+// Package operator serves operators on an address of its own: resources, status, metrics, health and profiles.
+package operator
+
+import (
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/member"
+	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// Config configures an Operator.
+type Config struct {
+	Box     string
+	API     platform.API
+	Catalog *catalog.Catalog
+	Metrics http.Handler
+	// Ready reports whether this box can serve callers.
+	Ready func() bool
+	// Membership, Engines and InFlight are shown in the status.
+	Membership func() member.Status
+	Engines    func() []owner.Status
+	InFlight   func() int
+	Scope      tally.Scope
+}
+
+// Operator is the operators' part of a box.
+type Operator struct {
+	cfg Config
+}
+
+// New returns an Operator.
+func New(cfg Config) *Operator { return &Operator{cfg: cfg} }
+
+// Status is what GET /status answers.
+type Status struct {
+	Box      string         `json:"box"`
+	Ready    bool           `json:"ready"`
+	Revision int64          `json:"revision"`
+	InFlight int            `json:"in_flight"`
+	Member   member.Status  `json:"member"`
+	Engines  []owner.Status `json:"engines"`
+	// Skipped counts objects that this box could not read.
+	Skipped int `json:"skipped"`
+}
+
+// Handler serves operators.
+func (o *Operator) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", o.cfg.Metrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", o.handleReady)
+	mux.HandleFunc("GET /status", o.handleStatus)
+	mux.HandleFunc("GET /boxes", o.handleBoxes)
+	mux.HandleFunc("GET /resources/{kind}", o.handleList)
+	mux.HandleFunc("GET /resources/{kind}/{name}", o.handleGet)
+	mux.HandleFunc("PUT /resources/{kind}/{name}", o.handlePut)
+	mux.HandleFunc("DELETE /resources/{kind}/{name}", o.handleDelete)
+	mux.HandleFunc("GET /watch", o.handleWatch)
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+func (o *Operator) handleReady(w http.ResponseWriter, _ *http.Request) {
+	if !o.cfg.Ready() {
+		result.New(result.NotReady, "%s", o.cfg.Box).Write(w, "")
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (o *Operator) handleStatus(w http.ResponseWriter, _ *http.Request) {
+	httpx.WriteJSON(w, http.StatusOK, Status{
+		Box: o.cfg.Box, Ready: o.cfg.Ready(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(),
+		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), Skipped: o.cfg.Catalog.Skipped(),
+	})
+}
+
+// handleBoxes shows the zone maps as this box knows them.
+func (o *Operator) handleBoxes(w http.ResponseWriter, _ *http.Request) {
+	httpx.WriteJSON(w, http.StatusOK, o.cfg.Catalog.Topology())
+}
--- /dev/null
+++ b/internal/owner/runner.go
@@ -0,0 +1,460 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// Timings and bounds of a Runner.
+const (
+	eventRing     = 1024
+	tickEvery     = 50 * time.Millisecond
+	reportEvery   = time.Second
+	orderAttempts = 3
+	orderPause    = 100 * time.Millisecond
+	spareOrders   = 8
+)
+
+// Authority says whether this box may give orders now, and under which epoch.
+type Authority func(now time.Time) (epoch uint64, ok bool)
+
+// RunnerConfig configures a Runner.
+type RunnerConfig struct {
+	// Name and Engine describe the engine that is owned.
+	Name   string
+	Engine resource.Engine
+	// MaxQueue bounds the waiting requests.
+	MaxQueue int
+	Client   *engine.Client
+	Loads    loads.Source
+	// Authority is asked right before each order.
+	Authority Authority
+	Scope     tally.Scope
+}
+
+// verdict is the answer to a submitted ticket.
+type verdict struct {
+	stalled time.Duration
+	err     *result.Error
+}
+
+// event is an input of the loop. It is sealed.
+type event interface{ event() }
+
+type submitted struct {
+	ticket Ticket
+	reply  chan verdict
+}
+
+type canceled struct{ id uint64 }
+
+type ended struct {
+	id  uint64
+	end End
+}
+
+type permitGiven struct{ permit loads.Permit }
+
+type permitDenied struct{}
+
+type loadEnded struct {
+	ref    resource.Ref
+	permit loads.Permit
+	err    error
+}
+
+type unloadEnded struct {
+	ref resource.Ref
+	err error
+}
+
+type reported struct{ report engine.Report }
+
+type settled struct{}
+
+type stopping struct{}
+
+func (submitted) event()    {}
+func (canceled) event()     {}
+func (ended) event()        {}
+func (permitGiven) event()  {}
+func (permitDenied) event() {}
+func (loadEnded) event()    {}
+func (unloadEnded) event()  {}
+func (reported) event()     {}
+func (settled) event()      {}
+func (stopping) event()     {}
+
+// Runner carries out the decisions of one State. Its loop is the only user of the State.
+type Runner struct {
+	cfg    RunnerConfig
+	events chan event
+	done   chan struct{}
+	nextID atomic.Uint64
+	// inFlight and stopped are shown after each event, for handing over.
+	inFlight atomic.Int64
+	stopped  atomic.Bool
+
+	// The fields below belong to the loop.
+	state       *State
+	replies     map[uint64]chan verdict
+	permits     []loads.Permit
+	incarnation string
+	foreign     bool
+	orders      *errgroup.Group
+
+	mu     sync.Mutex
+	status Status
+}
+
+// Status is what a Runner shows of itself.
+type Status struct {
+	Engine   string   `json:"engine"`
+	InFlight int      `json:"in_flight"`
+	Waiting  int      `json:"waiting"`
+	Loaded   []string `json:"loaded"`
+	// Frozen says that orders are withheld for want of authority.
+	Frozen bool `json:"frozen,omitempty"`
+}
+
+// NewRunner returns a Runner; its Serve has to run.
+func NewRunner(cfg RunnerConfig) *Runner {
+	return &Runner{
+		cfg: cfg, events: make(chan event, eventRing), done: make(chan struct{}),
+		state:   New(Config{Slots: cfg.Engine.Slots, Batch: cfg.Engine.Batch, MaxQueue: cfg.MaxQueue}),
+		replies: map[uint64]chan verdict{}, foreign: true, orders: &errgroup.Group{},
+		status: Status{Engine: cfg.Name},
+	}
+}
+
+// Done is closed when Serve has ended.
+func (r *Runner) Done() <-chan struct{} { return r.done }
+
+// Status returns what the loop last showed.
+func (r *Runner) Status() Status {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.status
+}
+
+// InFlight returns how many started requests have not ended.
+func (r *Runner) InFlight() int { return int(r.inFlight.Load()) }
+
+// Stopped reports whether nothing more will start.
+func (r *Runner) Stopped() bool { return r.stopped.Load() }
+
+// Settle says that the previous owner has nothing in flight any more.
+func (r *Runner) Settle() { r.post(settled{}) }
+
+// Stop refuses all that waits; what has started goes on.
+func (r *Runner) Stop() { r.post(stopping{}) }
+
+// post hands an event to the loop unless it has ended.
+func (r *Runner) post(e event) {
+	select {
+	case r.events <- e:
+	case <-r.done:
+		abandon(e)
+	}
+}
+
+// Request is what a caller of Acquire wants.
+type Request struct {
+	Ref     resource.Ref
+	Weights string
+	Urgency int
+	StartBy time.Time
+}
+
+// Grant lets one request run on the engine until it is released.
+type Grant struct {
+	// Address and Stalled tell where it runs and how long it waited for its adapter.
+	Engine  resource.Engine
+	Name    string
+	Stalled time.Duration
+	id      uint64
+	runner  *Runner
+}
+
+// Release ends the request. Call it once.
+func (g *Grant) Release(end End) { g.runner.post(ended{g.id, end}) }
+
+// Acquire waits until the request may start. The error is a *result.Error that says it did not run.
+func (r *Runner) Acquire(ctx context.Context, q Request) (*Grant, error) {
+	id := r.nextID.Add(1)
+	reply := make(chan verdict, 1)
+	t := Ticket{ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: time.Now(), StartBy: q.StartBy}
+	select {
+	case r.events <- submitted{t, reply}:
+	case <-r.done:
+		return nil, result.New(result.NotOwner, "the engine is no longer owned here")
+	default:
+		return nil, result.New(result.QueueFull, "the event ring is full")
+	}
+	select {
+	case v := <-reply:
+		if v.err != nil {
+			return nil, v.err
+		}
+		return &Grant{Engine: r.cfg.Engine, Name: r.cfg.Name, Stalled: v.stalled, id: id, runner: r}, nil
+	case <-r.done:
+		return nil, result.New(result.NotOwner, "the engine is no longer owned here")
+	case <-ctx.Done():
+		r.post(canceled{id})
+		return nil, result.New(result.CallerGone, "%v", context.Cause(ctx))
+	}
+}
+
+// ended reports whether the loop has ended.
+func (r *Runner) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// Serve runs the loop until ctx ends. A Runner that has ended is not restarted: its Set starts a new one.
+func (r *Runner) Serve(ctx context.Context) error {
+	if r.ended() {
+		return suture.ErrDoNotRestart
+	}
+	end := sync.OnceFunc(func() { close(r.done) })
+	defer end()
+	orders, ctx := errgroup.WithContext(ctx)
+	// Each slot has at most one order under way; with the permit and the poll none ever waits for another.
+	orders.SetLimit(2*r.cfg.Engine.Slots + spareOrders)
+	r.orders = orders
+	orders.Go(func() error { return r.poll(ctx) })
+	err := r.loop(ctx)
+	end()
+	// Orders end with ctx and return no errors.
+	_ = orders.Wait()
+	for {
+		select {
+		case e := <-r.events:
+			abandon(e)
+		default:
+			return err
+		}
+	}
+}
+
+// abandon gives back what an unread event holds.
+func abandon(e event) {
+	switch e := e.(type) {
+	case permitGiven:
+		e.permit()
+	case loadEnded:
+		e.permit()
+	default:
+	}
+}
+
+func (r *Runner) loop(ctx context.Context) error {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case e := <-r.events:
+			actions := r.take(time.Now(), e)
+			r.inFlight.Store(int64(r.state.InFlight()))
+			r.carryOut(ctx, actions)
+		case <-tick.C:
+			r.carryOut(ctx, r.state.Tick(time.Now()))
+			r.show()
+		case <-ctx.Done():
+			for _, p := range r.permits {
+				p()
+			}
+			return ctx.Err()
+		}
+	}
+}
+
+func (r *Runner) take(now time.Time, e event) []Action {
+	switch e := e.(type) {
+	case submitted:
+		r.replies[e.ticket.ID] = e.reply
+		return r.state.Submit(now, e.ticket)
+	case canceled:
+		delete(r.replies, e.id)
+		return r.state.Cancel(now, e.id)
+	case ended:
+		return r.state.Done(now, e.id, e.end)
+	case permitGiven:
+		r.permits = append(r.permits, e.permit)
+		return r.state.Granted(now)
+	case permitDenied:
+		return r.state.Denied(now)
+	case loadEnded:
+		e.permit()
+		return r.state.Loaded(now, e.ref, e.err)
+	case unloadEnded:
+		return r.state.Unloaded(now, e.ref, e.err)
+	case reported:
+		return r.report(now, e.report)
+	case settled:
+		r.foreign = false
+		return r.state.Settle(now)
+	case stopping:
+		defer r.stopped.Store(true)
+		return r.state.Stop(now)
+	default:
+		return nil
+	}
+}
+
+// report corrects the state: a new incarnation is empty, and the first report of a new owner shows what is loaded.
+func (r *Runner) report(now time.Time, rep engine.Report) []Action {
+	if r.incarnation == rep.Incarnation {
+		return nil
+	}
+	var out []Action
+	if r.incarnation != "" {
+		klog.InfoS("engine restarted", "engine", r.cfg.Name)
+		r.cfg.Scope.Counter("engine_restarts").Inc(1)
+		out = r.state.Restarted(now)
+	}
+	r.incarnation = rep.Incarnation
+	var refs []resource.Ref
+	for _, m := range rep.Loaded {
+		if ref, err := resource.ParseRef(m); err == nil {
+			refs = append(refs, ref)
+		}
+	}
+	r.state.Adopt(refs, r.foreign)
+	return append(out, r.state.Tick(now)...)
+}
+
+func (r *Runner) carryOut(ctx context.Context, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Start:
+			r.answer(a.Ticket.ID, verdict{stalled: a.Stalled})
+		case Refuse:
+			r.answer(a.Ticket.ID, verdict{err: a.Err})
+		case AskPermit:
+			r.orders.Go(func() error { r.askPermit(ctx, a); return nil })
+		case Load:
+			permit := r.popPermit()
+			r.orders.Go(func() error { r.load(ctx, a, permit); return nil })
+		case Unload:
+			r.orders.Go(func() error { r.unload(ctx, a); return nil })
+		case ReturnPermit:
+			r.popPermit()()
+		}
+	}
+}
+
+func (r *Runner) answer(id uint64, v verdict) {
+	if reply, ok := r.replies[id]; ok {
+		delete(r.replies, id)
+		reply <- v
+	}
+}
+
+func (r *Runner) popPermit() loads.Permit {
+	last := len(r.permits) - 1
+	if last < 0 {
+		return func() {}
+	}
+	p := r.permits[last]
+	r.permits = r.permits[:last]
+	return p
+}
+
+func (r *Runner) askPermit(ctx context.Context, a AskPermit) {
+	ctx, cancel := context.WithDeadline(ctx, a.StartBy)
+	defer cancel()
+	p, err := r.cfg.Loads.Acquire(ctx, loads.Need{Engine: r.cfg.Name, Urgency: a.Urgency, StartBy: a.StartBy, Waiters: a.Waiters})
+	if err != nil {
+		r.post(permitDenied{})
+		return
+	}
+	r.post(permitGiven{p})
+}
+
+func (r *Runner) load(ctx context.Context, l Load, permit loads.Permit) {
+	err := r.order(ctx, engine.Order{Action: engine.ActionLoad, Model: l.Ref.String(), Weights: l.Weights})
+	r.count("loads", err)
+	r.post(loadEnded{l.Ref, permit, err})
+}
+
+func (r *Runner) unload(ctx context.Context, u Unload) {
+	err := r.order(ctx, engine.Order{Action: engine.ActionUnload, Model: u.Ref.String()})
+	r.count("unloads", err)
+	r.post(unloadEnded{u.Ref, err})
+}
+
+func (r *Runner) count(name string, err error) {
+	r.cfg.Scope.Counter(name).Inc(1)
+	if err != nil {
+		r.cfg.Scope.Counter(name + "_failed").Inc(1)
+		klog.ErrorS(err, "order failed", "engine", r.cfg.Name, "order", name)
+	}
+}
+
+var errNoAuthority = errors.New("owner: no authority to give orders now")
+
+// order gives one order. An order may be repeated: engines take a load of what is loaded and an unload of what is not as done.
+func (r *Runner) order(ctx context.Context, o engine.Order) error {
+	var err error
+	for range orderAttempts {
+		epoch, ok := r.cfg.Authority(time.Now())
+		if !ok {
+			r.cfg.Scope.Counter("orders_withheld").Inc(1)
+			return errNoAuthority
+		}
+		o.Epoch = epoch
+		err = r.cfg.Client.Give(ctx, r.cfg.Engine.Address, o)
+		var refused *engine.OrderRefusedError
+		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
+			return err
+		}
+		r.cfg.Scope.Counter("order_retries").Inc(1)
+		time.Sleep(orderPause)
+	}
+	return err
+}
+
+// poll asks the engine for reports.
+func (r *Runner) poll(ctx context.Context) error {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		rep, err := r.cfg.Client.Report(ctx, r.cfg.Engine.Address)
+		if err != nil {
+			r.cfg.Scope.Counter("report_failures").Inc(1)
+		} else {
+			r.post(reported{rep})
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (r *Runner) show() {
+	_, ok := r.cfg.Authority(time.Now())
+	st := Status{Engine: r.cfg.Name, InFlight: r.state.InFlight(), Waiting: r.state.Waiting(), Loaded: r.state.LoadedNames(), Frozen: !ok}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.status = st
+}
--- /dev/null
+++ b/internal/owner/set.go
@@ -0,0 +1,198 @@
+package owner
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// defaultMaxQueue bounds the waiting requests of an engine whose base model has no serving configuration.
+const defaultMaxQueue = 256
+
+// SetConfig configures a Set.
+type SetConfig struct {
+	// Supervisor runs the runners.
+	Supervisor *suture.Supervisor
+	// Lookup returns the declaration of an engine and its queue bound, zero for the default.
+	Lookup func(name string) (e *resource.Engine, maxQueue int)
+	Client *engine.Client
+	Loads  loads.Source
+	// Authority says whether this box may give an engine orders now.
+	Authority func(engine string, now time.Time) (epoch uint64, ok bool)
+	Scope     tally.Scope
+}
+
+// owned is an engine that this box owns or has requests in flight on.
+type owned struct {
+	runner *Runner
+	token  suture.ServiceToken
+	// epoch is that of the grant.
+	epoch uint64
+	// settled says that the previous owner has nothing in flight any more.
+	settled bool
+}
+
+// Set holds the runners of the engines that this box owns.
+type Set struct {
+	cfg   SetConfig
+	mu    sync.Mutex
+	owned map[string]*owned
+	// draining holds former runners with requests in flight.
+	draining []*owned
+}
+
+// NewSet returns an empty Set.
+func NewSet(cfg SetConfig) *Set { return &Set{cfg: cfg, owned: map[string]*owned{}} }
+
+// Get returns the runner of an owned engine.
+func (s *Set) Get(name string) (*Runner, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.owned[name]
+	if !ok {
+		return nil, false
+	}
+	return o.runner, true
+}
+
+// Update starts and stops runners so that they match the grants, and stops those to be released.
+func (s *Set) Update(grants []coordinator.Ownership, release []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	granted := map[string]coordinator.Ownership{}
+	for _, g := range grants {
+		granted[g.Engine] = g
+	}
+	for name, o := range s.owned {
+		if granted[name].Epoch != o.epoch {
+			s.lose(name, o)
+		}
+	}
+	for _, g := range grants {
+		s.hold(g)
+	}
+	for _, name := range release {
+		if o, ok := s.owned[name]; ok {
+			o.runner.Stop()
+		}
+	}
+	s.sweep()
+}
+
+// hold starts the runner of a granted engine, and settles it once its previous owner is done.
+func (s *Set) hold(g coordinator.Ownership) {
+	o, ok := s.owned[g.Engine]
+	if ok && o.runner.ended() {
+		s.lose(g.Engine, o)
+		ok = false
+	}
+	if !ok {
+		if o = s.start(g); o == nil {
+			return
+		}
+	}
+	if g.Previous == "" && !o.settled && !s.drains(g.Engine) {
+		o.settled = true
+		o.runner.Settle()
+	}
+}
+
+// drains reports whether a former runner of this box has requests in flight on the engine.
+func (s *Set) drains(engine string) bool {
+	return slices.ContainsFunc(s.draining, func(o *owned) bool { return o.runner.cfg.Name == engine })
+}
+
+func (s *Set) start(g coordinator.Ownership) *owned {
+	e, maxQueue := s.cfg.Lookup(g.Engine)
+	if e == nil {
+		return nil
+	}
+	if maxQueue <= 0 {
+		maxQueue = defaultMaxQueue
+	}
+	name := g.Engine
+	r := NewRunner(RunnerConfig{
+		Name: name, Engine: *e, MaxQueue: maxQueue, Client: s.cfg.Client, Loads: s.cfg.Loads,
+		Authority: func(now time.Time) (uint64, bool) { return s.cfg.Authority(name, now) },
+		Scope:     s.cfg.Scope,
+	})
+	o := &owned{runner: r, epoch: g.Epoch}
+	o.token = s.cfg.Supervisor.Add(r)
+	s.owned[name] = o
+	return o
+}
+
+func (s *Set) lose(name string, o *owned) {
+	o.runner.Stop()
+	delete(s.owned, name)
+	s.draining = append(s.draining, o)
+}
+
+// sweep ends former runners that have nothing in flight any more.
+func (s *Set) sweep() {
+	s.draining = slices.DeleteFunc(s.draining, func(o *owned) bool {
+		if o.runner.InFlight() > 0 || (!o.runner.Stopped() && !o.runner.ended()) {
+			return false
+		}
+		// The supervisor no longer having it is as good as removed.
+		_ = s.cfg.Supervisor.Remove(o.token)
+		return true
+	})
+}
+
+// Released returns the owned engines on which nothing more will start, and Draining those with requests in flight that are not owned.
+func (s *Set) Released() (released, draining []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sweep()
+	for name, o := range s.owned {
+		if o.runner.Stopped() {
+			released = append(released, name)
+		}
+	}
+	for _, o := range s.draining {
+		draining = append(draining, o.runner.cfg.Name)
+	}
+	slices.Sort(released)
+	slices.Sort(draining)
+	return released, draining
+}
+
+// InFlight returns the started requests on all engines.
+func (s *Set) InFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, o := range s.owned {
+		n += o.runner.InFlight()
+	}
+	for _, o := range s.draining {
+		n += o.runner.InFlight()
+	}
+	return n
+}
+
+// Status returns what the owned engines show.
+func (s *Set) Status() []Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []Status
+	for _, o := range s.owned {
+		all = append(all, o.runner.Status())
+	}
+	slices.SortFunc(all, func(a, b Status) int {
+		if a.Engine < b.Engine {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
--- /dev/null
+++ b/internal/owner/state.go
@@ -0,0 +1,509 @@
+// Package owner decides for one engine which request starts, which adapter is loaded and which is unloaded.
+// State is the decision and does no I/O; Runner carries it out.
+package owner
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// Defaults of Config.
+const (
+	defaultHalfLife    = 2 * time.Minute
+	defaultLoadTime    = 500 * time.Millisecond
+	defaultBackoff     = time.Second
+	maxBackoff         = time.Minute
+	brokenLinger       = 5 * time.Second
+	loadTimeSmoothing  = 0.2
+	maxRememberedRates = 4096
+)
+
+// Config configures a State.
+type Config struct {
+	// Slots is how many adapters the engine holds, Batch how many sequences it runs at once.
+	Slots int
+	Batch int
+	// MaxQueue bounds the waiting tickets.
+	MaxQueue int
+	// HalfLife is the time in which the weight of past use halves.
+	HalfLife time.Duration
+}
+
+// Ticket is a request that waits for the engine.
+type Ticket struct {
+	ID      uint64
+	Ref     resource.Ref
+	Weights string
+	// Urgency orders tickets, higher first.
+	Urgency int
+	Arrived time.Time
+	// StartBy is the latest useful start.
+	StartBy time.Time
+}
+
+// Action is what the caller of State has to do. It is sealed.
+type Action interface{ action() }
+
+// Start lets a ticket run.
+type Start struct {
+	Ticket Ticket
+	// Stalled is how long the ticket waited for its adapter to be loaded.
+	Stalled time.Duration
+}
+
+// Refuse ends a ticket that has not run.
+type Refuse struct {
+	Ticket Ticket
+	Err    *result.Error
+}
+
+// AskPermit asks for one load from the weight store's budget.
+type AskPermit struct {
+	Urgency int
+	StartBy time.Time
+	Waiters int
+}
+
+// Load orders the engine to load an adapter; a permit is held for it.
+type Load struct {
+	Ref     resource.Ref
+	Weights string
+}
+
+// Unload orders the engine to drop an idle adapter.
+type Unload struct {
+	Ref resource.Ref
+}
+
+// ReturnPermit gives back a permit that is not needed.
+type ReturnPermit struct{}
+
+func (Start) action()        {}
+func (Refuse) action()       {}
+func (AskPermit) action()    {}
+func (Load) action()         {}
+func (Unload) action()       {}
+func (ReturnPermit) action() {}
+
+type phase int
+
+const (
+	loading phase = iota
+	loaded
+	unloading
+)
+
+// slot is an adapter that takes a slot of the engine.
+type slot struct {
+	ref   resource.Ref
+	phase phase
+	inUse int
+	// busyUntil keeps the adapter loaded while a request that ended without its whole answer may still run.
+	busyUntil time.Time
+	// next is loaded once this one is unloaded.
+	next *Load
+	// foreign says that an earlier owner may have requests in flight on it.
+	foreign bool
+	// loadAt and readyAt are when the load began and ended; zero for an adopted adapter.
+	loadAt  time.Time
+	readyAt time.Time
+}
+
+// State is the decision state of one engine. One goroutine uses it.
+type State struct {
+	cfg      Config
+	slots    map[resource.Ref]*slot
+	waiting  []Ticket
+	running  map[uint64]*slot
+	rates    map[resource.Ref]rate
+	failures map[resource.Ref]failure
+	loadTime time.Duration
+	// asked counts permits asked for and not yet answered.
+	asked   int
+	stopped bool
+	out     []Action
+}
+
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+type failure struct {
+	count int
+	until time.Time
+}
+
+// New returns a State with an empty engine.
+func New(cfg Config) *State {
+	if cfg.HalfLife <= 0 {
+		cfg.HalfLife = defaultHalfLife
+	}
+	return &State{
+		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]*slot{},
+		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, loadTime: defaultLoadTime,
+	}
+}
+
+// Adopt takes over an engine that already holds refs. While foreign is true none of them is unloaded.
+func (s *State) Adopt(refs []resource.Ref, foreign bool) {
+	for _, r := range refs {
+		if s.slots[r] == nil {
+			s.slots[r] = &slot{ref: r, phase: loaded, foreign: foreign}
+		}
+	}
+}
+
+// Settle says that the earlier owner has nothing in flight any more.
+func (s *State) Settle(now time.Time) []Action {
+	for _, sl := range s.slots {
+		sl.foreign = false
+	}
+	return s.flush(now)
+}
+
+// Restarted says that the engine came up empty: what was loaded is gone.
+func (s *State) Restarted(now time.Time) []Action {
+	for ref, sl := range s.slots {
+		if sl.phase == loaded {
+			delete(s.slots, ref)
+		}
+	}
+	return s.flush(now)
+}
+
+// Submit adds a ticket.
+func (s *State) Submit(now time.Time, t Ticket) []Action {
+	s.touch(now, t.Ref)
+	switch {
+	case s.stopped:
+		s.refuse(t, result.New(result.NotOwner, "the engine is being handed over"))
+	case len(s.waiting) >= s.cfg.MaxQueue:
+		s.refuseWorst(t)
+	case s.failing(now, t.Ref):
+		s.refuseFailing(now, t)
+	default:
+		s.enqueue(t)
+	}
+	return s.flush(now)
+}
+
+// Cancel ends a ticket whose caller has gone before it was told that it may start.
+func (s *State) Cancel(now time.Time, id uint64) []Action {
+	s.waiting = slices.DeleteFunc(s.waiting, func(t Ticket) bool { return t.ID == id })
+	return s.Done(now, id, EndWhole)
+}
+
+// End says how a started ticket ended.
+type End int
+
+// The ends of a started ticket.
+const (
+	// EndWhole: the engine is done with the request.
+	EndWhole End = iota
+	// EndBroken: the answer broke off or the caller went; the engine may still run the request for a moment.
+	EndBroken
+	// EndNotLoaded: the engine said that it does not hold the adapter.
+	EndNotLoaded
+)
+
+// Done ends a started ticket.
+func (s *State) Done(now time.Time, id uint64, end End) []Action {
+	sl, ok := s.running[id]
+	if !ok {
+		return s.flush(now)
+	}
+	delete(s.running, id)
+	sl.inUse--
+	switch end {
+	case EndBroken:
+		sl.busyUntil = now.Add(brokenLinger)
+	case EndNotLoaded:
+		if sl.phase == loaded && s.slots[sl.ref] == sl {
+			delete(s.slots, sl.ref)
+		}
+	case EndWhole:
+	}
+	return s.flush(now)
+}
+
+// Granted takes a permit and picks the load that is most urgent now.
+func (s *State) Granted(now time.Time) []Action {
+	s.asked = max(0, s.asked-1)
+	t, ok := s.mostUrgentMissing(now)
+	if !ok || s.stopped {
+		s.emit(ReturnPermit{})
+		return s.flush(now)
+	}
+	load := Load{Ref: t.Ref, Weights: t.Weights}
+	if len(s.slots) < s.cfg.Slots {
+		s.beginLoad(now, load)
+		return s.flush(now)
+	}
+	victim := s.victim(now)
+	if victim == nil {
+		s.emit(ReturnPermit{})
+		return s.flush(now)
+	}
+	victim.phase, victim.next = unloading, &load
+	s.emit(Unload{Ref: victim.ref})
+	return s.flush(now)
+}
+
+// Denied says that no permit will come; it may be asked for again.
+func (s *State) Denied(now time.Time) []Action {
+	s.asked = max(0, s.asked-1)
+	return s.flush(now)
+}
+
+func (s *State) beginLoad(now time.Time, l Load) {
+	s.slots[l.Ref] = &slot{ref: l.Ref, phase: loading, loadAt: now}
+	s.emit(l)
+}
+
+// Unloaded ends an Unload; if it failed the adapter counts as loaded still.
+func (s *State) Unloaded(now time.Time, ref resource.Ref, err error) []Action {
+	sl := s.slots[ref]
+	if sl == nil || sl.phase != unloading {
+		return s.flush(now)
+	}
+	next := sl.next
+	if err != nil {
+		sl.phase, sl.next = loaded, nil
+		s.emit(ReturnPermit{})
+		return s.flush(now)
+	}
+	delete(s.slots, ref)
+	if next != nil {
+		s.beginLoad(now, *next)
+	}
+	return s.flush(now)
+}
+
+// Loaded ends a Load. On failure the waiters are refused and the adapter backs off.
+func (s *State) Loaded(now time.Time, ref resource.Ref, err error) []Action {
+	sl := s.slots[ref]
+	if sl == nil || sl.phase != loading {
+		return s.flush(now)
+	}
+	if err != nil {
+		delete(s.slots, ref)
+		s.fail(now, ref)
+		return s.flush(now)
+	}
+	delete(s.failures, ref)
+	sl.phase, sl.readyAt = loaded, now
+	took := now.Sub(sl.loadAt)
+	s.loadTime += time.Duration(loadTimeSmoothing * float64(took-s.loadTime))
+	return s.flush(now)
+}
+
+// Stop refuses all that waits and takes nothing more, before the engine is handed over.
+func (s *State) Stop(now time.Time) []Action {
+	s.stopped = true
+	for _, t := range s.waiting {
+		s.refuse(t, result.New(result.NotOwner, "the engine is being handed over"))
+	}
+	s.waiting = nil
+	return s.flush(now)
+}
+
+// Tick refuses what can no longer start in time.
+func (s *State) Tick(now time.Time) []Action { return s.flush(now) }
+
+// InFlight returns how many started tickets have not ended.
+func (s *State) InFlight() int { return len(s.running) }
+
+// Waiting returns how many tickets wait.
+func (s *State) Waiting() int { return len(s.waiting) }
+
+// Holds reports whether ref is loaded.
+func (s *State) Holds(ref resource.Ref) bool {
+	sl := s.slots[ref]
+	return sl != nil && sl.phase == loaded
+}
+
+// LoadedNames returns the loaded adapters in order.
+func (s *State) LoadedNames() []string {
+	names := make([]string, 0, len(s.slots))
+	for ref, sl := range s.slots {
+		if sl.phase == loaded {
+			names = append(names, ref.String())
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (s *State) emit(a Action) { s.out = append(s.out, a) }
+
+func (s *State) refuse(t Ticket, err *result.Error) { s.emit(Refuse{Ticket: t, Err: err}) }
+
+// refuseWorst makes room for a more urgent ticket, or refuses t.
+func (s *State) refuseWorst(t Ticket) {
+	worst := len(s.waiting) - 1
+	if worst >= 0 && s.waiting[worst].Urgency < t.Urgency {
+		out := s.waiting[worst]
+		s.waiting = s.waiting[:worst]
+		s.refuse(out, result.New(result.QueueFull, "more urgent work came"))
+		s.enqueue(t)
+		return
+	}
+	s.refuse(t, result.New(result.QueueFull, "%d requests wait", len(s.waiting)))
+}
+
+func (s *State) refuseFailing(now time.Time, t Ticket) {
+	f := s.failures[t.Ref]
+	err := result.New(result.LoadFailed, "%s failed to load %d times", t.Ref, f.count)
+	err.RetryAfter = f.until.Sub(now)
+	s.refuse(t, err)
+}
+
+func (s *State) failing(now time.Time, ref resource.Ref) bool {
+	return now.Before(s.failures[ref].until) && s.slots[ref] == nil
+}
+
+// fail backs the adapter off and refuses those who wait for it.
+func (s *State) fail(now time.Time, ref resource.Ref) {
+	f := s.failures[ref]
+	f.count++
+	f.until = now.Add(min(maxBackoff, defaultBackoff<<min(f.count-1, 10)))
+	s.failures[ref] = f
+	kept := s.waiting[:0]
+	for _, t := range s.waiting {
+		if t.Ref == ref {
+			s.refuseFailing(now, t)
+			continue
+		}
+		kept = append(kept, t)
+	}
+	s.waiting = kept
+}
+
+// enqueue keeps the waiting tickets ordered by urgency, then by latest useful start, then by arrival.
+func (s *State) enqueue(t Ticket) {
+	at, _ := slices.BinarySearchFunc(s.waiting, t, compareTickets)
+	s.waiting = slices.Insert(s.waiting, at, t)
+}
+
+func compareTickets(a, b Ticket) int {
+	return cmp.Or(
+		cmp.Compare(b.Urgency, a.Urgency), a.StartBy.Compare(b.StartBy), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID),
+	)
+}
+
+// flush starts what can start, refuses what cannot make it, asks for a permit if one is needed, and returns all actions.
+func (s *State) flush(now time.Time) []Action {
+	kept := s.waiting[:0]
+	for _, t := range s.waiting {
+		switch {
+		case len(s.running) < s.cfg.Batch && s.Holds(t.Ref):
+			s.start(t)
+		case !now.Before(t.StartBy):
+			s.refuse(t, result.New(result.DeadlineUnmet, "waited %s", now.Sub(t.Arrived).Round(time.Millisecond)))
+		default:
+			kept = append(kept, t)
+		}
+	}
+	s.waiting = kept
+	s.askPermit(now)
+	out := s.out
+	s.out = nil
+	return out
+}
+
+func (s *State) start(t Ticket) {
+	sl := s.slots[t.Ref]
+	sl.inUse++
+	s.running[t.ID] = sl
+	// The part of the wait that passed before the adapter was ready is a load stall.
+	s.emit(Start{Ticket: t, Stalled: max(0, sl.readyAt.Sub(t.Arrived))})
+}
+
+func (s *State) askPermit(now time.Time) {
+	if s.asked > 0 || s.stopped {
+		return
+	}
+	t, ok := s.mostUrgentMissing(now)
+	if !ok || (len(s.slots) >= s.cfg.Slots && s.victim(now) == nil) {
+		return
+	}
+	waiters := 0
+	for _, w := range s.waiting {
+		if w.Ref == t.Ref {
+			waiters++
+		}
+	}
+	s.asked++
+	s.emit(AskPermit{Urgency: t.Urgency, StartBy: t.StartBy, Waiters: waiters})
+}
+
+// mostUrgentMissing returns the first waiting ticket whose adapter is neither loaded nor on its way.
+func (s *State) mostUrgentMissing(now time.Time) (Ticket, bool) {
+	for _, t := range s.waiting {
+		if s.slots[t.Ref] == nil && !s.failing(now, t.Ref) && !s.onItsWay(t.Ref) {
+			return t, true
+		}
+	}
+	return Ticket{}, false
+}
+
+func (s *State) onItsWay(ref resource.Ref) bool {
+	for _, sl := range s.slots {
+		if sl.next != nil && sl.next.Ref == ref {
+			return true
+		}
+	}
+	return false
+}
+
+// victim returns the idle loaded adapter with the least predicted use, never one in use, awaited or foreign.
+func (s *State) victim(now time.Time) *slot {
+	var worst *slot
+	worstRate := math.Inf(1)
+	for _, sl := range s.slots {
+		if sl.phase != loaded || sl.inUse > 0 || sl.foreign || now.Before(sl.busyUntil) || s.awaited(sl.ref) {
+			continue
+		}
+		r := s.rateAt(now, sl.ref)
+		if r < worstRate || (r == worstRate && sl.ref.String() < worst.ref.String()) {
+			worst, worstRate = sl, r
+		}
+	}
+	return worst
+}
+
+func (s *State) awaited(ref resource.Ref) bool {
+	return slices.ContainsFunc(s.waiting, func(t Ticket) bool { return t.Ref == ref })
+}
+
+// touch adds one use to the decayed rate of ref.
+func (s *State) touch(now time.Time, ref resource.Ref) {
+	if len(s.rates) >= maxRememberedRates {
+		s.forgetRates(now)
+	}
+	s.rates[ref] = rate{value: s.rateAt(now, ref) + 1, at: now}
+}
+
+func (s *State) rateAt(now time.Time, ref resource.Ref) float64 {
+	r := s.rates[ref]
+	return r.value * math.Exp2(-float64(now.Sub(r.at))/float64(s.cfg.HalfLife))
+}
+
+// forgetRates drops the adapters that have not been used for some half-lives.
+func (s *State) forgetRates(now time.Time) {
+	const negligible = 0.5
+	for ref := range s.rates {
+		if s.rateAt(now, ref) < negligible {
+			delete(s.rates, ref)
+		}
+	}
+	if len(s.rates) >= maxRememberedRates {
+		clear(s.rates)
+	}
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,108 @@
+// Package peer is the control protocol between boxes: heartbeats and changes, as HTTP with JSON.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/feed"
+	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// Paths of the protocol.
+const (
+	PathBeat    = "/peer/beat"
+	PathList    = "/peer/list"
+	PathChanges = "/peer/changes"
+)
+
+// Limits of a call.
+const (
+	callTimeout = 2 * time.Second
+	maxMessage  = 64 << 20
+)
+
+// Client calls other boxes.
+type Client struct {
+	http *http.Client
+}
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	HTTP *http.Client
+}
+
+// NewClient returns a Client.
+func NewClient(cfg ClientConfig) *Client { return &Client{http: cfg.HTTP} }
+
+// Beat sends a heartbeat.
+func (c *Client) Beat(ctx context.Context, address string, b coordinator.Beat) (coordinator.Reply, error) {
+	var r coordinator.Reply
+	err := c.call(ctx, address, PathBeat, callTimeout, b, &r)
+	return r, err
+}
+
+// Source returns the changes known to the box at address as a feed source.
+func (c *Client) Source(address string) feed.Source { return source{c, address} }
+
+type source struct {
+	client  *Client
+	address string
+}
+
+// List implements feed.Source.
+func (s source) List(ctx context.Context, _ []string) (platform.Changes, error) {
+	var ch platform.Changes
+	err := s.client.call(ctx, s.address, PathList, callTimeout, struct{}{}, &ch)
+	return ch, err
+}
+
+// Watch implements feed.Source.
+func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (platform.Changes, error) {
+	var ch platform.Changes
+	path := PathChanges + "?from=" + strconv.FormatInt(from, 10) + "&wait=" + wait.String()
+	err := s.client.call(ctx, s.address, path, wait+callTimeout, struct{}{}, &ch)
+	return ch, err
+}
+
+func (c *Client) call(ctx context.Context, address, path string, timeout time.Duration, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	body, err := json.Marshal(in)
+	if err != nil {
+		return eris.Wrap(err, "peer: encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "peer: request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "peer: call")
+	}
+	defer httpx.Drain(resp.Body)
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	if err != nil {
+		return eris.Wrap(err, "peer: answer")
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return eris.Wrap(json.Unmarshal(b, out), "peer: answer")
+	case http.StatusGone:
+		return platform.ErrGone
+	}
+	if e, ok := result.Decode(b); ok {
+		return e
+	}
+	return eris.Errorf("peer: status %d", resp.StatusCode)
+}
--- /dev/null
+++ b/internal/peer/handler.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// Bounds of what a handler takes.
+const (
+	maxBeat = 256 << 10
+	maxWait = time.Minute
+)
+
+// HandlerConfig configures the handlers.
+type HandlerConfig struct {
+	Catalog *catalog.Catalog
+	// Beat answers a heartbeat.
+	Beat func(coordinator.Beat) (coordinator.Reply, error)
+}
+
+// Handler answers other boxes.
+type Handler struct {
+	cfg HandlerConfig
+}
+
+// NewHandler returns a Handler.
+func NewHandler(cfg HandlerConfig) *Handler { return &Handler{cfg: cfg} }
+
+// Register adds the control paths to mux.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+PathBeat, h.handleBeat)
+	mux.HandleFunc("POST "+PathList, h.handleList)
+	mux.HandleFunc("POST "+PathChanges, h.handleChanges)
+}
+
+func (h *Handler) handleBeat(w http.ResponseWriter, r *http.Request) {
+	var b coordinator.Beat
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBeat)).Decode(&b); err != nil {
+		result.New(result.BadRequest, "%v", err).Write(w, "")
+		return
+	}
+	reply, err := h.cfg.Beat(b)
+	if err != nil {
+		result.From(err, result.StaleBeat).Write(w, "")
+		return
+	}
+	httpx.WriteJSON(w, http.StatusOK, reply)
+}
+
+func (h *Handler) handleList(w http.ResponseWriter, _ *http.Request) {
+	httpx.WriteJSON(w, http.StatusOK, h.cfg.Catalog.All())
+}
+
+func (h *Handler) handleChanges(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.FormValue("from"), 10, 64)
+	wait, errWait := time.ParseDuration(r.FormValue("wait"))
+	if err := errors.Join(err, errWait); err != nil {
+		result.New(result.BadRequest, "%v", err).Write(w, "")
+		return
+	}
+	timeout := time.NewTimer(min(wait, maxWait))
+	defer timeout.Stop()
+	for {
+		changed := h.cfg.Catalog.Changed()
+		ch, err := h.cfg.Catalog.Since(from)
+		if errors.Is(err, platform.ErrGone) {
+			http.Error(w, err.Error(), http.StatusGone)
+			return
+		}
+		if ch.Revision > from {
+			httpx.WriteJSON(w, http.StatusOK, ch)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			httpx.WriteJSON(w, http.StatusOK, ch)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,143 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/bellgap/bellgap/internal/httpx"
+)
+
+// Limits on one call.
+const (
+	callTimeout = 5 * time.Second
+	maxAnswer   = 64 << 20
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// Address is the platform's host:port.
+	Address string
+	// HTTP sends the calls; its transport never repeats a write.
+	HTTP *http.Client
+}
+
+// Client speaks the object API over HTTP with JSON.
+type Client struct {
+	base string
+	http *http.Client
+}
+
+var _ API = (*Client)(nil)
+
+// NewClient returns a Client.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{base: "http://" + cfg.Address, http: cfg.HTTP}
+}
+
+// Get implements API.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	var o Object
+	err := c.call(ctx, http.MethodGet, objectPath(kind, name), nil, 0, &o)
+	return o, err
+}
+
+// List implements API.
+func (c *Client) List(ctx context.Context, kinds []string) (Changes, error) {
+	var ch Changes
+	err := c.call(ctx, http.MethodGet, "/objects?kinds="+url.QueryEscape(strings.Join(kinds, ",")), nil, 0, &ch)
+	return ch, err
+}
+
+// Watch implements API.
+func (c *Client) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (Changes, error) {
+	q := url.Values{"kinds": {strings.Join(kinds, ",")}, "from": {strconv.FormatInt(from, 10)}, "wait": {wait.String()}}
+	var ch Changes
+	err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, wait, &ch)
+	return ch, err
+}
+
+// Put implements API.
+func (c *Client) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
+	var o Object
+	err := c.call(ctx, http.MethodPut, objectPath(kind, name)+"?expect="+strconv.FormatInt(expect, 10), value, 0, &o)
+	return o.Version, err
+}
+
+// Delete implements API.
+func (c *Client) Delete(ctx context.Context, kind, name string, expect int64) error {
+	return c.call(ctx, http.MethodDelete, objectPath(kind, name)+"?expect="+strconv.FormatInt(expect, 10), nil, 0, nil)
+}
+
+// Boxes implements API.
+func (c *Client) Boxes(ctx context.Context) ([]Box, error) {
+	var boxes []Box
+	err := c.call(ctx, http.MethodGet, "/boxes", nil, 0, &boxes)
+	return boxes, err
+}
+
+func objectPath(kind, name string) string {
+	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, wait time.Duration, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return eris.Wrap(err, "platform: request")
+	}
+	// Without GetBody the transport has nothing to send a second time.
+	req.GetBody = nil
+	sent := httpx.TraceSent(req)
+	resp, err := c.http.Do(sent.Request)
+	if err != nil {
+		return lost(method, sent.Started(), err)
+	}
+	defer httpx.Drain(resp.Body)
+	if err := statusError(resp.StatusCode); err != nil {
+		return err
+	}
+	if into == nil {
+		return nil
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return lost(method, true, err)
+	}
+	if err := json.Unmarshal(b, into); err != nil {
+		return lost(method, true, err)
+	}
+	return nil
+}
+
+// lost names the failure: a read that fails is unavailable, a write that was sent has an unknown end.
+func lost(method string, sent bool, err error) error {
+	if method != http.MethodGet && sent {
+		return eris.Wrap(ErrAnswerLost, err.Error())
+	}
+	return eris.Wrap(ErrUnavailable, err.Error())
+}
+
+func statusError(status int) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusConflict:
+		return ErrConflict
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusGone:
+		return ErrGone
+	default:
+		return eris.Wrapf(ErrUnavailable, "status %d", status)
+	}
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,76 @@
+// Package platform is the client of the platform's object API and box list.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// MaxValue is the largest value of an object, in bytes.
+const MaxValue = 1 << 20
+
+// Errors that callers tell apart.
+var (
+	// ErrConflict says that the object's version is not the expected one; the write took no effect.
+	ErrConflict = eris.New("platform: version conflict")
+	// ErrNotFound says that there is no such object.
+	ErrNotFound = eris.New("platform: not found")
+	// ErrGone says that the changes asked for are no longer kept; list instead.
+	ErrGone = eris.New("platform: changes no longer kept")
+	// ErrUnavailable says that the platform refused or could not be reached; a write took no effect.
+	ErrUnavailable = eris.New("platform: unavailable")
+	// ErrAnswerLost says that a write may or may not have taken effect.
+	ErrAnswerLost = eris.New("platform: answer lost")
+)
+
+// Object is one stored object.
+type Object struct {
+	Kind string `json:"kind"`
+	Name string `json:"name"`
+	// Version is the store-wide revision of the object's last write.
+	Version int64           `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	// Deleted marks a deletion in a list of changes.
+	Deleted bool `json:"deleted,omitempty"`
+}
+
+// Changes is a part of the store's history.
+type Changes struct {
+	Objects []Object `json:"objects"`
+	// Revision is the store-wide revision up to which Objects is complete.
+	Revision int64 `json:"revision"`
+}
+
+// BoxState is the state of a box in the box list.
+type BoxState string
+
+// The states of the box list.
+const (
+	BoxLive    BoxState = "live"
+	BoxLeaving BoxState = "leaving"
+)
+
+// Box is an entry of the platform's box list; the list lags.
+type Box struct {
+	Name  string   `json:"name"`
+	State BoxState `json:"state"`
+}
+
+// API is what bellgap uses of the platform. Client implements it.
+type API interface {
+	// Get returns one object or ErrNotFound.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// List returns all objects of the kinds.
+	List(ctx context.Context, kinds []string) (Changes, error)
+	// Watch waits up to wait for changes of the kinds after revision from, and returns them or none; ErrGone asks for a List.
+	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (Changes, error)
+	// Put writes the value if the object's version is expect (0: it does not exist) and returns the new version.
+	Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error)
+	// Delete removes the object if its version is expect.
+	Delete(ctx context.Context, kind, name string, expect int64) error
+	// Boxes returns the box list.
+	Boxes(ctx context.Context) ([]Box, error)
+}
--- /dev/null
+++ b/internal/result/error.go
@@ -0,0 +1,127 @@
+package result
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Header names that carry a result beside the HTTP status.
+const (
+	HeaderCode    = "Bellgap-Code"
+	HeaderRan     = "Bellgap-Ran"
+	HeaderEngine  = "Bellgap-Engine"
+	HeaderBox     = "Bellgap-Box"
+	HeaderRequest = "X-Request-Id"
+)
+
+// Error is a result other than OK.
+type Error struct {
+	Code Code
+	// Detail adds to the text of the code; it holds no secrets.
+	Detail string
+	// RetryAfter replaces the default of the code when positive.
+	RetryAfter time.Duration
+	// Elsewhere lists addresses that would take the request, best first.
+	Elsewhere []string
+}
+
+// New returns an Error with a formatted detail.
+func New(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return fmt.Sprintf("%d %s", e.Code, e.Code)
+	}
+	return fmt.Sprintf("%d %s: %s", e.Code, e.Code, e.Detail)
+}
+
+// Wait returns when to ask again, or zero.
+func (e *Error) Wait() time.Duration {
+	if e.RetryAfter > 0 {
+		return e.RetryAfter
+	}
+	return e.Code.Info().RetryAfter
+}
+
+// From returns the Error inside err, or one with the fallback code.
+func From(err error, fallback Code) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Code: fallback, Detail: err.Error()}
+}
+
+// Is reports whether err ended with code c.
+func Is(err error, c Code) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Code == c
+}
+
+// Body is the JSON form of an Error; its shape is the one OpenAI clients read.
+type Body struct {
+	Error BodyError `json:"error"`
+}
+
+// BodyError is the inner object of Body.
+type BodyError struct {
+	Message   string   `json:"message"`
+	Type      string   `json:"type"`
+	Code      Code     `json:"code"`
+	Ran       string   `json:"ran"`
+	RetryMS   int64    `json:"retry_after_ms,omitempty"`
+	Elsewhere []string `json:"elsewhere,omitempty"`
+	RequestID string   `json:"request_id,omitempty"`
+}
+
+// Body returns the JSON form of e.
+func (e *Error) Body(requestID string) Body {
+	i := e.Code.Info()
+	msg := i.Text
+	if e.Detail != "" {
+		msg += ": " + e.Detail
+	}
+	return Body{BodyError{
+		Message: msg, Type: i.Name, Code: e.Code, Ran: i.Ran.String(),
+		RetryMS: e.Wait().Milliseconds(), Elsewhere: e.Elsewhere, RequestID: requestID,
+	}}
+}
+
+// Write sends e as the whole answer.
+func (e *Error) Write(w http.ResponseWriter, requestID string) {
+	i := e.Code.Info()
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderCode, strconv.Itoa(int(e.Code)))
+	h.Set(HeaderRan, i.Ran.String())
+	if requestID != "" {
+		h.Set(HeaderRequest, requestID)
+	}
+	if d := e.Wait(); d > 0 {
+		h.Set("Retry-After", strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10))
+	}
+	w.WriteHeader(i.Status)
+	// The caller may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(e.Body(requestID))
+}
+
+// Decode reads the Error out of an answer's body; ok is false if it holds none.
+func Decode(body []byte) (e *Error, ok bool) {
+	var b Body
+	// A body that is not JSON leaves the code zero.
+	_ = json.Unmarshal(body, &b)
+	if b.Error.Code == 0 {
+		return nil, false
+	}
+	return &Error{
+		Code: b.Error.Code, Detail: b.Error.Message,
+		RetryAfter: time.Duration(b.Error.RetryMS) * time.Millisecond, Elsewhere: b.Error.Elsewhere,
+	}, true
+}
--- /dev/null
+++ b/internal/result/result.go
@@ -0,0 +1,149 @@
+// Package result holds the numbered result codes that end every call.
+package result
+
+import (
+	"net/http"
+	"time"
+)
+
+// Code numbers one way in which a call can end; docs/RESULT_CODES.md lists all.
+type Code int
+
+// Result codes. 1xxx: served; 2xxx: the caller's input; 3xxx: refused before it
+// ran; 4xxx: the back end; 5xxx: declared resources; 6xxx: between boxes.
+const (
+	OK Code = 1000
+
+	BadRequest       Code = 2001
+	BodyTooLarge     Code = 2002
+	SlowBody         Code = 2003
+	UnknownAdapter   Code = 2004
+	UnknownVersion   Code = 2005
+	UnknownService   Code = 2006
+	DeadlineExpired  Code = 2007
+	Unauthorized     Code = 2008
+	CallerGone       Code = 2009
+	NotFound         Code = 2010
+	DuplicateRequest Code = 2011
+
+	QueueFull      Code = 3001
+	DeadlineUnmet  Code = 3002
+	NoEngine       Code = 3003
+	LoadFailed     Code = 3004
+	Leaving        Code = 3005
+	LoadBudget     Code = 3006
+	CooperativeCap Code = 3007
+	NotReady       Code = 3008
+
+	BackendUnreachable Code = 4001
+	AnswerLost         Code = 4002
+	StreamCut          Code = 4003
+	WrongAnswer        Code = 4004
+	BackendRefused     Code = 4005
+
+	Conflict            Code = 5001
+	InvalidResource     Code = 5002
+	PlatformUnavailable Code = 5003
+	AnswerUnknown       Code = 5004
+	NoSuchResource      Code = 5005
+
+	NotOwner  Code = 6001
+	TryNext   Code = 6002
+	StaleBeat Code = 6003
+)
+
+// Ran says whether the back end ran the request.
+type Ran int
+
+// The three answers to "did it run?".
+const (
+	RanNo Ran = iota
+	RanYes
+	RanUnknown
+)
+
+// String returns the word used in the Bellgap-Ran header.
+func (r Ran) String() string {
+	switch r {
+	case RanNo:
+		return "no"
+	case RanYes:
+		return "yes"
+	default:
+		return "unknown"
+	}
+}
+
+// Info describes a code.
+type Info struct {
+	Code Code
+	// Name is the counter name and the error type shown to callers.
+	Name string
+	// Status is the HTTP status that carries the code.
+	Status int
+	// Ran is what the code says about the request.
+	Ran Ran
+	// RetryAfter is the default time after which asking again makes sense; zero means asking again unchanged does not help.
+	RetryAfter time.Duration
+	// Text is one sentence for the caller.
+	Text string
+}
+
+// statusClientClosed is the customary status for a caller that went away.
+const statusClientClosed = 499
+
+var table = []Info{
+	{OK, "ok", http.StatusOK, RanYes, 0, "served"},
+	{BadRequest, "bad_request", http.StatusBadRequest, RanNo, 0, "the request could not be read"},
+	{BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, RanNo, 0, "the body is larger than this box takes"},
+	{SlowBody, "slow_body", http.StatusRequestTimeout, RanNo, 0, "the body did not arrive in time"},
+	{UnknownAdapter, "unknown_adapter", http.StatusNotFound, RanNo, 0, "no such adapter is declared"},
+	{UnknownVersion, "unknown_version", http.StatusNotFound, RanNo, 0, "the adapter has no such version"},
+	{UnknownService, "unknown_service", http.StatusNotFound, RanNo, 0, "no such service is declared"},
+	{DeadlineExpired, "deadline_expired", http.StatusGatewayTimeout, RanNo, 0, "the deadline had passed before the request could start"},
+	{Unauthorized, "unauthorized", http.StatusUnauthorized, RanNo, 0, "the token is missing or not known"},
+	{CallerGone, "caller_gone", statusClientClosed, RanUnknown, 0, "the caller went away"},
+	{NotFound, "not_found", http.StatusNotFound, RanNo, 0, "no such path"},
+	{DuplicateRequest, "duplicate_request", http.StatusConflict, RanNo, 0, "a request with this id has been taken already"},
+
+	{QueueFull, "queue_full", http.StatusServiceUnavailable, RanNo, time.Second, "the queue of the engine is full"},
+	{DeadlineUnmet, "deadline_unmet", http.StatusServiceUnavailable, RanNo, 2 * time.Second, "the request could not start before its deadline"},
+	{NoEngine, "no_engine", http.StatusServiceUnavailable, RanNo, 5 * time.Second, "no engine for this base model has an owner now"},
+	{LoadFailed, "load_failed", http.StatusServiceUnavailable, RanNo, 5 * time.Second, "the adapter could not be loaded"},
+	{Leaving, "leaving", http.StatusServiceUnavailable, RanNo, time.Second, "this box is leaving; ask where to go"},
+	{LoadBudget, "load_budget", http.StatusServiceUnavailable, RanNo, 2 * time.Second, "the weight store has no load to spare in time"},
+	{CooperativeCap, "cooperative_cap", http.StatusTooManyRequests, RanNo, time.Second, "the co-operative has reached its limit on this box"},
+	{NotReady, "not_ready", http.StatusServiceUnavailable, RanNo, time.Second, "this box has no configuration yet"},
+
+	{BackendUnreachable, "backend_unreachable", http.StatusBadGateway, RanNo, time.Second, "the back end could not be reached"},
+	{AnswerLost, "answer_lost", http.StatusBadGateway, RanUnknown, 0, "the request was sent and its answer was lost"},
+	{StreamCut, "stream_cut", http.StatusBadGateway, RanYes, 0, "the answer broke off"},
+	{WrongAnswer, "wrong_answer", http.StatusBadGateway, RanYes, 0, "the back end answered for another request, adapter or version"},
+	{BackendRefused, "backend_refused", http.StatusBadGateway, RanNo, time.Second, "the back end refused the request"},
+
+	{Conflict, "conflict", http.StatusConflict, RanNo, 0, "the resource has changed since it was read"},
+	{InvalidResource, "invalid_resource", http.StatusUnprocessableEntity, RanNo, 0, "the resource does not pass its checks"},
+	{PlatformUnavailable, "platform_unavailable", http.StatusServiceUnavailable, RanNo, 5 * time.Second, "the platform's object API does not answer"},
+	{AnswerUnknown, "answer_unknown", http.StatusBadGateway, RanUnknown, 0, "the write was sent and its answer was lost"},
+	{NoSuchResource, "no_such_resource", http.StatusNotFound, RanNo, 0, "no such resource"},
+
+	{NotOwner, "not_owner", http.StatusMisdirectedRequest, RanNo, 0, "this box does not own the engine"},
+	{TryNext, "try_next", http.StatusServiceUnavailable, RanNo, 0, "another engine should be tried"},
+	{StaleBeat, "stale_beat", http.StatusConflict, RanNo, 0, "this box does not coordinate the zone"},
+}
+
+// All returns every code in table order.
+func All() []Info { return append([]Info(nil), table...) }
+
+// Info returns the description of c; an unknown number is described as AnswerLost, which claims least.
+func (c Code) Info() Info {
+	for _, i := range table {
+		if i.Code == c {
+			return i
+		}
+	}
+	return AnswerLost.Info()
+}
+
+// String returns the name of c.
+func (c Code) String() string { return c.Info().Name }
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,213 @@
+// Package settings reads and checks the TOML settings of a box.
+package settings
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/BurntSushi/toml"
+	"github.com/rotisserie/eris"
+)
+
+// Settings are all settings of a box; docs/SETTINGS.md lists the keys.
+type Settings struct {
+	Box      Box      `toml:"box"`
+	Listen   Listen   `toml:"listen"`
+	Platform Platform `toml:"platform"`
+	Request  Request  `toml:"request"`
+	Loads    Loads    `toml:"loads"`
+	Timing   Timing   `toml:"timing"`
+	Log      Log      `toml:"log"`
+}
+
+// Box says which box this is.
+type Box struct {
+	Name string `toml:"name"`
+	Zone string `toml:"zone"`
+}
+
+// Listen holds the addresses of the three listeners.
+type Listen struct {
+	Caller   netip.AddrPort `toml:"caller"`
+	Peer     netip.AddrPort `toml:"peer"`
+	Operator netip.AddrPort `toml:"operator"`
+}
+
+// Platform says where the object API is.
+type Platform struct {
+	Address netip.AddrPort `toml:"address"`
+}
+
+// Request bounds requests.
+type Request struct {
+	BodyBytes   int64         `toml:"body_bytes"`
+	BodyTime    time.Duration `toml:"body_time"`
+	DefaultWait time.Duration `toml:"default_wait"`
+	Longest     time.Duration `toml:"longest"`
+	LocateKeep  time.Duration `toml:"locate_keep"`
+}
+
+// Loads is this box's share of the weight store's budget.
+type Loads struct {
+	PerSecond float64 `toml:"per_second"`
+	AtOnce    int     `toml:"at_once"`
+}
+
+// Timing holds the periods of membership.
+type Timing struct {
+	Beat     time.Duration `toml:"beat"`
+	LeaseTTL time.Duration `toml:"lease_ttl"`
+	Term     time.Duration `toml:"term"`
+	Drain    time.Duration `toml:"drain"`
+	Leave    time.Duration `toml:"leave"`
+}
+
+// Log sets the log.
+type Log struct {
+	// Level is the klog verbosity.
+	Level int `toml:"level"`
+}
+
+// Default returns the settings that hold where the file says nothing.
+func Default() Settings {
+	return Settings{
+		Request: Request{
+			BodyBytes: 4 << 20, BodyTime: 10 * time.Second, DefaultWait: 30 * time.Second,
+			Longest: 10 * time.Minute, LocateKeep: 10 * time.Second,
+		},
+		Loads:  Loads{PerSecond: 3, AtOnce: 2},
+		Timing: Timing{Beat: time.Second, LeaseTTL: 4 * time.Second, Term: 8 * time.Second, Drain: 10 * time.Minute, Leave: 10 * time.Minute},
+		Log:    Log{Level: 1},
+	}
+}
+
+// Load reads the settings file at path.
+func Load(path string) (Settings, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "settings")
+	}
+	// A file that was only read has nothing to lose at its closing.
+	defer func() { _ = f.Close() }()
+	return Read(f, path)
+}
+
+// Read reads settings from r; name stands for the file in errors.
+func Read(r io.Reader, name string) (Settings, error) {
+	s := Default()
+	meta, err := toml.NewDecoder(r).Decode(&s)
+	if err != nil {
+		return s, eris.Errorf("settings: %s: %v", name, err)
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return s, eris.Errorf("settings: %s: %s: unknown key", name, unknown[0])
+	}
+	for _, k := range Keys() {
+		if reason := k.check(&s); reason != "" {
+			return s, eris.Errorf("settings: %s: %s: %s", name, k.Name, reason)
+		}
+	}
+	return s, nil
+}
+
+// Key describes one setting.
+type Key struct {
+	Name string
+	// Text is one sentence for docs/SETTINGS.md.
+	Text string
+	// Default is the value where the file says nothing; "required" if it has to.
+	Default string
+	// check returns what is wrong, or nothing.
+	check func(*Settings) string
+}
+
+const required = "required"
+
+// Keys returns all settings.
+func Keys() []Key {
+	d := Default()
+	return []Key{
+		{"box.name", "Name of this box, unique in the fleet.", required, func(s *Settings) string { return needText(s.Box.Name) }},
+		{"box.zone", "Availability zone of this box.", required, func(s *Settings) string { return needText(s.Box.Zone) }},
+		{"listen.caller", "Address for callers.", required, func(s *Settings) string { return needAddress(s.Listen.Caller) }},
+		{"listen.peer", "Address for other boxes.", required, func(s *Settings) string { return needAddress(s.Listen.Peer) }},
+		{"listen.operator", "Address for operators and metrics.", required, func(s *Settings) string { return needAddress(s.Listen.Operator) }},
+		{"platform.address", "Address of the platform's object API.", required, func(s *Settings) string { return needAddress(s.Platform.Address) }},
+		{
+			"request.body_bytes", "Largest request body, in bytes.", fmt.Sprint(d.Request.BodyBytes),
+			func(s *Settings) string { return needBetween(s.Request.BodyBytes, 1, 64<<20) },
+		},
+		{
+			"request.body_time", "Longest time for a request body to arrive.", d.Request.BodyTime.String(),
+			func(s *Settings) string { return needBetween(s.Request.BodyTime, time.Millisecond, time.Hour) },
+		},
+		{
+			"request.default_wait", "Longest wait for a start where neither request nor priority names one.", d.Request.DefaultWait.String(),
+			func(s *Settings) string { return needBetween(s.Request.DefaultWait, time.Millisecond, time.Hour) },
+		},
+		{
+			"request.longest", "Longest time for a whole request.", d.Request.Longest.String(),
+			func(s *Settings) string { return needBetween(s.Request.Longest, time.Second, 24*time.Hour) },
+		},
+		{
+			"request.locate_keep", "How long callers may keep a locate answer.", d.Request.LocateKeep.String(),
+			func(s *Settings) string { return needBetween(s.Request.LocateKeep, time.Second, time.Hour) },
+		},
+		{
+			"loads.per_second", "Loads a second from the weight store, for the whole site.", fmt.Sprint(d.Loads.PerSecond),
+			func(s *Settings) string { return needBetween(s.Loads.PerSecond, 0.001, 10000) },
+		},
+		{
+			"loads.at_once", "Loads at once from the weight store, for the whole site.", fmt.Sprint(d.Loads.AtOnce),
+			func(s *Settings) string { return needBetween(s.Loads.AtOnce, 1, 10000) },
+		},
+		{
+			"timing.beat", "Time between heartbeats.", d.Timing.Beat.String(),
+			func(s *Settings) string { return needBetween(s.Timing.Beat, 10*time.Millisecond, time.Minute) },
+		},
+		{
+			"timing.lease_ttl", "How long the coordinator's lease holds after a renewal; at least three heartbeats.", d.Timing.LeaseTTL.String(),
+			func(s *Settings) string { return needBetween(s.Timing.LeaseTTL, 3*s.Timing.Beat, 10*time.Minute) },
+		},
+		{
+			"timing.term", "How long a box may give orders after its last answered heartbeat; at least lease_ttl.", d.Timing.Term.String(),
+			func(s *Settings) string { return needBetween(s.Timing.Term, s.Timing.LeaseTTL, time.Hour) },
+		},
+		{
+			"timing.drain", "How long a silent box may still have requests in flight; at least request.longest.", d.Timing.Drain.String(),
+			func(s *Settings) string { return needBetween(s.Timing.Drain, s.Request.Longest, 48*time.Hour) },
+		},
+		{
+			"timing.leave", "Longest time for a planned stop.", d.Timing.Leave.String(),
+			func(s *Settings) string { return needBetween(s.Timing.Leave, 0, 24*time.Hour) },
+		},
+		{
+			"log.level", "Verbosity of the log, 0 to 4; 2 logs each request.", fmt.Sprint(d.Log.Level),
+			func(s *Settings) string { return needBetween(s.Log.Level, 0, 4) },
+		},
+	}
+}
+
+func needText(v string) string {
+	if v == "" {
+		return "must be set"
+	}
+	return ""
+}
+
+func needAddress(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return "must be an IP address with a port"
+	}
+	return ""
+}
+
+func needBetween[T int | int64 | float64 | time.Duration](v, low, high T) string {
+	if v < low || v > high {
+		return fmt.Sprintf("is %v; it must lie in %v..%v", v, low, high)
+	}
+	return ""
+}
