Membership proved in virtual time; released engines lose their authority

Cause: nothing had shown that two boxes never may give one engine orders. A test that kills, freezes and cuts boxes and takes the platform down, 60 faults a run, sampling every 100 ms who may give orders, failed at once:

The old owner kept its authority between the heartbeat that released an engine and the reply that no longer granted it, while the coordinator had given the engine on already.

Change: a box gives up authority over an engine before the heartbeat that offers it, and an owner counts as stopped only once no order is under way. Changes now come from the zone's coordinator, so that the platform's load does not grow with the boxes; when a coordinator is gone, three boxes in rank order seek the lease before all others do.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -79,7 +79,7 @@
 		Address: cfg.Settings.Platform.Address.String(), HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
 	})
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
-	b.feed = feed.New(feed.Config{Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return api }})
+	b.feed = feed.New(feed.Config{Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return b.source(api, peers) }})
 	b.buildOwners()
 	b.buildNode(api, peers)
 	b.buildGateway()
@@ -105,6 +105,14 @@
 	klog.InfoS("supervisor", "event", e.String())
 }
 
+// source returns where changes come from: the coordinator, so that the platform's load does not grow with the boxes, else the platform.
+func (b *Box) source(api platform.API, peers *peer.Client) feed.Source {
+	if address, ok := b.node.CoordinatorAddress(); ok {
+		return peers.Source(address)
+	}
+	return api
+}
+
 func (b *Box) buildOwners() {
 	s := b.cfg.Settings
 	local := loads.NewLocal(loads.LocalConfig{Budget: loads.Budget{PerSecond: s.Loads.PerSecond, AtOnce: s.Loads.AtOnce}})
--- /dev/null
+++ b/internal/member/cluster_test.go
@@ -0,0 +1,387 @@
+package member_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/fakeplatform"
+	"github.com/bellgap/bellgap/internal/feed"
+	"github.com/bellgap/bellgap/internal/invariant"
+	"github.com/bellgap/bellgap/internal/member"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+const zone = "hall-a"
+
+var errCut = errors.New("cut off")
+
+// cluster is some members of one zone in virtual time, joined by direct calls.
+type cluster struct {
+	c        *qt.C
+	platform *fakeplatform.Store
+	mu       sync.Mutex
+	nodes    map[string]*node
+	group    errgroup.Group
+	engines  []string
+	history  []invariant.Authority
+	beats    int
+}
+
+// node is one box: membership, catalog and feed, with faults at its interfaces.
+type node struct {
+	cluster *cluster
+	name    string
+	address string
+	*member.Node
+	catalog *catalog.Catalog
+	feed    *feed.Feed
+	stop    context.CancelFunc
+
+	mu sync.Mutex
+	// thawed is set while the box is frozen, and closed when it goes on.
+	thawed      chan struct{}
+	cutPlatform bool
+	cutPeers    bool
+	owned       map[string]bool
+	released    []string
+}
+
+func newCluster(t *testing.T, boxes, engines int) *cluster {
+	cl := &cluster{c: qt.New(t), platform: fakeplatform.New(), nodes: map[string]*node{}}
+	for i := range engines {
+		cl.declareEngine(fmt.Sprintf("engine-%03d", i))
+	}
+	for i := range boxes {
+		cl.start(fmt.Sprintf("box-%03d", i), i)
+	}
+	return cl
+}
+
+func (cl *cluster) declareEngine(name string) {
+	cl.engines = append(cl.engines, name)
+	r := resource.Resource{Kind: resource.KindEngine, Name: name, Spec: &resource.Engine{
+		Address: netip.MustParseAddrPort("127.0.0.1:1"), Zone: zone, BaseModel: "plain-7b", Slots: 4, Batch: 4,
+	}}
+	value, err := json.Marshal(r)
+	cl.c.Assert(err, qt.IsNil)
+	_, err = cl.platform.Put(context.Background(), string(r.Kind), name, 0, value)
+	cl.c.Assert(err, qt.IsNil)
+}
+
+// start starts a box; its incarnation differs from any other's.
+func (cl *cluster) start(name string, port int) *node {
+	n := &node{cluster: cl, name: name, catalog: catalog.New(), owned: map[string]bool{}}
+	peer := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(10000+port))
+	n.address = peer.String()
+	tokens := 0
+	n.Node = member.New(member.Config{
+		Zone: zone, API: n, Peers: n, Catalog: n.catalog, Holder: n, Timing: member.DefaultTiming(), Scope: tally.NoopScope,
+		Self: coordinator.Member{Box: name, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Caller: peer, Peer: peer},
+		NewToken: func() string {
+			tokens++
+			return fmt.Sprintf("%s-%d-%d", name, time.Now().UnixNano(), tokens)
+		},
+	})
+	n.feed = feed.New(feed.Config{Catalog: n.catalog, Scope: tally.NoopScope, Pick: n.pick})
+	ctx, cancel := context.WithCancel(cl.c.Context())
+	n.stop = cancel
+	cl.mu.Lock()
+	cl.nodes[name] = n
+	cl.mu.Unlock()
+	cl.group.Go(func() error { return n.feed.Serve(ctx) })
+	cl.group.Go(func() error {
+		select {
+		case <-n.feed.Ready():
+			return n.Serve(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	})
+	return n
+}
+
+// kill ends a box without any farewell.
+func (cl *cluster) kill(name string) {
+	cl.mu.Lock()
+	n := cl.nodes[name]
+	delete(cl.nodes, name)
+	cl.mu.Unlock()
+	n.stop()
+}
+
+// end stops all boxes, which every bubble has to.
+func (cl *cluster) end() {
+	cl.platform.SetFaults(fakeplatform.Faults{})
+	for _, n := range cl.list() {
+		n.thaw()
+		n.stop()
+	}
+	cl.c.Check(cl.group.Wait(), qt.ErrorIs, context.Canceled)
+}
+
+func (cl *cluster) list() []*node {
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
+	var all []*node
+	for _, n := range cl.nodes {
+		all = append(all, n)
+	}
+	slices.SortFunc(all, func(a, b *node) int { return int(a.address[10]) - int(b.address[10]) })
+	return all
+}
+
+func (cl *cluster) at(address string) *node {
+	for _, n := range cl.list() {
+		if n.address == address {
+			return n
+		}
+	}
+	return nil
+}
+
+// sample records who may give orders now.
+func (cl *cluster) sample() {
+	now := time.Now()
+	for _, n := range cl.list() {
+		for _, e := range cl.engines {
+			if epoch, ok := n.Authority(e, now); ok {
+				cl.history = append(cl.history, invariant.Authority{At: now, Engine: e, Box: n.name, Epoch: epoch})
+			}
+		}
+	}
+}
+
+// run lets time pass while sampling.
+func (cl *cluster) run(d time.Duration) {
+	const every = 100 * time.Millisecond
+	for ; d > 0; d -= every {
+		time.Sleep(every)
+		cl.sample()
+	}
+}
+
+// owned returns how many engines have a box that may give them orders now.
+func (cl *cluster) owned() int {
+	now, n := time.Now(), 0
+	for _, e := range cl.engines {
+		for _, b := range cl.list() {
+			if _, ok := b.Authority(e, now); ok {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// until lets time pass until ok, and returns how long that took; it fails after limit.
+func (cl *cluster) until(limit time.Duration, ok func() bool) time.Duration {
+	began := time.Now()
+	for !ok() {
+		if time.Since(began) > limit {
+			cl.c.Fatalf("not within %s", limit)
+		}
+		cl.run(100 * time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+func (cl *cluster) check() {
+	cl.c.Check(invariant.OneAuthority(cl.history), qt.IsNil)
+	cl.c.Check(invariant.EpochsGrow(cl.history), qt.IsNil)
+}
+
+func (n *node) freeze() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.thawed == nil {
+		n.thawed = make(chan struct{})
+	}
+}
+
+func (n *node) thaw() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.thawed != nil {
+		close(n.thawed)
+		n.thawed = nil
+	}
+}
+
+func (n *node) cut(fromPlatform, fromPeers bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cutPlatform, n.cutPeers = fromPlatform, fromPeers
+}
+
+// gate blocks while the box is frozen. Every call into and out of a box passes it.
+func (n *node) gate() {
+	n.mu.Lock()
+	thawed := n.thawed
+	n.mu.Unlock()
+	if thawed != nil {
+		<-thawed
+	}
+}
+
+func (n *node) platformCut() bool {
+	n.gate()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cutPlatform
+}
+
+func (n *node) peersCut() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cutPeers
+}
+
+func (n *node) pick() feed.Source {
+	if address, ok := n.CoordinatorAddress(); ok {
+		return source{n, address}
+	}
+	return n
+}
+
+// source is another box as a source of changes.
+type source struct {
+	node    *node
+	address string
+}
+
+func (s source) List(context.Context, []string) (platform.Changes, error) {
+	to, err := s.reach()
+	if err != nil {
+		return platform.Changes{}, err
+	}
+	return to.catalog.All(), nil
+}
+
+func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (platform.Changes, error) {
+	timeout := time.After(wait)
+	for {
+		to, err := s.reach()
+		if err != nil {
+			return platform.Changes{}, err
+		}
+		changed := to.catalog.Changed()
+		ch, err := to.catalog.Since(from)
+		if err != nil || ch.Revision > from {
+			return ch, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return ch, nil
+		case <-ctx.Done():
+			return ch, ctx.Err()
+		}
+	}
+}
+
+func (s source) reach() (*node, error) {
+	s.node.gate()
+	to := s.node.cluster.at(s.address)
+	if to == nil || to.peersCut() || s.node.peersCut() {
+		return nil, errCut
+	}
+	to.gate()
+	return to, nil
+}
+
+// Beat implements member.Peers.
+func (n *node) Beat(_ context.Context, address string, b coordinator.Beat) (coordinator.Reply, error) {
+	n.gate()
+	n.cluster.mu.Lock()
+	n.cluster.beats++
+	n.cluster.mu.Unlock()
+	to := n.cluster.at(address)
+	if to == nil || n.peersCut() || to.peersCut() {
+		return coordinator.Reply{}, errCut
+	}
+	to.mu.Lock()
+	frozen := to.thawed != nil
+	to.mu.Unlock()
+	if frozen {
+		// The caller's time limit ends the call.
+		time.Sleep(2 * time.Second)
+		return coordinator.Reply{}, errCut
+	}
+	r, err := to.HandleBeat(b)
+	n.gate()
+	return r, err
+}
+
+// Update implements member.Holder.
+func (n *node) Update(grants []coordinator.Ownership, release []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.owned = map[string]bool{}
+	for _, g := range grants {
+		n.owned[g.Engine] = true
+	}
+	n.released = slices.DeleteFunc(release, func(e string) bool { return !n.owned[e] })
+}
+
+// Released implements member.Holder.
+func (n *node) Released() (released, draining []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.released, nil
+}
+
+// The methods below implement platform.API through the node's gate and cut.
+
+func (n *node) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if n.platformCut() {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	o, err := n.cluster.platform.Get(ctx, kind, name)
+	n.gate()
+	return o, err
+}
+
+func (n *node) List(ctx context.Context, kinds []string) (platform.Changes, error) {
+	if n.platformCut() {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return n.cluster.platform.List(ctx, kinds)
+}
+
+func (n *node) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
+	if n.platformCut() {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return n.cluster.platform.Watch(ctx, kinds, from, wait)
+}
+
+func (n *node) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
+	if n.platformCut() {
+		return 0, platform.ErrUnavailable
+	}
+	v, err := n.cluster.platform.Put(ctx, kind, name, expect, value)
+	n.gate()
+	return v, err
+}
+
+func (n *node) Delete(ctx context.Context, kind, name string, expect int64) error {
+	return n.cluster.platform.Delete(ctx, kind, name, expect)
+}
+
+func (n *node) Boxes(ctx context.Context) ([]platform.Box, error) {
+	return n.cluster.platform.Boxes(ctx)
+}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/lease"
+	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/result"
 
@@ -37,8 +39,6 @@
 type Timing struct {
 	// Beat is the time between heartbeats.
 	Beat time.Duration
-	// Renew is the time between renewals of the coordinator's lease.
-	Renew time.Duration
 	// LeaseTTL is how long the lease is valid after a renewal.
 	LeaseTTL time.Duration
 	// Term is how long a grant is valid after its heartbeat was sent.
@@ -49,7 +49,7 @@
 
 // DefaultTiming returns the periods for boxes about a millisecond apart.
 func DefaultTiming() Timing {
-	return Timing{Beat: time.Second, Renew: time.Second, LeaseTTL: 4 * time.Second, Term: 8 * time.Second, Drain: 2 * time.Minute}
+	return Timing{Beat: time.Second, LeaseTTL: 3 * time.Second, Term: 4 * time.Second, Drain: 10 * time.Minute}
 }
 
 // Config configures a Node.
@@ -66,9 +66,18 @@
 	NewToken func() string
 }
 
+const (
+	// maxCandidates is how many boxes seek a free lease one after the other before all others do.
+	maxCandidates = 3
+	// missedBeats is how many heartbeats may go unanswered before the coordinator counts as out of reach.
+	missedBeats = 3
+)
+
 type grant struct {
 	coordinator.Ownership
 	until time.Time
+	// released says that a heartbeat has offered the engine to others: no order may follow.
+	released bool
 }
 
 // Node is this box's membership of its zone.
@@ -154,7 +163,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	g, ok := n.grants[engine]
-	if !ok {
+	if !ok || g.released {
 		return 0, false
 	}
 	if now.Before(g.until) {
@@ -224,7 +233,7 @@
 		return
 	}
 	n.setTenure(n.coordinating())
-	if n.coordinating() != nil || n.Leaving() || !n.lease.Free(time.Now(), 0) {
+	if n.coordinating() != nil || n.Leaving() || !n.lease.Free(time.Now(), n.grace()) {
 		return
 	}
 	state, err := n.takeLease(ctx)
@@ -234,6 +243,36 @@
 	n.setTenure(state)
 }
 
+// grace is how long this box lets better placed ones go first, so that not all members write at once when their coordinator is gone.
+func (n *Node) grace() time.Duration {
+	m, _, ok := n.cfg.Catalog.Map(n.cfg.Zone)
+	if !ok {
+		return 0
+	}
+	record := n.lease.Record()
+	var names []string
+	for _, b := range m.Members {
+		if b.Box != record.Holder && !b.Leaving {
+			names = append(names, b.Box)
+		}
+	}
+	key := fmt.Sprintf("%s/%d", n.cfg.Zone, record.Epoch)
+	rank := slices.Index(placement.Top(key, names, maxCandidates), n.cfg.Self.Box)
+	if rank < 0 {
+		rank = maxCandidates
+	}
+	return time.Duration(rank) * n.cfg.Timing.Beat
+}
+
+// CoordinatorAddress returns the peer address of the coordinator if another box coordinates and has answered lately.
+func (n *Node) CoordinatorAddress() (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	address := n.tenure.record.Address
+	lately := time.Since(n.lastReply) < missedBeats*n.cfg.Timing.Beat
+	return address, address != "" && address != n.cfg.Self.Peer.String() && lately
+}
+
 // takeLease takes the lease and continues from the zone's last map.
 func (n *Node) takeLease(ctx context.Context) (*coordinator.State, error) {
 	if err := n.lease.Take(ctx); err != nil {
@@ -394,7 +433,9 @@
 	self := n.cfg.Self
 	self.Leaving = n.leaving
 	b := coordinator.Beat{Member: self, Released: released, Draining: draining}
-	for _, g := range n.grants {
+	for name, g := range n.grants {
+		g.released = g.released || slices.Contains(released, name)
+		n.grants[name] = g
 		b.Owned = append(b.Owned, g.Ownership)
 	}
 	return b, n.tenure.record.Address
@@ -409,10 +450,12 @@
 		n.mu.Unlock()
 		return
 	}
-	n.grants = map[string]grant{}
+	grants := map[string]grant{}
 	for _, g := range r.Grants {
-		n.grants[g.Engine] = grant{g, sentAt.Add(r.Term)}
+		had := n.grants[g.Engine]
+		grants[g.Engine] = grant{Ownership: g, until: sentAt.Add(r.Term), released: had.released && had.Epoch == g.Epoch}
 	}
+	n.grants = grants
 	n.mu.Unlock()
 	n.lease.Observe(now, r.LeaseVersion)
 	n.cfg.Holder.Update(r.Grants, r.Release)
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -104,9 +104,10 @@
 	events chan event
 	done   chan struct{}
 	nextID atomic.Uint64
-	// inFlight and stopped are shown after each event, for handing over.
+	// inFlight and stopped are shown after each event, for handing over; ordering counts orders under way.
 	inFlight atomic.Int64
 	stopped  atomic.Bool
+	ordering atomic.Int64
 
 	// The fields below belong to the loop.
 	state       *State
@@ -153,8 +154,8 @@
 // InFlight returns how many started requests have not ended.
 func (r *Runner) InFlight() int { return int(r.inFlight.Load()) }
 
-// Stopped reports whether nothing more will start.
-func (r *Runner) Stopped() bool { return r.stopped.Load() }
+// Stopped reports whether nothing more will start and no order is under way.
+func (r *Runner) Stopped() bool { return r.stopped.Load() && r.ordering.Load() == 0 }
 
 // Settle says that the previous owner has nothing in flight any more.
 func (r *Runner) Settle() { r.post(settled{}) }
@@ -302,9 +303,11 @@
 	case permitDenied:
 		return r.state.Denied(now)
 	case loadEnded:
+		r.ordering.Add(-1)
 		e.permit()
 		return r.state.Loaded(now, e.ref, e.err)
 	case unloadEnded:
+		r.ordering.Add(-1)
 		return r.state.Unloaded(now, e.ref, e.err)
 	case reported:
 		return r.report(now, e.report)
@@ -352,8 +355,10 @@
 			r.orders.Go(func() error { r.askPermit(ctx, a); return nil })
 		case Load:
 			permit := r.popPermit()
+			r.ordering.Add(1)
 			r.orders.Go(func() error { r.load(ctx, a, permit); return nil })
 		case Unload:
+			r.ordering.Add(1)
 			r.orders.Go(func() error { r.unload(ctx, a); return nil })
 		case ReturnPermit:
 			r.popPermit()()
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -279,6 +279,10 @@
 		return s.flush(now)
 	}
 	delete(s.slots, ref)
+	if s.stopped {
+		s.emit(ReturnPermit{})
+		return s.flush(now)
+	}
 	if next != nil {
 		s.beginLoad(now, *next)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,7 +79,7 @@
 			Longest: 10 * time.Minute, LocateKeep: 10 * time.Second,
 		},
 		Loads:  Loads{PerSecond: 3, AtOnce: 2},
-		Timing: Timing{Beat: time.Second, LeaseTTL: 4 * time.Second, Term: 8 * time.Second, Drain: 10 * time.Minute, Leave: 10 * time.Minute},
+		Timing: Timing{Beat: time.Second, LeaseTTL: 3 * time.Second, Term: 4 * time.Second, Drain: 10 * time.Minute, Leave: 10 * time.Minute},
 		Log:    Log{Level: 1},
 	}
 }
