--- /dev/null
+++ b/internal/catalog/bench_test.go
@@ -0,0 +1,105 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// declared returns n adapters with one version each, as the platform lists them.
+func declared(n int) platform.Changes {
+	ch := platform.Changes{Revision: int64(2*n + 1)}
+	add := func(name string, kind resource.Kind, spec resource.Spec) {
+		value, err := json.Marshal(resource.Resource{Kind: kind, Name: name, Spec: spec})
+		if err != nil {
+			panic(err)
+		}
+		ch.Objects = append(ch.Objects, platform.Object{Kind: string(kind), Name: name, Version: int64(len(ch.Objects) + 1), Value: value})
+	}
+	for i := range n {
+		name := fmt.Sprintf("adapter-%05d", i)
+		add(name, resource.KindAdapter, &resource.Adapter{BaseModel: "plain-7b", Cooperative: "downs", Priority: "gate"})
+		add(name+"@1", resource.KindAdapterVersion, &resource.AdapterVersion{Weights: "weights/" + name + "/1", Bytes: 50 << 20})
+	}
+	return ch
+}
+
+// fill takes a whole list in.
+func fill(tb testing.TB, c *catalog.Catalog, ch platform.Changes) {
+	tb.Helper()
+	l, err := c.BeginList(ch.Revision)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	l.Page(ch.Objects)
+	l.End()
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+var catalogSizes = []int{1000, 5000, 13000, 26000}
+
+func BenchmarkList(b *testing.B) {
+	for _, n := range catalogSizes {
+		b.Run(fmt.Sprintf("adapters=%d", n), func(b *testing.B) {
+			list := declared(n)
+			wire, _ := json.Marshal(list)
+			before := heap()
+			var c *catalog.Catalog
+			for b.Loop() {
+				c = catalog.New()
+				fill(b, c, list)
+			}
+			b.ReportMetric((heap()-before)/float64(n), "heap-B/adapter")
+			b.ReportMetric(float64(len(wire))/float64(n), "wire-B/adapter")
+			runtime.KeepAlive(c)
+			runtime.KeepAlive(list)
+		})
+	}
+}
+
+func BenchmarkApplyOne(b *testing.B) {
+	for _, n := range catalogSizes {
+		b.Run(fmt.Sprintf("adapters=%d", n), func(b *testing.B) {
+			c := catalog.New()
+			list := declared(n)
+			fill(b, c, list)
+			revision := list.Revision
+			o := list.Objects[0]
+			for b.Loop() {
+				revision++
+				o.Version = revision
+				c.Apply(platform.Changes{Objects: []platform.Object{o}, Revision: revision})
+				if _, err := c.Since(revision - 1); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkLookup(b *testing.B) {
+	for _, n := range catalogSizes {
+		b.Run(fmt.Sprintf("adapters=%d", n), func(b *testing.B) {
+			c := catalog.New()
+			fill(b, c, declared(n))
+			ref := resource.Ref{Adapter: "adapter-00007", Version: "1"}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.Adapter(ref.Adapter)
+				c.Version(ref)
+			}
+		})
+	}
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -2,6 +2,7 @@
 package catalog
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"slices"
@@ -16,8 +17,12 @@
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
-// maxTombstones bounds how many deletions are remembered for other boxes.
-const maxTombstones = 4096
+const (
+	// maxTombstones bounds how many deletions are remembered for other boxes.
+	maxTombstones = 4096
+	// maxRecent bounds the changes kept in order.
+	maxRecent = 512
+)
 
 // ErrBehind says that a source knows less than this box does.
 var ErrBehind = eris.New("catalog: the source is behind what this box has")
@@ -29,6 +34,8 @@
 
 type entry struct {
 	version int64
+	// listing is the number of the last list that held the object.
+	listing int64
 	// value is a resource.Spec or a *coordinator.Map.
 	value any
 }
@@ -43,8 +50,13 @@
 	// floor is the newest deletion no longer remembered.
 	floor    int64
 	revision int64
+	// listings counts the lists begun.
+	listings int64
 	changed  chan struct{}
 	skipped  int
+	// recent holds the last changes in order, complete after recentFrom, so that boxes that are nearly up to date cost little.
+	recent     []platform.Object
+	recentFrom int64
 	// topology is computed when asked for and dropped when a kind it is made of changes.
 	topology *Topology
 }
@@ -91,30 +103,20 @@
 	for _, o := range ch.Objects {
 		c.apply(o)
 	}
+	c.remember(ch)
 	c.advance(ch.Revision, len(ch.Objects) > 0)
 }
 
-// Replace takes a full list: what is not in it and not newer than it is gone. A list older than the catalog is refused with ErrBehind.
-func (c *Catalog) Replace(ch platform.Changes) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if ch.Revision < c.revision {
-		return ErrBehind
-	}
-	listed := make(map[key]bool, len(ch.Objects))
-	for _, o := range ch.Objects {
-		listed[key{o.Kind, o.Name}] = true
-		c.apply(o)
+// remember keeps changes for boxes that ask next. Changes are only kept in the order of their versions.
+func (c *Catalog) remember(ch platform.Changes) {
+	fresh := slices.Clone(ch.Objects)
+	fresh = slices.DeleteFunc(fresh, func(o platform.Object) bool { return o.Version <= c.revision })
+	slices.SortFunc(fresh, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	c.recent = append(c.recent, fresh...)
+	if extra := len(c.recent) - maxRecent; extra > 0 {
+		c.recentFrom = c.recent[extra-1].Version
+		c.recent = slices.Delete(c.recent, 0, extra)
 	}
-	for kind, byName := range c.entries {
-		for name, e := range byName {
-			if k := (key{kind, name}); !listed[k] && e.version <= ch.Revision {
-				c.remove(k, ch.Revision)
-			}
-		}
-	}
-	c.advance(ch.Revision, true)
-	return nil
 }
 
 func (c *Catalog) advance(revision int64, changed bool) {
@@ -127,6 +129,10 @@
 
 func (c *Catalog) apply(o platform.Object) {
 	k := key{unique.Make(o.Kind).Value(), o.Name}
+	if have, ok := c.entries[k.kind][k.name]; ok && have.listing != c.listings {
+		have.listing = c.listings
+		c.entries[k.kind][k.name] = have
+	}
 	if o.Version <= c.entries[k.kind][k.name].version || o.Version <= c.deleted[k] {
 		return
 	}
@@ -145,7 +151,7 @@
 		c.versions[adapter] = append(c.versions[adapter], version)
 	}
 	delete(c.deleted, k)
-	c.set(k, entry{version: o.Version, value: v})
+	c.set(k, entry{version: o.Version, listing: c.listings, value: v})
 }
 
 func (c *Catalog) set(k key, e entry) {
@@ -227,7 +233,9 @@
 		return platform.Changes{}, platform.ErrGone
 	}
 	ch := platform.Changes{Revision: c.revision}
-	if from == c.revision {
+	if from >= c.recentFrom {
+		after, _ := slices.BinarySearchFunc(c.recent, from+1, func(o platform.Object, v int64) int { return cmp.Compare(o.Version, v) })
+		ch.Objects = slices.Clone(c.recent[after:])
 		return ch, nil
 	}
 	for kind, byName := range c.entries {
--- a/internal/cli/fake.go
+++ b/internal/cli/fake.go
@@ -27,7 +27,7 @@
 	cmd := &cli.Command{
 		Name: "bellgapfake", Usage: "stand-ins for the systems around bellgap", Writer: out, ErrWriter: errOut,
 		Commands: []*cli.Command{
-			{Name: "platform", Usage: "object API and box list", Flags: listen, Action: runFakePlatform},
+			{Name: "platform", Usage: "object API and box list", Flags: append(platformFlags(), listen...), Action: runFakePlatform},
 			{Name: "engine", Usage: "model engine", Flags: append(engineFlags(), listen...), Action: runFakeEngine},
 			{Name: "store", Usage: "weight store", Flags: append(storeFlags(), listen...), Action: runFakeStore},
 			{Name: "service", Usage: "plain service", Flags: append([]cli.Flag{&cli.StringFlag{Name: "name", Value: "service"}}, listen...), Action: runFakeService},
@@ -36,6 +36,13 @@
 	return run(cmd, args, errOut)
 }
 
+func platformFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.IntFlag{Name: "adapters", Usage: "declare `N` adapters with one version each at the start"},
+		&cli.StringFlag{Name: "base-model", Value: "plain-7b", Usage: "base model of those adapters"},
+	}
+}
+
 func engineFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "name", Value: "engine"},
@@ -57,7 +64,11 @@
 }
 
 func runFakePlatform(ctx context.Context, cmd *cli.Command) error {
-	return serveFake(ctx, cmd, fakeplatform.New().Handler())
+	store := fakeplatform.New()
+	if err := store.DeclareAdapters(ctx, cmd.Int("adapters"), cmd.String("base-model")); err != nil {
+		return err
+	}
+	return serveFake(ctx, cmd, store.Handler())
 }
 
 func runFakeEngine(ctx context.Context, cmd *cli.Command) error {
--- a/internal/fakeplatform/handler.go
+++ b/internal/fakeplatform/handler.go
@@ -36,7 +36,7 @@
 }
 
 func (s *Store) handleList(w http.ResponseWriter, r *http.Request) {
-	c, err := s.List(r.Context(), kindsOf(r))
+	c, err := s.List(r.Context(), kindsOf(r), r.FormValue("after"))
 	answer(w, c, err)
 }
 
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -12,6 +12,9 @@
 	"github.com/bellgap/bellgap/internal/platform"
 )
 
+// pageSize is how many objects a List returns at most.
+const pageSize = 500
+
 // historyLimit is how many changes are kept for watches.
 const historyLimit = 4096
 
@@ -44,6 +47,9 @@
 	boxes    []platform.Box
 	faults   Faults
 	counts   Counts
+	// listed is the last list made, for the next page of it.
+	listed      platform.Changes
+	listedKinds string
 }
 
 var _ platform.API = (*Store)(nil)
@@ -90,6 +96,7 @@
 		s.objects[key{o.Kind, o.Name}] = o
 	}
 	s.history, s.dropped, s.revision = nil, c.Revision, c.Revision
+	s.listed = platform.Changes{}
 	s.wake()
 }
 
@@ -108,16 +115,34 @@
 }
 
 // List implements platform.API.
-func (s *Store) List(ctx context.Context, kinds []string) (platform.Changes, error) {
+func (s *Store) List(ctx context.Context, kinds []string, after string) (platform.Changes, error) {
 	if err := s.enter(ctx, false); err != nil {
 		return platform.Changes{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.list(kinds), nil
+	return page(s.list(kinds), after), nil
+}
+
+// page cuts the page after a name out of a list in the order of kind and name.
+func page(all platform.Changes, after string) platform.Changes {
+	path := func(o platform.Object) string { return o.Kind + "/" + o.Name }
+	from, found := slices.BinarySearchFunc(all.Objects, after, func(o platform.Object, s string) int { return strings.Compare(path(o), s) })
+	if found {
+		from++
+	}
+	to := min(from+pageSize, len(all.Objects))
+	out := platform.Changes{Revision: all.Revision, Objects: all.Objects[from:to]}
+	if to < len(all.Objects) {
+		out.Next = path(all.Objects[to-1])
+	}
+	return out
 }
 
 func (s *Store) list(kinds []string) platform.Changes {
+	if s.listed.Revision == s.revision && s.listedKinds == strings.Join(kinds, ",") {
+		return s.listed
+	}
 	c := platform.Changes{Revision: s.revision}
 	for _, o := range s.objects {
 		if len(kinds) == 0 || slices.Contains(kinds, o.Kind) {
@@ -125,6 +150,7 @@
 		}
 	}
 	slices.SortFunc(c.Objects, func(a, b platform.Object) int { return strings.Compare(a.Kind+"/"+a.Name, b.Kind+"/"+b.Name) })
+	s.listed, s.listedKinds = c, strings.Join(kinds, ",")
 	return c
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -20,13 +20,13 @@
 // Timings of a Feed.
 const (
 	watchWait  = 20 * time.Second
-	minPause   = 100 * time.Millisecond
+	minPause   = 500 * time.Millisecond
 	maxBackoff = 5 * time.Second
 )
 
 // Source gives changes: the platform or another box.
 type Source interface {
-	List(ctx context.Context, kinds []string) (platform.Changes, error)
+	List(ctx context.Context, kinds []string, after string) (platform.Changes, error)
 	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error)
 }
 
@@ -110,14 +110,25 @@
 
 func (f *Feed) list(ctx context.Context, src Source) error {
 	f.cfg.Scope.Counter("feed_lists").Inc(1)
-	ch, err := src.List(ctx, catalog.WatchedKinds())
-	if err != nil {
-		return err
-	}
-	if err := f.cfg.Catalog.Replace(ch); err != nil {
-		f.cfg.Scope.Counter("feed_behind").Inc(1)
-		return err
+	var list *catalog.Listing
+	after := ""
+	for {
+		ch, err := src.List(ctx, catalog.WatchedKinds(), after)
+		if err != nil {
+			return err
+		}
+		if list == nil {
+			if list, err = f.cfg.Catalog.BeginList(ch.Revision); err != nil {
+				f.cfg.Scope.Counter("feed_behind").Inc(1)
+				return err
+			}
+		}
+		list.Page(ch.Objects)
+		if after = ch.Next; after == "" {
+			break
+		}
 	}
+	list.End()
 	f.once.Do(func() { close(f.ready) })
 	return nil
 }
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -274,7 +274,7 @@
 	address string
 }
 
-func (s source) List(context.Context, []string) (platform.Changes, error) {
+func (s source) List(context.Context, []string, string) (platform.Changes, error) {
 	to, err := s.reach()
 	if err != nil {
 		return platform.Changes{}, err
@@ -366,11 +366,11 @@
 	return o, err
 }
 
-func (n *node) List(ctx context.Context, kinds []string) (platform.Changes, error) {
+func (n *node) List(ctx context.Context, kinds []string, after string) (platform.Changes, error) {
 	if n.platformCut() {
 		return platform.Changes{}, platform.ErrUnavailable
 	}
-	return n.cluster.platform.List(ctx, kinds)
+	return n.cluster.platform.List(ctx, kinds, after)
 }
 
 func (n *node) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -60,8 +60,8 @@
 	address string
 }
 
-// List implements feed.Source.
-func (s source) List(ctx context.Context, _ []string) (platform.Changes, error) {
+// List implements feed.Source; another box's list is one page.
+func (s source) List(ctx context.Context, _ []string, _ string) (platform.Changes, error) {
 	var ch platform.Changes
 	err := s.client.call(ctx, s.address, PathList, callTimeout, struct{}{}, &ch)
 	return ch, err
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -51,9 +51,10 @@
 }
 
 // List implements API.
-func (c *Client) List(ctx context.Context, kinds []string) (Changes, error) {
+func (c *Client) List(ctx context.Context, kinds []string, after string) (Changes, error) {
+	q := url.Values{"kinds": {strings.Join(kinds, ",")}, "after": {after}}
 	var ch Changes
-	err := c.call(ctx, http.MethodGet, "/objects?kinds="+url.QueryEscape(strings.Join(kinds, ",")), nil, 0, &ch)
+	err := c.call(ctx, http.MethodGet, "/objects?"+q.Encode(), nil, 0, &ch)
 	return ch, err
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -42,6 +42,8 @@
 	Objects []Object `json:"objects"`
 	// Revision is the store-wide revision up to which Objects is complete.
 	Revision int64 `json:"revision"`
+	// Next asks List for the next page; empty on the last one. Only the first page's Revision holds for the whole list.
+	Next string `json:"next,omitempty"`
 }
 
 // BoxState is the state of a box in the box list.
@@ -63,8 +65,8 @@
 type API interface {
 	// Get returns one object or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
-	// List returns all objects of the kinds.
-	List(ctx context.Context, kinds []string) (Changes, error)
+	// List returns a page of the objects of the kinds, the first one after "".
+	List(ctx context.Context, kinds []string, after string) (Changes, error)
 	// Watch waits up to wait for changes of the kinds after revision from, and returns them or none; ErrGone asks for a List.
 	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (Changes, error)
 	// Put writes the value if the object's version is expect (0: it does not exist) and returns the new version.
