A leaving engine box gets no new work

Cause: the box list was read by nobody, so an engine on a leaving box kept its share of new requests until it was gone.

Change: the zone's coordinator reads the box list every two heartbeats and puts the leaving boxes into the zone map. Every gateway leaves their engines out; the owner sends what waits there to other engines and refuses the rest as not run; what streams ends undisturbed. An entry box that the list says is leaving hands its engines over like one told to stop. `live` in the list is never believed over a box's own word.

Figures: new test, an engine's box listed as leaving during a stream of 100 tokens: 0 of the next 40 requests started there, the stream ended whole.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -122,6 +122,7 @@
 		Client:    engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
 		Lookup:    b.lookupEngine,
+		Leaving:   func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
 	})
 }
 
--- a/internal/box/leave_test.go
+++ b/internal/box/leave_test.go
@@ -1,6 +1,7 @@
 package box_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bellgap/bellgap/internal/fakeengine"
+	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -76,3 +78,35 @@
 	c.Assert(group.Wait(), qt.IsNil)
 	c.Check(strings.HasSuffix(kept.body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", kept.body))
 }
+
+// TestLeavingEngineBoxGetsNoNewWork lists an engine's box as leaving while it streams and others wait for it.
+func TestLeavingEngineBoxGetsNoNewWork(t *testing.T) {
+	c := qt.New(t)
+	engine := smallEngine()
+	engine.Step = 10 * time.Millisecond
+	f := startFleet(c, fleetConfig{boxes: 2, engines: []fakeengine.Config{engine, engine}})
+	var group errgroup.Group
+	var kept answer
+	group.Go(func() error {
+		kept = f.ask(f.boxes[0], "/v1/completions", completion(modelName, 100, true))
+		return nil
+	})
+	running := func(i int) bool { return f.engines[i].Report().Running > 0 }
+	f.until(func() bool { return running(0) || running(1) })
+	leaving := 0
+	if running(1) {
+		leaving = 1
+	}
+	f.platform.SetBoxes([]platform.Box{{Name: fmt.Sprintf("host-%d", leaving+1), State: platform.BoxLeaving}})
+	for _, b := range f.boxes {
+		f.until(func() bool { return len(b.Topology().ByModel[baseModel]) == 1 })
+	}
+	before := len(f.engines[leaving].History().Runs)
+	for i := range 40 {
+		a := f.ask(f.boxes[i%2], "/v1/completions", completion(modelName, 1, false))
+		c.Check(a.status, qt.Equals, http.StatusOK, qt.Commentf("%s", a.body))
+	}
+	c.Check(f.engines[leaving].History().Runs, qt.HasLen, before)
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Check(strings.HasSuffix(kept.body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", kept.body))
+}
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -13,6 +13,8 @@
 	Spec  *resource.Engine
 	Owner coordinator.Member
 	Epoch uint64
+	// Leaving says that the engine's box is leaving: it gets no new work.
+	Leaving bool
 }
 
 // Topology is the routing view of one catalog state. It is never changed.
@@ -27,6 +29,7 @@
 	Zones []string
 	// Serving holds the serving configuration of each base model.
 	Serving map[string]*resource.Serving
+	leaving map[string]bool
 }
 
 // Topology returns the routing view of the present state.
@@ -51,6 +54,7 @@
 		Boxes: map[string]coordinator.Member{}, Serving: map[string]*resource.Serving{},
 	}
 	owners := map[string]coordinator.Ownership{}
+	t.leaving = map[string]bool{}
 	for zone, e := range c.entries[coordinator.MapKind] {
 		t.Zones = append(t.Zones, zone)
 		t.addMap(e, owners)
@@ -80,15 +84,20 @@
 	for _, o := range m.Owners {
 		owners[o.Engine] = o
 	}
+	for _, box := range m.Leaving {
+		t.leaving[box] = true
+	}
 }
 
 func (t *Topology) addEngine(name string, e *resource.Engine, o coordinator.Ownership) {
 	if !slices.Contains(t.Zones, e.Zone) {
 		t.Zones = append(t.Zones, e.Zone)
 	}
-	v := EngineView{Name: name, Spec: e, Epoch: o.Epoch}
+	v := EngineView{Name: name, Spec: e, Epoch: o.Epoch, Leaving: e.Box != "" && t.leaving[e.Box]}
 	if b, ok := t.Boxes[o.Owner]; ok {
 		v.Owner = b
+	}
+	if v.Owner.Box != "" && !v.Leaving {
 		t.ByModel[e.BaseModel] = append(t.ByModel[e.BaseModel], name)
 	}
 	t.Engines[name] = v
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -34,9 +34,13 @@
 type Map struct {
 	Zone string `json:"zone"`
 	// Lease is the epoch of the coordinator's lease.
-	Lease   uint64      `json:"lease"`
-	Members []Member    `json:"members"`
-	Owners  []Ownership `json:"owners"`
+	Lease uint64 `json:"lease"`
+	// Coordinator names the box that coordinates.
+	Coordinator string      `json:"coordinator"`
+	Members     []Member    `json:"members"`
+	Owners      []Ownership `json:"owners"`
+	// Leaving lists the boxes that the platform's box list says are leaving, in order.
+	Leaving []string `json:"leaving,omitempty"`
 }
 
 // Beat is a heartbeat from a box.
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -11,6 +11,8 @@
 // Config configures a State.
 type Config struct {
 	Zone string
+	// Box is the box that coordinates.
+	Box string
 	// Lease is the epoch of the lease under which this coordinator acts.
 	Lease uint64
 	// Term is how long a grant holds after the beat that asked for it was sent.
@@ -38,6 +40,8 @@
 	heldUntil map[string]time.Time
 	published Map
 	epoch     uint64
+	// leaving holds the boxes that the platform says are leaving.
+	leaving []string
 }
 
 // New returns a State that continues from the zone's last published map.
@@ -91,6 +95,12 @@
 	s.freedAt[o.Engine] = now
 }
 
+// Leaving takes in which boxes the platform's box list says are leaving. The list lags: it is believed when it says leaving, never when it says live.
+func (s *State) Leaving(boxes []string) {
+	s.leaving = slices.Clone(boxes)
+	slices.Sort(s.leaving)
+}
+
 // Tick drops silent members and assigns the zone's engines.
 func (s *State) Tick(now time.Time, engines []string) {
 	s.dropSilent(now)
@@ -184,7 +194,7 @@
 func (s *State) live() []string {
 	var boxes []string
 	for b, m := range s.members {
-		if !m.Leaving {
+		if !m.Leaving && !slices.Contains(s.leaving, b) {
 			boxes = append(boxes, b)
 		}
 	}
@@ -228,12 +238,13 @@
 		return nil
 	}
 	keep := s.share(len(live))
-	if m.Leaving {
+	leaving := m.Leaving || slices.Contains(s.leaving, m.Box)
+	if leaving {
 		keep = 0
 	}
 	var names []string
 	for _, o := range grants[min(keep, len(grants)):] {
-		if o.Previous == "" || m.Leaving {
+		if o.Previous == "" || leaving {
 			names = append(names, o.Engine)
 		}
 	}
@@ -242,9 +253,11 @@
 
 // Map returns the map to publish, in a fixed order.
 func (s *State) Map() Map {
-	mp := Map{Zone: s.cfg.Zone, Lease: s.cfg.Lease}
+	mp := Map{Zone: s.cfg.Zone, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Leaving: s.leaving}
 	for _, m := range s.members {
-		mp.Members = append(mp.Members, m.Member)
+		shown := m.Member
+		shown.Leaving = shown.Leaving || slices.Contains(s.leaving, m.Box)
+		mp.Members = append(mp.Members, shown)
 	}
 	slices.SortFunc(mp.Members, func(a, b Member) int { return cmp.Compare(a.Box, b.Box) })
 	for _, name := range s.engineNames() {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,7 +54,7 @@
 }
 
 func ownerless(err *result.Error) bool {
-	return err.Code == result.NotOwner || err.Code == result.NoEngine
+	return err.Code == result.NotOwner || err.Code == result.NoEngine || err.Code == result.TryNext
 }
 
 // tryCandidates offers a job to the candidate engines in turn until one answers.
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -71,6 +71,8 @@
 	maxCandidates = 3
 	// earlyBeat is the part of the time between heartbeats after which one is sent early.
 	earlyBeat = 20
+	// boxListBeats is how many heartbeats lie between two reads of the platform's box list.
+	boxListBeats = 2
 	// missedBeats is how many heartbeats may go unanswered before the coordinator counts as out of reach.
 	missedBeats = 3
 )
@@ -92,6 +94,7 @@
 	mapVersion int64
 	published  coordinator.Map
 	lastSeek   time.Time
+	lastBoxes  time.Time
 
 	mu sync.Mutex
 	// state is set while this box coordinates.
@@ -153,11 +156,12 @@
 	n.leaving = true
 }
 
-// Leaving reports whether this box is leaving.
+// Leaving reports whether this box is leaving, by its own word or by the platform's box list.
 func (n *Node) Leaving() bool {
+	m, _, _ := n.cfg.Catalog.Map(n.cfg.Zone)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.leaving
+	return n.leaving || slices.Contains(m.Leaving, n.cfg.Self.Box)
 }
 
 // Authority returns the epoch under which this box may give the engine orders, and whether it may now.
@@ -325,7 +329,7 @@
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
 	klog.InfoS("coordinating", "zone", n.cfg.Zone, "lease", epoch)
 	return coordinator.New(coordinator.Config{
-		Zone: n.cfg.Zone, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
+		Zone: n.cfg.Zone, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
 	}, last), nil
 }
 
@@ -353,12 +357,35 @@
 		n.cfg.Scope.Counter("lease_renew_failures").Inc(1)
 		return
 	}
+	n.readBoxes(ctx, state)
 	if err := n.publish(ctx, state); err != nil {
 		n.cfg.Scope.Counter("map_write_failures").Inc(1)
 		klog.InfoS("map not written", "zone", n.cfg.Zone, "err", err)
 	}
 }
 
+// readBoxes takes the platform's box list in, every few heartbeats. A list that cannot be read leaves the last one standing.
+func (n *Node) readBoxes(ctx context.Context, state *coordinator.State) {
+	if time.Since(n.lastBoxes) < boxListBeats*n.cfg.Timing.Beat {
+		return
+	}
+	n.lastBoxes = time.Now()
+	boxes, err := n.cfg.API.Boxes(ctx)
+	if err != nil {
+		n.cfg.Scope.Counter("box_list_failures").Inc(1)
+		return
+	}
+	var leaving []string
+	for _, b := range boxes {
+		if b.State == platform.BoxLeaving {
+			leaving = append(leaving, b.Name)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state.Leaving(leaving)
+}
+
 // nextMap lets time pass in the coordinator's state and returns the map that follows.
 func (n *Node) nextMap(state *coordinator.State) coordinator.Map {
 	engines := n.zoneEngines()
@@ -412,7 +439,8 @@
 }
 
 func sameMap(a, b coordinator.Map) bool {
-	return a.Zone == b.Zone && a.Lease == b.Lease && slices.Equal(a.Members, b.Members) && slices.Equal(a.Owners, b.Owners)
+	return a.Zone == b.Zone && a.Lease == b.Lease && a.Coordinator == b.Coordinator &&
+		slices.Equal(a.Members, b.Members) && slices.Equal(a.Owners, b.Owners) && slices.Equal(a.Leaving, b.Leaving)
 }
 
 func (n *Node) zoneEngines() []string {
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -87,6 +87,8 @@
 
 type stopping struct{}
 
+type closing struct{ closed bool }
+
 func (submitted) event()    {}
 func (canceled) event()     {}
 func (ended) event()        {}
@@ -97,6 +99,7 @@
 func (reported) event()     {}
 func (settled) event()      {}
 func (stopping) event()     {}
+func (closing) event()      {}
 
 // Runner carries out the decisions of one State. Its loop is the only user of the State.
 type Runner struct {
@@ -172,6 +175,9 @@
 	}
 }
 
+// Close sends what waits to other engines while the engine's box is leaving.
+func (r *Runner) Close(closed bool) { r.post(closing{closed}) }
+
 // Request is what a caller of Acquire wants.
 type Request struct {
 	Ref     resource.Ref
@@ -317,6 +323,8 @@
 	case stopping:
 		defer r.stopped.Store(true)
 		return r.state.Stop(now)
+	case closing:
+		return r.state.Close(now, e.closed)
 	default:
 		return nil
 	}
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -23,8 +23,10 @@
 	Supervisor *suture.Supervisor
 	// Lookup returns the declaration of an engine and its queue bound, zero for the default.
 	Lookup func(name string) (e *resource.Engine, maxQueue int)
-	Client *engine.Client
-	Loads  loads.Source
+	// Leaving reports whether the box of an engine is leaving.
+	Leaving func(name string) bool
+	Client  *engine.Client
+	Loads   loads.Source
 	// Authority says whether this box may give an engine orders now.
 	Authority func(engine string, now time.Time) (epoch uint64, ok bool)
 	Scope     tally.Scope
@@ -38,6 +40,8 @@
 	epoch uint64
 	// settled says that the previous owner has nothing in flight any more.
 	settled bool
+	// closed says that the engine's box is leaving.
+	closed bool
 }
 
 // Set holds the runners of the engines that this box owns.
@@ -99,6 +103,10 @@
 			return
 		}
 	}
+	if leaving := s.cfg.Leaving(g.Engine); leaving != o.closed {
+		o.closed = leaving
+		o.runner.Close(leaving)
+	}
 	if g.Previous == "" && !o.settled && !s.drains(g.Engine) {
 		o.settled = true
 		o.runner.Settle()
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -126,7 +126,9 @@
 	// asked counts permits asked for and not yet answered.
 	asked   int
 	stopped bool
-	out     []Action
+	// closed says that the engine's box is leaving.
+	closed bool
+	out    []Action
 }
 
 type rate struct {
@@ -183,6 +185,8 @@
 	switch {
 	case s.stopped:
 		s.refuse(t, result.New(result.NotOwner, "the engine is being handed over"))
+	case s.closed:
+		s.refuse(t, result.New(result.TryNext, "the engine's box is leaving"))
 	case len(s.waiting) >= s.cfg.MaxQueue:
 		s.refuseWorst(t)
 	case s.failing(now, t.Ref):
@@ -317,6 +321,18 @@
 	return s.flush(now)
 }
 
+// Close sends all that waits to other engines and takes nothing more while closed is true; what has started goes on.
+func (s *State) Close(now time.Time, closed bool) []Action {
+	s.closed = closed
+	if closed {
+		for _, t := range s.waiting {
+			s.refuse(t, result.New(result.TryNext, "the engine's box is leaving"))
+		}
+		s.waiting = nil
+	}
+	return s.flush(now)
+}
+
 // Tick refuses what can no longer start in time.
 func (s *State) Tick(now time.Time) []Action { return s.flush(now) }
 
--- a/internal/resource/specs.go
+++ b/internal/resource/specs.go
@@ -113,9 +113,11 @@
 
 // Engine declares a model engine.
 type Engine struct {
-	Address   netip.AddrPort `json:"address"`
-	Zone      string         `json:"zone"`
-	BaseModel string         `json:"base_model"`
+	Address netip.AddrPort `json:"address"`
+	// Box names the box it runs on, as in the platform's box list; when that box is leaving the engine gets no new work.
+	Box       string `json:"box,omitempty"`
+	Zone      string `json:"zone"`
+	BaseModel string `json:"base_model"`
 	// Slots is how many adapters fit at once.
 	Slots int `json:"slots"`
 	// Batch is how many sequences one step takes.
