One box schedules a region's loads; cut-off boxes use a fixed share

Cause: each box gave out the whole budget of the weight store to itself, so seven boxes could ask for 21 loads a second where Downs' store allows 3.

Ways weighed: a fixed share a box (safe, but a busy box waits while six idle ones hold unused shares); tokens in the platform's objects (a write a load, 3 of 100 a second, and nothing in an outage); a scheduler on one box. The last was taken: it is the coordinator of the region's first zone, so it needs no lease of its own. A box that cannot reach it uses half its share of the budget, which stays within the budget when all are cut off.

While cut off the limit of loads at once is not kept; the rate is.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -55,6 +55,8 @@
 	metrics   *metric.Metrics
 	catalog   *catalog.Catalog
 	feed      *feed.Feed
+	scheduler *loads.Local
+	loads     *loads.Shared
 	owners    *owner.Set
 	node      *member.Node
 	gateway   *gateway.Gateway
@@ -80,6 +82,7 @@
 	})
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
 	b.feed = feed.New(feed.Config{Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return b.source(api, peers) }})
+	b.buildLoads(peers)
 	b.buildOwners()
 	b.buildNode(api, peers)
 	b.buildGateway()
@@ -114,11 +117,8 @@
 }
 
 func (b *Box) buildOwners() {
-	s := b.cfg.Settings
-	local := loads.NewLocal(loads.LocalConfig{Budget: loads.Budget{PerSecond: s.Loads.PerSecond, AtOnce: s.Loads.AtOnce}})
-	b.root.Add(local)
 	b.owners = owner.NewSet(owner.SetConfig{
-		Supervisor: b.root, Loads: local, Scope: b.metrics.Scope,
+		Supervisor: b.root, Loads: b.loads, Scope: b.metrics.Scope,
 		Client:    engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
 		Lookup:    b.lookupEngine,
@@ -126,6 +126,33 @@
 	})
 }
 
+// buildLoads shares the weight store's budget: one box of the region schedules, cut-off boxes use a fixed share.
+func (b *Box) buildLoads(peers *peer.Client) {
+	budget := loads.Budget{PerSecond: b.cfg.Settings.Loads.PerSecond, AtOnce: b.cfg.Settings.Loads.AtOnce}
+	b.scheduler = loads.NewLocal(loads.LocalConfig{Budget: func() loads.Budget { return budget }})
+	fallback := loads.NewLocal(loads.LocalConfig{Budget: func() loads.Budget {
+		boxes := max(1, len(b.catalog.Topology().Boxes))
+		return loads.Budget{PerSecond: loads.FallbackShare * budget.PerSecond / float64(boxes), AtOnce: 1}
+	}})
+	b.root.Add(b.scheduler)
+	b.root.Add(fallback)
+	b.loads = loads.NewShared(loads.SharedConfig{
+		Own: b.scheduler, Fallback: fallback, Remote: peers, Scope: b.metrics.Scope,
+		Scheduler: func() (string, bool) {
+			m, ok := b.catalog.Topology().Schedulers[b.cfg.Settings.Box.Region]
+			if !ok {
+				return "", false
+			}
+			return m.Peer.String(), m.Box == b.cfg.Settings.Box.Name
+		},
+	})
+}
+
+// schedules reports whether this box schedules its region's loads.
+func (b *Box) schedules() bool {
+	return b.catalog.Topology().Schedulers[b.cfg.Settings.Box.Region].Box == b.cfg.Settings.Box.Name
+}
+
 func (b *Box) lookupEngine(name string) (*resource.Engine, int) {
 	t := b.catalog.Topology()
 	e, ok := t.Engines[name]
@@ -141,7 +168,7 @@
 func (b *Box) buildNode(api platform.API, peers *peer.Client) {
 	s := b.cfg.Settings
 	b.node = member.New(member.Config{
-		Zone: s.Box.Zone, API: api, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text,
+		Zone: s.Box.Zone, Region: s.Box.Region, API: api, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text,
 		Self: coordinator.Member{
 			Box: s.Box.Name, Incarnation: rand.Text(), Caller: b.CallerAddress(), Peer: addressOf(b.listeners.peer),
 		},
@@ -179,7 +206,9 @@
 
 func (b *Box) serve(api platform.API) {
 	peerMux := http.NewServeMux()
-	peer.NewHandler(peer.HandlerConfig{Catalog: b.catalog, Beat: b.node.HandleBeat}).Register(peerMux)
+	peer.NewHandler(peer.HandlerConfig{
+		Catalog: b.catalog, Beat: b.node.HandleBeat, Permits: b.scheduler, Schedules: b.schedules, NewID: rand.Text,
+	}).Register(peerMux)
 	b.gateway.RegisterPeer(peerMux)
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.feed.IsReady,
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
@@ -29,7 +30,9 @@
 	Zones []string
 	// Serving holds the serving configuration of each base model.
 	Serving map[string]*resource.Serving
-	leaving map[string]bool
+	// Schedulers names the box that schedules the loads of each region: the coordinator of its first zone.
+	Schedulers map[string]coordinator.Member
+	leaving    map[string]bool
 }
 
 // Topology returns the routing view of the present state.
@@ -54,10 +57,10 @@
 		Boxes: map[string]coordinator.Member{}, Serving: map[string]*resource.Serving{},
 	}
 	owners := map[string]coordinator.Ownership{}
-	t.leaving = map[string]bool{}
-	for zone, e := range c.entries[coordinator.MapKind] {
+	t.leaving, t.Schedulers = map[string]bool{}, map[string]coordinator.Member{}
+	for _, zone := range slices.Sorted(maps.Keys(c.entries[coordinator.MapKind])) {
 		t.Zones = append(t.Zones, zone)
-		t.addMap(e, owners)
+		t.addMap(c.entries[coordinator.MapKind][zone], owners)
 	}
 	for _, it := range c.resources(resource.KindEngine, "") {
 		if e, ok := it.Resource.Spec.(*resource.Engine); ok {
@@ -84,6 +87,9 @@
 	for _, o := range m.Owners {
 		owners[o.Engine] = o
 	}
+	if b, ok := t.Boxes[m.Coordinator]; ok && t.Schedulers[m.Region].Box == "" {
+		t.Schedulers[m.Region] = b
+	}
 	for _, box := range m.Leaving {
 		t.leaving[box] = true
 	}
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -33,6 +33,8 @@
 // Map is the published state of a zone.
 type Map struct {
 	Zone string `json:"zone"`
+	// Region groups the zones that share a weight store.
+	Region string `json:"region"`
 	// Lease is the epoch of the coordinator's lease.
 	Lease uint64 `json:"lease"`
 	// Coordinator names the box that coordinates.
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -10,7 +10,8 @@
 
 // Config configures a State.
 type Config struct {
-	Zone string
+	Zone   string
+	Region string
 	// Box is the box that coordinates.
 	Box string
 	// Lease is the epoch of the lease under which this coordinator acts.
@@ -253,7 +254,7 @@
 
 // Map returns the map to publish, in a fixed order.
 func (s *State) Map() Map {
-	mp := Map{Zone: s.cfg.Zone, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Leaving: s.leaving}
+	mp := Map{Zone: s.cfg.Zone, Region: s.cfg.Region, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Leaving: s.leaving}
 	for _, m := range s.members {
 		shown := m.Member
 		shown.Leaving = shown.Leaving || slices.Contains(s.leaving, m.Box)
--- a/internal/loads/local.go
+++ b/internal/loads/local.go
@@ -10,7 +10,8 @@
 
 // LocalConfig configures a Local.
 type LocalConfig struct {
-	Budget Budget
+	// Budget returns what may be given out now.
+	Budget func() Budget
 }
 
 // Local gives permits out of a budget of its own.
--- a/internal/loads/queue.go
+++ b/internal/loads/queue.go
@@ -18,15 +18,15 @@
 
 // Queue decides who gets the next permit; it does no I/O. One goroutine uses it.
 type Queue struct {
-	budget  Budget
+	budget  func() Budget
 	tokens  float64
 	filled  time.Time
 	running int
 	waiting []Waiting
 }
 
-// NewQueue returns a Queue that starts with one load to give.
-func NewQueue(now time.Time, b Budget) *Queue {
+// NewQueue returns a Queue that starts with one load to give; the budget is asked for at each decision.
+func NewQueue(now time.Time, b func() Budget) *Queue {
 	return &Queue{budget: b, tokens: 1, filled: now}
 }
 
@@ -56,7 +56,7 @@
 // Next returns who gets a permit now, if any.
 func (q *Queue) Next(now time.Time) (Waiting, bool) {
 	q.fill(now)
-	if len(q.waiting) == 0 || q.running >= q.budget.AtOnce || q.tokens < 1 {
+	if len(q.waiting) == 0 || q.running >= q.budget().AtOnce || q.tokens < 1 {
 		return Waiting{}, false
 	}
 	w := q.waiting[0]
@@ -68,7 +68,7 @@
 
 // Wait returns how long until Next can give a permit without a Release; zero or less means now, ok is false if only a Release helps.
 func (q *Queue) Wait(now time.Time) (time.Duration, bool) {
-	if len(q.waiting) == 0 || q.running >= q.budget.AtOnce {
+	if len(q.waiting) == 0 || q.running >= q.budget().AtOnce {
 		return 0, false
 	}
 	q.fill(now)
@@ -76,7 +76,7 @@
 		return 0, true
 	}
 	const slack = time.Millisecond
-	return time.Duration((1-q.tokens)/q.budget.PerSecond*float64(time.Second)) + slack, true
+	return time.Duration((1-q.tokens)/q.budget().PerSecond*float64(time.Second)) + slack, true
 }
 
 // Len returns how many needs wait.
@@ -84,7 +84,8 @@
 
 func (q *Queue) fill(now time.Time) {
 	if d := now.Sub(q.filled); d > 0 {
-		q.tokens = min(max(1, q.budget.PerSecond*maxBurst), q.tokens+d.Seconds()*q.budget.PerSecond)
+		rate := q.budget().PerSecond
+		q.tokens = min(max(1, rate*maxBurst), q.tokens+d.Seconds()*rate)
 		q.filled = now
 	}
 }
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -55,6 +55,7 @@
 // Config configures a Node.
 type Config struct {
 	Zone    string
+	Region  string
 	Self    coordinator.Member
 	API     platform.API
 	Peers   Peers
@@ -329,7 +330,7 @@
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
 	klog.InfoS("coordinating", "zone", n.cfg.Zone, "lease", epoch)
 	return coordinator.New(coordinator.Config{
-		Zone: n.cfg.Zone, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
+		Zone: n.cfg.Zone, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
 	}, last), nil
 }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -15,6 +16,7 @@
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/feed"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -24,6 +26,8 @@
 	PathBeat    = "/peer/beat"
 	PathList    = "/peer/list"
 	PathChanges = "/peer/changes"
+	PathPermit  = "/peer/permit"
+	PathRelease = "/peer/release"
 )
 
 // Limits of a call.
@@ -52,6 +56,36 @@
 	return r, err
 }
 
+// PermitAsk asks the scheduler for a load.
+type PermitAsk struct {
+	Need loads.Need `json:"need"`
+	// Wait is how long the asker waits.
+	Wait time.Duration `json:"wait"`
+}
+
+// PermitGiven names a permit, to give it back.
+type PermitGiven struct {
+	ID string `json:"id"`
+}
+
+var _ loads.Remote = (*Client)(nil)
+
+// AcquirePermit implements loads.Remote.
+func (c *Client) AcquirePermit(ctx context.Context, address string, n loads.Need) (func(), error) {
+	wait := maxWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline))
+	}
+	var given PermitGiven
+	if err := c.call(ctx, address, PathPermit, wait+callTimeout, PermitAsk{n, wait}, &given); err != nil {
+		return nil, err
+	}
+	return sync.OnceFunc(func() {
+		// A permit that cannot be given back runs out by itself.
+		_ = c.call(context.WithoutCancel(ctx), address, PathRelease, callTimeout, given, &struct{}{})
+	}), nil
+}
+
 // Source returns the changes known to the box at address as a feed source.
 func (c *Client) Source(address string) feed.Source { return source{c, address} }
 
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -25,21 +27,31 @@
 	Catalog *catalog.Catalog
 	// Beat answers a heartbeat.
 	Beat func(coordinator.Beat) (coordinator.Reply, error)
+	// Permits schedules the site's loads while Schedules says that this box does.
+	Permits   *loads.Local
+	Schedules func() bool
+	NewID     func() string
 }
 
 // Handler answers other boxes.
 type Handler struct {
-	cfg HandlerConfig
+	cfg  HandlerConfig
+	mu   sync.Mutex
+	held map[string]loads.Permit
 }
 
 // NewHandler returns a Handler.
-func NewHandler(cfg HandlerConfig) *Handler { return &Handler{cfg: cfg} }
+func NewHandler(cfg HandlerConfig) *Handler {
+	return &Handler{cfg: cfg, held: map[string]loads.Permit{}}
+}
 
 // Register adds the control paths to mux.
 func (h *Handler) Register(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+PathBeat, h.handleBeat)
 	mux.HandleFunc("POST "+PathList, h.handleList)
 	mux.HandleFunc("POST "+PathChanges, h.handleChanges)
+	mux.HandleFunc("POST "+PathPermit, h.handlePermit)
+	mux.HandleFunc("POST "+PathRelease, h.handleRelease)
 }
 
 func (h *Handler) handleBeat(w http.ResponseWriter, r *http.Request) {
