Policy benchmark in virtual time; one permit a missing adapter, longer memory

Found: (1) an engine asked for one permit at a time, with the urgency of the first need; an urgent need behind it waited with a night job's rank. (2) A permit that came too late for use cost the budget a load. (3) Giving a permit back called another box from the owner's loop, which it stopped for up to 2 s. (4) A half-life of 2 minutes forgets too soon.

Change: a permit is asked for each missing adapter and again when it becomes more urgent; unused permits are refunded; permits are given back outside the loop; half-life 10 minutes.

--- /dev/null
+++ b/cmd/bellgapbench/main.go
@@ -0,0 +1,12 @@
+// Command bellgapbench measures the decisions in virtual time.
+package main
+
+import (
+	"os"
+
+	"github.com/bellgap/bellgap/internal/cli"
+)
+
+func main() {
+	os.Exit(cli.Bench(os.Args, os.Stdout, os.Stderr))
+}
--- a/internal/loads/loads.go
+++ b/internal/loads/loads.go
@@ -18,8 +18,8 @@
 	Waiters int `json:"waiters"`
 }
 
-// Permit allows one load. Call it once, when the load has ended or is not needed.
-type Permit func()
+// Permit allows one load. Call it once: when the load has ended, or with used false when it is not needed.
+type Permit func(used bool)
 
 // Source gives permits. It is an interface at the boundary to other boxes.
 type Source interface {
--- a/internal/loads/local.go
+++ b/internal/loads/local.go
@@ -94,18 +94,25 @@
 	delete(l.grants, id)
 	l.mu.Unlock()
 	if !waiting {
-		l.permit()()
+		l.permit()(false)
 	}
 	return ctx.Err()
 }
 
 func (l *Local) permit() Permit {
-	return sync.OnceFunc(func() {
-		l.mu.Lock()
+	var once sync.Once
+	return func(used bool) { once.Do(func() { l.giveBack(used) }) }
+}
+
+func (l *Local) giveBack(used bool) {
+	l.mu.Lock()
+	if used {
 		l.queue.Release()
-		l.mu.Unlock()
-		l.wake()
-	})
+	} else {
+		l.queue.Refund()
+	}
+	l.mu.Unlock()
+	l.wake()
 }
 
 func (l *Local) wake() {
--- a/internal/loads/queue.go
+++ b/internal/loads/queue.go
@@ -53,6 +53,12 @@
 // Release ends a load that had a permit.
 func (q *Queue) Release() { q.running = max(0, q.running-1) }
 
+// Refund takes back a permit that was not used.
+func (q *Queue) Refund() {
+	q.Release()
+	q.tokens++
+}
+
 // Next returns who gets a permit now, if any.
 func (q *Queue) Next(now time.Time) (Waiting, bool) {
 	q.fill(now)
--- a/internal/loads/shared.go
+++ b/internal/loads/shared.go
@@ -18,8 +18,8 @@
 
 // Remote asks the scheduler on another box. It is an interface at the network boundary.
 type Remote interface {
-	// AcquirePermit waits for a permit; release gives it back.
-	AcquirePermit(ctx context.Context, address string, n Need) (release func(), err error)
+	// AcquirePermit waits for a permit.
+	AcquirePermit(ctx context.Context, address string, n Need) (Permit, error)
 }
 
 // SharedConfig configures a Shared.
@@ -51,9 +51,9 @@
 		return s.cfg.Own.Acquire(ctx, n)
 	}
 	if address != "" {
-		release, err := s.cfg.Remote.AcquirePermit(ctx, address, n)
+		permit, err := s.cfg.Remote.AcquirePermit(ctx, address, n)
 		if err == nil {
-			return release, nil
+			return permit, nil
 		}
 		// A scheduler that has nothing to give in time is no reason to go round it.
 		if ctx.Err() != nil || result.Is(err, result.LoadBudget) {
--- a/internal/loads/shared_test.go
+++ b/internal/loads/shared_test.go
@@ -25,7 +25,7 @@
 }
 
 // AcquirePermit implements loads.Remote.
-func (s *site) AcquirePermit(ctx context.Context, _ string, n loads.Need) (func(), error) {
+func (s *site) AcquirePermit(ctx context.Context, _ string, n loads.Need) (loads.Permit, error) {
 	if s.cut.Load() {
 		return nil, errors.New("cut off")
 	}
@@ -43,7 +43,7 @@
 		s.peak.Store(max(s.peak.Load(), s.running.Add(1)))
 		time.Sleep(load)
 		s.running.Add(-1)
-		permit()
+		permit(true)
 	}
 }
 
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -66,14 +66,16 @@
 	end End
 }
 
-type permitGiven struct{ permit loads.Permit }
+type permitGiven struct {
+	ref    resource.Ref
+	permit loads.Permit
+}
 
-type permitDenied struct{}
+type permitDenied struct{ ref resource.Ref }
 
 type loadEnded struct {
-	ref    resource.Ref
-	permit loads.Permit
-	err    error
+	ref resource.Ref
+	err error
 }
 
 type unloadEnded struct {
@@ -243,8 +245,8 @@
 	end := sync.OnceFunc(func() { close(r.done) })
 	defer end()
 	orders, ctx := errgroup.WithContext(ctx)
-	// Each slot has at most one order under way; with the permit and the poll none ever waits for another.
-	orders.SetLimit(2*r.cfg.Engine.Slots + spareOrders)
+	// Each slot has at most one order under way; with the permits and the poll none ever waits for another.
+	orders.SetLimit(2*r.cfg.Engine.Slots + 2*maxAsked + spareOrders)
 	r.orders = orders
 	orders.Go(func() error { return r.poll(ctx) })
 	err := r.loop(ctx)
@@ -263,12 +265,8 @@
 
 // abandon gives back what an unread event holds.
 func abandon(e event) {
-	switch e := e.(type) {
-	case permitGiven:
-		e.permit()
-	case loadEnded:
-		e.permit()
-	default:
+	if given, ok := e.(permitGiven); ok {
+		given.permit(false)
 	}
 }
 
@@ -286,7 +284,7 @@
 			r.show()
 		case <-ctx.Done():
 			for _, p := range r.permits {
-				p()
+				p(false)
 			}
 			return ctx.Err()
 		}
@@ -305,12 +303,11 @@
 		return r.state.Done(now, e.id, e.end)
 	case permitGiven:
 		r.permits = append(r.permits, e.permit)
-		return r.state.Granted(now)
+		return r.state.Granted(now, e.ref)
 	case permitDenied:
-		return r.state.Denied(now)
+		return r.state.Denied(now, e.ref)
 	case loadEnded:
 		r.ordering.Add(-1)
-		e.permit()
 		return r.state.Loaded(now, e.ref, e.err)
 	case unloadEnded:
 		r.ordering.Add(-1)
@@ -369,7 +366,9 @@
 			r.ordering.Add(1)
 			r.orders.Go(func() error { r.unload(ctx, a); return nil })
 		case ReturnPermit:
-			r.popPermit()()
+			// Giving back may call another box, which the loop does not wait for.
+			permit := r.popPermit()
+			r.orders.Go(func() error { permit(false); return nil })
 		}
 	}
 }
@@ -384,7 +383,7 @@
 func (r *Runner) popPermit() loads.Permit {
 	last := len(r.permits) - 1
 	if last < 0 {
-		return func() {}
+		return func(bool) {}
 	}
 	p := r.permits[last]
 	r.permits = r.permits[:last]
@@ -396,16 +395,17 @@
 	defer cancel()
 	p, err := r.cfg.Loads.Acquire(ctx, loads.Need{Engine: r.cfg.Name, Urgency: a.Urgency, StartBy: a.StartBy, Waiters: a.Waiters})
 	if err != nil {
-		r.post(permitDenied{})
+		r.post(permitDenied{a.Ref})
 		return
 	}
-	r.post(permitGiven{p})
+	r.post(permitGiven{a.Ref, p})
 }
 
 func (r *Runner) load(ctx context.Context, l Load, permit loads.Permit) {
 	err := r.order(ctx, engine.Order{Action: engine.ActionLoad, Model: l.Ref.String(), Weights: l.Weights})
+	permit(true)
 	r.count("loads", err)
-	r.post(loadEnded{l.Ref, permit, err})
+	r.post(loadEnded{l.Ref, err})
 }
 
 func (r *Runner) unload(ctx context.Context, u Unload) {
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -14,13 +14,15 @@
 
 // Defaults of Config.
 const (
-	defaultHalfLife    = 2 * time.Minute
+	defaultHalfLife    = 10 * time.Minute
 	defaultLoadTime    = 500 * time.Millisecond
 	defaultBackoff     = time.Second
 	maxBackoff         = time.Minute
 	brokenLinger       = 5 * time.Second
 	loadTimeSmoothing  = 0.2
 	maxRememberedRates = 4096
+	// maxAsked bounds the adapters for which permits are asked at once.
+	maxAsked = 8
 )
 
 // Config configures a State.
@@ -32,6 +34,8 @@
 	MaxQueue int
 	// HalfLife is the time in which the weight of past use halves.
 	HalfLife time.Duration
+	// Worth rates an idle adapter in place of its decayed rate of use; the least is unloaded first. Nil except in comparisons.
+	Worth func(ref resource.Ref, now time.Time) float64
 }
 
 // Ticket is a request that waits for the engine.
@@ -44,6 +48,8 @@
 	Arrived time.Time
 	// StartBy is the latest useful start.
 	StartBy time.Time
+	// Last says that no other engine will be tried after this one.
+	Last bool
 }
 
 // Action is what the caller of State has to do. It is sealed.
@@ -62,8 +68,9 @@
 	Err    *result.Error
 }
 
-// AskPermit asks for one load from the weight store's budget.
+// AskPermit asks for one load from the weight store's budget. The permit may be used for another adapter that is more urgent when it comes.
 type AskPermit struct {
+	Ref     resource.Ref
 	Urgency int
 	StartBy time.Time
 	Waiters int
@@ -116,15 +123,17 @@
 
 // State is the decision state of one engine. One goroutine uses it.
 type State struct {
-	cfg      Config
-	slots    map[resource.Ref]*slot
-	waiting  []Ticket
+	cfg     Config
+	slots   map[resource.Ref]*slot
+	waiting []Ticket
+	// wanted counts the waiting tickets of each adapter.
+	wanted   map[resource.Ref]int
 	running  map[uint64]*slot
 	rates    map[resource.Ref]rate
 	failures map[resource.Ref]failure
 	loadTime time.Duration
-	// asked counts permits asked for and not yet answered.
-	asked   int
+	// asked holds the urgency with which a permit was asked for and not yet answered.
+	asked   map[resource.Ref]int
 	stopped bool
 	// closed says that the engine's box is leaving.
 	closed bool
@@ -148,7 +157,7 @@
 	}
 	return &State{
 		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]*slot{},
-		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, loadTime: defaultLoadTime,
+		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, asked: map[resource.Ref]int{}, wanted: map[resource.Ref]int{}, loadTime: defaultLoadTime,
 	}
 }
 
@@ -199,7 +208,7 @@
 
 // Cancel ends a ticket whose caller has gone before it was told that it may start.
 func (s *State) Cancel(now time.Time, id uint64) []Action {
-	s.waiting = slices.DeleteFunc(s.waiting, func(t Ticket) bool { return t.ID == id })
+	s.keep(func(t Ticket) bool { return t.ID != id })
 	return s.Done(now, id, EndWhole)
 }
 
@@ -236,9 +245,9 @@
 	return s.flush(now)
 }
 
-// Granted takes a permit and picks the load that is most urgent now.
-func (s *State) Granted(now time.Time) []Action {
-	s.asked = max(0, s.asked-1)
+// Granted takes the permit asked for ref and uses it for the load that is most urgent now.
+func (s *State) Granted(now time.Time, ref resource.Ref) []Action {
+	delete(s.asked, ref)
 	t, ok := s.mostUrgentMissing(now)
 	if !ok || s.stopped {
 		s.emit(ReturnPermit{})
@@ -259,9 +268,9 @@
 	return s.flush(now)
 }
 
-// Denied says that no permit will come; it may be asked for again.
-func (s *State) Denied(now time.Time) []Action {
-	s.asked = max(0, s.asked-1)
+// Denied says that no permit will come for ref; it may be asked for again.
+func (s *State) Denied(now time.Time, ref resource.Ref) []Action {
+	delete(s.asked, ref)
 	return s.flush(now)
 }
 
@@ -314,10 +323,10 @@
 // Stop refuses all that waits and takes nothing more, before the engine is handed over.
 func (s *State) Stop(now time.Time) []Action {
 	s.stopped = true
-	for _, t := range s.waiting {
+	s.keep(func(t Ticket) bool {
 		s.refuse(t, result.New(result.NotOwner, "the engine is being handed over"))
-	}
-	s.waiting = nil
+		return false
+	})
 	return s.flush(now)
 }
 
@@ -325,10 +334,10 @@
 func (s *State) Close(now time.Time, closed bool) []Action {
 	s.closed = closed
 	if closed {
-		for _, t := range s.waiting {
+		s.keep(func(t Ticket) bool {
 			s.refuse(t, result.New(result.TryNext, "the engine's box is leaving"))
-		}
-		s.waiting = nil
+			return false
+		})
 	}
 	return s.flush(now)
 }
@@ -369,7 +378,7 @@
 	worst := len(s.waiting) - 1
 	if worst >= 0 && s.waiting[worst].Urgency < t.Urgency {
 		out := s.waiting[worst]
-		s.waiting = s.waiting[:worst]
+		s.keep(func(w Ticket) bool { return w.ID != out.ID })
 		s.refuse(out, result.New(result.QueueFull, "more urgent work came"))
 		s.enqueue(t)
 		return
@@ -394,21 +403,32 @@
 	f.count++
 	f.until = now.Add(min(maxBackoff, defaultBackoff<<min(f.count-1, 10)))
 	s.failures[ref] = f
-	kept := s.waiting[:0]
-	for _, t := range s.waiting {
+	s.keep(func(t Ticket) bool {
 		if t.Ref == ref {
 			s.refuseFailing(now, t)
-			continue
 		}
-		kept = append(kept, t)
-	}
-	s.waiting = kept
+		return t.Ref != ref
+	})
+}
+
+// keep drops the waiting tickets for which ok is false.
+func (s *State) keep(ok func(Ticket) bool) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(t Ticket) bool {
+		if ok(t) {
+			return false
+		}
+		if s.wanted[t.Ref]--; s.wanted[t.Ref] == 0 {
+			delete(s.wanted, t.Ref)
+		}
+		return true
+	})
 }
 
 // enqueue keeps the waiting tickets ordered by urgency, then by latest useful start, then by arrival.
 func (s *State) enqueue(t Ticket) {
 	at, _ := slices.BinarySearchFunc(s.waiting, t, compareTickets)
 	s.waiting = slices.Insert(s.waiting, at, t)
+	s.wanted[t.Ref]++
 }
 
 func compareTickets(a, b Ticket) int {
@@ -417,21 +437,20 @@
 	)
 }
 
-// flush starts what can start, refuses what cannot make it, asks for a permit if one is needed, and returns all actions.
+// flush starts what can start, refuses what cannot make it, asks for permits that are needed, and returns all actions.
 func (s *State) flush(now time.Time) []Action {
-	kept := s.waiting[:0]
-	for _, t := range s.waiting {
+	s.keep(func(t Ticket) bool {
 		switch {
 		case len(s.running) < s.cfg.Batch && s.Holds(t.Ref):
 			s.start(t)
 		case !now.Before(t.StartBy):
 			s.refuse(t, result.New(result.DeadlineUnmet, "waited %s", now.Sub(t.Arrived).Round(time.Millisecond)))
 		default:
-			kept = append(kept, t)
+			return true
 		}
-	}
-	s.waiting = kept
-	s.askPermit(now)
+		return false
+	})
+	s.askPermits(now)
 	out := s.out
 	s.out = nil
 	return out
@@ -445,34 +464,38 @@
 	s.emit(Start{Ticket: t, Stalled: max(0, sl.readyAt.Sub(t.Arrived))})
 }
 
-func (s *State) askPermit(now time.Time) {
-	if s.asked > 0 || s.stopped {
-		return
-	}
-	t, ok := s.mostUrgentMissing(now)
-	if !ok || (len(s.slots) >= s.cfg.Slots && s.victim(now) == nil) {
+// askPermits asks once for each missing adapter, and again if it has become more urgent.
+func (s *State) askPermits(now time.Time) {
+	if s.stopped || len(s.waiting) == 0 || (len(s.slots) >= s.cfg.Slots && s.victim(now) == nil) {
 		return
 	}
-	waiters := 0
-	for _, w := range s.waiting {
-		if w.Ref == t.Ref {
-			waiters++
+	for _, t := range s.waiting {
+		asked, ok := s.asked[t.Ref]
+		if (ok && asked >= t.Urgency) || !s.missing(now, t.Ref) {
+			continue
 		}
+		if len(s.asked) >= maxAsked && !ok {
+			return
+		}
+		s.asked[t.Ref] = t.Urgency
+		s.emit(AskPermit{Ref: t.Ref, Urgency: t.Urgency, StartBy: t.StartBy, Waiters: s.wanted[t.Ref]})
 	}
-	s.asked++
-	s.emit(AskPermit{Urgency: t.Urgency, StartBy: t.StartBy, Waiters: waiters})
 }
 
 // mostUrgentMissing returns the first waiting ticket whose adapter is neither loaded nor on its way.
 func (s *State) mostUrgentMissing(now time.Time) (Ticket, bool) {
 	for _, t := range s.waiting {
-		if s.slots[t.Ref] == nil && !s.failing(now, t.Ref) && !s.onItsWay(t.Ref) {
+		if s.missing(now, t.Ref) {
 			return t, true
 		}
 	}
 	return Ticket{}, false
 }
 
+func (s *State) missing(now time.Time, ref resource.Ref) bool {
+	return s.slots[ref] == nil && !s.failing(now, ref) && !s.onItsWay(ref)
+}
+
 func (s *State) onItsWay(ref resource.Ref) bool {
 	for _, sl := range s.slots {
 		if sl.next != nil && sl.next.Ref == ref {
@@ -490,7 +513,7 @@
 		if sl.phase != loaded || sl.inUse > 0 || sl.foreign || now.Before(sl.busyUntil) || s.awaited(sl.ref) {
 			continue
 		}
-		r := s.rateAt(now, sl.ref)
+		r := s.worth(now, sl.ref)
 		if r < worstRate || (r == worstRate && sl.ref.String() < worst.ref.String()) {
 			worst, worstRate = sl, r
 		}
@@ -498,8 +521,15 @@
 	return worst
 }
 
+func (s *State) worth(now time.Time, ref resource.Ref) float64 {
+	if s.cfg.Worth != nil {
+		return s.cfg.Worth(ref, now)
+	}
+	return s.rateAt(now, ref)
+}
+
 func (s *State) awaited(ref resource.Ref) bool {
-	return slices.ContainsFunc(s.waiting, func(t Ticket) bool { return t.Ref == ref })
+	return s.wanted[ref] > 0
 }
 
 // touch adds one use to the decayed rate of ref.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -68,10 +68,17 @@
 	ID string `json:"id"`
 }
 
+// PermitBack gives a permit back.
+type PermitBack struct {
+	ID string `json:"id"`
+	// Used says that the permit was used for a load.
+	Used bool `json:"used"`
+}
+
 var _ loads.Remote = (*Client)(nil)
 
 // AcquirePermit implements loads.Remote.
-func (c *Client) AcquirePermit(ctx context.Context, address string, n loads.Need) (func(), error) {
+func (c *Client) AcquirePermit(ctx context.Context, address string, n loads.Need) (loads.Permit, error) {
 	wait := maxWait
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = min(wait, time.Until(deadline))
@@ -80,10 +87,13 @@
 	if err := c.call(ctx, address, PathPermit, wait+callTimeout, PermitAsk{n, wait}, &given); err != nil {
 		return nil, err
 	}
-	return sync.OnceFunc(func() {
-		// A permit that cannot be given back runs out by itself.
-		_ = c.call(context.WithoutCancel(ctx), address, PathRelease, callTimeout, given, &struct{}{})
-	}), nil
+	var once sync.Once
+	return func(used bool) {
+		once.Do(func() {
+			// A permit that cannot be given back runs out by itself.
+			_ = c.call(context.WithoutCancel(ctx), address, PathRelease, callTimeout, PermitBack{given.ID, used}, &struct{}{})
+		})
+	}, nil
 }
 
 // Source returns the changes known to the box at address as a feed source.
--- a/internal/peer/permit.go
+++ b/internal/peer/permit.go
@@ -33,26 +33,26 @@
 	h.mu.Lock()
 	h.held[id] = permit
 	h.mu.Unlock()
-	time.AfterFunc(loads.HoldLimit, func() { h.release(id) })
+	time.AfterFunc(loads.HoldLimit, func() { h.release(PermitBack{ID: id, Used: true}) })
 	httpx.WriteJSON(w, http.StatusOK, PermitGiven{id})
 }
 
 func (h *Handler) handleRelease(w http.ResponseWriter, r *http.Request) {
-	var given PermitGiven
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBeat)).Decode(&given); err != nil {
+	var back PermitBack
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBeat)).Decode(&back); err != nil {
 		result.New(result.BadRequest, "%v", err).Write(w, "")
 		return
 	}
-	h.release(given.ID)
+	h.release(back)
 	httpx.WriteJSON(w, http.StatusOK, struct{}{})
 }
 
-func (h *Handler) release(id string) {
+func (h *Handler) release(back PermitBack) {
 	h.mu.Lock()
-	permit, ok := h.held[id]
-	delete(h.held, id)
+	permit, ok := h.held[back.ID]
+	delete(h.held, back.ID)
 	h.mu.Unlock()
 	if ok {
-		permit()
+		permit(back.Used)
 	}
 }
