A frozen coordinator is replaced; requests proved under kills and freezes

Cause: a test that stops the process of an engine's owner (SIGSTOP) in the middle of a stream never saw the engine taken over. The frozen box also coordinated: heartbeats to it hang rather than fail, one round had one time limit for all its duties, the heartbeat took all of it, and the read of the lease that should follow always found the limit passed. Kills never showed this, as their connections are refused at once. The stand-in for the platform ignored the callers' limits and so hid it in virtual time too.

Ruled out: the lease itself (its version stood still), the term.

Change: each duty of a round has a limit of its own, a third of the lease. The stand-in honours limits.

--- /dev/null
+++ b/internal/box/process_test.go
@@ -0,0 +1,219 @@
+package box_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bellgap/bellgap/internal/cli"
+	"github.com/bellgap/bellgap/internal/fakeengine"
+	"github.com/bellgap/bellgap/internal/invariant"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// daemonVariable makes the test binary run as the daemon.
+const daemonVariable = "BELLGAP_TEST_DAEMON"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(daemonVariable) != "" {
+		os.Exit(cli.Daemon(os.Args, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// process is a box as a process of its own.
+type process struct {
+	name    string
+	cmd     *exec.Cmd
+	address netip.AddrPort
+}
+
+const settingsForm = `[box]
+name = %q
+zone = "hall-a"
+[listen]
+caller = "127.0.0.1:0"
+peer = "127.0.0.1:0"
+operator = "127.0.0.1:0"
+[platform]
+address = %q
+[loads]
+per_second = 1000
+at_once = 16
+[timing]
+beat = "100ms"
+lease_ttl = "600ms"
+term = "800ms"
+leave = "5s"
+`
+
+func (f *fleet) startProcess(name string) *process {
+	dir := f.c.TempDir()
+	settings, address := filepath.Join(dir, "box.toml"), filepath.Join(dir, "address")
+	f.c.Assert(os.WriteFile(settings, fmt.Appendf(nil, settingsForm, name, f.address.String()), 0o600), qt.IsNil)
+	cmd := exec.Command(os.Args[0], "--settings", settings, "--address-file", address)
+	cmd.Env = append(os.Environ(), daemonVariable+"=1")
+	f.c.Assert(cmd.Start(), qt.IsNil)
+	p := &process{name: name, cmd: cmd}
+	f.c.Cleanup(p.kill)
+	f.until(func() bool {
+		b, err := os.ReadFile(address)
+		if err != nil {
+			return false
+		}
+		p.address = netip.MustParseAddrPort(strings.Fields(string(b))[0])
+		return true
+	})
+	f.until(func() bool {
+		resp, err := http.Get("http://" + p.address.String() + "/locate?model=" + modelName)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		return resp.StatusCode == http.StatusOK
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	_ = p.cmd.Wait()
+}
+
+// storm is requests and faults at the same time.
+type storm struct {
+	fleet    *fleet
+	mu       sync.Mutex
+	boxes    []*process
+	outcomes []invariant.Outcome
+}
+
+// request asks a box for one answer and keeps what it was told.
+func (s *storm) request(ctx context.Context, client *http.Client, id string, r *rand.Rand, models int) {
+	s.mu.Lock()
+	address := s.boxes[r.IntN(len(s.boxes))].address
+	s.mu.Unlock()
+	o := invariant.Outcome{Request: id, Model: fmt.Sprintf("adapter-%d@1", r.IntN(models))}
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":5,"stream":true,"prompt":"x","user":%q}`, o.Model, id)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return
+	}
+	req.GetBody = nil
+	req.Header.Set("Bellgap-Timeout", "3s")
+	resp, err := client.Do(req)
+	if err == nil {
+		var b []byte
+		b, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		o.Answer, o.Ran = string(b), resp.Header.Get(result.HeaderRan)
+		o.Served = err == nil && resp.StatusCode == http.StatusOK && strings.HasSuffix(o.Answer, "data: [DONE]\n\n")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes = append(s.outcomes, o)
+}
+
+// fault freezes, thaws, kills or stops a box; a box that ended is replaced.
+func (s *storm) fault(r *rand.Rand, step int) {
+	i := r.IntN(len(s.boxes))
+	p := s.boxes[i]
+	switch r.IntN(4) {
+	case 0, 1:
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(200+r.IntN(2500)) * time.Millisecond)
+		p.signal(syscall.SIGCONT)
+	case 2:
+		p.kill()
+		s.replace(i, step)
+	case 3:
+		p.signal(syscall.SIGTERM)
+		_ = p.cmd.Wait()
+		s.replace(i, step)
+	}
+}
+
+func (s *storm) replace(i, step int) {
+	p := s.fleet.startProcess(fmt.Sprintf("box-%d-%d", i, step))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.boxes[i] = p
+}
+
+// wholeAnswer reports whether an answer is all five tokens of the adapter asked for, and nothing else.
+func wholeAnswer(o invariant.Outcome) bool {
+	for i := range 5 {
+		if !strings.Contains(o.Answer, fmt.Sprintf("%s:%d ", o.Model, i)) {
+			return false
+		}
+	}
+	return strings.Count(o.Answer, `"model":"`) == strings.Count(o.Answer, `"model":"`+o.Model+`"`)
+}
+
+// TestStorm kills, freezes and stops boxes under requests that may not be repeated.
+func TestStorm(t *testing.T) {
+	const workers, requests, faults, models = 8, 60, 10, 12
+	c := qt.New(t)
+	engines := []fakeengine.Config{smallEngine(), smallEngine(), smallEngine()}
+	engines[0].ChecksOrders = false
+	f := startFleet(c, fleetConfig{engines: engines})
+	for i := range models {
+		f.declareAdapter(fmt.Sprintf("adapter-%d@1", i))
+	}
+	s := &storm{fleet: f}
+	for i := range 3 {
+		s.boxes = append(s.boxes, f.startProcess(fmt.Sprintf("box-%d", i)))
+	}
+	var group errgroup.Group
+	for w := range workers {
+		group.Go(func() error {
+			client := &http.Client{Transport: &http.Transport{}}
+			r := rand.New(rand.NewPCG(uint64(w), 5))
+			for i := range requests {
+				s.request(t.Context(), client, fmt.Sprintf("request-%d-%d", w, i), r, models)
+				time.Sleep(time.Duration(r.IntN(200)) * time.Millisecond)
+			}
+			return nil
+		})
+	}
+	r := rand.New(rand.NewPCG(1, 5))
+	for step := range faults {
+		s.fault(r, step)
+	}
+	c.Assert(group.Wait(), qt.IsNil)
+	runs := map[string]int{}
+	for _, e := range f.engines {
+		h := e.History()
+		c.Check(invariant.NeverUnloadedInUse(h.Violations), qt.IsNil)
+		for id, n := range h.Users {
+			runs[id] += n
+		}
+	}
+	c.Check(invariant.AtMostOnce(s.outcomes, runs), qt.IsNil)
+	c.Check(invariant.NotRunIsTrue(s.outcomes, runs), qt.IsNil)
+	c.Check(invariant.OwnAnswers(s.outcomes, wholeAnswer), qt.IsNil)
+	served := 0
+	for _, o := range s.outcomes {
+		if o.Served {
+			served++
+		}
+	}
+	t.Logf("%d of %d requests served under %d faults", served, len(s.outcomes), faults)
+	c.Check(served > len(s.outcomes)/2, qt.IsTrue)
+}
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -44,8 +45,9 @@
 
 // History is what tests check invariants on.
 type History struct {
-	// Runs counts how often each request id was run.
-	Runs map[string]int `json:"runs"`
+	// Runs counts how often each request id was run, Users how often each user's request was.
+	Runs  map[string]int `json:"runs"`
+	Users map[string]int `json:"users"`
 	// Violations lists adapters that were unloaded in use.
 	Violations []string `json:"violations"`
 	Loads      int      `json:"loads"`
@@ -80,7 +82,7 @@
 
 // New returns an empty Engine.
 func New(cfg Config) *Engine {
-	e := &Engine{cfg: cfg, history: History{Runs: map[string]int{}}}
+	e := &Engine{cfg: cfg, history: History{Runs: map[string]int{}, Users: map[string]int{}}}
 	e.Restart()
 	return e
 }
@@ -107,10 +109,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	h := e.history
-	h.Runs = map[string]int{}
-	for k, v := range e.history.Runs {
-		h.Runs[k] = v
-	}
+	h.Runs, h.Users = maps.Clone(h.Runs), maps.Clone(h.Users)
 	h.Violations = slices.Clone(h.Violations)
 	return h
 }
@@ -204,7 +203,7 @@
 }
 
 // run executes a request of n tokens and calls token for each.
-func (e *Engine) run(ctx context.Context, id, model string, n int, token func(i int) error) error {
+func (e *Engine) run(ctx context.Context, id, user, model string, n int, token func(i int) error) error {
 	e.mu.Lock()
 	if _, ok := e.loaded[model]; !ok {
 		e.mu.Unlock()
@@ -212,6 +211,9 @@
 	}
 	e.loaded[model]++
 	e.history.Runs[id]++
+	if user != "" {
+		e.history.Users[user]++
+	}
 	incarnation, batch := e.incarnation, e.batch
 	e.mu.Unlock()
 	defer e.finish(model, incarnation)
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -21,6 +21,7 @@
 	Prompt    json.RawMessage `json:"prompt,omitempty"`
 	MaxTokens int             `json:"max_tokens"`
 	Stream    bool            `json:"stream"`
+	User      string          `json:"user"`
 }
 
 type choice struct {
@@ -92,7 +93,7 @@
 		a.model = "another@1"
 	}
 	a.cut = e.take(&e.faults.CutStreams)
-	err := e.run(r.Context(), a.id, q.Model, q.MaxTokens, a.token)
+	err := e.run(r.Context(), a.id, q.User, q.Model, q.MaxTokens, a.token)
 	if err == nil && e.take(&e.faults.LoseAnswers) {
 		err = errLost
 	}
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -256,7 +256,7 @@
 	}
 	f := s.faults
 	s.mu.Unlock()
-	if f.Down {
+	if f.Down || ctx.Err() != nil {
 		return platform.ErrUnavailable
 	}
 	if f.Delay <= 0 {
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -315,7 +315,7 @@
 }
 
 // Beat implements member.Peers.
-func (n *node) Beat(_ context.Context, address string, b coordinator.Beat) (coordinator.Reply, error) {
+func (n *node) Beat(ctx context.Context, address string, b coordinator.Beat) (coordinator.Reply, error) {
 	n.gate()
 	n.cluster.mu.Lock()
 	n.cluster.beats++
@@ -329,7 +329,7 @@
 	to.mu.Unlock()
 	if frozen {
 		// The caller's time limit ends the call.
-		time.Sleep(2 * time.Second)
+		<-ctx.Done()
 		return coordinator.Reply{}, errCut
 	}
 	r, err := to.HandleBeat(b)
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -98,6 +98,25 @@
 	}
 }
 
+func TestFrozenCoordinatorIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 3, 6)
+		defer cl.end()
+		cl.settle()
+		cl.run(20 * time.Second)
+		frozen := cl.coordinator()
+		frozen.freeze()
+		took := cl.until(settleLimit, func() bool {
+			c := cl.coordinator()
+			return c != nil && c != frozen && cl.owned() == len(cl.engines)
+		})
+		t.Logf("replaced after %s", took)
+		frozen.thaw()
+		cl.run(20 * time.Second)
+		cl.check()
+	})
+}
+
 func TestPlatformDownForAnHour(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		cl := newCluster(t, 7, 15)
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -74,6 +74,8 @@
 	earlyBeat = 20
 	// boxListBeats is how many heartbeats lie between two reads of the platform's box list.
 	boxListBeats = 2
+	// dutyShare is the part of the lease's time that one duty of a round may take.
+	dutyShare = 3
 	// missedBeats is how many heartbeats may go unanswered before the coordinator counts as out of reach.
 	missedBeats = 3
 )
@@ -233,8 +235,6 @@
 
 // round renews the lease and publishes the map if this box coordinates, then sends one heartbeat, and seeks the lease if that fails.
 func (n *Node) round(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timing.LeaseTTL)
-	defer cancel()
 	if state := n.coordinating(); state != nil {
 		n.coordinate(ctx, state)
 	}
@@ -270,6 +270,8 @@
 
 // seekLease reads the lease and takes it if it is free.
 func (n *Node) seekLease(ctx context.Context) {
+	ctx, cancel := n.limit(ctx)
+	defer cancel()
 	n.lastSeek = time.Now()
 	if err := n.lease.Refresh(ctx); err != nil {
 		n.cfg.Scope.Counter("lease_read_failures").Inc(1)
@@ -348,6 +350,8 @@
 
 // coordinate renews the lease and publishes what changed.
 func (n *Node) coordinate(ctx context.Context, state *coordinator.State) {
+	ctx, cancel := n.limit(ctx)
+	defer cancel()
 	err := n.lease.Renew(ctx)
 	if errors.Is(err, platform.ErrConflict) {
 		klog.InfoS("lease lost", "zone", n.cfg.Zone, "holder", n.lease.Record().Holder)
@@ -472,8 +476,15 @@
 	return r, nil
 }
 
+// limit bounds one duty of a round. Each has a bound of its own, so that a frozen coordinator, which takes up the heartbeat's, cannot keep this box from seeking the lease.
+func (n *Node) limit(ctx context.Context) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, n.cfg.Timing.LeaseTTL/dutyShare)
+}
+
 // beat sends one heartbeat to the coordinator and takes the reply in.
 func (n *Node) beat(ctx context.Context) error {
+	ctx, cancel := n.limit(ctx)
+	defer cancel()
 	b, address := n.nextBeat()
 	if address == "" {
 		return errors.New("member: no coordinator known")
