Configuration never goes back; three faults of membership mended

Configuration. Cause: a platform restored from an older copy has lower revisions; boxes refused its lists as behind and from then on took no accepted change in. A box started after the restore served the old copy. Ways weighed: keep refusing (accepted changes are never in force), trust the platform (reverts), let operators write a counter (they race). Taken: each object carries a generation that boxes raise with each accepted change; newer is decided by generation, the platform's version decides only between equals. A new box asks the coordinator what the platform has lost before it serves, and one box a region writes it back, 5 objects a second.

(2) A new coordinator granted from the map it had read before it stored its own, so a map of the old coordinator could come between. It grants nothing before its first map is stored, and stores that at once. Renewing needs the lease to be as this box wrote it; TestReadingIsNotHolding shows it. Reading the log ruled out the map. Also, a box no longer takes another box that is late for a restored platform.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -21,6 +21,7 @@
 	"github.com/bellgap/bellgap/internal/feed"
 	"github.com/bellgap/bellgap/internal/gateway"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/metric"
@@ -28,6 +29,7 @@
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/peer"
 	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/repair"
 	"github.com/bellgap/bellgap/internal/settings"
 )
 
@@ -80,7 +82,10 @@
 		Address: cfg.Settings.Platform.Address.String(), HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
 	})
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
-	b.feed = feed.New(feed.Config{Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return b.source(api, peers) }})
+	b.feed = feed.New(feed.Config{
+		Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return b.source(api, peers) },
+		Lost: func(ctx context.Context) ([]platform.Object, error) { return b.lost(ctx, api, peers) },
+	})
 	b.buildLoads(peers)
 	b.buildOwners()
 	b.buildNode(api, peers)
@@ -108,13 +113,26 @@
 }
 
 // source returns where changes come from: the coordinator, so that the platform's load does not grow with the boxes, else the platform.
-func (b *Box) source(api platform.API, peers *peer.Client) feed.Source {
+func (b *Box) source(api *platform.Client, peers *peer.Client) feed.Source {
 	if address, ok := b.node.CoordinatorAddress(); ok {
 		return peers.Source(address)
 	}
 	return api
 }
 
+// lost asks the zone's coordinator what the platform has lost, so that a new box does not serve an older configuration than others do.
+func (b *Box) lost(ctx context.Context, api platform.API, peers *peer.Client) ([]platform.Object, error) {
+	l := lease.New(lease.Config{API: api, Name: member.LeaseName(b.cfg.Settings.Box.Zone)})
+	if err := l.Refresh(ctx); err != nil {
+		return nil, err
+	}
+	address := l.Record().Address
+	if address == "" || address == addressOf(b.listeners.peer).String() {
+		return nil, nil
+	}
+	return peers.Lost(ctx, address)
+}
+
 func (b *Box) buildOwners() {
 	b.owners = owner.NewSet(owner.SetConfig{
 		Supervisor: b.root, Loads: b.loads, Scope: b.metrics.Scope,
@@ -214,6 +232,7 @@
 	b.root.Add(server{b.listeners.peer, peerMux})
 	b.root.Add(server{b.listeners.operator, op.Handler()})
 	b.root.Add(b.feed)
+	b.root.Add(repair.New(repair.Config{API: api, Catalog: b.catalog, Active: b.schedules, Scope: b.metrics.Scope}))
 	b.root.Add(afterReady{b.feed, b.node})
 }
 
--- a/internal/catalog/bench_test.go
+++ b/internal/catalog/bench_test.go
@@ -32,10 +32,7 @@
 // fill takes a whole list in.
 func fill(tb testing.TB, c *catalog.Catalog, ch platform.Changes) {
 	tb.Helper()
-	l, err := c.BeginList(ch.Revision)
-	if err != nil {
-		tb.Fatal(err)
-	}
+	l := c.BeginList(ch.Revision)
 	l.Page(ch.Objects)
 	l.End()
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -10,8 +10,6 @@
 	"sync"
 	"unique"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -24,29 +22,36 @@
 	maxRecent = 512
 )
 
-// ErrBehind says that a source knows less than this box does.
-var ErrBehind = eris.New("catalog: the source is behind what this box has")
-
 type key struct {
 	kind string
 	name string
 }
 
 type entry struct {
-	version int64
+	// version is that of the platform; zero if the platform does not have this generation, as after a restore from an older copy.
+	version    int64
+	generation int64
 	// listing is the number of the last list that held the object.
 	listing int64
 	// value is a resource.Spec or a *coordinator.Map.
 	value any
 }
 
+// tombstone remembers a deletion.
+type tombstone struct {
+	version    int64
+	generation int64
+	// returned says that the platform holds the object again, as after a restore.
+	returned bool
+}
+
 // Catalog is safe for use by many goroutines.
 type Catalog struct {
 	mu sync.RWMutex
 	// entries holds objects by kind and name.
 	entries  map[string]map[string]entry
 	versions map[string][]string
-	deleted  map[key]int64
+	deleted  map[key]tombstone
 	// floor is the newest deletion no longer remembered.
 	floor    int64
 	revision int64
@@ -63,7 +68,7 @@
 
 // New returns an empty Catalog.
 func New() *Catalog {
-	return &Catalog{entries: map[string]map[string]entry{}, versions: map[string][]string{}, deleted: map[key]int64{}, changed: make(chan struct{})}
+	return &Catalog{entries: map[string]map[string]entry{}, versions: map[string][]string{}, deleted: map[key]tombstone{}, changed: make(chan struct{})}
 }
 
 // WatchedKinds lists the object kinds that a catalog holds.
@@ -127,31 +132,46 @@
 	}
 }
 
+// apply takes one object in. Generations decide what is newer; of one generation, the platform's later version.
 func (c *Catalog) apply(o platform.Object) {
 	k := key{unique.Make(o.Kind).Value(), o.Name}
-	if have, ok := c.entries[k.kind][k.name]; ok && have.listing != c.listings {
+	have, known := c.entries[k.kind][k.name]
+	if known && have.listing != c.listings {
 		have.listing = c.listings
 		c.entries[k.kind][k.name] = have
 	}
-	if o.Version <= c.entries[k.kind][k.name].version || o.Version <= c.deleted[k] {
+	if (known && o.Version <= have.version) || o.Version <= c.deleted[k].version {
 		return
 	}
 	if o.Deleted {
 		c.remove(k, o.Version)
 		return
 	}
-	v, err := decode(o)
+	v, generation, err := decode(o)
 	if err != nil {
 		// An object this box cannot read keeps its last readable form.
 		c.skipped++
 		return
 	}
+	if t, ok := c.deleted[k]; ok && generation <= t.generation {
+		t.returned = true
+		c.deleted[k] = t
+		return
+	}
+	if known && generation < have.generation {
+		return
+	}
+	delete(c.deleted, k)
+	c.add(k, entry{version: o.Version, generation: generation, listing: c.listings, value: v})
+}
+
+// add sets an entry and notes a version of an adapter that was not known.
+func (c *Catalog) add(k key, e entry) {
 	if _, known := c.entries[k.kind][k.name]; !known && k.kind == string(resource.KindAdapterVersion) {
 		adapter, version, _ := strings.Cut(k.name, "@")
 		c.versions[adapter] = append(c.versions[adapter], version)
 	}
-	delete(c.deleted, k)
-	c.set(k, entry{version: o.Version, listing: c.listings, value: v})
+	c.set(k, e)
 }
 
 func (c *Catalog) set(k key, e entry) {
@@ -171,6 +191,7 @@
 }
 
 func (c *Catalog) remove(k key, version int64) {
+	generation := max(c.entries[k.kind][k.name].generation, c.deleted[k].generation)
 	delete(c.entries[k.kind], k.name)
 	c.touched(k.kind)
 	if adapter, v, ok := strings.Cut(k.name, "@"); ok && k.kind == string(resource.KindAdapterVersion) {
@@ -179,7 +200,7 @@
 			delete(c.versions, adapter)
 		}
 	}
-	c.deleted[k] = version
+	c.deleted[k] = tombstone{version: version, generation: generation}
 	if len(c.deleted) > maxTombstones {
 		c.forgetDeletions()
 	}
@@ -188,31 +209,32 @@
 // forgetDeletions drops the older half; sources that ask from before then have to list.
 func (c *Catalog) forgetDeletions() {
 	all := make([]int64, 0, len(c.deleted))
-	for _, v := range c.deleted {
-		all = append(all, v)
+	for _, t := range c.deleted {
+		all = append(all, t.version)
 	}
 	slices.Sort(all)
 	c.floor = all[len(all)/2]
-	for k, v := range c.deleted {
-		if v <= c.floor {
+	for k, t := range c.deleted {
+		if t.version <= c.floor {
 			delete(c.deleted, k)
 		}
 	}
 }
 
-func decode(o platform.Object) (any, error) {
+func decode(o platform.Object) (value any, generation int64, err error) {
 	if o.Kind == coordinator.MapKind {
 		m := &coordinator.Map{}
-		return m, json.Unmarshal(o.Value, m)
+		err = json.Unmarshal(o.Value, m)
+		return m, m.Generation, err
 	}
 	var r resource.Resource
 	if err := json.Unmarshal(o.Value, &r); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	if string(r.Kind) != o.Kind || r.Name != o.Name {
-		return nil, errors.New("catalog: kind or name does not match the object")
+		return nil, 0, errors.New("catalog: kind or name does not match the object")
 	}
-	return shareText(r.Spec), r.Check()
+	return shareText(r.Spec), r.Generation, r.Check()
 }
 
 // shareText keeps one copy of the words that thousands of adapters have in common.
@@ -245,9 +267,9 @@
 			}
 		}
 	}
-	for k, v := range c.deleted {
-		if v > from {
-			ch.Objects = append(ch.Objects, platform.Object{Kind: k.kind, Name: k.name, Version: v, Deleted: true})
+	for k, t := range c.deleted {
+		if t.version > from {
+			ch.Objects = append(ch.Objects, platform.Object{Kind: k.kind, Name: k.name, Version: t.version, Deleted: true})
 		}
 	}
 	return ch, nil
@@ -269,7 +291,7 @@
 func encode(k key, e entry) platform.Object {
 	v := e.value
 	if s, ok := v.(resource.Spec); ok {
-		v = resource.Resource{Kind: resource.Kind(k.kind), Name: k.name, Spec: s}
+		v = resource.Resource{Kind: resource.Kind(k.kind), Name: k.name, Generation: e.generation, Spec: s}
 	}
 	// The types held here have no values that cannot be encoded.
 	b, _ := json.Marshal(v)
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -1,22 +1,46 @@
 package catalog
 
-import "github.com/bellgap/bellgap/internal/platform"
+import (
+	"encoding/json"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/platform"
+)
 
 // Listing takes a full list in, page by page, so that a list of any length costs the memory of a page.
 type Listing struct {
 	catalog  *Catalog
 	revision int64
+	// Behind says that the list is older than what the catalog was complete to: a stale read or a platform restored from an
+	// older copy. Nothing is dropped or taken back then; Unstored says what the platform lost.
+	Behind bool
 }
 
-// BeginList starts a list that is complete up to revision. A list older than the catalog is refused with ErrBehind.
-func (c *Catalog) BeginList(revision int64) (*Listing, error) {
+// BeginList starts a list that is complete up to revision.
+func (c *Catalog) BeginList(revision int64) *Listing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.revision {
-		return nil, ErrBehind
-	}
 	c.listings++
-	return &Listing{catalog: c, revision: revision}, nil
+	l := &Listing{catalog: c, revision: revision, Behind: revision < c.revision}
+	if l.Behind {
+		c.forgetVersions()
+	}
+	return l
+}
+
+// forgetVersions makes every version the platform names from now on count as later than those it named before.
+func (c *Catalog) forgetVersions() {
+	c.revision, c.floor = 0, 0
+	for kind, byName := range c.entries {
+		for name, e := range byName {
+			e.version = 0
+			c.entries[kind][name] = e
+		}
+	}
+	for k, t := range c.deleted {
+		t.version = 0
+		c.deleted[k] = t
+	}
 }
 
 // Page takes a part of the list in.
@@ -28,14 +52,14 @@
 	}
 }
 
-// End drops what no page held, unless it is newer than the list.
+// End drops what no page held, unless it is newer than the list or the list is behind.
 func (l *Listing) End() {
 	c := l.catalog
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for kind, byName := range c.entries {
 		for name, e := range byName {
-			if e.listing != c.listings && e.version <= l.revision {
+			if !l.Behind && e.listing != c.listings && e.version > 0 && e.version <= l.revision {
 				c.remove(key{kind, name}, l.revision)
 			}
 		}
@@ -43,3 +67,75 @@
 	c.recent, c.recentFrom = nil, l.revision
 	c.advance(l.revision, true)
 }
+
+// Merge takes in what another box holds and the platform has lost.
+func (c *Catalog) Merge(objects []platform.Object) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, o := range objects {
+		c.merge(o)
+	}
+	c.advance(c.revision, len(objects) > 0)
+}
+
+func (c *Catalog) merge(o platform.Object) {
+	k := key{o.Kind, o.Name}
+	have := max(c.entries[k.kind][k.name].generation, c.deleted[k].generation)
+	if o.Deleted {
+		if generation := GenerationOf(o); generation >= have {
+			c.remove(k, 0)
+			c.deleted[k] = tombstone{generation: generation, returned: true}
+		}
+		return
+	}
+	v, generation, err := decode(o)
+	if err != nil || generation <= have {
+		return
+	}
+	c.remove(k, 0)
+	delete(c.deleted, k)
+	c.add(k, entry{generation: generation, listing: c.listings, value: v})
+}
+
+// GenerationOf returns the generation of a stored object, zero if it has none.
+func GenerationOf(o platform.Object) int64 {
+	var v struct {
+		Generation int64 `json:"generation"`
+	}
+	// An object that cannot be read counts as the oldest.
+	_ = json.Unmarshal(o.Value, &v)
+	return v.Generation
+}
+
+// Generation returns the generation of an object, deleted ones included.
+func (c *Catalog) Generation(kind, name string) int64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return max(c.entries[kind][name].generation, c.deleted[key{kind, name}].generation)
+}
+
+// Unstored returns up to limit declared objects that the platform has lost, or has again though they were deleted.
+func (c *Catalog) Unstored(limit int) []platform.Object {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var lost []platform.Object
+	for kind, byName := range c.entries {
+		if kind == coordinator.MapKind {
+			continue
+		}
+		for name, e := range byName {
+			if e.version == 0 && len(lost) < limit {
+				lost = append(lost, encode(key{kind, name}, e))
+			}
+		}
+	}
+	for k, t := range c.deleted {
+		if t.returned && len(lost) < limit {
+			value, _ := json.Marshal(struct {
+				Generation int64 `json:"generation"`
+			}{t.generation})
+			lost = append(lost, platform.Object{Kind: k.kind, Name: k.name, Deleted: true, Value: value})
+		}
+	}
+	return lost
+}
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -35,6 +35,8 @@
 	Zone string `json:"zone"`
 	// Region groups the zones that share a weight store.
 	Region string `json:"region"`
+	// Generation grows with each published map.
+	Generation int64 `json:"generation"`
 	// Lease is the epoch of the coordinator's lease.
 	Lease uint64 `json:"lease"`
 	// Coordinator names the box that coordinates.
@@ -45,11 +47,17 @@
 	Leaving []string `json:"leaving,omitempty"`
 }
 
+// Release gives one grant back. It names the epoch, as a later grant of the same engine may be on its way.
+type Release struct {
+	Engine string `json:"engine"`
+	Epoch  uint64 `json:"epoch"`
+}
+
 // Beat is a heartbeat from a box.
 type Beat struct {
 	Member Member `json:"member"`
-	// Released lists engines this box no longer admits requests or gives orders to.
-	Released []string `json:"released,omitempty"`
+	// Released lists grants under which this box no longer admits requests or gives orders.
+	Released []Release `json:"released,omitempty"`
 	// Draining lists engines this box still has requests in flight on without owning them.
 	Draining []string `json:"draining,omitempty"`
 	// Owned lists what this box holds, for a new coordinator.
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -27,7 +27,7 @@
 type member struct {
 	Member
 	seen     time.Time
-	released []string
+	released []Release
 	draining []string
 }
 
@@ -39,15 +39,17 @@
 	// freedAt is when an engine lost its last owner, heldUntil how long that owner may still give orders.
 	freedAt   map[string]time.Time
 	heldUntil map[string]time.Time
-	published Map
-	epoch     uint64
+	// published is the last map stored by this coordinator; nothing is granted before the first.
+	published    Map
+	hasPublished bool
+	epoch        uint64
 	// leaving holds the boxes that the platform says are leaving.
 	leaving []string
 }
 
 // New returns a State that continues from the zone's last published map.
 func New(cfg Config, last Map) *State {
-	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, published: last}
+	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}}
 	for _, m := range last.Members {
 		s.members[m.Box] = &member{Member: m, seen: cfg.Started}
 	}
@@ -148,7 +150,7 @@
 
 // handOver takes an engine from an owner that has released it.
 func (s *State) handOver(now time.Time, o *Ownership) {
-	if m := s.members[o.Owner]; m != nil && slices.Contains(m.released, o.Engine) {
+	if m := s.members[o.Owner]; m != nil && slices.Contains(m.released, Release{o.Engine, o.Epoch}) {
 		s.unown(now, o, o.Owner)
 	}
 }
@@ -214,11 +216,11 @@
 func (s *State) share(boxes int) int { return (len(s.owners) + boxes - 1) / boxes }
 
 // Published says that mp is stored; from now on its owners may be told.
-func (s *State) Published(mp Map) { s.published = mp }
+func (s *State) Published(mp Map) { s.published, s.hasPublished = mp, true }
 
 // Reply returns the answer to the last beat of box. It grants only what is published and still meant.
 func (s *State) Reply(now time.Time, box string) Reply {
-	r := Reply{Lease: s.cfg.Lease, Term: s.cfg.Term}
+	r := Reply{Lease: s.cfg.Lease, Term: s.cfg.Term, Frozen: !s.hasPublished}
 	m := s.members[box]
 	if m == nil {
 		return r
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -154,6 +154,9 @@
 	return c
 }
 
+// Authoritative implements feed.Source.
+func (s *Store) Authoritative() bool { return true }
+
 // Watch implements platform.API.
 func (s *Store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
 	if err := s.enter(ctx, false); err != nil {
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -28,13 +28,19 @@
 type Source interface {
 	List(ctx context.Context, kinds []string, after string) (platform.Changes, error)
 	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error)
+	// Authoritative reports whether a list that is behind means that the platform was restored; a box may just be late.
+	Authoritative() bool
 }
 
+var errBehind = errors.New("feed: the other box is behind this one")
+
 // Config configures a Feed.
 type Config struct {
 	Catalog *catalog.Catalog
 	// Pick returns the source for the next call.
 	Pick func() Source
+	// Lost returns what other boxes hold and the platform has lost, for the first list; nil in tests that need none.
+	Lost func(ctx context.Context) ([]platform.Object, error)
 	// Scope counts calls.
 	Scope tally.Scope
 }
@@ -108,6 +114,20 @@
 	return nil
 }
 
+// mergeLost takes in what the platform has lost before this box first serves. A coordinator that does not answer cannot hold it up.
+func (f *Feed) mergeLost(ctx context.Context) {
+	if f.cfg.Lost == nil || f.IsReady() {
+		return
+	}
+	lost, err := f.cfg.Lost(ctx)
+	if err != nil {
+		f.cfg.Scope.Counter("feed_lost_failures").Inc(1)
+		klog.InfoS("no neighbour could say what the platform has lost", "err", err)
+		return
+	}
+	f.cfg.Catalog.Merge(lost)
+}
+
 func (f *Feed) list(ctx context.Context, src Source) error {
 	f.cfg.Scope.Counter("feed_lists").Inc(1)
 	var list *catalog.Listing
@@ -118,9 +138,12 @@
 			return err
 		}
 		if list == nil {
-			if list, err = f.cfg.Catalog.BeginList(ch.Revision); err != nil {
+			if ch.Revision < f.cfg.Catalog.Revision() && !src.Authoritative() {
+				return errBehind
+			}
+			if list = f.cfg.Catalog.BeginList(ch.Revision); list.Behind {
 				f.cfg.Scope.Counter("feed_behind").Inc(1)
-				return err
+				klog.InfoS("the list is older than what this box knows; nothing is taken back")
 			}
 		}
 		list.Page(ch.Objects)
@@ -129,6 +152,7 @@
 		}
 	}
 	list.End()
+	f.mergeLost(ctx)
 	f.once.Do(func() { close(f.ready) })
 	return nil
 }
--- a/internal/invariant/ownership.go
+++ b/internal/invariant/ownership.go
@@ -38,7 +38,7 @@
 	for _, a := range history {
 		b, ok := last[a.Engine]
 		if ok && (a.Epoch < b.Epoch || (a.Epoch == b.Epoch && a.Box != b.Box)) {
-			return fmt.Errorf("invariant: %s had epoch %d by %s, then %d by %s", a.Engine, b.Epoch, b.Box, a.Epoch, a.Box)
+			return fmt.Errorf("invariant: %s had epoch %d by %s at %s, then %d by %s at %s", a.Engine, b.Epoch, b.Box, b.At, a.Epoch, a.Box, a.At)
 		}
 		last[a.Engine] = a
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -48,6 +48,8 @@
 	version int64
 	// changedAt is when the present version was first seen.
 	changedAt time.Time
+	// token is that of our own last write that took effect.
+	token string
 	// validUntil is when our own tenure ends unless renewed; zero when not held.
 	validUntil time.Time
 }
@@ -115,8 +117,15 @@
 	return l.write(ctx, Record{Holder: l.cfg.Holder, Address: l.cfg.Address, Epoch: l.record.Epoch + 1})
 }
 
-// Renew extends the tenure of this box.
+// Ours reports whether the lease, as last read or written, is as this box wrote it.
+func (l *Lease) Ours() bool { return l.token != "" && l.record.Token == l.token }
+
+// Renew extends the tenure of this box. It is a conflict if another box has written since, even if this box has read that.
 func (l *Lease) Renew(ctx context.Context) error {
+	if !l.Ours() {
+		l.validUntil = time.Time{}
+		return platform.ErrConflict
+	}
 	return l.write(ctx, Record{Holder: l.cfg.Holder, Address: l.cfg.Address, Epoch: l.record.Epoch})
 }
 
@@ -145,7 +154,7 @@
 	if err != nil {
 		return err
 	}
-	l.record, l.version, l.changedAt = r, version, time.Now()
+	l.record, l.version, l.changedAt, l.token = r, version, time.Now(), r.Token
 	if r.Holder != "" {
 		l.validUntil = sentAt.Add(l.cfg.TTL)
 	}
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,86 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/fakeplatform"
+	"github.com/bellgap/bellgap/internal/lease"
+	"github.com/bellgap/bellgap/internal/platform"
+)
+
+const ttl = 3 * time.Second
+
+func newLease(api platform.API, holder string) *lease.Lease {
+	n := 0
+	return lease.New(lease.Config{API: api, Name: "zone-z", Holder: holder, TTL: ttl, NewToken: func() string {
+		n++
+		return fmt.Sprintf("%s-%d", holder, n)
+	}})
+}
+
+func TestTakenOnlyAfterStandingStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		store := fakeplatform.New()
+		a, b := newLease(store, "a"), newLease(store, "b")
+		c.Assert(a.Refresh(ctx), qt.IsNil)
+		c.Assert(a.Take(ctx), qt.IsNil)
+		for range 10 {
+			time.Sleep(ttl / 3)
+			c.Assert(a.Renew(ctx), qt.IsNil)
+			c.Assert(b.Refresh(ctx), qt.IsNil)
+			c.Assert(b.Free(time.Now(), 0), qt.IsFalse)
+		}
+		time.Sleep(ttl)
+		c.Assert(b.Refresh(ctx), qt.IsNil)
+		c.Check(b.Free(time.Now(), 0), qt.IsTrue)
+		c.Check(a.Held(time.Now()), qt.IsFalse)
+		c.Assert(b.Take(ctx), qt.IsNil)
+		c.Check(b.Record().Epoch, qt.Equals, a.Record().Epoch+1)
+		c.Check(a.Renew(ctx), qt.ErrorIs, platform.ErrConflict)
+	})
+}
+
+// TestReadingIsNotHolding lets a former holder read the new holder's lease before it renews: it must not write over it.
+func TestReadingIsNotHolding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		store := fakeplatform.New()
+		a, b := newLease(store, "a"), newLease(store, "b")
+		c.Assert(a.Refresh(ctx), qt.IsNil)
+		c.Assert(a.Take(ctx), qt.IsNil)
+		c.Assert(b.Refresh(ctx), qt.IsNil)
+		time.Sleep(ttl)
+		c.Assert(b.Take(ctx), qt.IsNil)
+		c.Assert(a.Refresh(ctx), qt.IsNil)
+		c.Check(a.Renew(ctx), qt.ErrorIs, platform.ErrConflict)
+		c.Check(b.Renew(ctx), qt.IsNil)
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx := context.Background()
+		store := fakeplatform.New()
+		a, b := newLease(store, "a"), newLease(store, "b")
+		c.Assert(a.Refresh(ctx), qt.IsNil)
+		store.SetFaults(fakeplatform.Faults{LoseAnswers: 2})
+		c.Assert(a.Take(ctx), qt.IsNil)
+		c.Assert(a.Renew(ctx), qt.IsNil)
+		c.Check(a.Held(time.Now()), qt.IsTrue)
+		c.Assert(b.Refresh(ctx), qt.IsNil)
+		c.Check(b.Record().Holder, qt.Equals, "a")
+		c.Assert(a.GiveUp(ctx), qt.IsNil)
+		c.Assert(b.Refresh(ctx), qt.IsNil)
+		c.Check(b.Free(time.Now(), 0), qt.IsTrue)
+	})
+}
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -282,6 +282,8 @@
 	return to.catalog.All(), nil
 }
 
+func (s source) Authoritative() bool { return false }
+
 func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (platform.Changes, error) {
 	timeout := time.After(wait)
 	for {
@@ -373,6 +375,8 @@
 	return n.cluster.platform.List(ctx, kinds, after)
 }
 
+func (n *node) Authoritative() bool { return true }
+
 func (n *node) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
 	if n.platformCut() {
 		return platform.Changes{}, platform.ErrUnavailable
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -117,10 +117,13 @@
 	validUntil time.Time
 }
 
+// LeaseName returns the name of a zone's coordinator lease.
+func LeaseName(zone string) string { return "zone-" + zone }
+
 // New returns a Node; its Serve has to run.
 func New(cfg Config) *Node {
 	l := lease.New(lease.Config{
-		API: cfg.API, Name: "zone-" + cfg.Zone, Holder: cfg.Self.Box, Address: cfg.Self.Peer.String(),
+		API: cfg.API, Name: LeaseName(cfg.Zone), Holder: cfg.Self.Box, Address: cfg.Self.Peer.String(),
 		TTL: cfg.Timing.LeaseTTL, NewToken: cfg.NewToken,
 	})
 	return &Node{cfg: cfg, done: make(chan struct{}), lease: l, grants: map[string]grant{}}
@@ -277,7 +280,11 @@
 		n.cfg.Scope.Counter("lease_read_failures").Inc(1)
 		return
 	}
-	n.setTenure(n.coordinating())
+	if n.lease.Ours() {
+		n.setTenure(n.coordinating())
+	} else {
+		n.setTenure(nil)
+	}
 	if n.coordinating() != nil || n.Leaving() || !n.lease.Free(time.Now(), n.grace()) {
 		return
 	}
@@ -286,6 +293,9 @@
 		klog.InfoS("lease not taken", "zone", n.cfg.Zone, "err", err)
 	}
 	n.setTenure(state)
+	if state != nil {
+		n.coordinate(ctx, state)
+	}
 }
 
 // grace is how long this box lets better placed ones go first, so that not all members write at once when their coordinator is gone.
@@ -406,6 +416,7 @@
 	if sameMap(m, n.published) {
 		return nil
 	}
+	m.Generation = max(n.published.Generation, n.cfg.Catalog.Generation(coordinator.MapKind, n.cfg.Zone)) + 1
 	value, err := json.Marshal(m)
 	if err != nil {
 		return err
@@ -470,7 +481,7 @@
 	// Beats count even while frozen, so that nobody is taken for silent when the platform is back.
 	n.state.Beat(now, b)
 	r := n.state.Reply(now, b.Member.Box)
-	r.Frozen = !now.Before(n.tenure.validUntil)
+	r.Frozen = r.Frozen || !now.Before(n.tenure.validUntil)
 	r.LeaseVersion = n.tenure.version
 	r.Revision = n.cfg.Catalog.Revision()
 	return r, nil
@@ -510,10 +521,13 @@
 	defer n.mu.Unlock()
 	self := n.cfg.Self
 	self.Leaving = n.leaving
-	b := coordinator.Beat{Member: self, Released: released, Draining: draining}
+	b := coordinator.Beat{Member: self, Draining: draining}
 	for name, g := range n.grants {
 		g.released = g.released || slices.Contains(released, name)
 		n.grants[name] = g
+		if g.released {
+			b.Released = append(b.Released, coordinator.Release{Engine: name, Epoch: g.Epoch})
+		}
 		b.Owned = append(b.Owned, g.Ownership)
 	}
 	return b, n.tenure.record.Address
--- a/internal/operator/resources.go
+++ b/internal/operator/resources.go
@@ -107,10 +107,6 @@
 }
 
 func (o *Operator) put(ctx context.Context, res resource.Resource, expect int64, dryRun bool) (Written, *result.Error) {
-	value, err := json.Marshal(res)
-	if err != nil {
-		return Written{}, result.New(result.InvalidResource, "%v", err)
-	}
 	have, err := o.cfg.API.Get(ctx, string(res.Kind), res.Name)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return Written{}, platformError(err)
@@ -118,9 +114,16 @@
 	if expect != anyVersion && expect != have.Version {
 		return Written{}, result.New(result.Conflict, "version is %d, not %d", have.Version, expect)
 	}
-	if bytes.Equal(have.Value, value) {
+	generation := max(catalog.GenerationOf(have), o.cfg.Catalog.Generation(string(res.Kind), res.Name))
+	res.Generation = generation
+	if same, err := json.Marshal(res); err == nil && bytes.Equal(have.Value, same) {
 		return Written{Unchanged, have.Version}, nil
 	}
+	res.Generation = generation + 1
+	value, err := json.Marshal(res)
+	if err != nil {
+		return Written{}, result.New(result.InvalidResource, "%v", err)
+	}
 	outcome := Changed
 	if have.Version == 0 {
 		outcome = Created
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -28,6 +28,7 @@
 	PathChanges = "/peer/changes"
 	PathPermit  = "/peer/permit"
 	PathRelease = "/peer/release"
+	PathLost    = "/peer/lost"
 )
 
 // Limits of a call.
@@ -56,6 +57,13 @@
 	return r, err
 }
 
+// Lost returns what the box at address holds and the platform has lost.
+func (c *Client) Lost(ctx context.Context, address string) ([]platform.Object, error) {
+	var lost []platform.Object
+	err := c.call(ctx, address, PathLost, callTimeout, struct{}{}, &lost)
+	return lost, err
+}
+
 // PermitAsk asks the scheduler for a load.
 type PermitAsk struct {
 	Need loads.Need `json:"need"`
@@ -111,6 +119,9 @@
 	return ch, err
 }
 
+// Authoritative implements feed.Source.
+func (s source) Authoritative() bool { return false }
+
 // Watch implements feed.Source.
 func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (platform.Changes, error) {
 	var ch platform.Changes
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -20,6 +20,7 @@
 const (
 	maxBeat = 256 << 10
 	maxWait = time.Minute
+	maxLost = 10000
 )
 
 // HandlerConfig configures the handlers.
@@ -50,6 +51,9 @@
 	mux.HandleFunc("POST "+PathBeat, h.handleBeat)
 	mux.HandleFunc("POST "+PathList, h.handleList)
 	mux.HandleFunc("POST "+PathChanges, h.handleChanges)
+	mux.HandleFunc("POST "+PathLost, func(w http.ResponseWriter, _ *http.Request) {
+		httpx.WriteJSON(w, http.StatusOK, h.cfg.Catalog.Unstored(maxLost))
+	})
 	mux.HandleFunc("POST "+PathPermit, h.handlePermit)
 	mux.HandleFunc("POST "+PathRelease, h.handleRelease)
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -58,6 +58,9 @@
 	return ch, err
 }
 
+// Authoritative says that this is the platform itself.
+func (c *Client) Authoritative() bool { return true }
+
 // Watch implements API.
 func (c *Client) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (Changes, error) {
 	q := url.Values{"kinds": {strings.Join(kinds, ",")}, "from": {strconv.FormatInt(from, 10)}, "wait": {wait.String()}}
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -53,13 +53,16 @@
 type Resource struct {
 	Kind Kind   `json:"kind"`
 	Name string `json:"name"`
-	Spec Spec   `json:"spec"`
+	// Generation grows with each accepted change, whatever the platform's versions do; boxes write it, operators do not.
+	Generation int64 `json:"generation,omitempty"`
+	Spec       Spec  `json:"spec"`
 }
 
 type rawResource struct {
-	Kind Kind            `json:"kind"`
-	Name string          `json:"name"`
-	Spec json.RawMessage `json:"spec"`
+	Kind       Kind            `json:"kind"`
+	Name       string          `json:"name"`
+	Generation int64           `json:"generation"`
+	Spec       json.RawMessage `json:"spec"`
 }
 
 // UnmarshalJSON reads the spec type that the kind names; unknown fields are errors.
@@ -78,7 +81,7 @@
 			return eris.Wrapf(err, "resource: %s %q", kind, raw.Name)
 		}
 	}
-	*r = Resource{Kind: kind, Name: raw.Name, Spec: spec}
+	*r = Resource{Kind: kind, Name: raw.Name, Generation: raw.Generation, Spec: spec}
 	return nil
 }
 
