--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -32,16 +32,23 @@
 	return []Kind{KindCooperative, KindPriority, KindServing, KindEngine, KindService, KindAdapter, KindAdapterVersion}
 }
 
-// ParseKind returns the kind whose name is s, in any case and with or without a plural s.
+// ParseKind returns the kind whose name is s, in any case, singular or plural.
 func ParseKind(s string) (Kind, error) {
 	for _, k := range Kinds() {
-		if strings.EqualFold(s, string(k)) || strings.EqualFold(s, string(k)+"s") {
+		if strings.EqualFold(s, string(k)) || strings.EqualFold(s, plural(k)) {
 			return k, nil
 		}
 	}
 	return "", eris.Errorf("resource: unknown kind %q (known: %v)", s, Kinds())
 }
 
+func plural(k Kind) string {
+	if stem, ok := strings.CutSuffix(string(k), "y"); ok {
+		return stem + "ies"
+	}
+	return string(k) + "s"
+}
+
 // Spec is the declared part of a resource. It is sealed: the types of this package are all there are.
 type Spec interface {
 	// Check returns an error that names the first wrong field.
