--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -27,7 +27,7 @@
 	for _, tt := range []struct{ name, text, want string }{
 		{"good", good, ""},
 		{"empty", "", "box.name: must be set"},
-		{"unknown key", good + "[log]\nlevle = 2\n", "log.levle: unknown key"},
+		{"unknown key", good + "[log]\nlevels = 2\n", "log.levels: unknown key"},
 		{"out of range", good + "[log]\nlevel = 9\n", "log.level: is 9; it must lie in 0..4"},
 		{"term below lease", good + "[timing]\nterm = \"1s\"\n", "timing.term: is 1s; it must lie in 3s.."},
 		{"not TOML", "box", "box.toml"},
