bellgap explain: where requests go and why one went as it did

Cause: an operator could see that a request was refused, not why, nor which engines it had been offered to.

`bellgap explain ADAPTER@VERSION` also names the engines in the order in which they are tried. Nothing of a request's body is kept.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -29,6 +29,7 @@
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/peer"
 	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/repair"
 	"github.com/bellgap/bellgap/internal/settings"
 )
@@ -86,11 +87,12 @@
 		Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return b.source(api, peers) },
 		Lost: func(ctx context.Context) ([]platform.Object, error) { return b.lost(ctx, api, peers) },
 	})
+	records := record.New()
 	b.buildLoads(peers)
 	b.buildOwners()
 	b.buildNode(api, peers)
-	b.buildGateway()
-	b.serve(api)
+	b.buildGateway(records)
+	b.serve(api, records)
 	return b, nil
 }
 
@@ -199,10 +201,10 @@
 	return netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
 }
 
-func (b *Box) buildGateway() {
+func (b *Box) buildGateway(records *record.Log) {
 	s := b.cfg.Settings
 	b.gateway = gateway.New(gateway.Config{
-		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Scope: b.metrics.Scope, NewID: rand.Text,
+		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Record: records, Scope: b.metrics.Scope, NewID: rand.Text,
 		Engines:      engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
 		Hop:          &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
 		Services:     &http.Client{Transport: httpx.NewTransport(connsPerService), CheckRedirect: noRedirect},
@@ -218,7 +220,7 @@
 // noRedirect passes a service's redirect on to the caller instead of following it.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-func (b *Box) serve(api platform.API) {
+func (b *Box) serve(api platform.API, records *record.Log) {
 	peerMux := http.NewServeMux()
 	peer.NewHandler(peer.HandlerConfig{
 		Catalog: b.catalog, Beat: b.node.HandleBeat, Permits: b.scheduler, Schedules: b.schedules, NewID: rand.Text,
@@ -227,6 +229,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.feed.IsReady,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.inFlight, Scope: b.metrics.Scope,
+		Record: records,
 	})
 	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -35,6 +35,17 @@
 	leaving    map[string]bool
 }
 
+// defaultMaxEngines is how many engines are tried for one request where the serving configuration names no other number.
+const defaultMaxEngines = 3
+
+// MaxEngines returns how many engines of a base model are tried for one request.
+func (t *Topology) MaxEngines(baseModel string) int {
+	if s := t.Serving[baseModel]; s != nil {
+		return s.MaxEngines
+	}
+	return defaultMaxEngines
+}
+
 // Topology returns the routing view of the present state.
 func (c *Catalog) Topology() *Topology {
 	c.mu.RLock()
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,59 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bellgap/bellgap/internal/operator"
+	"github.com/bellgap/bellgap/internal/record"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "explain", Usage: "say where requests for an adapter version go, or why a recent request went as it did",
+		ArgsUsage: "ADAPTER@VERSION|REQUEST", Action: runExplain,
+	}
+}
+
+func runExplain(ctx context.Context, cmd *cli.Command) error {
+	of := cmd.Args().First()
+	if of == "" {
+		return eris.New("name an adapter version or a request")
+	}
+	c, err := newOperatorClient(cmd)
+	if err != nil {
+		return err
+	}
+	var e operator.Explanation
+	if err := c.call(ctx, http.MethodGet, "/explain?of="+url.QueryEscape(of), nil, &e); err != nil {
+		return err
+	}
+	if cmd.Root().String("output") == formatJSON {
+		return printJSON(cmd, e)
+	}
+	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+	for i, candidate := range e.Candidates {
+		// The tab writer keeps errors for Flush.
+		_, _ = fmt.Fprintf(w, "choice %d\t%s\towner %s\tzone %s\n", i+1, candidate.Engine, candidate.Owner, candidate.Zone)
+	}
+	for _, r := range e.Requests {
+		printRequest(w, r)
+	}
+	return w.Flush()
+}
+
+// printRequest writes one request and its tries; the tab writer keeps errors for Flush.
+func printRequest(w *tabwriter.Writer, r record.Request) {
+	_, _ = fmt.Fprintf(w, "request %s\t%s\turgency %d\t%d %s\ttook %s\twaited %s for its adapter\n",
+		r.ID, r.Adapter, r.Urgency, r.Result, r.Result, r.Took.Round(time.Microsecond), r.Stalled.Round(time.Microsecond))
+	for _, t := range r.Tries {
+		_, _ = fmt.Fprintf(w, "  after %s\t%s\tby %s\t%s\t%s\n", t.After.Round(time.Microsecond), t.Engine, t.Box, t.Result, t.Detail)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -70,8 +71,10 @@
 		j.last = i == len(candidates)-1
 		a, err := g.try(ctx, j, e)
 		if err == nil {
+			j.told.Tried(record.Try{Engine: e.Name, Box: e.Owner.Box, Result: result.OK.String()})
 			return a, nil
 		}
+		j.told.Tried(record.Try{Engine: e.Name, Box: e.Owner.Box, Result: err.Code.String(), Detail: err.Detail})
 		last = err
 		if !tryElsewhere(err, j.repeatable) || !time.Now().Before(j.startBy) {
 			break
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -24,6 +24,7 @@
 		g.fail(w, requestID, rerr)
 		return
 	}
+	j.told.Came = began
 	leave, rerr := g.authorize(r, j.cooperative)
 	if rerr != nil {
 		g.fail(w, requestID, rerr)
@@ -66,6 +67,7 @@
 	return nil
 }
 
+// logEnd logs and keeps how a request ended.
 func (g *Gateway) logEnd(j *job, a *attempt, rerr *result.Error, began time.Time) {
 	code := result.OK
 	if rerr != nil {
@@ -76,6 +78,9 @@
 		engineName, box, stalled = a.engine, a.box, a.stalled
 		g.cfg.Scope.Timer("stalled").Record(stalled)
 	}
+	j.told.ID, j.told.RunID, j.told.Adapter, j.told.Urgency = j.requestID, j.runID, j.ref.String(), j.urgency
+	j.told.Stalled, j.told.Result, j.told.Took = stalled, code, time.Since(began)
+	g.cfg.Record.Add(j.told)
 	klog.V(2).InfoS("request", "request", j.requestID, "run", j.runID, "adapter", j.ref.String(), "engine", engineName,
 		"owner", box, "result", int(code), "stalled", stalled, "took", time.Since(began))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -40,6 +41,8 @@
 	Services     *http.Client
 	ServicesOnce *http.Client
 	Limits       Limits
+	// Record keeps what was decided, for operators.
+	Record *record.Log
 	// Ready and Leaving tell the state of this box.
 	Ready   func() bool
 	Leaving func() bool
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -42,6 +43,8 @@
 	// last says that no other engine will be tried after the present one.
 	last bool
 	body []byte
+	// told is what operators can ask about the request.
+	told record.Request
 }
 
 // modelField is the one field of a completion request that decides where it goes.
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -6,18 +6,11 @@
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
-// maxCandidates is how many engines are tried for one request where the serving configuration names no other number.
-const maxCandidates = 3
-
 // candidates returns the engines for an adapter version, best first; engines whose owner is suspected come last.
 func (g *Gateway) candidates(ref resource.Ref, baseModel string) []catalog.EngineView {
 	t := g.cfg.Catalog.Topology()
 	var good, doubtful []catalog.EngineView
-	n := maxCandidates
-	if s := t.Serving[baseModel]; s != nil {
-		n = s.MaxEngines
-	}
-	for _, name := range placement.Top(ref.String(), t.ByModel[baseModel], n) {
+	for _, name := range placement.Top(ref.String(), t.ByModel[baseModel], t.MaxEngines(baseModel)) {
 		e := t.Engines[name]
 		if e.Owner.Box != g.cfg.Box && (e.Owner.Leaving || g.suspects.has(e.Owner.Box)) {
 			doubtful = append(doubtful, e)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -16,6 +16,9 @@
 	"github.com/bellgap/bellgap/internal/result"
 )
 
+// maxServiceTries is how many addresses of a service are tried for one call.
+const maxServiceTries = 3
+
 // passedOn lists the caller's headers that a service sees.
 var passedOn = []string{"Accept", "Accept-Language", "Content-Type", "Authorization"}
 
@@ -111,7 +114,7 @@
 	}
 	g.retries.earn()
 	var last *result.Error
-	for i, name := range placement.Top(c.runID, names, maxCandidates) {
+	for i, name := range placement.Top(c.runID, names, maxServiceTries) {
 		if i > 0 && !g.retries.spend() {
 			break
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,6 +12,7 @@
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -27,7 +28,9 @@
 	Membership func() member.Status
 	Engines    func() []owner.Status
 	InFlight   func() int
-	Scope      tally.Scope
+	// Record answers why recent requests went as they did.
+	Record *record.Log
+	Scope  tally.Scope
 }
 
 // Operator is the operators' part of a box.
@@ -58,6 +61,7 @@
 	mux.HandleFunc("GET /readyz", o.handleReady)
 	mux.HandleFunc("GET /status", o.handleStatus)
 	mux.HandleFunc("GET /boxes", o.handleBoxes)
+	mux.HandleFunc("GET /explain", o.handleExplain)
 	mux.HandleFunc("GET /resources/{kind}", o.handleList)
 	mux.HandleFunc("GET /resources/{kind}/{name}", o.handleGet)
 	mux.HandleFunc("PUT /resources/{kind}/{name}", o.handlePut)
