Cells: engines of a zone without boxes keep owners

Cause: ownership was shared out zone by zone. With 6 or 7 boxes in 3 or 4 zones a zone has one or two boxes; when they are gone or restarted together its engines had no owner at all, though boxes of other zones were there.

Ways weighed: a box of another zone takes the zone's lease too (a second role, and a second watch of leases by every coordinator); one cell for a region with engines given to boxes of their zone first. The second is less code and fewer writes, and the same setting splits a large fleet into cells small enough for the traffic budget.

Change: boxes and engines name a cell, "default" where none is named. A lease and a map belong to a cell. Assignment prefers the engine's zone.

Figures: new tests, 12 engines in 3 zones, the third without a box: all have owners, at least 6 of the 8 in zones with boxes have one there; when zone a falls silent its engines pass to zone b. Before, engines of zone c had none (by construction, not run).

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -122,9 +122,9 @@
 	return api
 }
 
-// lost asks the zone's coordinator what the platform has lost, so that a new box does not serve an older configuration than others do.
+// lost asks the cell's coordinator what the platform has lost, so that a new box does not serve an older configuration than others do.
 func (b *Box) lost(ctx context.Context, api platform.API, peers *peer.Client) ([]platform.Object, error) {
-	l := lease.New(lease.Config{API: api, Name: member.LeaseName(b.cfg.Settings.Box.Zone)})
+	l := lease.New(lease.Config{API: api, Name: member.LeaseName(b.cfg.Settings.Box.Cell)})
 	if err := l.Refresh(ctx); err != nil {
 		return nil, err
 	}
@@ -184,9 +184,9 @@
 func (b *Box) buildNode(api platform.API, peers *peer.Client) {
 	s := b.cfg.Settings
 	b.node = member.New(member.Config{
-		Zone: s.Box.Zone, Region: s.Box.Region, API: api, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text,
+		Cell: s.Box.Cell, Region: s.Box.Region, API: api, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text,
 		Self: coordinator.Member{
-			Box: s.Box.Name, Incarnation: rand.Text(), Caller: b.CallerAddress(), Peer: addressOf(b.listeners.peer),
+			Box: s.Box.Name, Zone: s.Box.Zone, Incarnation: rand.Text(), Caller: b.CallerAddress(), Peer: addressOf(b.listeners.peer),
 		},
 		Timing: member.Timing{Beat: s.Timing.Beat, LeaseTTL: s.Timing.LeaseTTL, Term: s.Timing.Term, Drain: s.Timing.Drain},
 	})
--- a/internal/box/harness_test.go
+++ b/internal/box/harness_test.go
@@ -113,7 +113,7 @@
 func (f *fleet) settings(name string) settings.Settings {
 	s := settings.Default()
 	any0 := netip.MustParseAddrPort("127.0.0.1:0")
-	s.Box = settings.Box{Name: name, Zone: zone}
+	s.Box.Name, s.Box.Zone = name, zone
 	s.Listen = settings.Listen{Caller: any0, Peer: any0, Operator: any0}
 	s.Platform.Address = f.address
 	s.Timing.Beat, s.Timing.LeaseTTL, s.Timing.Term = 50*time.Millisecond, 500*time.Millisecond, 500*time.Millisecond
--- a/internal/catalog/lookup.go
+++ b/internal/catalog/lookup.go
@@ -52,11 +52,11 @@
 	return lookup[resource.Engine](c, string(resource.KindEngine), name)
 }
 
-// Map returns the map of a zone and its object version.
-func (c *Catalog) Map(zone string) (coordinator.Map, int64, bool) {
+// Map returns the map of a cell and its object version.
+func (c *Catalog) Map(cell string) (coordinator.Map, int64, bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	e := c.entries[coordinator.MapKind][zone]
+	e := c.entries[coordinator.MapKind][cell]
 	m, ok := e.value.(*coordinator.Map)
 	if !ok {
 		return coordinator.Map{}, 0, false
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -24,13 +24,11 @@
 	Engines map[string]EngineView
 	// ByModel lists the names of the engines with a live owner, for each base model.
 	ByModel map[string][]string
-	// Boxes lists the live boxes of all zones by name.
+	// Boxes lists the live boxes of all cells by name.
 	Boxes map[string]coordinator.Member
-	// Zones lists all zones that have an engine or a map.
-	Zones []string
 	// Serving holds the serving configuration of each base model.
 	Serving map[string]*resource.Serving
-	// Schedulers names the box that schedules the loads of each region: the coordinator of its first zone.
+	// Schedulers names the box that schedules the loads of each region: the coordinator of its first cell.
 	Schedulers map[string]coordinator.Member
 	leaving    map[string]bool
 }
@@ -69,9 +67,8 @@
 	}
 	owners := map[string]coordinator.Ownership{}
 	t.leaving, t.Schedulers = map[string]bool{}, map[string]coordinator.Member{}
-	for _, zone := range slices.Sorted(maps.Keys(c.entries[coordinator.MapKind])) {
-		t.Zones = append(t.Zones, zone)
-		t.addMap(c.entries[coordinator.MapKind][zone], owners)
+	for _, cell := range slices.Sorted(maps.Keys(c.entries[coordinator.MapKind])) {
+		t.addMap(c.entries[coordinator.MapKind][cell], owners)
 	}
 	for _, it := range c.resources(resource.KindEngine, "") {
 		if e, ok := it.Resource.Spec.(*resource.Engine); ok {
@@ -83,7 +80,6 @@
 			t.Serving[s.BaseModel] = s
 		}
 	}
-	slices.Sort(t.Zones)
 	return t
 }
 
@@ -107,9 +103,6 @@
 }
 
 func (t *Topology) addEngine(name string, e *resource.Engine, o coordinator.Ownership) {
-	if !slices.Contains(t.Zones, e.Zone) {
-		t.Zones = append(t.Zones, e.Zone)
-	}
 	v := EngineView{Name: name, Spec: e, Epoch: o.Epoch, Leaving: e.Box != "" && t.leaving[e.Box]}
 	if b, ok := t.Boxes[o.Owner]; ok {
 		v.Owner = b
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -77,8 +77,8 @@
 	}
 	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
 	// The tab writer keeps errors for Flush.
-	_, _ = fmt.Fprintf(w, "box %s ready=%t revision=%d in_flight=%d zone=%s coordinator=%s frozen=%t\n",
-		st.Box, st.Ready, st.Revision, st.InFlight, st.Member.Zone, st.Member.Coordinator, st.Member.Frozen)
+	_, _ = fmt.Fprintf(w, "box %s ready=%t revision=%d in_flight=%d cell=%s coordinator=%s frozen=%t\n",
+		st.Box, st.Ready, st.Revision, st.InFlight, st.Member.Cell, st.Member.Coordinator, st.Member.Frozen)
 	_, _ = fmt.Fprintln(w, "ENGINE\tZONE\tMODEL\tOWNER\tEPOCH")
 	for _, name := range sortedKeys(t.Engines) {
 		e := t.Engines[name]
--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -11,16 +11,16 @@
 )
 
 // zoneOf returns a settled zone of boxes with two engines each.
-func zoneOf(boxes int) (s *coordinator.State, beats []coordinator.Beat, engines []string) {
+func zoneOf(boxes int) (s *coordinator.State, beats []coordinator.Beat, engines []coordinator.Engine) {
 	start := time.Unix(1000, 0)
-	s = coordinator.New(coordinator.Config{Zone: "z", Lease: 1, Term: 4 * time.Second, Started: start.Add(-time.Minute)}, coordinator.Map{})
+	s = coordinator.New(coordinator.Config{Cell: "z", Lease: 1, Term: 4 * time.Second, Started: start.Add(-time.Minute)}, coordinator.Map{})
 	for i := range 2 * boxes {
-		engines = append(engines, fmt.Sprintf("engine-%04d", i))
+		engines = append(engines, coordinator.Engine{Name: fmt.Sprintf("engine-%04d", i), Zone: "z"})
 	}
 	address := netip.MustParseAddrPort("10.20.30.40:8080")
 	for i := range boxes {
 		beats = append(beats, coordinator.Beat{Member: coordinator.Member{
-			Box: fmt.Sprintf("box-%04d", i), Incarnation: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Caller: address, Peer: address,
+			Box: fmt.Sprintf("box-%04d", i), Zone: "z", Incarnation: "ABCDEFGHIJKLMNOPQRSTUVWXYZ", Caller: address, Peer: address,
 		}})
 		s.Beat(start, beats[i])
 	}
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -1,4 +1,4 @@
-// Package coordinator decides, for one zone, which boxes are members and which box owns which engine. It does no I/O.
+// Package coordinator decides, for one cell, which boxes are members and which box owns which engine. It does no I/O.
 package coordinator
 
 import (
@@ -6,12 +6,20 @@
 	"time"
 )
 
-// MapKind is the object kind of zone maps.
-const MapKind = "ZoneMap"
+// MapKind is the object kind of cell maps.
+const MapKind = "CellMap"
 
-// Member is one box of a zone as others see it.
+// Engine is a declared engine of the cell.
+type Engine struct {
+	Name string
+	Zone string
+}
+
+// Member is one box of a cell as others see it.
 type Member struct {
 	Box string `json:"box"`
+	// Zone is the availability zone of the box.
+	Zone string `json:"zone"`
 	// Incarnation tells one process of a box from the next.
 	Incarnation string `json:"incarnation"`
 	// Caller and Peer are the addresses for callers and for other boxes.
@@ -30,10 +38,10 @@
 	Previous string `json:"previous,omitempty"`
 }
 
-// Map is the published state of a zone.
+// Map is the published state of a cell.
 type Map struct {
-	Zone string `json:"zone"`
-	// Region groups the zones that share a weight store.
+	Cell string `json:"cell"`
+	// Region groups the cells that share a weight store.
 	Region string `json:"region"`
 	// Generation grows with each published map.
 	Generation int64 `json:"generation"`
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -10,7 +10,7 @@
 
 // Config configures a State.
 type Config struct {
-	Zone   string
+	Cell   string
 	Region string
 	// Box is the box that coordinates.
 	Box string
@@ -36,6 +36,8 @@
 	cfg     Config
 	members map[string]*member
 	owners  map[string]*Ownership
+	// zones holds the zone of each declared engine.
+	zones map[string]string
 	// freedAt is when an engine lost its last owner, heldUntil how long that owner may still give orders.
 	freedAt   map[string]time.Time
 	heldUntil map[string]time.Time
@@ -47,7 +49,7 @@
 	leaving []string
 }
 
-// New returns a State that continues from the zone's last published map.
+// New returns a State that continues from the cell's last published map.
 func New(cfg Config, last Map) *State {
 	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}}
 	for _, m := range last.Members {
@@ -104,21 +106,23 @@
 	slices.Sort(s.leaving)
 }
 
-// Tick drops silent members and assigns the zone's engines.
-func (s *State) Tick(now time.Time, engines []string) {
+// Tick drops silent members and assigns the cell's engines.
+func (s *State) Tick(now time.Time, engines []Engine) {
 	s.dropSilent(now)
+	s.zones = map[string]string{}
+	for _, e := range engines {
+		s.zones[e.Name] = e.Zone
+		if s.owners[e.Name] == nil {
+			s.owners[e.Name] = &Ownership{Engine: e.Name}
+		}
+	}
 	for name := range s.owners {
-		if !slices.Contains(engines, name) {
+		if _, declared := s.zones[name]; !declared {
 			delete(s.owners, name)
 			delete(s.freedAt, name)
 			delete(s.heldUntil, name)
 		}
 	}
-	for _, name := range engines {
-		if s.owners[name] == nil {
-			s.owners[name] = &Ownership{Engine: name}
-		}
-	}
 	for _, o := range s.owners {
 		s.settlePrevious(now, o)
 		s.handOver(now, o)
@@ -155,7 +159,7 @@
 	}
 }
 
-// assign gives engines without an owner to the live member with the best hash that is under its share.
+// assign gives engines without an owner to the live member with the best hash that is under its share; members in the engine's zone go first.
 func (s *State) assign(now time.Time) {
 	if now.Sub(s.cfg.Started) < s.cfg.Term {
 		return
@@ -171,7 +175,7 @@
 		if o.Owner != "" || now.Before(s.heldUntil[name]) {
 			continue
 		}
-		order := placement.Rank(name, live)
+		order := s.preferZone(s.zones[name], placement.Rank(name, live))
 		pick := order[0]
 		for _, box := range order {
 			if load[box] < share {
@@ -185,6 +189,20 @@
 	}
 }
 
+// preferZone moves the members of a zone to the front and keeps the order otherwise.
+func (s *State) preferZone(zone string, boxes []string) []string {
+	near := make([]string, 0, len(boxes))
+	var far []string
+	for _, b := range boxes {
+		if s.members[b].Zone == zone {
+			near = append(near, b)
+		} else {
+			far = append(far, b)
+		}
+	}
+	return append(near, far...)
+}
+
 func (s *State) engineNames() []string {
 	names := make([]string, 0, len(s.owners))
 	for n := range s.owners {
@@ -256,7 +274,7 @@
 
 // Map returns the map to publish, in a fixed order.
 func (s *State) Map() Map {
-	mp := Map{Zone: s.cfg.Zone, Region: s.cfg.Region, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Leaving: s.leaving}
+	mp := Map{Cell: s.cfg.Cell, Region: s.cfg.Region, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Leaving: s.leaving}
 	for _, m := range s.members {
 		shown := m.Member
 		shown.Leaving = shown.Leaving || slices.Contains(s.leaving, m.Box)
--- /dev/null
+++ b/internal/coordinator/state_test.go
@@ -0,0 +1,72 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+)
+
+// TestZones assigns engines of three zones, the last of which has no box.
+func TestZones(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := coordinator.New(coordinator.Config{Cell: "c", Term: 4 * time.Second, Started: now.Add(-time.Minute)}, coordinator.Map{})
+	zoneOf := map[string]string{}
+	beat := func(box string) {
+		s.Beat(now, coordinator.Beat{Member: coordinator.Member{Box: box, Zone: zoneOf[box], Incarnation: box}})
+	}
+	for i, zone := range []string{"a", "a", "b", "b"} {
+		box := fmt.Sprintf("box-%d", i)
+		zoneOf[box] = zone
+		beat(box)
+	}
+	var engines []coordinator.Engine
+	for i := range 12 {
+		engines = append(engines, coordinator.Engine{Name: fmt.Sprintf("engine-%02d", i), Zone: []string{"a", "b", "c"}[i%3]})
+	}
+	s.Tick(now, engines)
+	near := 0
+	for _, o := range s.Map().Owners {
+		c.Check(o.Owner, qt.Not(qt.Equals), "", qt.Commentf("%s", o.Engine))
+		for _, e := range engines {
+			if e.Name == o.Engine && zoneOf[o.Owner] == e.Zone {
+				near++
+			}
+		}
+	}
+	c.Check(near >= 6, qt.IsTrue, qt.Commentf("%d of 8 engines have an owner in their zone", near))
+	// The boxes of zone a fall silent: its engines pass to zone b.
+	for range 6 {
+		now = now.Add(time.Second)
+		beat("box-2")
+		beat("box-3")
+		s.Tick(now, engines)
+	}
+	for _, o := range s.Map().Owners {
+		c.Check(zoneOf[o.Owner], qt.Equals, "b", qt.Commentf("%s", o.Engine))
+	}
+}
+
+// TestReleaseNamesItsGrant takes a release of an older grant in after the engine was granted again.
+func TestReleaseNamesItsGrant(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := coordinator.New(coordinator.Config{Cell: "c", Term: 4 * time.Second, Started: now.Add(-time.Minute)}, coordinator.Map{})
+	engines := []coordinator.Engine{{Name: "engine-1", Zone: "a"}}
+	beat := coordinator.Beat{Member: coordinator.Member{Box: "box-1", Zone: "a", Incarnation: "i"}}
+	s.Beat(now, beat)
+	s.Tick(now, engines)
+	granted := s.Map().Owners[0]
+	beat.Released = []coordinator.Release{{Engine: "engine-1", Epoch: granted.Epoch}}
+	s.Beat(now, beat)
+	s.Tick(now, engines)
+	again := s.Map().Owners[0]
+	c.Assert(again.Epoch, qt.Equals, granted.Epoch+1)
+	s.Beat(now, beat)
+	s.Tick(now, engines)
+	c.Check(s.Map().Owners[0], qt.Equals, again)
+}
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -25,11 +25,14 @@
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
-const zone = "hall-a"
+const (
+	zone = "hall-a"
+	cell = resource.DefaultCell
+)
 
 var errCut = errors.New("cut off")
 
-// cluster is some members of one zone in virtual time, joined by direct calls.
+// cluster is some members of one cell in virtual time, joined by direct calls.
 type cluster struct {
 	c        *qt.C
 	platform *fakeplatform.Store
@@ -89,8 +92,8 @@
 	n.address = peer.String()
 	tokens := 0
 	n.Node = member.New(member.Config{
-		Zone: zone, API: n, Peers: n, Catalog: n.catalog, Holder: n, Timing: member.DefaultTiming(), Scope: tally.NoopScope,
-		Self: coordinator.Member{Box: name, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Caller: peer, Peer: peer},
+		Cell: cell, API: n, Peers: n, Catalog: n.catalog, Holder: n, Timing: member.DefaultTiming(), Scope: tally.NoopScope,
+		Self: coordinator.Member{Box: name, Zone: zone, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Caller: peer, Peer: peer},
 		NewToken: func() string {
 			tokens++
 			return fmt.Sprintf("%s-%d-%d", name, time.Now().UnixNano(), tokens)
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -1,4 +1,4 @@
-// Package member keeps one box in its zone: heartbeats, the coordinator's lease, and the grants that follow.
+// Package member keeps one box in its cell: heartbeats, the coordinator's lease, and the grants that follow.
 package member
 
 import (
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,7 +55,8 @@
 
 // Config configures a Node.
 type Config struct {
-	Zone    string
+	// Cell names the boxes and engines that are coordinated together.
+	Cell    string
 	Region  string
 	Self    coordinator.Member
 	API     platform.API
@@ -87,7 +89,7 @@
 	released bool
 }
 
-// Node is this box's membership of its zone.
+// Node is this box's membership of its cell.
 type Node struct {
 	cfg  Config
 	done chan struct{}
@@ -117,13 +119,13 @@
 	validUntil time.Time
 }
 
-// LeaseName returns the name of a zone's coordinator lease.
-func LeaseName(zone string) string { return "zone-" + zone }
+// LeaseName returns the name of a cell's coordinator lease.
+func LeaseName(cell string) string { return "cell-" + cell }
 
 // New returns a Node; its Serve has to run.
 func New(cfg Config) *Node {
 	l := lease.New(lease.Config{
-		API: cfg.API, Name: LeaseName(cfg.Zone), Holder: cfg.Self.Box, Address: cfg.Self.Peer.String(),
+		API: cfg.API, Name: LeaseName(cfg.Cell), Holder: cfg.Self.Box, Address: cfg.Self.Peer.String(),
 		TTL: cfg.Timing.LeaseTTL, NewToken: cfg.NewToken,
 	})
 	return &Node{cfg: cfg, done: make(chan struct{}), lease: l, grants: map[string]grant{}}
@@ -134,7 +136,7 @@
 
 // Status is what a Node shows of itself.
 type Status struct {
-	Zone        string `json:"zone"`
+	Cell        string `json:"cell"`
 	Coordinator string `json:"coordinator"`
 	Coordinates bool   `json:"coordinates"`
 	// Frozen says that the coordinator cannot renew its lease: no engine changes hands.
@@ -150,7 +152,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	return Status{
-		Zone: n.cfg.Zone, Coordinator: n.tenure.record.Holder, Coordinates: now.Before(n.tenure.validUntil),
+		Cell: n.cfg.Cell, Coordinator: n.tenure.record.Holder, Coordinates: now.Before(n.tenure.validUntil),
 		Frozen: n.frozen, SinceReply: now.Sub(n.lastReply), Leaving: n.leaving,
 	}
 }
@@ -164,7 +166,7 @@
 
 // Leaving reports whether this box is leaving, by its own word or by the platform's box list.
 func (n *Node) Leaving() bool {
-	m, _, _ := n.cfg.Catalog.Map(n.cfg.Zone)
+	m, _, _ := n.cfg.Catalog.Map(n.cfg.Cell)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.leaving || slices.Contains(m.Leaving, n.cfg.Self.Box)
@@ -224,7 +226,7 @@
 
 // awaitsGrant reports whether the map names this box as the owner of an engine without a grant.
 func (n *Node) awaitsGrant() bool {
-	m, _, _ := n.cfg.Catalog.Map(n.cfg.Zone)
+	m, _, _ := n.cfg.Catalog.Map(n.cfg.Cell)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.frozen {
@@ -244,7 +246,7 @@
 	err := n.beat(ctx)
 	if err != nil {
 		n.cfg.Scope.Counter("beat_failures").Inc(1)
-		klog.V(1).InfoS("heartbeat failed", "zone", n.cfg.Zone, "err", err)
+		klog.V(1).InfoS("heartbeat failed", "cell", n.cfg.Cell, "err", err)
 	}
 	if err != nil || (n.isFrozen() && time.Since(n.lastSeek) >= n.cfg.Timing.LeaseTTL) {
 		n.seekLease(ctx)
@@ -290,7 +292,7 @@
 	}
 	state, err := n.takeLease(ctx)
 	if err != nil {
-		klog.InfoS("lease not taken", "zone", n.cfg.Zone, "err", err)
+		klog.InfoS("lease not taken", "cell", n.cfg.Cell, "err", err)
 	}
 	n.setTenure(state)
 	if state != nil {
@@ -300,7 +302,7 @@
 
 // grace is how long this box lets better placed ones go first, so that not all members write at once when their coordinator is gone.
 func (n *Node) grace() time.Duration {
-	m, _, ok := n.cfg.Catalog.Map(n.cfg.Zone)
+	m, _, ok := n.cfg.Catalog.Map(n.cfg.Cell)
 	if !ok {
 		return 0
 	}
@@ -311,7 +313,7 @@
 			names = append(names, b.Box)
 		}
 	}
-	key := fmt.Sprintf("%s/%d", n.cfg.Zone, record.Epoch)
+	key := fmt.Sprintf("%s/%d", n.cfg.Cell, record.Epoch)
 	rank := slices.Index(placement.Top(key, names, maxCandidates), n.cfg.Self.Box)
 	if rank < 0 {
 		rank = maxCandidates
@@ -328,27 +330,27 @@
 	return address, address != "" && address != n.cfg.Self.Peer.String() && lately
 }
 
-// takeLease takes the lease and continues from the zone's last map.
+// takeLease takes the lease and continues from the cell's last map.
 func (n *Node) takeLease(ctx context.Context) (*coordinator.State, error) {
 	if err := n.lease.Take(ctx); err != nil {
 		return nil, err
 	}
-	last, version, err := readMap(ctx, n.cfg.API, n.cfg.Zone)
+	last, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
 	if err != nil {
 		return nil, err
 	}
 	n.mapVersion, n.published = version, last
 	epoch := n.lease.Record().Epoch
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
-	klog.InfoS("coordinating", "zone", n.cfg.Zone, "lease", epoch)
+	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch)
 	return coordinator.New(coordinator.Config{
-		Zone: n.cfg.Zone, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
+		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
 	}, last), nil
 }
 
-func readMap(ctx context.Context, api platform.API, zone string) (coordinator.Map, int64, error) {
+func readMap(ctx context.Context, api platform.API, cell string) (coordinator.Map, int64, error) {
 	var m coordinator.Map
-	o, err := api.Get(ctx, coordinator.MapKind, zone)
+	o, err := api.Get(ctx, coordinator.MapKind, cell)
 	if errors.Is(err, platform.ErrNotFound) {
 		return m, 0, nil
 	}
@@ -364,7 +366,7 @@
 	defer cancel()
 	err := n.lease.Renew(ctx)
 	if errors.Is(err, platform.ErrConflict) {
-		klog.InfoS("lease lost", "zone", n.cfg.Zone, "holder", n.lease.Record().Holder)
+		klog.InfoS("lease lost", "cell", n.cfg.Cell, "holder", n.lease.Record().Holder)
 		state = nil
 	}
 	n.setTenure(state)
@@ -375,7 +377,7 @@
 	n.readBoxes(ctx, state)
 	if err := n.publish(ctx, state); err != nil {
 		n.cfg.Scope.Counter("map_write_failures").Inc(1)
-		klog.InfoS("map not written", "zone", n.cfg.Zone, "err", err)
+		klog.InfoS("map not written", "cell", n.cfg.Cell, "err", err)
 	}
 }
 
@@ -403,7 +405,7 @@
 
 // nextMap lets time pass in the coordinator's state and returns the map that follows.
 func (n *Node) nextMap(state *coordinator.State) coordinator.Map {
-	engines := n.zoneEngines()
+	engines := n.cellEngines()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	state.Tick(time.Now(), engines)
@@ -416,12 +418,12 @@
 	if sameMap(m, n.published) {
 		return nil
 	}
-	m.Generation = max(n.published.Generation, n.cfg.Catalog.Generation(coordinator.MapKind, n.cfg.Zone)) + 1
+	m.Generation = max(n.published.Generation, n.cfg.Catalog.Generation(coordinator.MapKind, n.cfg.Cell)) + 1
 	value, err := json.Marshal(m)
 	if err != nil {
 		return err
 	}
-	version, err := n.cfg.API.Put(ctx, coordinator.MapKind, n.cfg.Zone, n.mapVersion, value)
+	version, err := n.cfg.API.Put(ctx, coordinator.MapKind, n.cfg.Cell, n.mapVersion, value)
 	if errors.Is(err, platform.ErrAnswerLost) {
 		version, err = n.settleMap(ctx, m)
 	}
@@ -441,7 +443,7 @@
 
 // settleMap reads the map back after a lost answer.
 func (n *Node) settleMap(ctx context.Context, wrote coordinator.Map) (int64, error) {
-	m, version, err := readMap(ctx, n.cfg.API, n.cfg.Zone)
+	m, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
 	if err != nil {
 		return 0, err
 	}
@@ -455,19 +457,20 @@
 }
 
 func sameMap(a, b coordinator.Map) bool {
-	return a.Zone == b.Zone && a.Lease == b.Lease && a.Coordinator == b.Coordinator &&
+	return a.Cell == b.Cell && a.Lease == b.Lease && a.Coordinator == b.Coordinator &&
 		slices.Equal(a.Members, b.Members) && slices.Equal(a.Owners, b.Owners) && slices.Equal(a.Leaving, b.Leaving)
 }
 
-func (n *Node) zoneEngines() []string {
-	var names []string
+// cellEngines returns the declared engines of the cell, ordered by name.
+func (n *Node) cellEngines() []coordinator.Engine {
+	var engines []coordinator.Engine
 	for name, e := range n.cfg.Catalog.Topology().Engines {
-		if e.Spec.Zone == n.cfg.Zone {
-			names = append(names, name)
+		if e.Spec.CellName() == n.cfg.Cell {
+			engines = append(engines, coordinator.Engine{Name: name, Zone: e.Spec.Zone})
 		}
 	}
-	slices.Sort(names)
-	return names
+	slices.SortFunc(engines, func(a, b coordinator.Engine) int { return strings.Compare(a.Name, b.Name) })
+	return engines
 }
 
 // HandleBeat answers the heartbeat of a box; only the coordinator does.
@@ -476,7 +479,7 @@
 	defer n.mu.Unlock()
 	now := time.Now()
 	if n.state == nil {
-		return coordinator.Reply{}, result.New(result.StaleBeat, "%s does not coordinate %s", n.cfg.Self.Box, n.cfg.Zone)
+		return coordinator.Reply{}, result.New(result.StaleBeat, "%s does not coordinate %s", n.cfg.Self.Box, n.cfg.Cell)
 	}
 	// Beats count even while frozen, so that nobody is taken for silent when the platform is back.
 	n.state.Beat(now, b)
--- a/internal/resource/specs.go
+++ b/internal/resource/specs.go
@@ -115,8 +115,10 @@
 type Engine struct {
 	Address netip.AddrPort `json:"address"`
 	// Box names the box it runs on, as in the platform's box list; when that box is leaving the engine gets no new work.
-	Box       string `json:"box,omitempty"`
-	Zone      string `json:"zone"`
+	Box  string `json:"box,omitempty"`
+	Zone string `json:"zone"`
+	// Cell names the boxes that share out this engine; empty means the cell "default".
+	Cell      string `json:"cell,omitempty"`
 	BaseModel string `json:"base_model"`
 	// Slots is how many adapters fit at once.
 	Slots int `json:"slots"`
@@ -134,6 +136,12 @@
 	)
 }
 
+// DefaultCell is the cell of engines and boxes that name none.
+const DefaultCell = "default"
+
+// CellName returns the cell of the engine.
+func (e *Engine) CellName() string { return cmp.Or(e.Cell, DefaultCell) }
+
 func (*Engine) kind() Kind { return KindEngine }
 
 // Service declares a plain service that requests are routed to.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -129,7 +129,7 @@
 
 	{NotOwner, "not_owner", http.StatusMisdirectedRequest, RanNo, 0, "this box does not own the engine"},
 	{TryNext, "try_next", http.StatusServiceUnavailable, RanNo, 0, "another engine should be tried"},
-	{StaleBeat, "stale_beat", http.StatusConflict, RanNo, 0, "this box does not coordinate the zone"},
+	{StaleBeat, "stale_beat", http.StatusConflict, RanNo, 0, "this box does not coordinate the cell"},
 }
 
 // All returns every code in table order.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,8 @@
 
 	"github.com/BurntSushi/toml"
 	"github.com/rotisserie/eris"
+
+	"github.com/bellgap/bellgap/internal/resource"
 )
 
 // Settings are all settings of a box; docs/SETTINGS.md lists the keys.
@@ -27,7 +29,9 @@
 type Box struct {
 	Name string `toml:"name"`
 	Zone string `toml:"zone"`
-	// Region groups the zones that share a weight store.
+	// Cell names the boxes and engines that are coordinated together.
+	Cell string `toml:"cell"`
+	// Region groups the cells that share a weight store.
 	Region string `toml:"region"`
 }
 
@@ -76,7 +80,7 @@
 // Default returns the settings that hold where the file says nothing.
 func Default() Settings {
 	return Settings{
-		Box: Box{Region: "default"},
+		Box: Box{Cell: resource.DefaultCell, Region: "default"},
 		Request: Request{
 			BodyBytes: 4 << 20, BodyTime: 10 * time.Second, DefaultWait: 30 * time.Second,
 			Longest: 10 * time.Minute, LocateKeep: 10 * time.Second,
@@ -135,7 +139,8 @@
 	return []Key{
 		{"box.name", "Name of this box, unique in the fleet.", required, func(s *Settings) string { return needText(s.Box.Name) }},
 		{"box.zone", "Availability zone of this box.", required, func(s *Settings) string { return needText(s.Box.Zone) }},
-		{"box.region", "Region of this box; the zones of a region share a weight store.", d.Box.Region, func(s *Settings) string { return needText(s.Box.Region) }},
+		{"box.cell", "Cell of this box: the boxes and engines that are coordinated together. One cell does for up to about 16 boxes.", d.Box.Cell, func(s *Settings) string { return needText(s.Box.Cell) }},
+		{"box.region", "Region of this box; the cells of a region share a weight store.", d.Box.Region, func(s *Settings) string { return needText(s.Box.Region) }},
 		{"listen.caller", "Address for callers.", required, func(s *Settings) string { return needAddress(s.Listen.Caller) }},
 		{"listen.peer", "Address for other boxes.", required, func(s *Settings) string { return needAddress(s.Listen.Peer) }},
 		{"listen.operator", "Address for operators and metrics.", required, func(s *Settings) string { return needAddress(s.Listen.Operator) }},
