Owners correct what steadily differs from an engine's reports; files split

Cause: reading the code again showed that an owner looked at a report only when the engine had restarted. An adapter that the engine holds and the owner does not know of (an order whose answer was lost, an owner before a late report) took a slot for good: the owner saw a free one, every load failed with no_slot, and the adapters waiting were refused for ever.

Change: three reports in a row that say the same correct the owner; one alone may be older than the last order. Adapters in use are left alone.

Proof: TestUnknownAdaptersAreFound fills both slots behind the owner's back without a restart.

Also: the three largest files are split by what they hold (actions, scheduling, eviction; events, orders; heartbeats, coordination).

--- a/internal/box/engine_faults_test.go
+++ b/internal/box/engine_faults_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/fakeengine"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -17,7 +18,7 @@
 func TestEngineFaults(t *testing.T) {
 	c := qt.New(t)
 	f := startFleet(c, fleetConfig{boxes: 1, engines: []fakeengine.Config{smallEngine()}})
-	engine := f.engines[0]
+	broken := f.engines[0]
 	for _, tt := range []struct {
 		name   string
 		faults fakeengine.Faults
@@ -34,8 +35,8 @@
 		{"none", fakeengine.Faults{}, true, result.OK, false, 1},
 	} {
 		c.Run(tt.name, func(c *qt.C) {
-			engine.SetFaults(tt.faults)
-			before := len(engine.History().Runs)
+			broken.SetFaults(tt.faults)
+			before := len(broken.History().Runs)
 			a := f.ask(f.boxes[0], "/v1/completions", completion(modelName, 4, tt.stream))
 			code := fmt.Sprint(int(tt.want))
 			if tt.inBody {
@@ -45,7 +46,7 @@
 				c.Check(a.header.Get(result.HeaderCode), qt.Equals, code, qt.Commentf("%s", a.body))
 			}
 			c.Check(strings.Contains(a.body, `"model":"another@1"`), qt.IsFalse)
-			c.Check(len(engine.History().Runs)-before, qt.Equals, tt.runs)
+			c.Check(len(broken.History().Runs)-before, qt.Equals, tt.runs)
 		})
 	}
 }
@@ -95,9 +96,9 @@
 // TestCallerThatGoesCancelsItsStream leaves in the middle of a long stream.
 func TestCallerThatGoesCancelsItsStream(t *testing.T) {
 	c := qt.New(t)
-	engine := smallEngine()
-	engine.Step = 10 * time.Millisecond
-	f := startFleet(c, fleetConfig{boxes: 2, engines: []fakeengine.Config{engine}})
+	slow := smallEngine()
+	slow.Step = 10 * time.Millisecond
+	f := startFleet(c, fleetConfig{boxes: 2, engines: []fakeengine.Config{slow}})
 	for _, b := range f.boxes {
 		ctx, cancel := context.WithCancel(c.Context())
 		url := "http://" + b.CallerAddress().String() + "/v1/completions"
@@ -111,3 +112,29 @@
 		f.until(func() bool { return f.engines[0].Report().Running == 0 })
 	}
 }
+
+// TestUnknownAdaptersAreFound fills the engine's slots behind its owner's back.
+func TestUnknownAdaptersAreFound(t *testing.T) {
+	c := qt.New(t)
+	small := smallEngine()
+	small.Slots = 2
+	f := startFleet(c, fleetConfig{boxes: 1, engines: []fakeengine.Config{small}})
+	f.until(func() bool {
+		return f.ask(f.boxes[0], "/v1/completions", completion(modelName, 1, false)).status == http.StatusOK
+	})
+	f.engines[0].Restart()
+	for _, m := range []string{"stray@1", "stray@2"} {
+		c.Assert(f.engines[0].Order(c.Context(), engine.Order{Epoch: 1, Action: engine.ActionLoad, Model: m}), qt.IsNil)
+	}
+	f.until(func() bool {
+		return f.ask(f.boxes[0], "/v1/completions", completion(modelName, 1, false)).status == http.StatusOK
+	})
+	// And now once more without a restart, which the owner would notice by itself.
+	c.Assert(f.engines[0].Order(c.Context(), engine.Order{Epoch: 1, Action: engine.ActionUnload, Model: modelName}), qt.IsNil)
+	for _, m := range []string{"stray@3", "stray@4"} {
+		_ = f.engines[0].Order(c.Context(), engine.Order{Epoch: 1, Action: engine.ActionLoad, Model: m})
+	}
+	f.until(func() bool {
+		return f.ask(f.boxes[0], "/v1/completions", completion(modelName, 1, false)).status == http.StatusOK
+	})
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,4 +1,4 @@
-// Package catalog holds what is declared and the zone maps, as this box knows them; it never goes back.
+// Package catalog holds what is declared and the cell maps, as this box knows them; it never goes back.
 package catalog
 
 import (
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,4 +1,4 @@
-// Package feed keeps a catalog up to date from the coordinator of the zone, or from the platform.
+// Package feed keeps a catalog up to date from the coordinator of the cell, or from the platform.
 package feed
 
 import (
--- /dev/null
+++ b/internal/member/coordinate.go
@@ -0,0 +1,217 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/placement"
+	"github.com/bellgap/bellgap/internal/platform"
+)
+
+// seekLease reads the lease and takes it if it is free.
+func (n *Node) seekLease(ctx context.Context) {
+	ctx, cancel := n.limit(ctx)
+	defer cancel()
+	n.lastSeek = time.Now()
+	if err := n.lease.Refresh(ctx); err != nil {
+		n.cfg.Scope.Counter("lease_read_failures").Inc(1)
+		return
+	}
+	if n.lease.Ours() {
+		n.setTenure(n.coordinating())
+	} else {
+		n.setTenure(nil)
+	}
+	if n.coordinating() != nil || n.Leaving() || !n.lease.Free(time.Now(), n.grace()) {
+		return
+	}
+	state, err := n.takeLease(ctx)
+	if err != nil {
+		klog.InfoS("lease not taken", "cell", n.cfg.Cell, "err", err)
+	}
+	n.setTenure(state)
+	if state != nil {
+		n.coordinate(ctx, state)
+	}
+}
+
+// grace is how long this box lets better placed ones go first, so that not all members write at once when their coordinator is gone.
+func (n *Node) grace() time.Duration {
+	m, _, ok := n.cfg.Catalog.Map(n.cfg.Cell)
+	if !ok {
+		return 0
+	}
+	record := n.lease.Record()
+	var names []string
+	for _, b := range m.Members {
+		if b.Box != record.Holder && !b.Leaving {
+			names = append(names, b.Box)
+		}
+	}
+	key := fmt.Sprintf("%s/%d", n.cfg.Cell, record.Epoch)
+	rank := slices.Index(placement.Top(key, names, maxCandidates), n.cfg.Self.Box)
+	if rank < 0 {
+		rank = maxCandidates
+	}
+	return time.Duration(rank) * n.cfg.Timing.Beat
+}
+
+// CoordinatorAddress returns the peer address of the coordinator if another box coordinates and has answered lately.
+func (n *Node) CoordinatorAddress() (string, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	address := n.tenure.record.Address
+	lately := time.Since(n.lastReply) < missedBeats*n.cfg.Timing.Beat
+	return address, address != "" && address != n.cfg.Self.Peer.String() && lately
+}
+
+// takeLease takes the lease and continues from the cell's last map.
+func (n *Node) takeLease(ctx context.Context) (*coordinator.State, error) {
+	if err := n.lease.Take(ctx); err != nil {
+		return nil, err
+	}
+	last, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
+	if err != nil {
+		return nil, err
+	}
+	n.mapVersion, n.published = version, last
+	epoch := n.lease.Record().Epoch
+	n.cfg.Scope.Counter("leases_taken").Inc(1)
+	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch)
+	return coordinator.New(coordinator.Config{
+		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
+	}, last), nil
+}
+
+func readMap(ctx context.Context, api platform.API, cell string) (coordinator.Map, int64, error) {
+	var m coordinator.Map
+	o, err := api.Get(ctx, coordinator.MapKind, cell)
+	if errors.Is(err, platform.ErrNotFound) {
+		return m, 0, nil
+	}
+	if err != nil {
+		return m, 0, err
+	}
+	return m, o.Version, json.Unmarshal(o.Value, &m)
+}
+
+// coordinate renews the lease and publishes what changed.
+func (n *Node) coordinate(ctx context.Context, state *coordinator.State) {
+	ctx, cancel := n.limit(ctx)
+	defer cancel()
+	err := n.lease.Renew(ctx)
+	if errors.Is(err, platform.ErrConflict) {
+		klog.InfoS("lease lost", "cell", n.cfg.Cell, "holder", n.lease.Record().Holder)
+		state = nil
+	}
+	n.setTenure(state)
+	if err != nil {
+		n.cfg.Scope.Counter("lease_renew_failures").Inc(1)
+		return
+	}
+	n.readBoxes(ctx, state)
+	if err := n.publish(ctx, state); err != nil {
+		n.cfg.Scope.Counter("map_write_failures").Inc(1)
+		klog.InfoS("map not written", "cell", n.cfg.Cell, "err", err)
+	}
+}
+
+// readBoxes takes the platform's box list in, every few heartbeats. A list that cannot be read leaves the last one standing.
+func (n *Node) readBoxes(ctx context.Context, state *coordinator.State) {
+	if time.Since(n.lastBoxes) < boxListBeats*n.cfg.Timing.Beat {
+		return
+	}
+	n.lastBoxes = time.Now()
+	boxes, err := n.cfg.API.Boxes(ctx)
+	if err != nil {
+		n.cfg.Scope.Counter("box_list_failures").Inc(1)
+		return
+	}
+	var leaving []string
+	for _, b := range boxes {
+		if b.State == platform.BoxLeaving {
+			leaving = append(leaving, b.Name)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state.Leaving(leaving)
+}
+
+// nextMap lets time pass in the coordinator's state and returns the map that follows.
+func (n *Node) nextMap(state *coordinator.State) coordinator.Map {
+	engines := n.cellEngines()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state.Tick(time.Now(), engines)
+	return state.Map()
+}
+
+// publish writes the map if it differs from the stored one. Writing conditionally on the last map keeps out a coordinator that was replaced.
+func (n *Node) publish(ctx context.Context, state *coordinator.State) error {
+	m := n.nextMap(state)
+	if sameMap(m, n.published) {
+		return nil
+	}
+	m.Generation = max(n.published.Generation, n.cfg.Catalog.Generation(coordinator.MapKind, n.cfg.Cell)) + 1
+	value, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	version, err := n.cfg.API.Put(ctx, coordinator.MapKind, n.cfg.Cell, n.mapVersion, value)
+	if errors.Is(err, platform.ErrAnswerLost) {
+		version, err = n.settleMap(ctx, m)
+	}
+	if errors.Is(err, platform.ErrConflict) {
+		n.setTenure(nil)
+	}
+	if err != nil {
+		return err
+	}
+	n.mapVersion, n.published = version, m
+	n.cfg.Scope.Counter("map_writes").Inc(1)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	state.Published(m)
+	return nil
+}
+
+// settleMap reads the map back after a lost answer.
+func (n *Node) settleMap(ctx context.Context, wrote coordinator.Map) (int64, error) {
+	m, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
+	if err != nil {
+		return 0, err
+	}
+	if sameMap(m, wrote) {
+		return version, nil
+	}
+	if m.Lease != wrote.Lease {
+		return 0, platform.ErrConflict
+	}
+	return 0, platform.ErrUnavailable
+}
+
+func sameMap(a, b coordinator.Map) bool {
+	return a.Cell == b.Cell && a.Lease == b.Lease && a.Coordinator == b.Coordinator &&
+		slices.Equal(a.Members, b.Members) && slices.Equal(a.Owners, b.Owners) && slices.Equal(a.Leaving, b.Leaving)
+}
+
+// cellEngines returns the declared engines of the cell, ordered by name.
+func (n *Node) cellEngines() []coordinator.Engine {
+	var engines []coordinator.Engine
+	for name, e := range n.cfg.Catalog.Topology().Engines {
+		if e.Spec.CellName() == n.cfg.Cell {
+			engines = append(engines, coordinator.Engine{Name: name, Zone: e.Spec.Zone})
+		}
+	}
+	slices.SortFunc(engines, func(a, b coordinator.Engine) int { return strings.Compare(a.Name, b.Name) })
+	return engines
+}
--- /dev/null
+++ b/internal/owner/action.go
@@ -0,0 +1,67 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// Ticket is a request that waits for the engine.
+type Ticket struct {
+	ID      uint64
+	Ref     resource.Ref
+	Weights string
+	// Urgency orders tickets, higher first.
+	Urgency int
+	Arrived time.Time
+	// StartBy is the latest useful start.
+	StartBy time.Time
+	// Last says that no other engine will be tried after this one.
+	Last bool
+}
+
+// Action is what the caller of State has to do. It is sealed.
+type Action interface{ action() }
+
+// Start lets a ticket run.
+type Start struct {
+	Ticket Ticket
+	// Stalled is how long the ticket waited for its adapter to be loaded.
+	Stalled time.Duration
+}
+
+// Refuse ends a ticket that has not run.
+type Refuse struct {
+	Ticket Ticket
+	Err    *result.Error
+}
+
+// AskPermit asks for one load from the weight store's budget. The permit may be used for another adapter that is more urgent when it comes.
+type AskPermit struct {
+	Ref     resource.Ref
+	Urgency int
+	StartBy time.Time
+	Waiters int
+}
+
+// Load orders the engine to load an adapter; a permit is held for it.
+type Load struct {
+	Ref     resource.Ref
+	Weights string
+}
+
+// Unload orders the engine to drop an idle adapter.
+type Unload struct {
+	Ref resource.Ref
+}
+
+// ReturnPermit gives back a permit that is not needed.
+type ReturnPermit struct{}
+
+func (Start) action()        {}
+func (Refuse) action()       {}
+func (AskPermit) action()    {}
+func (Load) action()         {}
+func (Unload) action()       {}
+func (ReturnPermit) action() {}
--- /dev/null
+++ b/internal/owner/event.go
@@ -0,0 +1,68 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// verdict is the answer to a submitted ticket.
+type verdict struct {
+	stalled time.Duration
+	err     *result.Error
+}
+
+// event is an input of the loop. It is sealed.
+type event interface{ event() }
+
+type submitted struct {
+	ticket Ticket
+	reply  chan verdict
+}
+
+type canceled struct{ id uint64 }
+
+type ended struct {
+	id  uint64
+	end End
+}
+
+type permitGiven struct {
+	ref    resource.Ref
+	permit loads.Permit
+}
+
+type permitDenied struct{ ref resource.Ref }
+
+type loadEnded struct {
+	ref resource.Ref
+	err error
+}
+
+type unloadEnded struct {
+	ref resource.Ref
+	err error
+}
+
+type reported struct{ report engine.Report }
+
+type settled struct{}
+
+type stopping struct{}
+
+type closing struct{ closed bool }
+
+func (submitted) event()    {}
+func (canceled) event()     {}
+func (ended) event()        {}
+func (permitGiven) event()  {}
+func (permitDenied) event() {}
+func (loadEnded) event()    {}
+func (unloadEnded) event()  {}
+func (reported) event()     {}
+func (settled) event()      {}
+func (stopping) event()     {}
+func (closing) event()      {}
--- /dev/null
+++ b/internal/owner/evict.go
@@ -0,0 +1,61 @@
+package owner
+
+import (
+	"math"
+	"time"
+
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// victim returns the idle loaded adapter with the least predicted use, never one in use, awaited or foreign.
+func (s *State) victim(now time.Time) *slot {
+	var worst *slot
+	worstRate := math.Inf(1)
+	for _, sl := range s.slots {
+		if sl.phase != loaded || sl.inUse > 0 || sl.foreign || now.Before(sl.busyUntil) || s.awaited(sl.ref) {
+			continue
+		}
+		r := s.worth(now, sl.ref)
+		if r < worstRate || (r == worstRate && sl.ref.String() < worst.ref.String()) {
+			worst, worstRate = sl, r
+		}
+	}
+	return worst
+}
+
+func (s *State) worth(now time.Time, ref resource.Ref) float64 {
+	if s.cfg.Worth != nil {
+		return s.cfg.Worth(ref, now)
+	}
+	return s.rateAt(now, ref)
+}
+
+func (s *State) awaited(ref resource.Ref) bool {
+	return s.wanted[ref] > 0
+}
+
+// touch adds one use to the decayed rate of ref.
+func (s *State) touch(now time.Time, ref resource.Ref) {
+	if len(s.rates) >= maxRememberedRates {
+		s.forgetRates(now)
+	}
+	s.rates[ref] = rate{value: s.rateAt(now, ref) + 1, at: now}
+}
+
+func (s *State) rateAt(now time.Time, ref resource.Ref) float64 {
+	r := s.rates[ref]
+	return r.value * math.Exp2(-float64(now.Sub(r.at))/float64(s.cfg.HalfLife))
+}
+
+// forgetRates drops the adapters that have not been used for some half-lives.
+func (s *State) forgetRates(now time.Time) {
+	const negligible = 0.5
+	for ref := range s.rates {
+		if s.rateAt(now, ref) < negligible {
+			delete(s.rates, ref)
+		}
+	}
+	if len(s.rates) >= maxRememberedRates {
+		clear(s.rates)
+	}
+}
--- /dev/null
+++ b/internal/owner/order.go
@@ -0,0 +1,86 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/loads"
+)
+
+func (r *Runner) askPermit(ctx context.Context, a AskPermit) {
+	ctx, cancel := context.WithDeadline(ctx, a.StartBy)
+	defer cancel()
+	p, err := r.cfg.Loads.Acquire(ctx, loads.Need{Engine: r.cfg.Name, Urgency: a.Urgency, StartBy: a.StartBy, Waiters: a.Waiters})
+	if err != nil {
+		r.post(permitDenied{a.Ref})
+		return
+	}
+	r.post(permitGiven{a.Ref, p})
+}
+
+func (r *Runner) load(ctx context.Context, l Load, permit loads.Permit) {
+	err := r.order(ctx, engine.Order{Action: engine.ActionLoad, Model: l.Ref.String(), Weights: l.Weights})
+	permit(true)
+	r.count("loads", err)
+	r.post(loadEnded{l.Ref, err})
+}
+
+func (r *Runner) unload(ctx context.Context, u Unload) {
+	err := r.order(ctx, engine.Order{Action: engine.ActionUnload, Model: u.Ref.String()})
+	r.count("unloads", err)
+	r.post(unloadEnded{u.Ref, err})
+}
+
+func (r *Runner) count(name string, err error) {
+	r.cfg.Scope.Counter(name).Inc(1)
+	if err != nil {
+		r.cfg.Scope.Counter(name + "_failed").Inc(1)
+		klog.ErrorS(err, "order failed", "engine", r.cfg.Name, "order", name)
+	}
+}
+
+var errNoAuthority = errors.New("owner: no authority to give orders now")
+
+// order gives one order. An order may be repeated: engines take a load of what is loaded and an unload of what is not as done.
+func (r *Runner) order(ctx context.Context, o engine.Order) error {
+	var err error
+	for range orderAttempts {
+		epoch, ok := r.cfg.Authority(time.Now())
+		if !ok {
+			r.cfg.Scope.Counter("orders_withheld").Inc(1)
+			return errNoAuthority
+		}
+		o.Epoch = epoch
+		err = r.cfg.Client.Give(ctx, r.cfg.Engine.Address, o)
+		var refused *engine.OrderRefusedError
+		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
+			return err
+		}
+		r.cfg.Scope.Counter("order_retries").Inc(1)
+		time.Sleep(orderPause)
+	}
+	return err
+}
+
+// poll asks the engine for reports.
+func (r *Runner) poll(ctx context.Context) error {
+	tick := time.NewTicker(reportEvery)
+	defer tick.Stop()
+	for {
+		rep, err := r.cfg.Client.Report(ctx, r.cfg.Engine.Address)
+		if err != nil {
+			r.cfg.Scope.Counter("report_failures").Inc(1)
+		} else {
+			r.post(reported{rep})
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,64 +46,6 @@
 	Scope     tally.Scope
 }
 
-// verdict is the answer to a submitted ticket.
-type verdict struct {
-	stalled time.Duration
-	err     *result.Error
-}
-
-// event is an input of the loop. It is sealed.
-type event interface{ event() }
-
-type submitted struct {
-	ticket Ticket
-	reply  chan verdict
-}
-
-type canceled struct{ id uint64 }
-
-type ended struct {
-	id  uint64
-	end End
-}
-
-type permitGiven struct {
-	ref    resource.Ref
-	permit loads.Permit
-}
-
-type permitDenied struct{ ref resource.Ref }
-
-type loadEnded struct {
-	ref resource.Ref
-	err error
-}
-
-type unloadEnded struct {
-	ref resource.Ref
-	err error
-}
-
-type reported struct{ report engine.Report }
-
-type settled struct{}
-
-type stopping struct{}
-
-type closing struct{ closed bool }
-
-func (submitted) event()    {}
-func (canceled) event()     {}
-func (ended) event()        {}
-func (permitGiven) event()  {}
-func (permitDenied) event() {}
-func (loadEnded) event()    {}
-func (unloadEnded) event()  {}
-func (reported) event()     {}
-func (settled) event()      {}
-func (stopping) event()     {}
-func (closing) event()      {}
-
 // Runner carries out the decisions of one State. Its loop is the only user of the State.
 type Runner struct {
 	cfg    RunnerConfig
@@ -122,6 +63,7 @@
 	permits     []loads.Permit
 	incarnation string
 	foreign     bool
+	reconciler  *reconciler
 	orders      *errgroup.Group
 
 	mu     sync.Mutex
@@ -143,7 +85,7 @@
 	return &Runner{
 		cfg: cfg, events: make(chan event, eventRing), done: make(chan struct{}),
 		state:   New(Config{Slots: cfg.Engine.Slots, Batch: cfg.Engine.Batch, MaxQueue: cfg.MaxQueue, Pack: cfg.Pack}),
-		replies: map[uint64]chan verdict{}, foreign: true, orders: &errgroup.Group{},
+		replies: map[uint64]chan verdict{}, foreign: true, reconciler: newReconciler(), orders: &errgroup.Group{},
 		status: Status{Engine: cfg.Name},
 	}
 }
@@ -194,9 +136,10 @@
 
 // Grant lets one request run on the engine until it is released.
 type Grant struct {
-	// Address and Stalled tell where it runs and how long it waited for its adapter.
-	Engine  resource.Engine
-	Name    string
+	// Engine and Name tell where it runs.
+	Engine resource.Engine
+	Name   string
+	// Stalled is how long it waited for its adapter.
 	Stalled time.Duration
 	id      uint64
 	runner  *Runner
@@ -331,10 +274,10 @@
 	}
 }
 
-// report corrects the state: a new incarnation is empty, and the first report of a new owner shows what is loaded.
+// report corrects the state: a new incarnation is empty, the first report shows what is loaded, later ones correct what steadily differs.
 func (r *Runner) report(now time.Time, rep engine.Report) []Action {
 	if r.incarnation == rep.Incarnation {
-		return nil
+		return r.reconcile(now, rep)
 	}
 	var out []Action
 	if r.incarnation != "" {
@@ -343,16 +286,21 @@
 		out = r.state.Restarted(now)
 	}
 	r.incarnation = rep.Incarnation
-	var refs []resource.Ref
-	for _, m := range rep.Loaded {
-		if ref, err := resource.ParseRef(m); err == nil {
-			refs = append(refs, ref)
-		}
-	}
-	r.state.Adopt(refs, r.foreign)
+	r.state.Adopt(refsOf(rep), r.foreign)
 	return append(out, r.state.Tick(now)...)
 }
 
+func (r *Runner) reconcile(now time.Time, rep engine.Report) []Action {
+	adopt, gone := r.reconciler.compare(r.state, rep)
+	if len(adopt)+len(gone) == 0 {
+		return nil
+	}
+	klog.InfoS("engine differs from what was known", "engine", r.cfg.Name, "unknown", adopt, "gone", gone)
+	r.cfg.Scope.Counter("engine_corrections").Inc(int64(len(adopt) + len(gone)))
+	r.state.Adopt(adopt, r.foreign)
+	return r.state.Lost(now, gone)
+}
+
 func (r *Runner) carryOut(ctx context.Context, actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
@@ -394,80 +342,6 @@
 	return p
 }
 
-func (r *Runner) askPermit(ctx context.Context, a AskPermit) {
-	ctx, cancel := context.WithDeadline(ctx, a.StartBy)
-	defer cancel()
-	p, err := r.cfg.Loads.Acquire(ctx, loads.Need{Engine: r.cfg.Name, Urgency: a.Urgency, StartBy: a.StartBy, Waiters: a.Waiters})
-	if err != nil {
-		r.post(permitDenied{a.Ref})
-		return
-	}
-	r.post(permitGiven{a.Ref, p})
-}
-
-func (r *Runner) load(ctx context.Context, l Load, permit loads.Permit) {
-	err := r.order(ctx, engine.Order{Action: engine.ActionLoad, Model: l.Ref.String(), Weights: l.Weights})
-	permit(true)
-	r.count("loads", err)
-	r.post(loadEnded{l.Ref, err})
-}
-
-func (r *Runner) unload(ctx context.Context, u Unload) {
-	err := r.order(ctx, engine.Order{Action: engine.ActionUnload, Model: u.Ref.String()})
-	r.count("unloads", err)
-	r.post(unloadEnded{u.Ref, err})
-}
-
-func (r *Runner) count(name string, err error) {
-	r.cfg.Scope.Counter(name).Inc(1)
-	if err != nil {
-		r.cfg.Scope.Counter(name + "_failed").Inc(1)
-		klog.ErrorS(err, "order failed", "engine", r.cfg.Name, "order", name)
-	}
-}
-
-var errNoAuthority = errors.New("owner: no authority to give orders now")
-
-// order gives one order. An order may be repeated: engines take a load of what is loaded and an unload of what is not as done.
-func (r *Runner) order(ctx context.Context, o engine.Order) error {
-	var err error
-	for range orderAttempts {
-		epoch, ok := r.cfg.Authority(time.Now())
-		if !ok {
-			r.cfg.Scope.Counter("orders_withheld").Inc(1)
-			return errNoAuthority
-		}
-		o.Epoch = epoch
-		err = r.cfg.Client.Give(ctx, r.cfg.Engine.Address, o)
-		var refused *engine.OrderRefusedError
-		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
-			return err
-		}
-		r.cfg.Scope.Counter("order_retries").Inc(1)
-		time.Sleep(orderPause)
-	}
-	return err
-}
-
-// poll asks the engine for reports.
-func (r *Runner) poll(ctx context.Context) error {
-	tick := time.NewTicker(reportEvery)
-	defer tick.Stop()
-	for {
-		rep, err := r.cfg.Client.Report(ctx, r.cfg.Engine.Address)
-		if err != nil {
-			r.cfg.Scope.Counter("report_failures").Inc(1)
-		} else {
-			r.post(reported{rep})
-		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
 func (r *Runner) show() {
 	_, ok := r.cfg.Authority(time.Now())
 	st := Status{Engine: r.cfg.Name, InFlight: r.state.InFlight(), Waiting: r.state.Waiting(), Loaded: r.state.LoadedNames(), Frozen: !ok}
--- /dev/null
+++ b/internal/owner/schedule.go
@@ -0,0 +1,84 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// flush starts what can start, refuses what cannot make it, asks for permits that are needed, and returns all actions.
+func (s *State) flush(now time.Time) []Action {
+	s.keep(func(t Ticket) bool {
+		switch {
+		case len(s.running) < s.cfg.Batch && s.Holds(t.Ref) && !s.held(now, t):
+			s.start(t)
+		case !now.Before(t.StartBy):
+			s.refuse(t, result.New(result.DeadlineUnmet, "waited %s", now.Sub(t.Arrived).Round(time.Millisecond)))
+		default:
+			return true
+		}
+		return false
+	})
+	s.askPermits(now)
+	out := s.out
+	s.out = nil
+	return out
+}
+
+// held reports whether a ticket waits for urgent work to run beside.
+func (s *State) held(now time.Time, t Ticket) bool {
+	return s.cfg.Pack && t.Urgency == 0 && s.urgent == 0 && now.Sub(t.Arrived) < packHold && now.Before(t.StartBy.Add(-packHold))
+}
+
+func (s *State) start(t Ticket) {
+	sl := s.slots[t.Ref]
+	sl.inUse++
+	s.running[t.ID] = started{sl, t.Urgency}
+	if t.Urgency > 0 {
+		s.urgent++
+	}
+	// The part of the wait that passed before the adapter was ready is a load stall.
+	s.emit(Start{Ticket: t, Stalled: max(0, sl.readyAt.Sub(t.Arrived))})
+}
+
+// askPermits asks once for each missing adapter, and again if it has become more urgent.
+func (s *State) askPermits(now time.Time) {
+	if s.stopped || len(s.waiting) == 0 || (len(s.slots) >= s.cfg.Slots && s.victim(now) == nil) {
+		return
+	}
+	for _, t := range s.waiting {
+		asked, ok := s.asked[t.Ref]
+		if (ok && asked >= t.Urgency) || !s.missing(now, t.Ref) {
+			continue
+		}
+		if len(s.asked) >= maxAsked && !ok {
+			return
+		}
+		s.asked[t.Ref] = t.Urgency
+		s.emit(AskPermit{Ref: t.Ref, Urgency: t.Urgency, StartBy: t.StartBy, Waiters: s.wanted[t.Ref]})
+	}
+}
+
+// mostUrgentMissing returns the first waiting ticket whose adapter is neither loaded nor on its way.
+func (s *State) mostUrgentMissing(now time.Time) (Ticket, bool) {
+	for _, t := range s.waiting {
+		if s.missing(now, t.Ref) {
+			return t, true
+		}
+	}
+	return Ticket{}, false
+}
+
+func (s *State) missing(now time.Time, ref resource.Ref) bool {
+	return s.slots[ref] == nil && !s.failing(now, ref) && !s.onItsWay(ref)
+}
+
+func (s *State) onItsWay(ref resource.Ref) bool {
+	for _, sl := range s.slots {
+		if sl.next != nil && sl.next.Ref == ref {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -43,65 +42,6 @@
 	Worth func(ref resource.Ref, now time.Time) float64
 }
 
-// Ticket is a request that waits for the engine.
-type Ticket struct {
-	ID      uint64
-	Ref     resource.Ref
-	Weights string
-	// Urgency orders tickets, higher first.
-	Urgency int
-	Arrived time.Time
-	// StartBy is the latest useful start.
-	StartBy time.Time
-	// Last says that no other engine will be tried after this one.
-	Last bool
-}
-
-// Action is what the caller of State has to do. It is sealed.
-type Action interface{ action() }
-
-// Start lets a ticket run.
-type Start struct {
-	Ticket Ticket
-	// Stalled is how long the ticket waited for its adapter to be loaded.
-	Stalled time.Duration
-}
-
-// Refuse ends a ticket that has not run.
-type Refuse struct {
-	Ticket Ticket
-	Err    *result.Error
-}
-
-// AskPermit asks for one load from the weight store's budget. The permit may be used for another adapter that is more urgent when it comes.
-type AskPermit struct {
-	Ref     resource.Ref
-	Urgency int
-	StartBy time.Time
-	Waiters int
-}
-
-// Load orders the engine to load an adapter; a permit is held for it.
-type Load struct {
-	Ref     resource.Ref
-	Weights string
-}
-
-// Unload orders the engine to drop an idle adapter.
-type Unload struct {
-	Ref resource.Ref
-}
-
-// ReturnPermit gives back a permit that is not needed.
-type ReturnPermit struct{}
-
-func (Start) action()        {}
-func (Refuse) action()       {}
-func (AskPermit) action()    {}
-func (Load) action()         {}
-func (Unload) action()       {}
-func (ReturnPermit) action() {}
-
 type phase int
 
 const (
@@ -201,6 +141,30 @@
 	return s.flush(now)
 }
 
+// Knows reports whether ref takes a slot or is about to.
+func (s *State) Knows(ref resource.Ref) bool { return s.slots[ref] != nil || s.onItsWay(ref) }
+
+// Held returns the loaded adapters.
+func (s *State) Held() []resource.Ref {
+	var refs []resource.Ref
+	for ref, sl := range s.slots {
+		if sl.phase == loaded {
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+// Lost says that the engine does not hold refs; those in use are left to the requests' own ends.
+func (s *State) Lost(now time.Time, refs []resource.Ref) []Action {
+	for _, ref := range refs {
+		if sl := s.slots[ref]; sl != nil && sl.phase == loaded && sl.inUse == 0 {
+			delete(s.slots, ref)
+		}
+	}
+	return s.flush(now)
+}
+
 // Submit adds a ticket.
 func (s *State) Submit(now time.Time, t Ticket) []Action {
 	s.touch(now, t.Ref)
@@ -473,132 +437,3 @@
 		cmp.Compare(b.Urgency, a.Urgency), a.StartBy.Compare(b.StartBy), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID),
 	)
 }
-
-// flush starts what can start, refuses what cannot make it, asks for permits that are needed, and returns all actions.
-func (s *State) flush(now time.Time) []Action {
-	s.keep(func(t Ticket) bool {
-		switch {
-		case len(s.running) < s.cfg.Batch && s.Holds(t.Ref) && !s.held(now, t):
-			s.start(t)
-		case !now.Before(t.StartBy):
-			s.refuse(t, result.New(result.DeadlineUnmet, "waited %s", now.Sub(t.Arrived).Round(time.Millisecond)))
-		default:
-			return true
-		}
-		return false
-	})
-	s.askPermits(now)
-	out := s.out
-	s.out = nil
-	return out
-}
-
-// held reports whether a ticket waits for urgent work to run beside.
-func (s *State) held(now time.Time, t Ticket) bool {
-	return s.cfg.Pack && t.Urgency == 0 && s.urgent == 0 && now.Sub(t.Arrived) < packHold && now.Before(t.StartBy.Add(-packHold))
-}
-
-func (s *State) start(t Ticket) {
-	sl := s.slots[t.Ref]
-	sl.inUse++
-	s.running[t.ID] = started{sl, t.Urgency}
-	if t.Urgency > 0 {
-		s.urgent++
-	}
-	// The part of the wait that passed before the adapter was ready is a load stall.
-	s.emit(Start{Ticket: t, Stalled: max(0, sl.readyAt.Sub(t.Arrived))})
-}
-
-// askPermits asks once for each missing adapter, and again if it has become more urgent.
-func (s *State) askPermits(now time.Time) {
-	if s.stopped || len(s.waiting) == 0 || (len(s.slots) >= s.cfg.Slots && s.victim(now) == nil) {
-		return
-	}
-	for _, t := range s.waiting {
-		asked, ok := s.asked[t.Ref]
-		if (ok && asked >= t.Urgency) || !s.missing(now, t.Ref) {
-			continue
-		}
-		if len(s.asked) >= maxAsked && !ok {
-			return
-		}
-		s.asked[t.Ref] = t.Urgency
-		s.emit(AskPermit{Ref: t.Ref, Urgency: t.Urgency, StartBy: t.StartBy, Waiters: s.wanted[t.Ref]})
-	}
-}
-
-// mostUrgentMissing returns the first waiting ticket whose adapter is neither loaded nor on its way.
-func (s *State) mostUrgentMissing(now time.Time) (Ticket, bool) {
-	for _, t := range s.waiting {
-		if s.missing(now, t.Ref) {
-			return t, true
-		}
-	}
-	return Ticket{}, false
-}
-
-func (s *State) missing(now time.Time, ref resource.Ref) bool {
-	return s.slots[ref] == nil && !s.failing(now, ref) && !s.onItsWay(ref)
-}
-
-func (s *State) onItsWay(ref resource.Ref) bool {
-	for _, sl := range s.slots {
-		if sl.next != nil && sl.next.Ref == ref {
-			return true
-		}
-	}
-	return false
-}
-
-// victim returns the idle loaded adapter with the least predicted use, never one in use, awaited or foreign.
-func (s *State) victim(now time.Time) *slot {
-	var worst *slot
-	worstRate := math.Inf(1)
-	for _, sl := range s.slots {
-		if sl.phase != loaded || sl.inUse > 0 || sl.foreign || now.Before(sl.busyUntil) || s.awaited(sl.ref) {
-			continue
-		}
-		r := s.worth(now, sl.ref)
-		if r < worstRate || (r == worstRate && sl.ref.String() < worst.ref.String()) {
-			worst, worstRate = sl, r
-		}
-	}
-	return worst
-}
-
-func (s *State) worth(now time.Time, ref resource.Ref) float64 {
-	if s.cfg.Worth != nil {
-		return s.cfg.Worth(ref, now)
-	}
-	return s.rateAt(now, ref)
-}
-
-func (s *State) awaited(ref resource.Ref) bool {
-	return s.wanted[ref] > 0
-}
-
-// touch adds one use to the decayed rate of ref.
-func (s *State) touch(now time.Time, ref resource.Ref) {
-	if len(s.rates) >= maxRememberedRates {
-		s.forgetRates(now)
-	}
-	s.rates[ref] = rate{value: s.rateAt(now, ref) + 1, at: now}
-}
-
-func (s *State) rateAt(now time.Time, ref resource.Ref) float64 {
-	r := s.rates[ref]
-	return r.value * math.Exp2(-float64(now.Sub(r.at))/float64(s.cfg.HalfLife))
-}
-
-// forgetRates drops the adapters that have not been used for some half-lives.
-func (s *State) forgetRates(now time.Time) {
-	const negligible = 0.5
-	for ref := range s.rates {
-		if s.rateAt(now, ref) < negligible {
-			delete(s.rates, ref)
-		}
-	}
-	if len(s.rates) >= maxRememberedRates {
-		clear(s.rates)
-	}
-}
