Long answers over a hop, callers that go, and engines declared anew

Cause: read as a newcomer would, three places looked wrong, and a test for each showed that they were. (1) The watch that ends a hop while the owner is silent was stopped when the body was asked for and set again by the very same 100 Continue, which the transport also shows as an informational response. Every answer that is not streamed and takes more than 1.5 s was cut: "answer_lost … context canceled". TestLongAnswerOverAHop failed, and passes now. (2) A caller that went away while its request waited on another box made that box suspected, and locate left it out for 3 s. (3) An owner kept the address, slots and batch that an engine was declared with when it took the engine over: an accepted change was never in force there. A runner is now started anew, and unloads nothing until what the former one started has ended; a stream in the middle of the move ends whole. Without the change the test did not end in 20 s.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -228,7 +228,7 @@
 	b.gateway.RegisterPeer(peerMux)
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.feed.IsReady,
-		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.inFlight, Scope: b.metrics.Scope,
+		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope,
 		Record: records,
 	})
 	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
@@ -283,7 +283,8 @@
 // Done is closed when Run has ended.
 func (b *Box) Done() <-chan struct{} { return b.done }
 
-func (b *Box) inFlight() int { return b.gateway.InFlight() + b.owners.InFlight() }
+// InFlight returns the requests in flight through this box and on its engines.
+func (b *Box) InFlight() int { return b.gateway.InFlight() + b.owners.InFlight() }
 
 // Run serves until ctx ends, then leaves: it takes nothing new, hands its engines over and finishes what is in flight.
 func (b *Box) Run(ctx context.Context) error {
@@ -324,13 +325,13 @@
 	defer tick.Stop()
 	for {
 		handedOver := len(b.owners.Status()) == 0 || time.Since(began) > 2*timing.Term
-		if handedOver && b.inFlight() == 0 {
+		if handedOver && b.InFlight() == 0 {
 			return
 		}
 		select {
 		case <-tick.C:
 		case <-limit.C:
-			klog.InfoS("leaving with requests in flight", "in_flight", b.inFlight())
+			klog.InfoS("leaving with requests in flight", "in_flight", b.InFlight())
 			return
 		case <-ctx.Done():
 			return
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -72,11 +73,15 @@
 	if err != nil {
 		return nil, result.New(result.BadRequest, "%v", err)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	hopCtx, cancel := context.WithCancel(ctx)
 	body := &onceBody{r: bytes.NewReader(j.body)}
-	resp, rerr := g.sendHop(ctx, cancel, e, head, body, int64(len(j.body)))
+	resp, rerr := g.sendHop(hopCtx, cancel, e, head, body, int64(len(j.body)))
 	if rerr != nil {
 		cancel()
+		if ctx.Err() != nil {
+			// That the caller went says nothing of the owner.
+			return nil, result.New(result.CallerGone, "%v", context.Cause(ctx))
+		}
 		return nil, rerr
 	}
 	g.cfg.Scope.Counter("hops").Inc(1)
@@ -93,10 +98,13 @@
 	// The watch ends the call while the body is unread; once the body is asked for the owner may take its time.
 	watch := time.AfterFunc(aliveWithin, cancel)
 	defer watch.Stop()
-	trace := &httptrace.ClientTrace{
-		Got1xxResponse: func(int, textproto.MIMEHeader) error { watch.Reset(aliveWithin); return nil },
-		Got100Continue: func() { watch.Stop() },
-	}
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(code int, _ textproto.MIMEHeader) error {
+		watch.Stop()
+		if code != http.StatusContinue {
+			watch.Reset(aliveWithin)
+		}
+		return nil
+	}}
 	ctx = httptrace.WithClientTrace(ctx, trace)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+e.Owner.Peer.String()+pathRun, body)
 	if err != nil {
@@ -107,7 +115,9 @@
 	req.Header.Set(headerHop, string(head))
 	resp, err := g.cfg.Hop.Do(req)
 	if err != nil {
-		g.suspects.add(e.Owner.Box)
+		if !watch.Stop() || !errors.Is(err, context.Canceled) {
+			g.suspects.add(e.Owner.Box)
+		}
 		if body.read.Load() {
 			return nil, result.New(result.AnswerLost, "box %s: %v", e.Owner.Box, err)
 		}
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -43,18 +43,26 @@
 	Serving *resource.Serving
 }
 
-// runnerConfig returns the part of a Runner's configuration that is declared.
-func (d Declared) runnerConfig() RunnerConfig {
+// terms is the part of a Runner's configuration that operators declare.
+type terms struct {
+	engine   resource.Engine
+	maxQueue int
+	pack     bool
+}
+
+func (d Declared) terms() terms {
 	if d.Serving == nil {
-		return RunnerConfig{Engine: d.Engine, MaxQueue: defaultMaxQueue}
+		return terms{engine: d.Engine, maxQueue: defaultMaxQueue}
 	}
-	return RunnerConfig{Engine: d.Engine, MaxQueue: d.Serving.MaxQueue, Pack: d.Serving.StallWeight < packBelow}
+	return terms{engine: d.Engine, maxQueue: d.Serving.MaxQueue, pack: d.Serving.StallWeight < packBelow}
 }
 
 // owned is an engine that this box owns or has requests in flight on.
 type owned struct {
 	runner *Runner
 	token  suture.ServiceToken
+	// terms are those that the runner was started with.
+	terms terms
 	// epoch is that of the grant.
 	epoch uint64
 	// settled says that the previous owner has nothing in flight any more.
@@ -113,7 +121,7 @@
 // hold starts the runner of a granted engine, and settles it once its previous owner is done.
 func (s *Set) hold(g coordinator.Ownership) {
 	o, ok := s.owned[g.Engine]
-	if ok && o.runner.ended() {
+	if ok && (o.runner.ended() || s.redeclared(g.Engine, o)) {
 		s.lose(g.Engine, o)
 		ok = false
 	}
@@ -132,6 +140,12 @@
 	}
 }
 
+// redeclared reports whether what is declared for an engine has changed since its runner started.
+func (s *Set) redeclared(name string, o *owned) bool {
+	now, ok := s.cfg.Lookup(name)
+	return ok && now.terms() != o.terms
+}
+
 // drains reports whether a former runner of this box has requests in flight on the engine.
 func (s *Set) drains(engine string) bool {
 	return slices.ContainsFunc(s.draining, func(o *owned) bool { return o.runner.cfg.Name == engine })
@@ -142,11 +156,14 @@
 	if !ok {
 		return nil
 	}
-	cfg := declared.runnerConfig()
-	cfg.Name, cfg.Client, cfg.Loads, cfg.Scope = g.Engine, s.cfg.Client, s.cfg.Loads, s.cfg.Scope
-	cfg.Authority = func(now time.Time) (uint64, bool) { return s.cfg.Authority(cfg.Name, now) }
+	t := declared.terms()
+	name := g.Engine
+	cfg := RunnerConfig{
+		Name: name, Engine: t.engine, MaxQueue: t.maxQueue, Pack: t.pack, Client: s.cfg.Client, Loads: s.cfg.Loads, Scope: s.cfg.Scope,
+		Authority: func(now time.Time) (uint64, bool) { return s.cfg.Authority(name, now) },
+	}
 	r := NewRunner(cfg)
-	o := &owned{runner: r, epoch: g.Epoch}
+	o := &owned{runner: r, epoch: g.Epoch, terms: t}
 	o.token = s.cfg.Supervisor.Add(r)
 	s.owned[cfg.Name] = o
 	return o
