A hand-over no longer lets the new owner unload what the old one serves

Cause: reading coordinator.settlePrevious, one heartbeat looked too early. A box offers an engine, and its next heartbeat, sent before it has heard that the engine is gone, lists nothing as draining; the coordinator took that as "nothing in flight" and told the new owner that it may unload. The same holds for a frozen owner's first heartbeat after it wakes.

Proof: TestHandOverKeepsAdaptersInUseLoaded, one slot, owner stopped in a stream, successor asked for another adapter. Before: "unloaded while serving: [boundary@3]", in the first run. After: no violation.

Change: a former owner counts as done only when it lists the engine neither as owned nor as draining. That alone left the engine closed for the whole drain time after a planned stop, as the box went before it had said so; a leaving box now waits until the cell's map no longer names it, at most two terms after its last request, and gives the coordinator's lease up when it goes. A new coordinator also keeps the last map's list of leaving boxes.

Ruled out: the owner's own counts (the state machine test holds), the engine stand-in (the unload order was given).

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -312,20 +312,21 @@
 	return err
 }
 
-// leave waits until nothing is in flight and all engines have another owner, at most the time for leaving.
-// Handing over may take two terms; after that there is nobody to take the engines.
+// leave waits until nothing is in flight and the cell knows that, at most the time for leaving.
+// Handing over may take two terms from then on; after that there is nobody to take the engines.
 func (b *Box) leave(ctx context.Context) {
 	timing := b.cfg.Settings.Timing
 	klog.InfoS("leaving", "box", b.cfg.Settings.Box.Name)
 	b.node.Leave()
-	began := time.Now()
 	limit := time.NewTimer(timing.Leave)
 	defer limit.Stop()
 	tick := time.NewTicker(leavePoll)
 	defer tick.Stop()
+	idleSince := time.Now()
 	for {
-		handedOver := len(b.owners.Status()) == 0 || time.Since(began) > 2*timing.Term
-		if handedOver && b.InFlight() == 0 {
+		if b.InFlight() > 0 {
+			idleSince = time.Now()
+		} else if b.node.HandedOver() || time.Since(idleSince) > 2*timing.Term {
 			return
 		}
 		select {
--- a/internal/box/takeover_test.go
+++ b/internal/box/takeover_test.go
@@ -54,3 +54,31 @@
 func (f *fleet) askAt(p *process, body string, header ...string) answer {
 	return f.send(http.MethodPost, "http://"+p.address.String()+"/v1/completions", strings.NewReader(body), header...)
 }
+
+// TestHandOverKeepsAdaptersInUseLoaded stops the owner of an engine with one slot in the middle of a stream, and asks its successor for another adapter.
+func TestHandOverKeepsAdaptersInUseLoaded(t *testing.T) {
+	c := qt.New(t)
+	slow := fakeengine.Config{Slots: 1, Batch: 4, Step: 50 * time.Millisecond}
+	f := startFleet(c, fleetConfig{boxes: 2, engines: []fakeengine.Config{slow}})
+	f.declareAdapter("other@1")
+	owner, other := f.boxes[0], f.boxes[1]
+	if f.boxes[0].Topology().Engines["engine-1"].Owner.Caller != owner.CallerAddress() {
+		owner, other = other, owner
+	}
+	var group errgroup.Group
+	var kept answer
+	group.Go(func() error {
+		kept = f.ask(owner, "/v1/completions", completion(modelName, 100, true))
+		return nil
+	})
+	f.until(func() bool { return f.engines[0].Report().Running == 1 })
+	owner.stop()
+	var a answer
+	f.until(func() bool {
+		a = f.ask(other, "/v1/completions", completion("other@1", 1, false), "Bellgap-Timeout", "300ms")
+		return a.status == http.StatusOK
+	})
+	c.Assert(group.Wait(), qt.IsNil)
+	c.Check(strings.HasSuffix(kept.body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", kept.body))
+	c.Check(invariant.NeverUnloadedInUse(f.engines[0].History().Violations), qt.IsNil)
+}
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -28,7 +28,8 @@
 	Member
 	seen     time.Time
 	released []Release
-	draining []string
+	// busy lists the engines that the box owns, as far as it knows, or still has requests in flight on.
+	busy []string
 }
 
 // State is the coordinator's state. One goroutine uses it.
@@ -51,7 +52,7 @@
 
 // New returns a State that continues from the cell's last published map.
 func New(cfg Config, last Map) *State {
-	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}}
+	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, leaving: last.Leaving}
 	for _, m := range last.Members {
 		s.members[m.Box] = &member{Member: m, seen: cfg.Started}
 	}
@@ -79,10 +80,12 @@
 		// The old process may be frozen rather than gone: it counts as silent, not as drained.
 		s.forget(now, m.Box, m.seen.Add(s.cfg.Term), m.Box+"/"+m.Incarnation)
 	}
-	s.members[b.Member.Box] = &member{Member: b.Member, seen: now, released: b.Released, draining: b.Draining}
+	busy := slices.Clone(b.Draining)
 	for _, o := range b.Owned {
+		busy = append(busy, o.Engine)
 		s.adopt(o)
 	}
+	s.members[b.Member.Box] = &member{Member: b.Member, seen: now, released: b.Released, busy: busy}
 }
 
 // forget takes the engines from a box; they may be given on from until.
@@ -139,13 +142,14 @@
 	}
 }
 
-// settlePrevious clears the previous owner once nothing it sent can be in flight.
+// settlePrevious clears the previous owner once nothing it sent can be in flight. That it lists the engine as owned still means
+// that it has not heard of its loss yet, and so has not said what it has in flight.
 func (s *State) settlePrevious(now time.Time, o *Ownership) {
 	if o.Previous == "" {
 		return
 	}
 	m := s.members[o.Previous]
-	drained := m != nil && m.seen.After(s.freedAt[o.Engine]) && !slices.Contains(m.draining, o.Engine)
+	drained := m != nil && m.seen.After(s.freedAt[o.Engine]) && !slices.Contains(m.busy, o.Engine)
 	if drained || now.Sub(s.freedAt[o.Engine]) > s.cfg.Term+s.cfg.Drain {
 		o.Previous = ""
 		delete(s.freedAt, o.Engine)
--- a/internal/coordinator/state_test.go
+++ b/internal/coordinator/state_test.go
@@ -70,3 +70,37 @@
 	s.Tick(now, engines)
 	c.Check(s.Map().Owners[0], qt.Equals, again)
 }
+
+// TestPreviousOwnerIsSettledOnlyByWord hands an engine over while its old owner has requests in flight.
+func TestPreviousOwnerIsSettledOnlyByWord(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := coordinator.New(coordinator.Config{Cell: "c", Term: 4 * time.Second, Drain: time.Hour, Started: now.Add(-time.Minute)}, coordinator.Map{})
+	engines := []coordinator.Engine{{Name: "engine-1", Zone: "a"}}
+	old := coordinator.Beat{Member: coordinator.Member{Box: "box-1", Incarnation: "i"}}
+	s.Beat(now, old)
+	s.Tick(now, engines)
+	granted := s.Map().Owners[0]
+	s.Beat(now, coordinator.Beat{Member: coordinator.Member{Box: "box-2", Incarnation: "j"}})
+	old.Member.Leaving = true
+	old.Owned = []coordinator.Ownership{granted}
+	old.Released = []coordinator.Release{{Engine: "engine-1", Epoch: granted.Epoch}}
+	for _, step := range []struct {
+		name     string
+		owned    []coordinator.Ownership
+		draining []string
+		previous string
+	}{
+		{"has offered it", old.Owned, nil, "box-1"},
+		{"has not heard yet", old.Owned, nil, "box-1"},
+		{"has requests in flight", nil, []string{"engine-1"}, "box-1"},
+		{"is done", nil, nil, ""},
+	} {
+		now = now.Add(time.Second)
+		old.Owned, old.Draining = step.owned, step.draining
+		s.Beat(now, old)
+		s.Tick(now, engines)
+		c.Check(s.Map().Owners[0].Owner, qt.Equals, "box-2", qt.Commentf(step.name))
+		c.Check(s.Map().Owners[0].Previous, qt.Equals, step.previous, qt.Commentf(step.name))
+	}
+}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -189,9 +189,30 @@
 		n.round(ctx)
 		n.rest(ctx)
 	}
+	n.giveUp(ctx)
 	return ctx.Err()
 }
 
+// giveUp ends this box's tenure when it leaves, so that no other box has to wait for it to run out.
+func (n *Node) giveUp(ctx context.Context) {
+	if n.coordinating() == nil || !n.Leaving() || !n.lease.Ours() {
+		return
+	}
+	ctx, cancel := n.limit(context.WithoutCancel(ctx))
+	defer cancel()
+	if err := n.lease.GiveUp(ctx); err != nil {
+		klog.InfoS("lease not given up", "cell", n.cfg.Cell, "err", err)
+	}
+}
+
+// HandedOver reports whether the cell's map names this box neither as an owner nor as one that may have requests in flight.
+func (n *Node) HandedOver() bool {
+	m, _, _ := n.cfg.Catalog.Map(n.cfg.Cell)
+	return !slices.ContainsFunc(m.Owners, func(o coordinator.Ownership) bool {
+		return o.Owner == n.cfg.Self.Box || o.Previous == n.cfg.Self.Box
+	})
+}
+
 // rest waits for the next round, which comes early when a new map gives this box an engine that it has no grant for.
 func (n *Node) rest(ctx context.Context) {
 	jitter := time.Duration(rand.Int64N(int64(n.cfg.Timing.Beat/10) + 1))
