--- a/internal/box/harness_test.go
+++ b/internal/box/harness_test.go
@@ -122,7 +122,7 @@
 	return s
 }
 
-func (f *fleet) addBox(name string) *running {
+func (f *fleet) addBox(name string) {
 	b, err := box.New(box.Config{Settings: f.settings(name)})
 	f.c.Assert(err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -133,7 +133,6 @@
 		cancel()
 		f.c.Check(r.group.Wait(), qt.IsNil)
 	})
-	return r
 }
 
 // settle waits until every box knows all boxes and an owner for each engine.
