One engine client a box, direct look-up of a resource, dead counters gone

Cause: reading the whole change again. A box built two engine clients and so two sets of connections to the same engines; reading one resource listed and sorted its whole kind (13,000 entries) to find it; the names of loaded adapters were collected beside the list of loaded adapters; the benchmark kept a count that nothing read and passed a code that nothing used.

Change: one client, Catalog.Resource, LoadedNames on top of Held, the dead pieces removed. Behaviour stays.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -57,6 +57,7 @@
 	metrics   *metric.Metrics
 	catalog   *catalog.Catalog
 	feed      *feed.Feed
+	engines   *engine.Client
 	scheduler *loads.Local
 	loads     *loads.Shared
 	owners    *owner.Set
@@ -77,7 +78,8 @@
 	}
 	b := &Box{
 		cfg: cfg, done: make(chan struct{}), listeners: ls, metrics: metric.New(cfg.Settings.Box.Name), catalog: catalog.New(),
-		root: suture.New("box", suture.Spec{EventHook: logEvent}),
+		engines: engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
+		root:    suture.New("box", suture.Spec{EventHook: logEvent}),
 	}
 	api := platform.NewClient(platform.ClientConfig{
 		Address: cfg.Settings.Platform.Address.String(), HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
@@ -138,7 +140,7 @@
 func (b *Box) buildOwners() {
 	b.owners = owner.NewSet(owner.SetConfig{
 		Supervisor: b.root, Loads: b.loads, Scope: b.metrics.Scope,
-		Client:    engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
+		Client:    b.engines,
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
 		Lookup:    b.lookupEngine,
 		Leaving:   func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
@@ -205,7 +207,7 @@
 	s := b.cfg.Settings
 	b.gateway = gateway.New(gateway.Config{
 		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Record: records, Scope: b.metrics.Scope, NewID: rand.Text,
-		Engines:      engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
+		Engines:      b.engines,
 		Hop:          &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
 		Services:     &http.Client{Transport: httpx.NewTransport(connsPerService), CheckRedirect: noRedirect},
 		ServicesOnce: &http.Client{Transport: httpx.NewOnceTransport(), CheckRedirect: noRedirect},
--- a/internal/catalog/lookup.go
+++ b/internal/catalog/lookup.go
@@ -70,6 +70,15 @@
 	Version  int64             `json:"version"`
 }
 
+// Resource returns one held resource.
+func (c *Catalog) Resource(kind resource.Kind, name string) (Item, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	e := c.entries[string(kind)][name]
+	s, ok := e.value.(resource.Spec)
+	return Item{resource.Resource{Kind: kind, Name: name, Spec: s}, e.version}, ok
+}
+
 // Resources returns the resources of a kind whose names start with prefix, ordered by name.
 func (c *Catalog) Resources(kind resource.Kind, prefix string) []Item {
 	c.mu.RLock()
--- a/internal/operator/resources.go
+++ b/internal/operator/resources.go
@@ -53,13 +53,12 @@
 		return
 	}
 	name := r.PathValue("name")
-	for _, it := range o.cfg.Catalog.Resources(kind, name) {
-		if it.Resource.Name == name {
-			httpx.WriteJSON(w, http.StatusOK, it)
-			return
-		}
+	it, ok := o.cfg.Catalog.Resource(kind, name)
+	if !ok {
+		o.fail(w, result.New(result.NoSuchResource, "%s %s", kind, name))
+		return
 	}
-	o.fail(w, result.New(result.NoSuchResource, "%s %s", kind, name))
+	httpx.WriteJSON(w, http.StatusOK, it)
 }
 
 // handlePut creates or changes a resource. With ?expect=VERSION it does so only if that is the present version (0: there is none);
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -361,10 +361,8 @@
 // LoadedNames returns the loaded adapters in order.
 func (s *State) LoadedNames() []string {
 	names := make([]string, 0, len(s.slots))
-	for ref, sl := range s.slots {
-		if sl.phase == loaded {
-			names = append(names, ref.String())
-		}
+	for _, ref := range s.Held() {
+		names = append(names, ref.String())
 	}
 	slices.Sort(names)
 	return names
--- a/internal/policybench/result.go
+++ b/internal/policybench/result.go
@@ -5,8 +5,6 @@
 	"io"
 	"slices"
 	"time"
-
-	"github.com/bellgap/bellgap/internal/result"
 )
 
 // Result is what a run measured.
@@ -56,7 +54,7 @@
 	}
 }
 
-func (o *Result) refused(p *pending, _ result.Code, waited time.Duration) {
+func (o *Result) refused(p *pending, waited time.Duration) {
 	o.Refused++
 	if p.urgent {
 		o.RefusedUrgent++
--- a/internal/policybench/run.go
+++ b/internal/policybench/run.go
@@ -119,7 +119,6 @@
 	request
 	id     uint64
 	left   []*worker
-	hops   int
 	urgent bool
 }
 
@@ -339,13 +338,12 @@
 func (r *run) refuse(a owner.Refuse) {
 	p := r.pending[a.Ticket.ID]
 	if len(p.left) > 0 && a.Err.Code != result.DeadlineUnmet {
-		p.hops++
 		r.out.Hops++
 		r.offer(p)
 		return
 	}
 	delete(r.pending, p.id)
-	r.out.refused(p, a.Err.Code, r.now.Sub(a.Ticket.Arrived))
+	r.out.refused(p, r.now.Sub(a.Ticket.Arrived))
 }
 
 func (r *run) ask(w *worker, a owner.AskPermit) {
