--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -41,11 +41,15 @@
 	// endpointWait bounds a watch of the endpoints: a path that has fallen silent is noticed that much later.
 	endpointWait = 2 * time.Second
 	// quietWait is how long watches of kinds that seldom change wait. They are given up early when another call fails.
-	quietWait = 10 * time.Second
+	quietWait = 6 * time.Second
 	// orderMargin is added to the gap between two owners' orders, for messages on their way.
 	orderMargin = 200 * time.Millisecond
-	// lastRefusal is how long before the end a leaving box takes no new request: most plain ones take less.
-	lastRefusal = 500 * time.Millisecond
+	// silentBeats is how many heartbeats a box may miss before callers are not sent to it.
+	silentBeats = 3
+	// lastRefusal is how long before the end a leaving box takes no new request: plain ones have 1.5 s at most.
+	lastRefusal = 1700 * time.Millisecond
+	// killMargin is how long before the platform kills it a leaving box is gone.
+	killMargin = 500 * time.Millisecond
 )
 
 // Deployment is what a platform's adapter gives a routed box.
@@ -190,7 +194,7 @@
 			Box: s.Box.Name, Zone: s.Box.Zone, Incarnation: rand.Text(), Caller: addressOf(b.listeners.caller), Peer: addressOf(b.listeners.peer),
 		},
 		Timing: member.Timing{
-			Beat: t.Beat, LeaseTTL: t.LeaseTTL, Term: t.Term, Drain: t.Drain, OrderGap: t.OrderGap + orderMargin, Reclaim: t.Reclaim,
+			Beat: t.Beat, LeaseTTL: t.LeaseTTL, Term: t.Term, Drain: t.Drain, SilentAfter: silentBeats * t.Beat, OrderGap: t.OrderGap + orderMargin, Reclaim: t.Reclaim,
 		},
 	})
 }
@@ -268,7 +272,7 @@
 	var staying, all []netip.AddrPort
 	for _, m := range b.catalog.Topology().Boxes {
 		all = append(all, m.Caller)
-		if !m.Leaving {
+		if !m.Leaving && !m.Silent {
 			staying = append(staying, m.Caller)
 		}
 	}
@@ -318,7 +322,7 @@
 	began := time.Now()
 	tick := time.NewTicker(leavePoll)
 	defer tick.Stop()
-	for time.Since(began) < timing.Leave {
+	for time.Since(began) < timing.Leave-killMargin {
 		if time.Since(began) >= timing.Linger && b.InFlight() == 0 {
 			break
 		}
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -26,6 +26,8 @@
 	Caller  netip.AddrPort `json:"caller"`
 	Peer    netip.AddrPort `json:"peer"`
 	Leaving bool           `json:"leaving,omitempty"`
+	// Silent says that the box has missed some heartbeats: callers are not sent there, but its engines are still its own.
+	Silent bool `json:"silent,omitempty"`
 }
 
 // Ownership says which box owns an engine.
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -18,6 +18,8 @@
 	Lease uint64
 	// Term is how long a grant holds after the beat that asked for it was sent.
 	Term time.Duration
+	// SilentAfter is how long a box may say nothing before it is shown as silent; zero never shows it.
+	SilentAfter time.Duration
 	// Drain is how long, after its term, a silent box may still have requests in flight: serve-on time and longest request.
 	Drain time.Duration
 	// OrderGap is the least time between the last order of one owner and the first of the next, for engines that check no
@@ -38,6 +40,11 @@
 	busy []string
 }
 
+// silent reports whether a member has missed its heartbeats.
+func (c *Config) silent(now time.Time, m *member) bool {
+	return c.SilentAfter > 0 && now.Sub(m.seen) > c.SilentAfter
+}
+
 // State is the coordinator's state. One goroutine uses it.
 type State struct {
 	cfg     Config
@@ -54,6 +61,8 @@
 	published    Map
 	hasPublished bool
 	epoch        uint64
+	// now is the time of the last Tick, as of which silent boxes are shown.
+	now time.Time
 	// leaving holds the boxes that the platform says are leaving.
 	leaving []string
 }
@@ -144,6 +153,7 @@
 // Tick drops silent members and assigns the cell's engines.
 func (s *State) Tick(now time.Time, engines []Engine) {
 	s.dropSilent(now)
+	s.now = now
 	s.zones = map[string]string{}
 	for _, e := range engines {
 		s.zones[e.Name] = e.Zone
@@ -271,7 +281,7 @@
 func (s *State) live() []string {
 	var boxes []string
 	for b, m := range s.members {
-		if !m.Leaving && !slices.Contains(s.leaving, b) {
+		if !m.Leaving && !slices.Contains(s.leaving, b) && !s.cfg.silent(s.now, m) {
 			boxes = append(boxes, b)
 		}
 	}
@@ -334,6 +344,7 @@
 	for _, m := range s.members {
 		shown := m.Member
 		shown.Leaving = shown.Leaving || slices.Contains(s.leaving, m.Box)
+		shown.Silent = s.cfg.silent(s.now, m)
 		mp.Members = append(mp.Members, shown)
 	}
 	slices.SortFunc(mp.Members, func(a, b Member) int { return cmp.Compare(a.Box, b.Box) })
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -53,6 +53,9 @@
 	maxBackoff = time.Second
 )
 
+// errWoken ends a watch that is to be begun again because another call has shown that it may hear nothing.
+var errWoken = errors.New("follow: woken")
+
 // Follower is the part that follows, with a goroutine for each kind.
 type Follower struct {
 	cfg   Config
@@ -114,7 +117,12 @@
 			backoff = minBackoff
 			f.store.answered(time.Now())
 		case errors.Is(err, platform.ErrGone):
-			k.revision = 0
+			klog.InfoS("history gone; listing", "kind", k.Name, "revision", k.revision)
+			k.revision, k.listed = 0, false
+			pause = 0
+			// What one kind missed the others may have missed too, and their watches may never hear of it.
+			f.store.wakeAll()
+		case errors.Is(err, errWoken):
 			pause = 0
 		case ctx.Err() == nil:
 			f.store.failed(time.Now(), k.Name, err)
@@ -130,7 +138,7 @@
 
 // step makes one call: a list until there has been one, then watches.
 func (f *Follower) step(ctx context.Context, k *kindState) error {
-	if k.revision == 0 {
+	if !k.listed {
 		return f.list(ctx, k)
 	}
 	f.cfg.Scope.Counter("follow_watches").Inc(1)
@@ -141,6 +149,9 @@
 	waiting, cancel := f.store.whileThere(ctx)
 	defer cancel()
 	ch, err := f.cfg.Source.Watch(waiting, []string{k.Name}, k.revision, wait)
+	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+		return errWoken
+	}
 	if err != nil {
 		return err
 	}
@@ -166,6 +177,7 @@
 		}
 	}
 	f.apply(k, k.replace(time.Now(), all, f.graceUntil(k)))
+	k.listed = true
 	f.noteListed(k.Name)
 	return nil
 }
@@ -181,6 +193,7 @@
 func (f *Follower) apply(k *kindState, ch platform.Changes) {
 	k.revision = max(k.revision, ch.Revision)
 	if len(ch.Objects) > 0 {
+		klog.V(2).InfoS("objects changed", "kind", k.Name, "revision", ch.Revision, "changes", len(ch.Objects))
 		f.cfg.Catalog.Apply(ch)
 	}
 }
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -9,8 +9,9 @@
 // kindState is what a follower knows of one kind. One goroutine uses it.
 type kindState struct {
 	Kind
-	// revision is that up to which the kind is known, zero if it has to be listed.
+	// revision is that up to which the kind is known once it has been listed.
 	revision int64
+	listed   bool
 	known    map[string]bool
 	// missing holds objects that were removed shortly after an outage, with the time at which that is believed.
 	missing map[string]time.Time
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -50,11 +50,22 @@
 		return
 	}
 	s.away, s.since = true, now
+	s.wake()
+	s.scope.Counter("store_lost").Inc(1)
+	klog.InfoS("store lost", "kind", kind, "err", err)
+}
+
+// wakeAll ends all waiting calls.
+func (s *storeState) wakeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.wake()
+}
+
+func (s *storeState) wake() {
 	for _, cancel := range s.waiting {
 		cancel()
 	}
-	s.scope.Counter("store_lost").Inc(1)
-	klog.InfoS("store lost", "kind", kind, "err", err)
 }
 
 // answered notes a call that was answered.
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -88,7 +88,7 @@
 	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch)
 	return coordinator.New(coordinator.Config{
 		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
-		OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim,
+		SilentAfter: n.cfg.Timing.SilentAfter, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim,
 	}, last), nil
 }
 
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -40,9 +40,10 @@
 	Term time.Duration
 	// Drain is how long after its term a silent box may have requests in flight.
 	Drain time.Duration
-	// OrderGap and Reclaim are as in coordinator.Config.
-	OrderGap time.Duration
-	Reclaim  bool
+	// SilentAfter, OrderGap and Reclaim are as in coordinator.Config.
+	SilentAfter time.Duration
+	OrderGap    time.Duration
+	Reclaim     bool
 }
 
 // DefaultTiming returns the periods for boxes about a millisecond apart.
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -7,6 +7,7 @@
 
 	"github.com/thejerf/suture/v4"
 	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/loads"
@@ -172,11 +173,13 @@
 	o := &owned{runner: r, epoch: g.Epoch, terms: t}
 	o.token = s.cfg.Supervisor.Add(r)
 	s.owned[cfg.Name] = o
+	klog.InfoS("engine owned", "engine", name, "epoch", g.Epoch, "previous", g.Previous)
 	return o
 }
 
 func (s *Set) lose(name string, o *owned) {
 	o.runner.Stop()
+	klog.InfoS("engine given up", "engine", name, "epoch", o.epoch, "in_flight", o.runner.InFlight())
 	delete(s.owned, name)
 	s.draining = append(s.draining, o)
 }
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -13,8 +13,9 @@
 
 // Defaults of Config.
 const (
-	defaultHalfLife    = 10 * time.Minute
-	defaultLoadTime    = 500 * time.Millisecond
+	defaultHalfLife = 10 * time.Minute
+	// defaultLoadTime is expected of an adapter's load until one has been seen: engines load one in 250 ms.
+	defaultLoadTime    = 280 * time.Millisecond
 	defaultBackoff     = time.Second
 	maxBackoff         = time.Minute
 	brokenLinger       = 5 * time.Second
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -47,7 +47,8 @@
 	if !s.fits(t) {
 		wait += fullWait
 	}
-	return max(wait, s.loadWait(now, t))
+	// The longer queue counts half again: work that is sent past it also slows those who are in it.
+	return max(wait, s.loadWait(now, t)) + wait/2
 }
 
 // loadWait returns how long the adapter of a ticket takes to be there.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -22,6 +22,9 @@
 	// acceptShare is the part of the objective up to which an expected wait is accepted at once; beyond it all candidates
 	// are compared.
 	acceptShare = 0.2
+	// orderBias is the wait that a place in the order is worth: without it, differences between guesses would scatter an
+	// adapter's requests over all engines.
+	orderBias = 15 * time.Millisecond
 	// urgencies turns a rank, 0 first, into an urgency, higher first.
 	urgencies = 10
 )
@@ -56,6 +59,7 @@
 	var shortest time.Duration
 	for i := range candidates {
 		c := &candidates[i]
+		q.asked++
 		got, rerr := r.acquire(ctx, c, ask)
 		if rerr == nil {
 			return got, nil
@@ -64,8 +68,11 @@
 			return nil, rerr
 		}
 		last = rerr
-		if rerr.Code == result.TryNext && rerr.RetryAfter > 0 && (best == nil || rerr.RetryAfter < shortest) {
-			best, shortest = c, rerr.RetryAfter
+		if rerr.Code != result.TryNext || rerr.RetryAfter <= 0 {
+			continue
+		}
+		if wait := rerr.RetryAfter + time.Duration(i)*orderBias; best == nil || wait < shortest {
+			best, shortest = c, wait
 		}
 	}
 	if best != nil {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"net/textproto"
 	"strings"
+	"time"
 
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/result"
@@ -66,11 +67,13 @@
 	r.cfg.Wire.WriteAttempt(out.Header, a)
 	out.Body, out.ContentLength = unrepeatable{bytes.NewReader(q.body)}, int64(len(q.body))
 	q.arrivals++
+	q.endpoint, q.waited = to.name, time.Since(q.came)
 	sent := httpx.TraceSent(out)
 	resp, err := r.cfg.Endpoints.Do(sent.Request)
 	if err != nil {
 		return nil, r.sendError(ctx, sent.Started(), err)
 	}
+	q.first = time.Since(q.came)
 	if rerr := r.checkAnswer(q, resp); rerr != nil {
 		// Closing without reading ends the connection, so that nothing of it is taken for another answer.
 		_ = resp.Body.Close()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,12 @@
 	// sent counts the endpoints that may have run it, arrivals all that it was sent to.
 	sent     int
 	arrivals int
+	// endpoint is the last one it was sent to, asked counts the owners asked for it, waited and first are the times from its
+	// coming until it was sent and until the head of the answer came.
+	endpoint string
+	asked    int
+	waited   time.Duration
+	first    time.Duration
 }
 
 // left returns what is left of the request's time.
@@ -228,7 +234,7 @@
 		name = q.route.Name
 	}
 	klog.V(1).InfoS("request", "request", q.head.ID, "route", name, "service", q.service, "adapter", q.head.Adapter,
-		"result", rerr.Code.String(), "detail", rerr.Detail, "arrivals", q.arrivals, "took", time.Since(q.came))
+		"result", rerr.Code.String(), "detail", rerr.Detail, "arrivals", q.arrivals, "engine", q.endpoint, "asked", q.asked, "waited", q.waited, "first", q.first, "took", time.Since(q.came))
 }
 
 // output is the answer to a caller.
