--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -246,6 +246,12 @@
 	}
 }
 
+// CallerAddress returns where callers connect.
+func (b *Routed) CallerAddress() netip.AddrPort { return addressOf(b.listeners.caller) }
+
+// DirectoryAddress returns where callers ask for addresses.
+func (b *Routed) DirectoryAddress() netip.AddrPort { return addressOf(b.directory) }
+
 // Done is closed when Run has ended.
 func (b *Routed) Done() <-chan struct{} { return b.done }
 
@@ -279,7 +285,7 @@
 	if len(staying) == 0 {
 		staying = all
 	}
-	self := addressOf(b.listeners.caller)
+	self := b.CallerAddress()
 	if b.leavingFor() == 0 && !slices.Contains(staying, self) && b.Ready() {
 		staying = append(staying, self)
 	}
--- a/internal/owner/evict.go
+++ b/internal/owner/evict.go
@@ -12,7 +12,7 @@
 	var worst *slot
 	worstRate := math.Inf(1)
 	for _, sl := range s.slots {
-		if sl.phase != loaded || sl.inUse > 0 || sl.foreign || now.Before(sl.busyUntil) || s.awaited(sl.ref) {
+		if !s.evictable(now, sl) {
 			continue
 		}
 		r := s.worth(now, sl.ref)
@@ -23,6 +23,10 @@
 	return worst
 }
 
+func (s *State) evictable(now time.Time, sl *slot) bool {
+	return sl.phase == loaded && sl.inUse == 0 && !sl.foreign && !now.Before(sl.busyUntil) && !s.awaited(sl.ref)
+}
+
 func (s *State) worth(now time.Time, ref resource.Ref) float64 {
 	if s.cfg.Worth != nil {
 		return s.cfg.Worth(ref, now)
--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -78,7 +78,8 @@
 }
 
 func (s *State) missing(now time.Time, ref resource.Ref) bool {
-	return !ref.IsBase() && s.slots[ref] == nil && !s.failing(now, ref) && !s.onItsWay(ref)
+	sl := s.slots[ref]
+	return !ref.IsBase() && (sl == nil || sl.phase == doubtful) && !s.failing(now, ref) && !s.onItsWay(ref)
 }
 
 func (s *State) onItsWay(ref resource.Ref) bool {
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -4,9 +4,11 @@
 
 import (
 	"cmp"
+	"errors"
 	"slices"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -26,6 +28,8 @@
 	crowdedShare = 4
 	// maxAsked bounds the adapters for which permits are asked at once.
 	maxAsked = 8
+	// doubtTime is how long an order without an answer may still be carried out: engines have been seen to take up to 12 s.
+	doubtTime = 15 * time.Second
 )
 
 // Config configures a State.
@@ -58,6 +62,8 @@
 	loading phase = iota
 	loaded
 	unloading
+	// doubtful: a load ended without an answer; the engine may hold the adapter, now or in a while.
+	doubtful
 )
 
 // slot is an adapter that takes a slot of the engine.
@@ -136,7 +142,7 @@
 func (s *State) Adopt(refs []resource.Ref, foreign bool) {
 	s.blind = false
 	for _, r := range refs {
-		if s.slots[r] == nil {
+		if sl := s.slots[r]; sl == nil || sl.phase == doubtful {
 			s.slots[r] = &slot{ref: r, phase: loaded, foreign: foreign}
 		}
 	}
@@ -161,7 +167,10 @@
 }
 
 // Knows reports whether ref takes a slot or is about to.
-func (s *State) Knows(ref resource.Ref) bool { return s.slots[ref] != nil || s.onItsWay(ref) }
+func (s *State) Knows(ref resource.Ref) bool {
+	sl := s.slots[ref]
+	return (sl != nil && sl.phase != doubtful) || s.onItsWay(ref)
+}
 
 // Held returns the loaded adapters.
 func (s *State) Held() []resource.Ref {
@@ -192,10 +201,8 @@
 		s.refuse(t, result.New(result.NotOwner, "the engine is being handed over"))
 	case s.closed:
 		s.refuse(t, result.New(result.TryNext, "the engine's box is leaving"))
-	case s.tooSlow(now, t):
-		s.refuseSlow(now, t)
-	case !t.Last && s.crowded(now, t):
-		s.refuse(t, result.New(result.TryNext, "another engine can start it sooner"))
+	case !t.Last && (s.tooSlow(now, t) || s.crowded(now, t)):
+		s.sendOn(now, t)
 	case len(s.waiting) >= s.cfg.MaxQueue:
 		s.refuseWorst(t)
 	case s.failing(now, t.Ref):
@@ -280,14 +287,11 @@
 		return s.flush(now)
 	}
 	load := Load{Ref: t.Ref, Weights: t.Weights}
-	if old := s.replaced(t.Ref); old != nil {
-		delete(s.slots, old.ref)
-	}
 	if len(s.slots) < s.cfg.Slots {
 		s.beginLoad(now, load)
 		return s.flush(now)
 	}
-	victim := s.victim(now)
+	victim := s.victimFor(now, t.Ref)
 	if victim == nil {
 		s.emit(ReturnPermit{})
 		return s.flush(now)
@@ -297,17 +301,28 @@
 	return s.flush(now)
 }
 
-// replaced returns the loaded version of an adapter that a load of ref replaces, if there is one.
-func (s *State) replaced(ref resource.Ref) *slot {
+// victimFor returns the adapter that makes way for ref: an idle former version of it, else the least useful one.
+func (s *State) victimFor(now time.Time, ref resource.Ref) *slot {
+	for _, sl := range s.formerVersions(ref) {
+		if s.evictable(now, sl) {
+			return sl
+		}
+	}
+	return s.victim(now)
+}
+
+// formerVersions returns the loaded versions of an adapter that a load of ref replaces.
+func (s *State) formerVersions(ref resource.Ref) []*slot {
 	if !s.cfg.FinishesFirst {
 		return nil
 	}
+	var former []*slot
 	for _, sl := range s.slots {
-		if sl.ref.Adapter == ref.Adapter && sl.phase == loaded {
-			return sl
+		if sl.ref.Adapter == ref.Adapter && sl.ref != ref && sl.phase == loaded {
+			former = append(former, sl)
 		}
 	}
-	return nil
+	return former
 }
 
 // Denied says that no permit will come for ref; it may be asked for again.
@@ -351,17 +366,39 @@
 		return s.flush(now)
 	}
 	if err != nil {
-		delete(s.slots, ref)
+		s.endLoad(now, sl, err)
 		s.fail(now, ref)
 		return s.flush(now)
 	}
 	delete(s.failures, ref)
 	sl.phase, sl.readyAt = loaded, now
+	for _, former := range s.formerVersions(ref) {
+		delete(s.slots, former.ref)
+	}
 	took := now.Sub(sl.loadAt)
 	s.loadTime += time.Duration(loadTimeSmoothing * float64(took-s.loadTime))
 	return s.flush(now)
 }
 
+// endLoad takes a load back that has failed. Unless the engine refused it, it may still be carried out, and the slot counts.
+func (s *State) endLoad(now time.Time, sl *slot, err error) {
+	var refused *engine.OrderRefusedError
+	if s.cfg.FinishesFirst && !errors.As(err, &refused) && !errors.Is(err, errNoAuthority) {
+		sl.phase, sl.busyUntil = doubtful, now.Add(doubtTime)
+		return
+	}
+	delete(s.slots, sl.ref)
+}
+
+// dropDoubts frees the slots of loads that can no longer be carried out.
+func (s *State) dropDoubts(now time.Time) {
+	for ref, sl := range s.slots {
+		if sl.phase == doubtful && !now.Before(sl.busyUntil) {
+			delete(s.slots, ref)
+		}
+	}
+}
+
 // Stop refuses all that waits and takes nothing more, before the engine is handed over.
 func (s *State) Stop(now time.Time) []Action {
 	s.stopped = true
@@ -385,7 +422,10 @@
 }
 
 // Tick refuses what can no longer start in time.
-func (s *State) Tick(now time.Time) []Action { return s.flush(now) }
+func (s *State) Tick(now time.Time) []Action {
+	s.dropDoubts(now)
+	return s.flush(now)
+}
 
 // InFlight returns how many started tickets have not ended.
 func (s *State) InFlight() int { return len(s.running) }
--- a/internal/owner/state_test.go
+++ b/internal/owner/state_test.go
@@ -273,3 +273,101 @@
 	c.Assert(ok, qt.IsTrue)
 	c.Check(started.Ticket.ID, qt.Equals, uint64(4))
 }
+
+// discovered returns a state as a discovered engine's owner has it, with nothing loaded.
+func discovered(slots int) *owner.State {
+	s := owner.New(owner.Config{Slots: slots, Batch: 4, MaxQueue: 16, FinishesFirst: true, AwaitReport: true, PrefillRate: 1000, KVTokens: 1000})
+	s.Adopt(nil, false)
+	return s
+}
+
+func actionsOf[T owner.Action](actions []owner.Action) []T {
+	var out []T
+	for _, a := range actions {
+		if t, ok := a.(T); ok {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// TestUnansweredLoadKeepsItsSlot: a load whose answer was lost may be carried out seconds later, so its slot is not given to another adapter.
+func TestUnansweredLoadKeepsItsSlot(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(1)
+	s.Submit(now, owner.Ticket{ID: 1, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Assert(actionsOf[owner.Load](s.Granted(now, ref(1))), qt.HasLen, 1)
+	s.Loaded(now, ref(1), errors.New("no answer"))
+	now = now.Add(5 * time.Second)
+	s.Submit(now, owner.Ticket{ID: 2, Ref: ref(2), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Check(actionsOf[owner.Load](s.Granted(now, ref(2))), qt.HasLen, 0)
+	now = now.Add(11 * time.Second)
+	c.Check(actionsOf[owner.AskPermit](s.Tick(now)), qt.HasLen, 1)
+	c.Check(actionsOf[owner.Load](s.Granted(now, ref(2))), qt.HasLen, 1)
+}
+
+// TestReplacedVersionKeepsItsSlotUntilTheNewOneIsThere: both count while the old one's runs go on.
+func TestReplacedVersionKeepsItsSlotUntilTheNewOneIsThere(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(2)
+	first, second, other := resource.Ref{Adapter: "a", Version: "1"}, resource.Ref{Adapter: "a", Version: "2"}, ref(9)
+	s.Adopt([]resource.Ref{first}, false)
+	c.Assert(actionsOf[owner.Start](s.Submit(now, owner.Ticket{ID: 1, Ref: first, Arrived: now, StartBy: now.Add(time.Minute)})), qt.HasLen, 1)
+	s.Submit(now, owner.Ticket{ID: 2, Ref: second, Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Assert(actionsOf[owner.Load](s.Granted(now, second)), qt.HasLen, 1)
+	s.Submit(now, owner.Ticket{ID: 3, Ref: other, Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Check(actionsOf[owner.Load](s.Granted(now, other)), qt.HasLen, 0)
+	c.Check(actionsOf[owner.Start](s.Loaded(now, second, nil)), qt.HasLen, 1)
+	c.Check(s.Holds(first), qt.IsFalse)
+	c.Check(actionsOf[owner.Load](s.Granted(now, other)), qt.HasLen, 1)
+}
+
+// TestNothingIsLoadedBeforeTheFirstReport: what the engine holds is not known yet.
+func TestNothingIsLoadedBeforeTheFirstReport(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := owner.New(owner.Config{Slots: 1, Batch: 1, MaxQueue: 4, AwaitReport: true})
+	actions := s.Submit(now, owner.Ticket{ID: 1, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Check(actionsOf[owner.AskPermit](actions), qt.HasLen, 0)
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	c.Check(actionsOf[owner.Start](s.Tick(now)), qt.HasLen, 1)
+}
+
+// TestExpectedWait sends a ticket on with the wait that it would have here.
+func TestExpectedWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ask := func(prompt int, accept time.Duration) owner.Ticket {
+		return owner.Ticket{ID: 99, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: prompt, Accept: accept}
+	}
+	for _, tt := range []struct {
+		name string
+		busy int
+		ask  owner.Ticket
+		want time.Duration
+	}{
+		{"free", 0, ask(100, 100*time.Millisecond), 0},
+		{"a prompt of 200 ms ahead, half again as its weight", 200, ask(100, 100*time.Millisecond), 300 * time.Millisecond},
+		{"as long as is accepted", 200, ask(100, 300*time.Millisecond), 0},
+		{"the cache is full", 950, ask(100, 100*time.Millisecond), (950 + 200) * 3 / 2 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := discovered(2)
+			s.Adopt([]resource.Ref{ref(1)}, false)
+			if tt.busy > 0 {
+				s.Submit(now, owner.Ticket{ID: 1, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: tt.busy})
+			}
+			actions := s.Submit(now, tt.ask)
+			if tt.want == 0 {
+				c.Check(actionsOf[owner.Start](actions), qt.HasLen, 1)
+				return
+			}
+			refused := actionsOf[owner.Refuse](actions)
+			c.Assert(refused, qt.HasLen, 1)
+			c.Check(refused[0].Err.Code, qt.Equals, result.TryNext)
+			c.Check(refused[0].Err.RetryAfter, qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -59,7 +59,7 @@
 	if sl := s.slots[t.Ref]; sl != nil && sl.phase == loading {
 		return max(0, s.loadTime-now.Sub(sl.loadAt))
 	}
-	if s.replaced(t.Ref) == nil && len(s.slots) >= s.cfg.Slots {
+	if len(s.slots) >= s.cfg.Slots {
 		return s.loadTime + s.loadTime/2
 	}
 	return s.loadTime
@@ -67,12 +67,14 @@
 
 // tooSlow reports whether a ticket had better go on to its next engine.
 func (s *State) tooSlow(now time.Time, t Ticket) bool {
-	return t.Accept > 0 && !t.Last && s.expectedWait(now, t) > t.Accept
+	return t.Accept > 0 && s.expectedWait(now, t) > t.Accept
 }
 
-// refuseSlow sends a ticket on and tells what wait was expected, so that the asker can come back to the shortest.
-func (s *State) refuseSlow(now time.Time, t Ticket) {
-	err := result.New(result.TryNext, "the first token would come later than elsewhere")
-	err.RetryAfter = max(time.Millisecond, s.expectedWait(now, t))
+// sendOn sends a ticket on and tells, if it named a wait, what was expected, so that the asker can come back to the shortest.
+func (s *State) sendOn(now time.Time, t Ticket) {
+	err := result.New(result.TryNext, "another engine can start it sooner")
+	if t.Accept > 0 {
+		err.RetryAfter = max(time.Millisecond, s.expectedWait(now, t))
+	}
 	s.refuse(t, err)
 }
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -25,6 +25,9 @@
 	// orderBias is the wait that a place in the order is worth: without it, differences between guesses would scatter an
 	// adapter's requests over all engines.
 	orderBias = 15 * time.Millisecond
+	// ownerlessShare is the part of the objective for which a request looks for an owner, every ownerlessLook.
+	ownerlessShare = 0.5
+	ownerlessLook  = 60 * time.Millisecond
 	// urgencies turns a rank, 0 first, into an urgency, higher first.
 	urgencies = 10
 )
@@ -48,9 +51,35 @@
 	end func(owner.End)
 }
 
-// choose finds an engine for a request: the first candidate that expects to start it soon, else the one that expects to be
-// the soonest, else, where no owner answers, one that is listed as holding the adapter version.
+// choose finds an engine for a request. While no owner can be asked, as right after a start or between two owners, it looks again.
 func (r *Relay) choose(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosen, *result.Error) {
+	giveUp := q.came.Add(time.Duration(ownerlessShare * float64(q.route.Objective)))
+	for {
+		c, rerr := r.chooseNow(ctx, q, ref, avoid)
+		if rerr == nil || !ownerless(rerr) || !time.Now().Add(ownerlessLook).Before(giveUp) {
+			return c, rerr
+		}
+		select {
+		case <-time.After(ownerlessLook):
+		case <-ctx.Done():
+			return nil, result.New(result.CallerGone, "%v", context.Cause(ctx))
+		}
+	}
+}
+
+// ownerless reports whether a failure means that no owner could be asked.
+func ownerless(rerr *result.Error) bool {
+	switch rerr.Code {
+	case result.NotOwner, result.NoEngine, result.OwnerSilent:
+		return true
+	default:
+		return false
+	}
+}
+
+// chooseNow asks the candidates: the first candidate that expects to start it soon, else the one that expects to be
+// the soonest, else, where no owner answers, one that is listed as holding the adapter version.
+func (r *Relay) chooseNow(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosen, *result.Error) {
 	candidates := r.candidates(q, ref, avoid)
 	ask := r.ask(q, ref)
 	ask.Accept = time.Duration(acceptShare * float64(q.route.Objective))
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -217,7 +217,7 @@
 		r.cfg.Wire.WriteRetryAfter(w.Header(), wait)
 	}
 	status := info.Status
-	if info.Ran == result.RanNo && status >= http.StatusInternalServerError {
+	if info.Ran == result.RanNo && (status >= http.StatusInternalServerError || status == http.StatusMisdirectedRequest) {
 		status = http.StatusServiceUnavailable
 	}
 	rerr.WriteStatus(w, status, q.head.ID)
