A line for each decision, on standard output, never waiting

Lines went to standard error, a request's line named neither the owners asked nor their answers, and a blocked reader would have held requests up.

SIGHUP reads the settings again; the verbosity takes effect at once.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -112,7 +112,7 @@
 	scheduler := b.buildOwners(peers)
 	b.buildNode(peers)
 	b.buildRelay(grants)
-	b.serve(peers, grants, scheduler)
+	b.serve(grants, scheduler)
 	return b, nil
 }
 
@@ -205,11 +205,11 @@
 		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
 		Endpoints: &http.Client{Transport: httpx.NewTransport(connsPerEngine), CheckRedirect: noRedirect},
 		Budget:    relay.BudgetConfig{PerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxes},
-		Leaving:   b.leavingFor, LastStream: s.Timing.LastStream, LastRequest: max(0, s.Timing.Leave-lastRefusal),
+		StoreAge:  b.follower.StoreAge, Leaving: b.leavingFor, LastStream: s.Timing.LastStream, LastRequest: max(0, s.Timing.Leave-lastRefusal),
 	})
 }
 
-func (b *Routed) serve(peers *peer.Client, grants *grant.Client, scheduler *loads.Local) {
+func (b *Routed) serve(grants *grant.Client, scheduler *loads.Local) {
 	peerMux := http.NewServeMux()
 	peer.NewHandler(peer.HandlerConfig{
 		Catalog: b.catalog, Beat: b.node.HandleBeat, Permits: scheduler, NewID: rand.Text,
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -61,7 +61,7 @@
 		return err
 	}
 	if s.Platform.Form == settings.FormObjects {
-		return runRouted(ctx, s)
+		return runRouted(ctx, s, cmd.String("settings"))
 	}
 	b, err := box.New(box.Config{Settings: s})
 	if err != nil {
@@ -82,6 +82,19 @@
 	return fs.Set("v", strconv.Itoa(level))
 }
 
+// logTo sends every line to w, once.
+func logTo(w io.Writer) error {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	for _, f := range []struct{ name, value string }{{"logtostderr", "false"}, {"one_output", "true"}, {"stderrthreshold", "FATAL"}} {
+		if err := fs.Set(f.name, f.value); err != nil {
+			return err
+		}
+	}
+	klog.SetOutput(w)
+	return nil
+}
+
 // writeAddress writes the file whole or not at all.
 func writeAddress(path, text string) error {
 	const mode = 0o644
--- a/internal/cli/routed.go
+++ b/internal/cli/routed.go
@@ -12,6 +12,7 @@
 
 	"github.com/bellgap/bellgap/internal/box"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/logsink"
 	"github.com/bellgap/bellgap/internal/settings"
 	"github.com/bellgap/bellgap/platform"
 )
@@ -22,8 +23,24 @@
 	connsToWorker = 4
 )
 
-// runRouted runs a box on the platform that platform/ speaks to.
-func runRouted(ctx context.Context, s settings.Settings) error {
+// runRouted runs a box on the platform that platform/ speaks to, with its log on standard output.
+func runRouted(ctx context.Context, s settings.Settings, path string) error {
+	sink := logsink.New(logsink.Config{Out: os.Stdout})
+	if err := logTo(sink); err != nil {
+		return err
+	}
+	logging, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	var log errgroup.Group
+	log.Go(func() error { return sink.Serve(logging) })
+	err := serveRouted(ctx, s, path)
+	klog.InfoS("stopped", "box", s.Box.Name, "err", err, "lines_left_out", sink.Dropped())
+	stopLog()
+	// The sink ends with its context and has no other error.
+	_ = log.Wait()
+	return err
+}
+
+func serveRouted(ctx context.Context, s settings.Settings, path string) error {
 	store := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address, HTTP: &http.Client{Transport: httpx.NewTransport(connsToStore)}})
 	keep := s.Request.LocateKeep
 	b, err := box.NewRouted(box.RoutedConfig{Settings: s, Deployment: box.Deployment{
@@ -43,27 +60,41 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var group errgroup.Group
-	group.Go(func() error { watchReload(ctx); return nil })
+	group.Go(func() error { watchReload(ctx, s, path); return nil })
 	group.Go(func() error {
 		defer cancel()
 		return b.Run(ctx)
 	})
-	err = group.Wait()
-	klog.InfoS("stopped", "box", s.Box.Name, "err", err)
-	return err
+	return group.Wait()
 }
 
-// watchReload notes changes of the settings file. What a box is made of is set at its start.
-func watchReload(ctx context.Context) {
+// watchReload reads the settings file again when told. The log's verbosity takes effect at once; what a box is made of is set at
+// its start. A file that cannot be read leaves the settings in force.
+func watchReload(ctx context.Context, s settings.Settings, path string) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
 	for {
 		select {
 		case <-hup:
-			klog.InfoS("settings changed; they hold from the next start on")
+			s = reload(s, path)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
+
+func reload(s settings.Settings, path string) settings.Settings {
+	next, err := settings.Load(path)
+	if err != nil {
+		klog.ErrorS(err, "settings not reloaded; the last ones stay in force", "file", path)
+		return s
+	}
+	if next.Log.Level != s.Log.Level {
+		if err := setLog(next.Log.Level); err != nil {
+			klog.ErrorS(err, "verbosity not set", "level", next.Log.Level)
+		}
+	}
+	klog.InfoS("settings reloaded", "file", path, "level", next.Log.Level, "changed", next != s)
+	return next
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -193,11 +193,31 @@
 func (f *Follower) apply(k *kindState, ch platform.Changes) {
 	k.revision = max(k.revision, ch.Revision)
 	if len(ch.Objects) > 0 {
-		klog.V(2).InfoS("objects changed", "kind", k.Name, "revision", ch.Revision, "changes", len(ch.Objects))
+		changed, gone := told(ch.Objects)
+		klog.V(1).InfoS("objects changed", "kind", k.Name, "revision", ch.Revision, "changed", changed, "gone", gone)
 		f.cfg.Catalog.Apply(ch)
 	}
 }
 
+// maxNamesTold bounds the names in a line.
+const maxNamesTold = 8
+
+// told returns the names of objects for the log, bounded.
+func told(objects []platform.Object) (changed, gone []string) {
+	for _, o := range objects {
+		switch {
+		case o.Deleted && len(gone) < maxNamesTold:
+			gone = append(gone, o.Name)
+		case !o.Deleted && len(changed) < maxNamesTold:
+			changed = append(changed, o.Name)
+		}
+	}
+	return changed, gone
+}
+
+// StoreAge returns the time since the store last answered this box.
+func (f *Follower) StoreAge() time.Duration { return f.store.age(time.Now()) }
+
 func (f *Follower) noteListed(kind string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -15,6 +15,8 @@
 	mu    sync.Mutex
 	away  bool
 	since time.Time
+	// heard is when the store last answered.
+	heard time.Time
 	// back is when the last outage ended; zero if there has been none.
 	back time.Time
 	// waiting ends the calls that wait for changes.
@@ -72,6 +74,7 @@
 func (s *storeState) answered(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.heard = now
 	if !s.away {
 		return
 	}
@@ -89,3 +92,10 @@
 	}
 	return s.back
 }
+
+// age returns the time since the store last answered.
+func (s *storeState) age(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.heard)
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -88,8 +88,7 @@
 	var shortest time.Duration
 	for i := range candidates {
 		c := &candidates[i]
-		q.asked++
-		got, rerr := r.acquire(ctx, c, ask)
+		got, rerr := r.acquire(ctx, q, c, ask)
 		if rerr == nil {
 			return got, nil
 		}
@@ -106,13 +105,14 @@
 	}
 	if best != nil {
 		ask.Accept, ask.Last = 0, true
-		got, rerr := r.acquire(ctx, best, ask)
+		got, rerr := r.acquire(ctx, q, best, ask)
 		if rerr == nil {
 			return got, nil
 		}
 		return nil, rerr
 	}
 	if got := r.withoutOwner(candidates, ref); got != nil {
+		q.tried(got.name, "without owner")
 		return got, nil
 	}
 	return nil, last
@@ -174,8 +174,21 @@
 	return slices.Contains(e.Spec.Holds, ref.String())
 }
 
-// acquire asks a candidate's owner.
-func (r *Relay) acquire(ctx context.Context, c *candidate, a grant.Ask) (*chosen, *result.Error) {
+// acquire asks a candidate's owner and notes the answer.
+func (r *Relay) acquire(ctx context.Context, q *request, c *candidate, a grant.Ask) (*chosen, *result.Error) {
+	got, rerr := r.askOwner(ctx, c, a)
+	switch {
+	case rerr == nil:
+		q.tried(c.owner.Box+"/"+c.name, "granted")
+	case rerr.RetryAfter > 0:
+		q.tried(c.owner.Box+"/"+c.name, rerr.Code.String()+":"+rerr.RetryAfter.Round(time.Millisecond).String())
+	default:
+		q.tried(c.owner.Box+"/"+c.name, rerr.Code.String())
+	}
+	return got, rerr
+}
+
+func (r *Relay) askOwner(ctx context.Context, c *candidate, a grant.Ask) (*chosen, *result.Error) {
 	a.Engine = c.name
 	if runner, ok := r.cfg.Owners.Get(c.name); ok {
 		return r.acquireHere(ctx, runner, c, a)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -71,10 +71,13 @@
 	sent := httpx.TraceSent(out)
 	resp, err := r.cfg.Endpoints.Do(sent.Request)
 	if err != nil {
-		return nil, r.sendError(ctx, sent.Started(), err)
+		rerr := r.sendError(ctx, sent.Started(), err)
+		q.tried(to.name, rerr.Code.String())
+		return nil, rerr
 	}
 	q.first = time.Since(q.came)
 	if rerr := r.checkAnswer(q, resp); rerr != nil {
+		q.tried(to.name, rerr.Code.String()+":"+rerr.Detail)
 		// Closing without reading ends the connection, so that nothing of it is taken for another answer.
 		_ = resp.Body.Close()
 		return nil, rerr
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -52,6 +52,7 @@
 		}
 		// Looked up each time: a newer version may have been named meanwhile.
 		ref, version := r.refOf(q)
+		q.ref = ref.String()
 		c, rerr := r.choose(ctx, q, ref, avoid)
 		if rerr != nil {
 			if last == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,9 @@
 	"github.com/bellgap/bellgap/internal/route"
 )
 
+// maxTriesTold bounds the tries that the line of a request names.
+const maxTriesTold = 16
+
 // defaultBody bounds a body where the routing configuration sets no bound.
 const defaultBody = 4 << 20
 
@@ -46,6 +49,8 @@
 	Leaving     func() time.Duration
 	LastStream  time.Duration
 	LastRequest time.Duration
+	// StoreAge returns the time since the store last answered this box.
+	StoreAge func() time.Duration
 }
 
 // Relay serves callers.
@@ -55,11 +60,12 @@
 	health   *health
 	suspects *suspects
 	budgets  *budgets
+	sample   *sample
 }
 
 // New returns a Relay.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, health: newHealth(), suspects: newSuspects(), budgets: newBudgets(cfg.Budget)}
+	return &Relay{cfg: cfg, health: newHealth(), suspects: newSuspects(), budgets: newBudgets(cfg.Budget), sample: &sample{}}
 }
 
 // InFlight returns the requests in flight.
@@ -78,10 +84,12 @@
 	// sent counts the endpoints that may have run it, arrivals all that it was sent to.
 	sent     int
 	arrivals int
-	// endpoint is the last one it was sent to, asked counts the owners asked for it, waited and first are the times from its
-	// coming until it was sent and until the head of the answer came.
+	// ref is the adapter version it was for, tries what was asked of owners and endpoints, with the outcomes.
+	ref   string
+	tries []string
+	// endpoint is the last one it was sent to, waited and first are the times from its coming until it was sent and until the
+	// head of the answer came.
 	endpoint string
-	asked    int
 	waited   time.Duration
 	first    time.Duration
 }
@@ -89,6 +97,13 @@
 // left returns what is left of the request's time.
 func (q *request) left() time.Duration { return time.Until(q.endsAt) }
 
+// tried notes what was asked of an owner or an endpoint.
+func (q *request) tried(who, what string) {
+	if len(q.tries) < maxTriesTold {
+		q.tries = append(q.tries, who+"="+what)
+	}
+}
+
 // ServeHTTP serves one request.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	r.inFlight.Add(1)
@@ -227,14 +242,26 @@
 	r.cfg.Scope.Tagged(map[string]string{"result": c.String()}).Counter("routed_requests").Inc(1)
 }
 
-// log writes the line that says how a request ended.
+// log writes the line that says how a request ended and what decided it. Failures are always told; of the others, as many a
+// second as keep the volume bounded.
 func (r *Relay) log(q *request, rerr *result.Error) {
-	name := ""
+	leftOut := int64(0)
+	if rerr.Code == result.OK {
+		var ok bool
+		if leftOut, ok = r.sample.take(time.Now()); !ok {
+			return
+		}
+	}
+	name, version := "", int64(0)
 	if q.route != nil {
 		name = q.route.Name
 	}
-	klog.V(1).InfoS("request", "request", q.head.ID, "route", name, "service", q.service, "adapter", q.head.Adapter,
-		"result", rerr.Code.String(), "detail", rerr.Detail, "arrivals", q.arrivals, "engine", q.endpoint, "asked", q.asked, "waited", q.waited, "first", q.first, "took", time.Since(q.came))
+	if t := r.cfg.Catalog.Topology().Routes; t != nil {
+		version = t.Version()
+	}
+	klog.InfoS("request", "request", q.head.ID, "result", rerr.Code.String(), "detail", rerr.Detail, "route", name, "config", version,
+		"service", q.service, "adapter", q.head.Adapter, "ref", q.ref, "tries", q.tries, "endpoint", q.endpoint, "arrivals", q.arrivals,
+		"waited", q.waited, "first", q.first, "took", time.Since(q.came), "left", q.left(), "store_age", r.cfg.StoreAge(), "left_out", leftOut)
 }
 
 // output is the answer to a caller.
