Changes come with heartbeats: calls to the store no longer grow with the boxes

Change: a heartbeat names the revisions up to which its box knows each kind, the coordinator's reply brings what has changed since, and of the cell map a delta between two generations. A box whose coordinator is silent for three heartbeats, or has not heard from the store for 1.3 s, follows the store itself again. What engines hold stands apart from the endpoints (kind Holding), as it changes with every load, and is not passed on; boxes remember instead which engines answered for what, for times when no owner can be asked. Candidates are now asked in the order of their hash alone.

Ruled out: a longer pause between looks (bounds of 2 s on leaving endpoints); passing whole maps (31 kB at 91 boxes and 143 engines).

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -39,7 +39,7 @@
 	// leaving endpoint must get no work two seconds after it has said so.
 	endpointPace = 700 * time.Millisecond
 	// endpointWait bounds a watch of the endpoints: a path that has fallen silent is noticed that much later.
-	endpointWait = 2 * time.Second
+	endpointWait = 700 * time.Millisecond
 	// quietWait is how long watches of kinds that seldom change wait. They are given up early when another call fails.
 	quietWait = 6 * time.Second
 	// orderMargin is added to the gap between two owners' orders, for messages on their way.
@@ -106,6 +106,7 @@
 	}
 	b.follower = follow.New(follow.Config{
 		Source: cfg.Deployment.Source, Catalog: b.catalog, Kinds: followedKinds(), Grace: cfg.Settings.Platform.LapseGrace, Scope: b.metrics.Scope,
+		RelayFor: silentBeats * cfg.Settings.Timing.Beat,
 	})
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
 	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Scope: b.metrics.Scope})
@@ -118,9 +119,9 @@
 
 func followedKinds() []follow.Kind {
 	return []follow.Kind{
-		{Name: string(resource.KindRouting), Wait: quietWait},
-		{Name: string(resource.KindEndpoint), Pace: endpointPace, Wait: endpointWait, Lapses: true},
-		{Name: string(resource.KindAdapterVersion), Wait: quietWait},
+		{Name: string(resource.KindRouting), Wait: quietWait, Relayed: true},
+		{Name: string(resource.KindEndpoint), Pace: endpointPace, Wait: endpointWait, Lapses: true, With: []string{string(resource.KindHolding)}, Relayed: true},
+		{Name: string(resource.KindAdapterVersion), Wait: quietWait, Relayed: true},
 		{Name: coordinator.MapKind, Wait: quietWait},
 	}
 }
@@ -189,7 +190,7 @@
 	s := b.cfg.Settings
 	t := s.Timing
 	b.node = member.New(member.Config{
-		Cell: s.Box.Cell, Region: s.Box.Region, API: b.cfg.Deployment.API, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text,
+		Cell: s.Box.Cell, Region: s.Box.Region, API: b.cfg.Deployment.API, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text, Spread: b.follower,
 		Self: coordinator.Member{
 			Box: s.Box.Name, Zone: s.Box.Zone, Incarnation: rand.Text(), Caller: addressOf(b.listeners.caller), Peer: addressOf(b.listeners.peer),
 		},
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"encoding/json"
 	"errors"
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -32,6 +33,8 @@
 	// version is that of the platform; zero if the platform does not have this generation, as after a restore from an older copy.
 	version    int64
 	generation int64
+	// changed is the version with which the value last changed; later ones only repeated it.
+	changed int64
 	// listing is the number of the last list that held the object.
 	listing int64
 	// value is a resource.Spec or a *coordinator.Map.
@@ -166,7 +169,12 @@
 		return
 	}
 	delete(c.deleted, k)
-	c.add(k, entry{version: o.Version, generation: generation, listing: c.listings, value: v})
+	if known && reflect.DeepEqual(have.value, v) {
+		have.version, have.generation, have.listing = o.Version, generation, c.listings
+		c.entries[k.kind][k.name] = have
+		return
+	}
+	c.add(k, entry{version: o.Version, changed: o.Version, generation: generation, listing: c.listings, value: v})
 }
 
 // add sets an entry and notes a version of an adapter that was not known.
@@ -189,7 +197,8 @@
 // touched drops the routing view if it is made of kind.
 func (c *Catalog) touched(kind string) {
 	switch kind {
-	case coordinator.MapKind, string(resource.KindEngine), string(resource.KindServing), string(resource.KindRouting), string(resource.KindEndpoint):
+	case coordinator.MapKind, string(resource.KindEngine), string(resource.KindServing), string(resource.KindRouting), string(resource.KindEndpoint),
+		string(resource.KindHolding):
 		c.topology = nil
 	}
 }
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -139,3 +139,22 @@
 	}
 	return lost
 }
+
+// KindSince returns the objects of a kind whose values changed after revision from, deletions included, and whether that is all
+// that changed: deletions that are no longer remembered make it a full list instead.
+func (c *Catalog) KindSince(kind string, from int64) (objects []platform.Object, complete bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	complete = from > 0 && from >= c.floor
+	for name, e := range c.entries[kind] {
+		if !complete || e.changed > from {
+			objects = append(objects, encode(key{kind, name}, e))
+		}
+	}
+	for k, t := range c.deleted {
+		if complete && k.kind == kind && t.version > from {
+			objects = append(objects, platform.Object{Kind: kind, Name: k.name, Version: t.version, Deleted: true})
+		}
+	}
+	return objects, complete
+}
--- a/internal/catalog/lookup.go
+++ b/internal/catalog/lookup.go
@@ -16,6 +16,17 @@
 	return v, ok
 }
 
+// Names returns the names of the objects of a kind.
+func (c *Catalog) Names(kind string) []string {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	names := make([]string, 0, len(c.entries[kind]))
+	for name := range c.entries[kind] {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Adapter returns a declared adapter.
 func (c *Catalog) Adapter(name string) (*resource.Adapter, bool) {
 	return lookup[resource.Adapter](c, string(resource.KindAdapter), name)
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -24,6 +24,8 @@
 type EndpointView struct {
 	Name string
 	Spec *resource.Endpoint
+	// Holds lists the adapter versions that discovery shows there, nil if that is not followed.
+	Holds []string
 }
 
 // RoutingName is the name of the one resource that holds the routing configuration.
@@ -93,7 +95,7 @@
 	}
 	for _, it := range c.resources(resource.KindEndpoint, "") {
 		if e, ok := it.Resource.Spec.(*resource.Endpoint); ok {
-			t.addEndpoint(it.Resource.Name, e, owners[it.Resource.Name])
+			t.addEndpoint(it.Resource.Name, e, c.holds(it.Resource.Name), owners[it.Resource.Name])
 		}
 	}
 	for _, it := range c.resources(resource.KindServing, "") {
@@ -104,6 +106,14 @@
 	return t
 }
 
+func (c *Catalog) holds(endpoint string) []string {
+	h, ok := c.entries[string(resource.KindHolding)][endpoint].value.(*resource.Holding)
+	if !ok {
+		return nil
+	}
+	return h.Holds
+}
+
 // routeTable returns the table of the routing configuration; it is made anew only when that has changed.
 func (c *Catalog) routeTable() *route.Table {
 	r, ok := c.entries[string(resource.KindRouting)][RoutingName].value.(*resource.Routing)
@@ -133,8 +143,8 @@
 }
 
 // addEndpoint takes an endpoint in; one of a service of engines is an engine too.
-func (t *Topology) addEndpoint(name string, e *resource.Endpoint, o coordinator.Ownership) {
-	t.Endpoints[e.Service] = append(t.Endpoints[e.Service], EndpointView{name, e})
+func (t *Topology) addEndpoint(name string, e *resource.Endpoint, holds []string, o coordinator.Ownership) {
+	t.Endpoints[e.Service] = append(t.Endpoints[e.Service], EndpointView{name, e, holds})
 	if t.Routes == nil {
 		return
 	}
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -4,6 +4,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/bellgap/bellgap/internal/platform"
 )
 
 // MapKind is the object kind of cell maps.
@@ -72,6 +74,10 @@
 	Draining []string `json:"draining,omitempty"`
 	// Owned lists what this box holds, for a new coordinator.
 	Owned []Ownership `json:"owned,omitempty"`
+	// Known names the revisions up to which this box knows the kinds that it follows, MapGeneration the cell map that it has;
+	// a box that takes no changes with its heartbeats names neither.
+	Known         map[string]int64 `json:"known,omitempty"`
+	MapGeneration int64            `json:"map_generation,omitempty"`
 }
 
 // Reply answers a Beat.
@@ -90,4 +96,9 @@
 	LeaseVersion int64 `json:"lease_version"`
 	// Revision is the configuration revision that the coordinator has.
 	Revision int64 `json:"revision"`
+	// Changes is what the coordinator knows beyond Beat.Known, Map what has changed of the cell map.
+	Changes []platform.KindChanges `json:"changes,omitempty"`
+	Map     *Delta                 `json:"map,omitempty"`
+	// StoreAge is the time since the platform's store last answered the coordinator.
+	StoreAge time.Duration `json:"store_age,omitempty"`
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -34,6 +34,10 @@
 	// Lapses says that objects of the kind may be missing for a while after an outage of the store though nothing has
 	// removed them; Config.Grace is how long they are kept then.
 	Lapses bool
+	// With names kinds that come and go with this one, under the same names.
+	With []string
+	// Relayed kinds are passed on to other boxes.
+	Relayed bool
 }
 
 // Config configures a Follower.
@@ -41,6 +45,8 @@
 	Source  Source
 	Catalog *catalog.Catalog
 	Kinds   []Kind
+	// RelayFor is how long changes taken from another box stand in for calls of this one; zero always calls.
+	RelayFor time.Duration
 	// Grace is how long after an outage missing objects of kinds that lapse are kept.
 	Grace time.Duration
 	Scope tally.Scope
@@ -51,6 +57,11 @@
 	// the store is back, long enough not to press a store that is refusing calls.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = time.Second
+	// relayLook is how often a follower whose changes come through another box looks whether they still do.
+	relayLook = 100 * time.Millisecond
+	// relayAge is how old the other box's own knowledge may be: a second and a bit is what a look at the endpoints takes when
+	// the store does not answer.
+	relayAge = 1300 * time.Millisecond
 )
 
 // errWoken ends a watch that is to be begun again because another call has shown that it may hear nothing.
@@ -65,12 +76,17 @@
 
 	mu     sync.Mutex
 	listed map[string]bool
+	// known holds the revisions up to which the kinds are known, by calls or through another box.
+	known map[string]int64
+	// relayed is until when another box's changes stand in for calls.
+	relayed time.Time
 }
 
 // New returns a Follower; its Serve has to run.
 func New(cfg Config) *Follower {
 	return &Follower{
 		cfg: cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
+		known: map[string]int64{},
 	}
 }
 
@@ -109,6 +125,11 @@
 func (f *Follower) follow(ctx context.Context, k *kindState) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		if f.isRelayed(time.Now()) {
+			k.listed = false
+			sleep(ctx, relayLook)
+			continue
+		}
 		began := time.Now()
 		err := f.step(ctx, k)
 		pause := k.Pace - time.Since(began)
@@ -176,6 +197,7 @@
 			break
 		}
 	}
+	k.know(f.cfg.Catalog.Names(k.Name))
 	f.apply(k, k.replace(time.Now(), all, f.graceUntil(k)))
 	k.listed = true
 	f.noteListed(k.Name)
@@ -192,6 +214,9 @@
 
 func (f *Follower) apply(k *kindState, ch platform.Changes) {
 	k.revision = max(k.revision, ch.Revision)
+	f.mu.Lock()
+	f.known[k.Name] = k.revision
+	f.mu.Unlock()
 	if len(ch.Objects) > 0 {
 		changed, gone := told(ch.Objects)
 		klog.V(1).InfoS("objects changed", "kind", k.Name, "revision", ch.Revision, "changed", changed, "gone", gone)
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -21,6 +21,13 @@
 	return &kindState{Kind: k, known: map[string]bool{}, missing: map[string]time.Time{}}
 }
 
+// know adds objects that came by another way than by calls.
+func (k *kindState) know(names []string) {
+	for _, name := range names {
+		k.known[name] = true
+	}
+}
+
 // replace takes a full list in and returns what changes by it. Before graceUntil missing objects are kept.
 func (k *kindState) replace(now time.Time, list platform.Changes, graceUntil time.Time) platform.Changes {
 	out := platform.Changes{Revision: list.Revision, Objects: list.Objects}
@@ -60,14 +67,14 @@
 			continue
 		}
 		if now.Before(graceUntil) {
-			if _, ok := k.missing[o.Name]; !ok {
+			if _, ok := k.missing[o.Name]; !ok && o.Kind == k.Name {
 				k.missing[o.Name] = graceUntil
 			}
 			continue
 		}
 		delete(k.known, o.Name)
 		delete(k.missing, o.Name)
-		out.Objects = append(out.Objects, o)
+		out.Objects = k.remove(out.Objects, o.Name, o.Version)
 	}
 	for name, until := range k.missing {
 		if now.Before(until) {
@@ -75,11 +82,19 @@
 		}
 		delete(k.missing, name)
 		delete(k.known, name)
-		out.Objects = append(out.Objects, platform.Object{Kind: k.Name, Name: name, Version: max(k.revision, ch.Revision), Deleted: true})
+		out.Objects = k.remove(out.Objects, name, max(k.revision, ch.Revision))
 	}
 	return out
 }
 
+// remove adds the deletion of an object and of what goes with it.
+func (k *kindState) remove(objects []platform.Object, name string, version int64) []platform.Object {
+	for _, kind := range append([]string{k.Name}, k.With...) {
+		objects = append(objects, platform.Object{Kind: kind, Name: name, Version: version, Deleted: true})
+	}
+	return objects
+}
+
 // nextExpiry returns the time until the first missing object is given up.
 func (k *kindState) nextExpiry(now time.Time) (time.Duration, bool) {
 	var least time.Duration
--- /dev/null
+++ b/internal/follow/relay.go
@@ -0,0 +1,100 @@
+package follow
+
+import (
+	"maps"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/platform"
+)
+
+// isRelayed reports whether changes come through another box.
+func (f *Follower) isRelayed(now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Before(f.relayed)
+}
+
+// Known returns the revisions up to which the kinds are known.
+func (f *Follower) Known() map[string]int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.known)
+}
+
+// Since returns what is known here beyond known, for another box, and the time since the store last answered. Kinds that this box
+// has through another one itself are not passed on.
+func (f *Follower) Since(known map[string]int64) ([]platform.KindChanges, time.Duration) {
+	if f.isRelayed(time.Now()) {
+		return nil, relayAge + time.Second
+	}
+	own := f.Known()
+	var out []platform.KindChanges
+	for _, k := range f.cfg.Kinds {
+		if !k.Relayed || own[k.Name] == 0 || own[k.Name] <= known[k.Name] {
+			continue
+		}
+		objects, complete := f.cfg.Catalog.KindSince(k.Name, known[k.Name])
+		out = append(out, platform.KindChanges{Kind: k.Name, Revision: own[k.Name], Full: !complete, Objects: objects})
+	}
+	return out, f.StoreAge()
+}
+
+// Take takes changes from another box in. While they come and that box hears from the store, this one makes no calls.
+func (f *Follower) Take(changes []platform.KindChanges, storeAge time.Duration) {
+	for _, ch := range changes {
+		f.take(ch)
+	}
+	if f.cfg.RelayFor == 0 || !f.IsReady() || storeAge > relayAge {
+		return
+	}
+	now := time.Now()
+	f.mu.Lock()
+	began := !now.Before(f.relayed)
+	f.relayed = now.Add(f.cfg.RelayFor)
+	f.mu.Unlock()
+	if began {
+		f.dropUnrelayed()
+		klog.V(1).InfoS("changes come with heartbeats", "store_age", storeAge)
+	}
+}
+
+// dropUnrelayed forgets what goes with a relayed kind and is not relayed itself, as it would only grow old.
+func (f *Follower) dropUnrelayed() {
+	var drop platform.Changes
+	for _, k := range f.cfg.Kinds {
+		for _, kind := range k.With {
+			for _, name := range f.cfg.Catalog.Names(kind) {
+				drop.Objects = append(drop.Objects, platform.Object{Kind: kind, Name: name, Version: f.Known()[k.Name], Deleted: true})
+			}
+		}
+	}
+	f.cfg.Catalog.Apply(drop)
+}
+
+// take takes the changes of one kind in.
+func (f *Follower) take(ch platform.KindChanges) {
+	objects := ch.Objects
+	if ch.Full {
+		listed := map[string]bool{}
+		for _, o := range ch.Objects {
+			listed[o.Name] = true
+		}
+		for _, name := range f.cfg.Catalog.Names(ch.Kind) {
+			if !listed[name] {
+				objects = append(objects, platform.Object{Kind: ch.Kind, Name: name, Version: ch.Revision, Deleted: true})
+			}
+		}
+	}
+	f.mu.Lock()
+	fresh := ch.Revision > f.known[ch.Kind]
+	f.known[ch.Kind] = max(f.known[ch.Kind], ch.Revision)
+	f.mu.Unlock()
+	if !fresh || len(objects) == 0 {
+		return
+	}
+	changed, gone := told(objects)
+	klog.V(1).InfoS("objects changed", "kind", ch.Kind, "revision", ch.Revision, "changed", changed, "gone", gone, "through", "coordinator")
+	f.cfg.Catalog.Apply(platform.Changes{Objects: objects, Revision: ch.Revision})
+}
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -24,6 +24,7 @@
 	r.Frozen = r.Frozen || !now.Before(n.tenure.validUntil)
 	r.LeaseVersion = n.tenure.version
 	r.Revision = n.cfg.Catalog.Revision()
+	n.addChanges(b, &r)
 	return r, nil
 }
 
@@ -52,6 +53,9 @@
 		return err
 	}
 	n.accept(sentAt, r)
+	if address != n.cfg.Self.Peer.String() {
+		n.takeChanges(r)
+	}
 	return nil
 }
 
@@ -62,6 +66,10 @@
 	self := n.cfg.Self
 	self.Leaving = n.leaving
 	b := coordinator.Beat{Member: self, Draining: draining}
+	if n.cfg.Spread != nil && n.tenure.record.Address != self.Peer.String() {
+		m, _, _ := n.cfg.Catalog.Map(n.cfg.Cell)
+		b.Known, b.MapGeneration = n.cfg.Spread.Known(), m.Generation
+	}
 	for name, g := range n.grants {
 		g.released = g.released || slices.Contains(released, name)
 		n.grants[name] = g
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -83,6 +83,12 @@
 		return nil, err
 	}
 	n.mapVersion, n.published = version, last
+	n.mu.Lock()
+	n.maps, n.mapStored = nil, version
+	if last.Generation > 0 {
+		n.keep(last)
+	}
+	n.mu.Unlock()
 	epoch := n.lease.Record().Epoch
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
 	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch)
@@ -185,6 +191,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	state.Published(m)
+	n.mapStored = version
+	n.keep(m)
 	return nil
 }
 
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -63,6 +63,8 @@
 	Holder  Holder
 	Timing  Timing
 	Scope   tally.Scope
+	// Spread passes changes on with heartbeats; nil passes none.
+	Spread Spread
 	// NewToken returns a token that no other write carries.
 	NewToken func() string
 }
@@ -110,6 +112,9 @@
 	leaving   bool
 	frozen    bool
 	lastReply time.Time
+	// maps are those that this coordinator published last, mapStored the version of the newest.
+	maps      []coordinator.Map
+	mapStored int64
 }
 
 // tenure is the part of the lease that others than the loop read.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -46,6 +46,16 @@
 	Next string `json:"next,omitempty"`
 }
 
+// KindChanges is what changed of one kind, as one box tells another.
+type KindChanges struct {
+	Kind string `json:"kind"`
+	// Revision is that up to which the sender knows the kind.
+	Revision int64 `json:"revision"`
+	// Full says that Objects are all there are of the kind.
+	Full    bool     `json:"full,omitempty"`
+	Objects []Object `json:"objects,omitempty"`
+}
+
 // BoxState is the state of a box in the box list.
 type BoxState string
 
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -37,7 +37,7 @@
 	name    string
 	address netip.AddrPort
 	owner   coordinator.Member
-	// holds says that discovery lists the adapter version there.
+	// holds says that the adapter version is there, by discovery or by earlier answers.
 	holds bool
 	// doubtful says that requests failed there lately.
 	doubtful bool
@@ -129,8 +129,8 @@
 	return a
 }
 
-// candidates returns the engines for an adapter version in the order of asking: those that hold it by their hash, then others
-// by their hash, and those that failed lately last.
+// candidates returns the engines for an adapter version in the order of their hash, those that failed lately last. Beyond the
+// first few only those that hold the version are of use.
 func (r *Relay) candidates(q *request, ref resource.Ref, avoid map[string]bool) []candidate {
 	t := r.cfg.Catalog.Topology()
 	now := time.Now()
@@ -143,7 +143,8 @@
 		}
 		_, failures := r.health.load(e.Name, now)
 		byName[e.Name] = candidate{
-			name: e.Name, address: e.Spec.Address, owner: view.Owner, doubtful: failures >= avoidFrom, holds: holds(e, ref),
+			name: e.Name, address: e.Spec.Address, owner: view.Owner, doubtful: failures >= avoidFrom,
+			holds: holds(e, ref) || r.memory.holds(ref, e.Name, now),
 		}
 		names = append(names, e.Name)
 	}
@@ -152,26 +153,26 @@
 		// Without an adapter any engine does; the request's own id spreads the load.
 		key = q.head.ID
 	}
-	var holders, others, doubtful []candidate
+	var first, doubtful, holders []candidate
 	for _, name := range placement.Rank(key, names) {
 		switch c := byName[name]; {
 		case c.doubtful:
 			doubtful = append(doubtful, c)
+		case len(first) < maxCandidates:
+			first = append(first, c)
 		case c.holds:
 			holders = append(holders, c)
-		default:
-			others = append(others, c)
 		}
 	}
-	all := append(append(holders, others...), doubtful...)
-	return all[:min(len(all), max(maxCandidates, len(holders)))]
+	doubtful = doubtful[:min(len(doubtful), maxCandidates-len(first))]
+	return slices.Concat(first, holders, doubtful)
 }
 
 func holds(e catalog.EndpointView, ref resource.Ref) bool {
 	if ref.IsBase() {
 		return e.Spec.BaseModel != ""
 	}
-	return slices.Contains(e.Spec.Holds, ref.String())
+	return slices.Contains(e.Holds, ref.String())
 }
 
 // acquire asks a candidate's owner and notes the answer.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -61,6 +61,7 @@
 			break
 		}
 		lastEvent, rerr = r.runOn(ctx, out, q, c, Attempt{Version: version, Priority: q.route.Priority, LastEvent: lastEvent})
+		r.remember(ref, c.name, rerr)
 		if rerr == nil {
 			return nil
 		}
@@ -76,6 +77,16 @@
 	return last
 }
 
+// remember notes what the end of a request says of its engine's holdings.
+func (r *Relay) remember(ref resource.Ref, engine string, rerr *result.Error) {
+	switch {
+	case rerr == nil:
+		r.memory.answered(ref, engine, time.Now())
+	case rerr.Code == result.NotHeld:
+		r.memory.lacks(ref, engine)
+	}
+}
+
 // runOn sends a request to the chosen engine and passes its answer on. It returns the id of the last event passed on.
 func (r *Relay) runOn(ctx context.Context, out *output, q *request, c *chosen, a Attempt) (string, *result.Error) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,11 +61,12 @@
 	suspects *suspects
 	budgets  *budgets
 	sample   *sample
+	memory   *memory
 }
 
 // New returns a Relay.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, health: newHealth(), suspects: newSuspects(), budgets: newBudgets(cfg.Budget), sample: &sample{}}
+	return &Relay{cfg: cfg, health: newHealth(), suspects: newSuspects(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory()}
 }
 
 // InFlight returns the requests in flight.
--- a/internal/resource/endpoint.go
+++ b/internal/resource/endpoint.go
@@ -16,8 +16,6 @@
 	Leaving bool `json:"leaving,omitempty"`
 	// BaseModel is the base model that it holds, empty if it holds none.
 	BaseModel string `json:"base_model,omitempty"`
-	// Holds lists the adapter versions that it holds; discovery lags behind.
-	Holds []string `json:"holds,omitempty"`
 }
 
 // Check implements Spec.
@@ -26,3 +24,14 @@
 }
 
 func (*Endpoint) kind() Kind { return KindEndpoint }
+
+// Holding lists the adapter versions that an endpoint holds, as discovery shows them; it lags behind. It stands apart from the
+// endpoint of the same name because it changes with every load.
+type Holding struct {
+	Holds []string `json:"holds,omitempty"`
+}
+
+// Check implements Spec.
+func (*Holding) Check(string) error { return nil }
+
+func (*Holding) kind() Kind { return KindHolding }
--- a/internal/resource/resource.go
+++ b/internal/resource/resource.go
@@ -27,11 +27,12 @@
 	KindService        Kind = "Service"
 	KindRouting        Kind = "Routing"
 	KindEndpoint       Kind = "Endpoint"
+	KindHolding        Kind = "Holding"
 )
 
 // Kinds lists the declared kinds in the order in which they refer to each other.
 func Kinds() []Kind {
-	return []Kind{KindCooperative, KindPriority, KindServing, KindEngine, KindService, KindRouting, KindEndpoint, KindAdapter, KindAdapterVersion}
+	return []Kind{KindCooperative, KindPriority, KindServing, KindEngine, KindService, KindRouting, KindEndpoint, KindHolding, KindAdapter, KindAdapterVersion}
 }
 
 // ParseKind returns the kind whose name is s, in any case, singular or plural.
@@ -132,6 +133,8 @@
 		return &Routing{}
 	case KindEndpoint:
 		return &Endpoint{}
+	case KindHolding:
+		return &Holding{}
 	default:
 		return &Service{}
 	}
