A relaying box that lost the store is left at once

Change: a reply that says so ends the relaying at once. The test fails without (3 endpoints where 2 are left) and passes with it.

--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -46,11 +46,16 @@
 	for _, ch := range changes {
 		f.take(ch)
 	}
-	if f.cfg.RelayFor == 0 || !f.IsReady() || storeAge > relayAge {
+	if f.cfg.RelayFor == 0 || !f.IsReady() {
 		return
 	}
 	now := time.Now()
 	f.mu.Lock()
+	if storeAge > relayAge {
+		f.relayed = time.Time{}
+		f.mu.Unlock()
+		return
+	}
 	began := !now.Before(f.relayed)
 	f.relayed = now.Add(f.cfg.RelayFor)
 	f.mu.Unlock()
--- /dev/null
+++ b/internal/follow/relay_test.go
@@ -0,0 +1,148 @@
+package follow_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/follow"
+	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+const (
+	beatEvery = 400 * time.Millisecond
+	relayFor  = 3 * beatEvery
+)
+
+// counted is a source that counts calls and can be cut off on its own.
+type counted struct {
+	*store
+	calls atomic.Int64
+	cut   atomic.Bool
+}
+
+// List implements follow.Source.
+func (s *counted) List(ctx context.Context, kinds []string, after string) (platform.Changes, error) {
+	s.calls.Add(1)
+	if s.cut.Load() {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return s.store.List(ctx, kinds, after)
+}
+
+// Watch implements follow.Source. A cut path says nothing until the caller gives up.
+func (s *counted) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
+	s.calls.Add(1)
+	ch, err := s.store.Watch(ctx, kinds, from, wait)
+	if s.cut.Load() {
+		return platform.Changes{}, platform.ErrUnavailable
+	}
+	return ch, err
+}
+
+// side is one of two boxes.
+type side struct {
+	source  *counted
+	catalog *catalog.Catalog
+	*follow.Follower
+}
+
+func newSide(s *store) *side {
+	x := &side{source: &counted{store: s}, catalog: catalog.New()}
+	x.Follower = follow.New(follow.Config{
+		Source: x.source, Catalog: x.catalog, Scope: tally.NoopScope, Grace: grace, RelayFor: relayFor, Kinds: []follow.Kind{
+			{Name: string(resource.KindRouting), Wait: 6 * time.Second, Relayed: true},
+			{Name: string(resource.KindEndpoint), Pace: pace, Wait: 700 * time.Millisecond, Lapses: true, Relayed: true, With: []string{string(resource.KindHolding)}},
+		},
+	})
+	return x
+}
+
+// relayed runs two followers, the second of which has the first one's changes with heartbeats while beating is set.
+func relayed(t *testing.T, during func(c *qt.C, s *store, from, to *side, beating *atomic.Bool)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newStore()
+		s.put(c, resource.KindRouting, catalog.RoutingName, routing(1))
+		for i := range 3 {
+			s.put(c, resource.KindEndpoint, fmt.Sprint("e", i+1), endpoint(i+1))
+		}
+		from, to := newSide(s), newSide(s)
+		ctx, cancel := context.WithCancel(t.Context())
+		var group errgroup.Group
+		var beating atomic.Bool
+		beating.Store(true)
+		group.Go(func() error { return from.Serve(ctx) })
+		group.Go(func() error { return to.Serve(ctx) })
+		group.Go(func() error {
+			for ctx.Err() == nil {
+				if beating.Load() {
+					to.Take(from.Since(to.Known()))
+				}
+				time.Sleep(beatEvery)
+			}
+			return nil
+		})
+		time.Sleep(10 * time.Second)
+		during(c, s, from, to, &beating)
+		cancel()
+		_ = group.Wait()
+	})
+}
+
+func TestRelayedChangesCostNoCalls(t *testing.T) {
+	relayed(t, func(c *qt.C, s *store, _, to *side, _ *atomic.Bool) {
+		before := to.source.calls.Load()
+		for i := range 20 {
+			s.put(c, resource.KindRouting, catalog.RoutingName, routing(int64(i+2)))
+			s.remove(resource.KindEndpoint, fmt.Sprint("e", i))
+			s.put(c, resource.KindEndpoint, fmt.Sprint("e", i+4), endpoint(i+4))
+			time.Sleep(pace + beatEvery + 10*time.Millisecond)
+			c.Check(version(to.catalog), qt.Equals, int64(i+2))
+			c.Check(endpoints(to.catalog), qt.Equals, endpoints(s.asCatalog(c)))
+		}
+		c.Check(to.source.calls.Load(), qt.Equals, before)
+	})
+}
+
+// TestSilentRelayIsReplacedByCalls ends the heartbeats: the box follows the store itself, within the bound on leaving endpoints.
+func TestSilentRelayIsReplacedByCalls(t *testing.T) {
+	relayed(t, func(c *qt.C, s *store, _, to *side, beating *atomic.Bool) {
+		beating.Store(false)
+		s.remove(resource.KindEndpoint, "e1")
+		time.Sleep(1500 * time.Millisecond)
+		c.Check(endpoints(to.catalog), qt.Equals, 2)
+	})
+}
+
+// TestRelayCutFromTheStoreIsReplacedByCalls cuts only the relaying box from the store; its heartbeats go on.
+func TestRelayCutFromTheStoreIsReplacedByCalls(t *testing.T) {
+	relayed(t, func(c *qt.C, s *store, from, to *side, _ *atomic.Bool) {
+		from.source.cut.Store(true)
+		s.remove(resource.KindEndpoint, "e1")
+		s.put(c, resource.KindRouting, catalog.RoutingName, routing(2))
+		time.Sleep(2 * time.Second)
+		c.Check(endpoints(to.catalog), qt.Equals, 2)
+		c.Check(version(to.catalog), qt.Equals, int64(2))
+	})
+}
+
+// asCatalog returns what a box should know of the store now.
+func (s *store) asCatalog(c *qt.C) *catalog.Catalog {
+	cat := catalog.New()
+	for _, kind := range []resource.Kind{resource.KindRouting, resource.KindEndpoint} {
+		ch, err := s.List(c.Context(), []string{string(kind)}, "")
+		c.Assert(err, qt.IsNil)
+		cat.Apply(ch)
+	}
+	return cat
+}
