Log lines explained by the tool, latency histograms, tests of the small parts

Cause: on-call staff have logs and metrics alone; 'bellgap explain' asked a running box, which may be gone, and no latency was measured.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -19,6 +19,9 @@
 	return &cli.Command{
 		Name: "explain", Usage: "say where requests for an adapter version go, or why a recent request went as it did",
 		ArgsUsage: "ADAPTER@VERSION|REQUEST", Action: runExplain,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "log", Usage: "read the log lines of boxes from `FILE`, - for standard input, instead of asking a box"},
+		},
 	}
 }
 
@@ -27,6 +30,9 @@
 	if of == "" {
 		return eris.New("name an adapter version or a request")
 	}
+	if log := cmd.String("log"); log != "" {
+		return explainFromLog(cmd, log, of)
+	}
 	c, err := newOperatorClient(cmd)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/relay/parts_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+func TestBudget(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		boxes    int
+		requests int
+		want     int
+	}{
+		{"one box has the allowance, with caution", 1, 0, 35},
+		{"many boxes share it", 7, 0, 5},
+		{"a box always has one", 1000, 0, 1},
+		{"requests earn parts of repeats, never more than the share", 7, 1000, 5},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			b := newBudgets(BudgetConfig{PerRequest: 0.2, Allowance: 50, Boxes: func() int { return tt.boxes }})
+			b.earn("s")
+			for range tt.requests {
+				b.earn("s")
+			}
+			got := 0
+			for b.spend("s") {
+				got++
+			}
+			c.Check(got, qt.Equals, tt.want)
+			for range 8 {
+				b.earn("s")
+			}
+			c.Check(b.spend("s"), qt.IsTrue)
+			c.Check(b.spend("other"), qt.IsFalse)
+		})
+	}
+}
+
+func TestHealth(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	h := newHealth()
+	for range 3 {
+		h.begin("e")
+	}
+	h.end("e", now, true)
+	h.end("e", now, true)
+	inFlight, failures := h.load("e", now)
+	c.Check(inFlight, qt.Equals, 1)
+	c.Check(failures >= avoidFrom, qt.IsTrue)
+	_, failures = h.load("e", now.Add(2*failureHalfLife))
+	c.Check(failures < avoidFrom, qt.IsTrue)
+	inFlight, failures = h.load("never seen", now)
+	c.Check(inFlight, qt.Equals, 0)
+	c.Check(failures, qt.Equals, 0.0)
+}
+
+func TestSuspects(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := newSuspects()
+	s.add("box", now)
+	c.Check(s.has("box", now), qt.IsTrue)
+	c.Check(s.has("box", now.Add(suspectFor)), qt.IsFalse)
+	c.Check(s.has("other", now), qt.IsFalse)
+}
+
+func TestMemory(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	a, b := resource.Ref{Adapter: "a", Version: "1"}, resource.Ref{Adapter: "a", Version: "2"}
+	m := newMemory()
+	m.answered(a, "e", now)
+	c.Check(m.holds(a, "e", now), qt.IsTrue)
+	c.Check(m.holds(b, "e", now), qt.IsFalse)
+	c.Check(m.holds(a, "e", now.Add(rememberFor)), qt.IsFalse)
+	m.lacks(a, "e")
+	c.Check(m.holds(a, "e", now), qt.IsFalse)
+	for range 3 * maxHoldings {
+		m.answered(resource.Ref{Adapter: "x", Version: now.String()}, "e", now)
+		now = now.Add(time.Millisecond)
+	}
+	c.Check(len(m.seen) <= maxHoldings, qt.IsTrue)
+}
+
+func TestSample(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := &sample{}
+	told := 0
+	for range 50 {
+		if _, ok := s.take(now); ok {
+			told++
+		}
+	}
+	c.Check(told, qt.Equals, servedLines)
+	leftOut, ok := s.take(now.Add(time.Second))
+	c.Check(ok, qt.IsTrue)
+	c.Check(leftOut, qt.Equals, int64(50-servedLines))
+}
+
+func TestCopyHeaders(t *testing.T) {
+	c := qt.New(t)
+	in := http.Header{
+		"Connection": {"keep-alive, X-Private"}, "X-Private": {"1"}, "Keep-Alive": {"timeout=5"}, "Te": {"trailers"}, "Transfer-Encoding": {"chunked"},
+		"X-Passed": {"1", "2"}, "Content-Type": {"text/plain"},
+	}
+	c.Check(copyHeaders(in), qt.DeepEquals, http.Header{"X-Passed": {"1", "2"}, "Content-Type": {"text/plain"}})
+	c.Check(in.Get("X-Private"), qt.Equals, "1")
+}
+
+// brokenBody ends with an error in place of the end of the stream.
+type brokenBody struct{ io.Reader }
+
+// Read implements io.Reader.
+func (b brokenBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func TestEventReader(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		body  io.Reader
+		want  []string
+		whole bool
+	}{
+		{"whole events", strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, true},
+		{"carriage returns", strings.NewReader("id: 1\r\n\r\n"), []string{"id: 1\r\n\r\n"}, true},
+		{"nothing", strings.NewReader(""), nil, true},
+		{"the last event is not whole", strings.NewReader("id: 1\n\nid: 2\nda"), []string{"id: 1\n\n"}, false},
+		{"broken between events", brokenBody{strings.NewReader("id: 1\n\n")}, []string{"id: 1\n\n"}, false},
+		{"an event longer than the reader's buffer", strings.NewReader("data: " + strings.Repeat("x", 3*eventBuffer) + "\n\n"), []string{"data: " + strings.Repeat("x", 3*eventBuffer) + "\n\n"}, true},
+		{"an event without end", strings.NewReader("data: " + strings.Repeat("x", 2*maxEvent)), nil, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newEventReader(tt.body)
+			var got []string
+			for {
+				event, err := r.next()
+				if err != nil {
+					c.Check(errors.Is(err, io.EOF), qt.Equals, tt.whole, qt.Commentf("%v", err))
+					break
+				}
+				got = append(got, string(event))
+			}
+			c.Check(got, qt.DeepEquals, tt.want)
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -208,6 +208,7 @@
 func (r *Relay) finish(caller context.Context, out *output, q *request, rerr *result.Error) {
 	if rerr == nil {
 		r.count(result.OK)
+		r.measure(q)
 		r.log(q, result.New(result.OK, ""))
 		return
 	}
@@ -239,6 +240,22 @@
 	rerr.WriteStatus(w, status, q.head.ID)
 }
 
+// latencies are the bounds of the latency histograms: around the objectives of tens of milliseconds to a second, up to the
+// longest time-outs.
+var latencies = tally.DurationBuckets{
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond,
+	400 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2500 * time.Millisecond,
+	5 * time.Second, 10 * time.Second, 30 * time.Second,
+}
+
+// measure records the times of a request that was answered.
+func (r *Relay) measure(q *request) {
+	scope := r.cfg.Scope.Tagged(map[string]string{"kind": string(q.route.Kind)})
+	scope.Histogram("routed_until_sent", latencies).RecordDuration(q.waited)
+	scope.Histogram("routed_until_answered", latencies).RecordDuration(q.first)
+	scope.Histogram("routed_until_done", latencies).RecordDuration(time.Since(q.came))
+}
+
 func (r *Relay) count(c result.Code) {
 	r.cfg.Scope.Tagged(map[string]string{"result": c.String()}).Counter("routed_requests").Inc(1)
 }
