--- a/internal/coordinator/delta_test.go
+++ b/internal/coordinator/delta_test.go
@@ -56,8 +56,8 @@
 	w.beat("a", "1")
 	w.beat("b", "1")
 	w.tick(0)
-	c.Assert(w.owner("e-1"), qt.Not(qt.Equals), "")
-	owner := w.owner("e-1")
+	c.Assert(w.owner(), qt.Not(qt.Equals), "")
+	owner := w.owner()
 	other := map[string]string{"a": "b", "b": "a"}[owner]
 	for range 4 {
 		w.tick(beat)
@@ -65,7 +65,7 @@
 	}
 	c.Check(w.member(owner).Silent, qt.IsTrue)
 	c.Check(w.member(other).Silent, qt.IsFalse)
-	c.Check(w.owner("e-1"), qt.Equals, owner)
+	c.Check(w.owner(), qt.Equals, owner)
 }
 
 // TestReturningBoxKeepsItsEngines: a new process of the same box has the engines at once, under a higher epoch.
@@ -74,12 +74,12 @@
 	w := newWorld(coordinator.Config{Reclaim: true, OrderGap: gap})
 	w.beat("a", "1")
 	w.tick(0)
-	c.Assert(w.owner("e-1"), qt.Equals, "a")
-	before := w.epoch("e-1")
+	c.Assert(w.owner(), qt.Equals, "a")
+	before := w.epoch()
 	w.beat("a", "2")
 	w.tick(beat)
-	c.Check(w.owner("e-1"), qt.Equals, "a")
-	c.Check(w.epoch("e-1") > before, qt.IsTrue)
+	c.Check(w.owner(), qt.Equals, "a")
+	c.Check(w.epoch() > before, qt.IsTrue)
 }
 
 // TestOrdersOfTwoOwnersLieApart: an engine whose owner has gone silent is given on only a term and a gap later.
@@ -88,9 +88,9 @@
 	w := newWorld(coordinator.Config{Reclaim: true, OrderGap: gap})
 	w.beat("a", "1")
 	w.tick(0)
-	c.Assert(w.owner("e-1"), qt.Equals, "a")
+	c.Assert(w.owner(), qt.Equals, "a")
 	silentSince := w.now
-	for w.owner("e-1") != "b" {
+	for w.owner() != "b" {
 		w.tick(beat)
 		w.beat("b", "1")
 		c.Assert(w.now.Sub(silentSince) < 10*(term+gap), qt.IsTrue)
--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -10,6 +10,8 @@
 	beat = 400 * time.Millisecond
 	term = 7 * time.Second
 	gap  = 3 * time.Second
+
+	engineName = "e-1"
 )
 
 // world is a coordinator with one engine, in a time of its own.
@@ -31,21 +33,21 @@
 
 func (w *world) tick(after time.Duration) {
 	w.now = w.now.Add(after)
-	w.state.Tick(w.now, []coordinator.Engine{{Name: "e-1", Zone: "z"}})
+	w.state.Tick(w.now, []coordinator.Engine{{Name: engineName, Zone: "z"}})
 }
 
-func (w *world) ownership(engine string) coordinator.Ownership {
+func (w *world) ownership() coordinator.Ownership {
 	for _, o := range w.state.Map().Owners {
-		if o.Engine == engine {
+		if o.Engine == engineName {
 			return o
 		}
 	}
 	return coordinator.Ownership{}
 }
 
-func (w *world) owner(engine string) string { return w.ownership(engine).Owner }
+func (w *world) owner() string { return w.ownership().Owner }
 
-func (w *world) epoch(engine string) uint64 { return w.ownership(engine).Epoch }
+func (w *world) epoch() uint64 { return w.ownership().Epoch }
 
 func (w *world) member(box string) coordinator.Member {
 	for _, m := range w.state.Map().Members {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -54,11 +54,12 @@
 	s.write(platform.Object{Kind: string(kind), Name: name, Version: s.revision, Value: value})
 }
 
-func (s *store) remove(kind resource.Kind, name string) {
+// remove deletes an endpoint.
+func (s *store) remove(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.write(platform.Object{Kind: string(kind), Name: name, Version: s.revision, Deleted: true})
+	s.write(platform.Object{Kind: string(resource.KindEndpoint), Name: name, Version: s.revision, Deleted: true})
 }
 
 func (s *store) write(o platform.Object) {
@@ -196,7 +197,7 @@
 	run(t, setUp, func(c *qt.C, s *store, cat *catalog.Catalog) {
 		c.Check(endpoints(cat), qt.Equals, 1)
 		s.put(c, resource.KindEndpoint, "e2", endpoint(2))
-		s.remove(resource.KindEndpoint, "e1")
+		s.remove("e1")
 		time.Sleep(pace + time.Millisecond)
 		c.Check(endpoints(cat), qt.Equals, 1)
 	})
@@ -213,7 +214,7 @@
 		s.set(func(s *store) { s.down = true })
 		time.Sleep(5 * time.Second)
 		for i := range 3 {
-			s.remove(resource.KindEndpoint, fmt.Sprint("e", i+1))
+			s.remove(fmt.Sprint("e", i+1))
 		}
 		c.Check(endpoints(cat), qt.Equals, 3)
 		s.set(func(s *store) { s.down = false })
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -104,7 +104,7 @@
 		before := to.source.calls.Load()
 		for i := range 20 {
 			s.put(c, resource.KindRouting, catalog.RoutingName, routing(int64(i+2)))
-			s.remove(resource.KindEndpoint, fmt.Sprint("e", i))
+			s.remove(fmt.Sprint("e", i))
 			s.put(c, resource.KindEndpoint, fmt.Sprint("e", i+4), endpoint(i+4))
 			time.Sleep(pace + beatEvery + 10*time.Millisecond)
 			c.Check(version(to.catalog), qt.Equals, int64(i+2))
@@ -118,7 +118,7 @@
 func TestSilentRelayIsReplacedByCalls(t *testing.T) {
 	relayed(t, func(c *qt.C, s *store, _, to *side, beating *atomic.Bool) {
 		beating.Store(false)
-		s.remove(resource.KindEndpoint, "e1")
+		s.remove("e1")
 		time.Sleep(1500 * time.Millisecond)
 		c.Check(endpoints(to.catalog), qt.Equals, 2)
 	})
@@ -128,7 +128,7 @@
 func TestRelayCutFromTheStoreIsReplacedByCalls(t *testing.T) {
 	relayed(t, func(c *qt.C, s *store, from, to *side, _ *atomic.Bool) {
 		from.source.cut.Store(true)
-		s.remove(resource.KindEndpoint, "e1")
+		s.remove("e1")
 		s.put(c, resource.KindRouting, catalog.RoutingName, routing(2))
 		time.Sleep(2 * time.Second)
 		c.Check(endpoints(to.catalog), qt.Equals, 2)
