A silent endpoint is left after the objective; the age of what a box knows

The try ends at the route's objective, only where the request may run again and has twice that time left; the shared budget holds.

Ruled out for (1): a shorter limit, as endpoints that are only slow would be run twice.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -240,7 +240,7 @@
 	return changed, gone
 }
 
-// StoreAge returns the time since the store last answered this box.
+// StoreAge returns the age of what this box knows: the time since the store last answered it, or the box that tells it of changes.
 func (f *Follower) StoreAge() time.Duration { return f.store.age(time.Now()) }
 
 func (f *Follower) noteListed(kind string) {
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -59,6 +59,7 @@
 	began := !now.Before(f.relayed)
 	f.relayed = now.Add(f.cfg.RelayFor)
 	f.mu.Unlock()
+	f.store.heardThrough(now.Add(-storeAge))
 	if began {
 		f.dropUnrelayed()
 		klog.V(1).InfoS("changes come with heartbeats", "store_age", storeAge)
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -111,6 +111,7 @@
 			c.Check(endpoints(to.catalog), qt.Equals, endpoints(s.asCatalog(c)))
 		}
 		c.Check(to.source.calls.Load(), qt.Equals, before)
+		c.Check(to.StoreAge() < 2*time.Second, qt.IsTrue, qt.Commentf("%s", to.StoreAge()))
 	})
 }
 
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -99,3 +99,12 @@
 	defer s.mu.Unlock()
 	return now.Sub(s.heard)
 }
+
+// heardThrough notes that another box heard from the store at a time.
+func (s *storeState) heardThrough(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at.After(s.heard) {
+		s.heard = at
+	}
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -90,7 +90,11 @@
 // callPlain sends a request to an endpoint. An answer that says the endpoint failed is an error where the request may run again.
 func (r *Relay) callPlain(ctx context.Context, q *request, e catalog.EndpointView) (*http.Response, *result.Error) {
 	r.health.begin(e.Name)
+	ctx, answered := r.limitTry(ctx, q)
 	resp, rerr := r.exchange(ctx, q, destination{e.Name, e.Spec.Address}, Attempt{Priority: q.route.Priority})
+	if silent := answered(); silent && rerr != nil {
+		rerr = result.New(result.AnswerLost, "no answer within the objective")
+	}
 	if rerr != nil {
 		r.health.end(e.Name, time.Now(), isFault(rerr))
 		if rerr.Code.Info().Ran != result.RanNo {
@@ -107,6 +111,18 @@
 	return resp, nil
 }
 
+// limitTry ends a try that has no answer within the objective, where the request may run again and has the time to. The function
+// returned is called once the answer's head has come, and reports whether the try was ended.
+func (r *Relay) limitTry(ctx context.Context, q *request) (context.Context, func() bool) {
+	limit := time.Duration(q.route.Objective)
+	if !q.route.Idempotent() || q.sent+1 >= q.route.Attempts || q.left() < 2*limit {
+		return ctx, func() bool { return false }
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(limit, cancel)
+	return ctx, func() bool { return !timer.Stop() }
+}
+
 // isFault reports whether a failure speaks against the endpoint.
 func isFault(rerr *result.Error) bool {
 	switch rerr.Code {
