--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -25,10 +25,10 @@
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/metric"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/peer"
-	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/repair"
 	"github.com/bellgap/bellgap/internal/settings"
@@ -81,13 +81,13 @@
 		engines: engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
 		root:    suture.New("box", suture.Spec{EventHook: logEvent}),
 	}
-	api := platform.NewClient(platform.ClientConfig{
+	api := objects.NewClient(objects.ClientConfig{
 		Address: cfg.Settings.Platform.Address.String(), HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
 	})
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
 	b.feed = feed.New(feed.Config{
 		Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return b.source(api, peers) },
-		Lost: func(ctx context.Context) ([]platform.Object, error) { return b.lost(ctx, api, peers) },
+		Lost: func(ctx context.Context) ([]objects.Object, error) { return b.lost(ctx, api, peers) },
 	})
 	records := record.New()
 	b.buildLoads(peers)
@@ -117,7 +117,7 @@
 }
 
 // source returns where changes come from: the coordinator, so that the platform's load does not grow with the boxes, else the platform.
-func (b *Box) source(api *platform.Client, peers *peer.Client) feed.Source {
+func (b *Box) source(api *objects.Client, peers *peer.Client) feed.Source {
 	if address, ok := b.node.CoordinatorAddress(); ok {
 		return peers.Source(address)
 	}
@@ -125,7 +125,7 @@
 }
 
 // lost asks the cell's coordinator what the platform has lost, so that a new box does not serve an older configuration than others do.
-func (b *Box) lost(ctx context.Context, api platform.API, peers *peer.Client) ([]platform.Object, error) {
+func (b *Box) lost(ctx context.Context, api objects.API, peers *peer.Client) ([]objects.Object, error) {
 	l := lease.New(lease.Config{API: api, Name: member.LeaseName(b.cfg.Settings.Box.Cell)})
 	if err := l.Refresh(ctx); err != nil {
 		return nil, err
@@ -183,7 +183,7 @@
 	return owner.Declared{Engine: *e.Spec, Serving: t.Serving[e.Spec.BaseModel]}, true
 }
 
-func (b *Box) buildNode(api platform.API, peers *peer.Client) {
+func (b *Box) buildNode(api objects.API, peers *peer.Client) {
 	s := b.cfg.Settings
 	b.node = member.New(member.Config{
 		Cell: s.Box.Cell, Region: s.Box.Region, API: api, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text,
@@ -222,7 +222,7 @@
 // noRedirect passes a service's redirect on to the caller instead of following it.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-func (b *Box) serve(api platform.API, records *record.Log) {
+func (b *Box) serve(api objects.API, records *record.Log) {
 	peerMux := http.NewServeMux()
 	peer.NewHandler(peer.HandlerConfig{
 		Catalog: b.catalog, Beat: b.node.HandleBeat, Permits: b.scheduler, Schedules: b.schedules, NewID: rand.Text,
--- a/internal/box/harness_test.go
+++ b/internal/box/harness_test.go
@@ -19,7 +19,7 @@
 	"github.com/bellgap/bellgap/internal/fakeengine"
 	"github.com/bellgap/bellgap/internal/fakeplatform"
 	"github.com/bellgap/bellgap/internal/fakeservice"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/settings"
 )
@@ -98,7 +98,7 @@
 	ctx := context.Background()
 	have, err := f.platform.Get(ctx, string(kind), name)
 	if err != nil {
-		f.c.Assert(err, qt.ErrorIs, platform.ErrNotFound)
+		f.c.Assert(err, qt.ErrorIs, objects.ErrNotFound)
 	}
 	_, err = f.platform.Put(ctx, string(kind), name, have.Version, value)
 	f.c.Assert(err, qt.IsNil)
--- a/internal/box/leave_test.go
+++ b/internal/box/leave_test.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bellgap/bellgap/internal/fakeengine"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -97,7 +97,7 @@
 	if running(1) {
 		leaving = 1
 	}
-	f.platform.SetBoxes([]platform.Box{{Name: fmt.Sprintf("host-%d", leaving+1), State: platform.BoxLeaving}})
+	f.platform.SetBoxes([]objects.Box{{Name: fmt.Sprintf("host-%d", leaving+1), State: objects.BoxLeaving}})
 	for _, b := range f.boxes {
 		f.until(func() bool { return len(b.Topology().ByModel[baseModel]) == 1 })
 	}
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -24,10 +24,10 @@
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/metric"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/peer"
-	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/relay"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -54,7 +54,7 @@
 
 // Deployment is what a platform's adapter gives a routed box.
 type Deployment struct {
-	API     platform.API
+	API     objects.API
 	Source  follow.Source
 	Engines owner.Engines
 	Wire    relay.Wire
--- a/internal/catalog/bench_test.go
+++ b/internal/catalog/bench_test.go
@@ -7,19 +7,19 @@
 	"testing"
 
 	"github.com/bellgap/bellgap/internal/catalog"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
 // declared returns n adapters with one version each, as the platform lists them.
-func declared(n int) platform.Changes {
-	ch := platform.Changes{Revision: int64(2*n + 1)}
+func declared(n int) objects.Changes {
+	ch := objects.Changes{Revision: int64(2*n + 1)}
 	add := func(name string, kind resource.Kind, spec resource.Spec) {
 		value, err := json.Marshal(resource.Resource{Kind: kind, Name: name, Spec: spec})
 		if err != nil {
 			panic(err)
 		}
-		ch.Objects = append(ch.Objects, platform.Object{Kind: string(kind), Name: name, Version: int64(len(ch.Objects) + 1), Value: value})
+		ch.Objects = append(ch.Objects, objects.Object{Kind: string(kind), Name: name, Version: int64(len(ch.Objects) + 1), Value: value})
 	}
 	for i := range n {
 		name := fmt.Sprintf("adapter-%05d", i)
@@ -30,7 +30,7 @@
 }
 
 // fill takes a whole list in.
-func fill(tb testing.TB, c *catalog.Catalog, ch platform.Changes) {
+func fill(tb testing.TB, c *catalog.Catalog, ch objects.Changes) {
 	tb.Helper()
 	l := c.BeginList(ch.Revision)
 	l.Page(ch.Objects)
@@ -77,7 +77,7 @@
 			for b.Loop() {
 				revision++
 				o.Version = revision
-				c.Apply(platform.Changes{Objects: []platform.Object{o}, Revision: revision})
+				c.Apply(objects.Changes{Objects: []objects.Object{o}, Revision: revision})
 				if _, err := c.Since(revision - 1); err != nil {
 					b.Fatal(err)
 				}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -12,7 +12,7 @@
 	"unique"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/route"
 )
@@ -64,7 +64,7 @@
 	changed  chan struct{}
 	skipped  int
 	// recent holds the last changes in order, complete after recentFrom, so that boxes that are nearly up to date cost little.
-	recent     []platform.Object
+	recent     []objects.Object
 	recentFrom int64
 	// topology is computed when asked for and dropped when a kind it is made of changes.
 	topology *Topology
@@ -109,7 +109,7 @@
 }
 
 // Apply takes changes since an earlier revision. Objects that are not newer than what is held are passed over.
-func (c *Catalog) Apply(ch platform.Changes) {
+func (c *Catalog) Apply(ch objects.Changes) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range ch.Objects {
@@ -120,10 +120,10 @@
 }
 
 // remember keeps changes for boxes that ask next. Changes are only kept in the order of their versions.
-func (c *Catalog) remember(ch platform.Changes) {
+func (c *Catalog) remember(ch objects.Changes) {
 	fresh := slices.Clone(ch.Objects)
-	fresh = slices.DeleteFunc(fresh, func(o platform.Object) bool { return o.Version <= c.revision })
-	slices.SortFunc(fresh, func(a, b platform.Object) int { return cmp.Compare(a.Version, b.Version) })
+	fresh = slices.DeleteFunc(fresh, func(o objects.Object) bool { return o.Version <= c.revision })
+	slices.SortFunc(fresh, func(a, b objects.Object) int { return cmp.Compare(a.Version, b.Version) })
 	c.recent = append(c.recent, fresh...)
 	if extra := len(c.recent) - maxRecent; extra > 0 {
 		c.recentFrom = c.recent[extra-1].Version
@@ -140,7 +140,7 @@
 }
 
 // apply takes one object in. Generations decide what is newer; of one generation, the platform's later version.
-func (c *Catalog) apply(o platform.Object) {
+func (c *Catalog) apply(o objects.Object) {
 	k := key{unique.Make(o.Kind).Value(), o.Name}
 	have, known := c.entries[k.kind][k.name]
 	if known && have.listing != c.listings {
@@ -234,7 +234,7 @@
 	}
 }
 
-func decode(o platform.Object) (value any, generation int64, err error) {
+func decode(o objects.Object) (value any, generation int64, err error) {
 	if o.Kind == coordinator.MapKind {
 		m := &coordinator.Map{}
 		err = json.Unmarshal(o.Value, m)
@@ -260,16 +260,16 @@
 	return s
 }
 
-// Since returns what changed after revision from, or platform.ErrGone if that is no longer known.
-func (c *Catalog) Since(from int64) (platform.Changes, error) {
+// Since returns what changed after revision from, or objects.ErrGone if that is no longer known.
+func (c *Catalog) Since(from int64) (objects.Changes, error) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	if from < c.floor || from > c.revision {
-		return platform.Changes{}, platform.ErrGone
+		return objects.Changes{}, objects.ErrGone
 	}
-	ch := platform.Changes{Revision: c.revision}
+	ch := objects.Changes{Revision: c.revision}
 	if from >= c.recentFrom {
-		after, _ := slices.BinarySearchFunc(c.recent, from+1, func(o platform.Object, v int64) int { return cmp.Compare(o.Version, v) })
+		after, _ := slices.BinarySearchFunc(c.recent, from+1, func(o objects.Object, v int64) int { return cmp.Compare(o.Version, v) })
 		ch.Objects = slices.Clone(c.recent[after:])
 		return ch, nil
 	}
@@ -282,17 +282,17 @@
 	}
 	for k, t := range c.deleted {
 		if t.version > from {
-			ch.Objects = append(ch.Objects, platform.Object{Kind: k.kind, Name: k.name, Version: t.version, Deleted: true})
+			ch.Objects = append(ch.Objects, objects.Object{Kind: k.kind, Name: k.name, Version: t.version, Deleted: true})
 		}
 	}
 	return ch, nil
 }
 
 // All returns everything, for a box that starts.
-func (c *Catalog) All() platform.Changes {
+func (c *Catalog) All() objects.Changes {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	ch := platform.Changes{Revision: c.revision}
+	ch := objects.Changes{Revision: c.revision}
 	for kind, byName := range c.entries {
 		for name, e := range byName {
 			ch.Objects = append(ch.Objects, encode(key{kind, name}, e))
@@ -301,12 +301,12 @@
 	return ch
 }
 
-func encode(k key, e entry) platform.Object {
+func encode(k key, e entry) objects.Object {
 	v := e.value
 	if s, ok := v.(resource.Spec); ok {
 		v = resource.Resource{Kind: resource.Kind(k.kind), Name: k.name, Generation: e.generation, Spec: s}
 	}
 	// The types held here have no values that cannot be encoded.
 	b, _ := json.Marshal(v)
-	return platform.Object{Kind: k.kind, Name: k.name, Version: e.version, Value: b}
+	return objects.Object{Kind: k.kind, Name: k.name, Version: e.version, Value: b}
 }
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // Listing takes a full list in, page by page, so that a list of any length costs the memory of a page.
@@ -44,10 +44,10 @@
 }
 
 // Page takes a part of the list in.
-func (l *Listing) Page(objects []platform.Object) {
+func (l *Listing) Page(changed []objects.Object) {
 	l.catalog.mu.Lock()
 	defer l.catalog.mu.Unlock()
-	for _, o := range objects {
+	for _, o := range changed {
 		l.catalog.apply(o)
 	}
 }
@@ -69,16 +69,16 @@
 }
 
 // Merge takes in what another box holds and the platform has lost.
-func (c *Catalog) Merge(objects []platform.Object) {
+func (c *Catalog) Merge(changed []objects.Object) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, o := range objects {
+	for _, o := range changed {
 		c.merge(o)
 	}
-	c.advance(c.revision, len(objects) > 0)
+	c.advance(c.revision, len(changed) > 0)
 }
 
-func (c *Catalog) merge(o platform.Object) {
+func (c *Catalog) merge(o objects.Object) {
 	k := key{o.Kind, o.Name}
 	have := max(c.entries[k.kind][k.name].generation, c.deleted[k].generation)
 	if o.Deleted {
@@ -98,7 +98,7 @@
 }
 
 // GenerationOf returns the generation of a stored object, zero if it has none.
-func GenerationOf(o platform.Object) int64 {
+func GenerationOf(o objects.Object) int64 {
 	var v struct {
 		Generation int64 `json:"generation"`
 	}
@@ -115,10 +115,10 @@
 }
 
 // Unstored returns up to limit declared objects that the platform has lost, or has again though they were deleted.
-func (c *Catalog) Unstored(limit int) []platform.Object {
+func (c *Catalog) Unstored(limit int) []objects.Object {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	var lost []platform.Object
+	var lost []objects.Object
 	for kind, byName := range c.entries {
 		if kind == coordinator.MapKind {
 			continue
@@ -134,7 +134,7 @@
 			value, _ := json.Marshal(struct {
 				Generation int64 `json:"generation"`
 			}{t.generation})
-			lost = append(lost, platform.Object{Kind: k.kind, Name: k.name, Deleted: true, Value: value})
+			lost = append(lost, objects.Object{Kind: k.kind, Name: k.name, Deleted: true, Value: value})
 		}
 	}
 	return lost
@@ -142,19 +142,19 @@
 
 // KindSince returns the objects of a kind whose values changed after revision from, deletions included, and whether that is all
 // that changed: deletions that are no longer remembered make it a full list instead.
-func (c *Catalog) KindSince(kind string, from int64) (objects []platform.Object, complete bool) {
+func (c *Catalog) KindSince(kind string, from int64) (changed []objects.Object, complete bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	complete = from > 0 && from >= c.floor
 	for name, e := range c.entries[kind] {
 		if !complete || e.changed > from {
-			objects = append(objects, encode(key{kind, name}, e))
+			changed = append(changed, encode(key{kind, name}, e))
 		}
 	}
 	for k, t := range c.deleted {
 		if complete && k.kind == kind && t.version > from {
-			objects = append(objects, platform.Object{Kind: kind, Name: k.name, Version: t.version, Deleted: true})
+			changed = append(changed, objects.Object{Kind: kind, Name: k.name, Version: t.version, Deleted: true})
 		}
 	}
-	return objects, complete
+	return changed, complete
 }
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -5,7 +5,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // MapKind is the object kind of cell maps.
@@ -97,8 +97,8 @@
 	// Revision is the configuration revision that the coordinator has.
 	Revision int64 `json:"revision"`
 	// Changes is what the coordinator knows beyond Beat.Known, Map what has changed of the cell map.
-	Changes []platform.KindChanges `json:"changes,omitempty"`
-	Map     *Delta                 `json:"map,omitempty"`
+	Changes []objects.KindChanges `json:"changes,omitempty"`
+	Map     *Delta                `json:"map,omitempty"`
 	// StoreAge is the time since the platform's store last answered the coordinator.
 	StoreAge time.Duration `json:"store_age,omitempty"`
 }
--- a/internal/fakeplatform/handler.go
+++ b/internal/fakeplatform/handler.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/httpx"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
-// Handler serves s in the protocol that platform.Client speaks, and POST /faults, POST /boxes, GET /counts for tests.
+// Handler serves s in the protocol that objects.Client speaks, and POST /faults, POST /boxes, GET /counts for tests.
 func (s *Store) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /objects/{kind}/{name}", s.handleGet)
@@ -48,14 +48,14 @@
 }
 
 func (s *Store) handlePut(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValue+1))
-	if err != nil || len(b) > platform.MaxValue {
+	b, err := io.ReadAll(io.LimitReader(r.Body, objects.MaxValue+1))
+	if err != nil || len(b) > objects.MaxValue {
 		http.Error(w, "value too large", http.StatusRequestEntityTooLarge)
 		return
 	}
 	expect, _ := strconv.ParseInt(r.FormValue("expect"), 10, 64)
 	v, err := s.Put(r.Context(), r.PathValue("kind"), r.PathValue("name"), expect, b)
-	answer(w, platform.Object{Version: v}, err)
+	answer(w, objects.Object{Version: v}, err)
 }
 
 func (s *Store) handleDelete(w http.ResponseWriter, r *http.Request) {
@@ -70,7 +70,7 @@
 }
 
 func (s *Store) handleSetBoxes(w http.ResponseWriter, r *http.Request) {
-	var boxes []platform.Box
+	var boxes []objects.Box
 	if err := json.NewDecoder(r.Body).Decode(&boxes); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -98,13 +98,13 @@
 	switch {
 	case err == nil:
 		httpx.WriteJSON(w, http.StatusOK, v)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objects.ErrConflict):
 		http.Error(w, err.Error(), http.StatusConflict)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		http.Error(w, err.Error(), http.StatusNotFound)
-	case errors.Is(err, platform.ErrGone):
+	case errors.Is(err, objects.ErrGone):
 		http.Error(w, err.Error(), http.StatusGone)
-	case errors.Is(err, platform.ErrAnswerLost):
+	case errors.Is(err, objects.ErrAnswerLost):
 		// The connection breaks off, as when the answer is lost on the way.
 		panic(http.ErrAbortHandler)
 	default:
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // pageSize is how many objects a List returns at most.
@@ -36,27 +36,27 @@
 
 type key struct{ kind, name string }
 
-// Store is the in-memory object store. It implements platform.API without a network.
+// Store is the in-memory object store. It implements objects.API without a network.
 type Store struct {
 	mu       sync.Mutex
-	objects  map[key]platform.Object
-	history  []platform.Object
+	objects  map[key]objects.Object
+	history  []objects.Object
 	dropped  int64
 	revision int64
 	changed  chan struct{}
-	boxes    []platform.Box
+	boxes    []objects.Box
 	faults   Faults
 	counts   Counts
 	// listed is the last list made, for the next page of it.
-	listed      platform.Changes
+	listed      objects.Changes
 	listedKinds string
 }
 
-var _ platform.API = (*Store)(nil)
+var _ objects.API = (*Store)(nil)
 
 // New returns an empty Store.
 func New() *Store {
-	return &Store{objects: map[key]platform.Object{}, changed: make(chan struct{})}
+	return &Store{objects: map[key]objects.Object{}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -67,7 +67,7 @@
 }
 
 // SetBoxes replaces the box list.
-func (s *Store) SetBoxes(boxes []platform.Box) {
+func (s *Store) SetBoxes(boxes []objects.Box) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.boxes = slices.Clone(boxes)
@@ -81,43 +81,43 @@
 }
 
 // Snapshot returns a copy of all that is stored, for Restore.
-func (s *Store) Snapshot() platform.Changes {
+func (s *Store) Snapshot() objects.Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.list(nil)
 }
 
 // Restore puts an older copy back, as a platform restored from a backup does.
-func (s *Store) Restore(c platform.Changes) {
+func (s *Store) Restore(c objects.Changes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.objects = map[key]platform.Object{}
+	s.objects = map[key]objects.Object{}
 	for _, o := range c.Objects {
 		s.objects[key{o.Kind, o.Name}] = o
 	}
 	s.history, s.dropped, s.revision = nil, c.Revision, c.Revision
-	s.listed = platform.Changes{}
+	s.listed = objects.Changes{}
 	s.wake()
 }
 
-// Get implements platform.API.
-func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objects.API.
+func (s *Store) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	if err := s.enter(ctx, false); err != nil {
-		return platform.Object{}, err
+		return objects.Object{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[key{kind, name}]
 	if !ok {
-		return o, platform.ErrNotFound
+		return o, objects.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements platform.API.
-func (s *Store) List(ctx context.Context, kinds []string, after string) (platform.Changes, error) {
+// List implements objects.API.
+func (s *Store) List(ctx context.Context, kinds []string, after string) (objects.Changes, error) {
 	if err := s.enter(ctx, false); err != nil {
-		return platform.Changes{}, err
+		return objects.Changes{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,31 +125,31 @@
 }
 
 // page cuts the page after a name out of a list in the order of kind and name.
-func page(all platform.Changes, after string) platform.Changes {
-	path := func(o platform.Object) string { return o.Kind + "/" + o.Name }
-	from, found := slices.BinarySearchFunc(all.Objects, after, func(o platform.Object, s string) int { return strings.Compare(path(o), s) })
+func page(all objects.Changes, after string) objects.Changes {
+	path := func(o objects.Object) string { return o.Kind + "/" + o.Name }
+	from, found := slices.BinarySearchFunc(all.Objects, after, func(o objects.Object, s string) int { return strings.Compare(path(o), s) })
 	if found {
 		from++
 	}
 	to := min(from+pageSize, len(all.Objects))
-	out := platform.Changes{Revision: all.Revision, Objects: all.Objects[from:to]}
+	out := objects.Changes{Revision: all.Revision, Objects: all.Objects[from:to]}
 	if to < len(all.Objects) {
 		out.Next = path(all.Objects[to-1])
 	}
 	return out
 }
 
-func (s *Store) list(kinds []string) platform.Changes {
+func (s *Store) list(kinds []string) objects.Changes {
 	if s.listed.Revision == s.revision && s.listedKinds == strings.Join(kinds, ",") {
 		return s.listed
 	}
-	c := platform.Changes{Revision: s.revision}
+	c := objects.Changes{Revision: s.revision}
 	for _, o := range s.objects {
 		if len(kinds) == 0 || slices.Contains(kinds, o.Kind) {
 			c.Objects = append(c.Objects, o)
 		}
 	}
-	slices.SortFunc(c.Objects, func(a, b platform.Object) int { return strings.Compare(a.Kind+"/"+a.Name, b.Kind+"/"+b.Name) })
+	slices.SortFunc(c.Objects, func(a, b objects.Object) int { return strings.Compare(a.Kind+"/"+a.Name, b.Kind+"/"+b.Name) })
 	s.listed, s.listedKinds = c, strings.Join(kinds, ",")
 	return c
 }
@@ -157,10 +157,10 @@
 // Authoritative implements feed.Source.
 func (s *Store) Authoritative() bool { return true }
 
-// Watch implements platform.API.
-func (s *Store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
+// Watch implements objects.API.
+func (s *Store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
 	if err := s.enter(ctx, false); err != nil {
-		return platform.Changes{}, err
+		return objects.Changes{}, err
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
@@ -170,7 +170,7 @@
 		changed, down := s.changed, s.faults.Down
 		s.mu.Unlock()
 		if down {
-			return platform.Changes{}, platform.ErrUnavailable
+			return objects.Changes{}, objects.ErrUnavailable
 		}
 		if err != nil || len(c.Objects) > 0 {
 			return c, err
@@ -180,16 +180,16 @@
 		case <-timeout.C:
 			return c, nil
 		case <-ctx.Done():
-			return c, platform.ErrUnavailable
+			return c, objects.ErrUnavailable
 		}
 	}
 }
 
-func (s *Store) since(kinds []string, from int64) (platform.Changes, error) {
+func (s *Store) since(kinds []string, from int64) (objects.Changes, error) {
 	if from < s.dropped || from > s.revision {
-		return platform.Changes{}, platform.ErrGone
+		return objects.Changes{}, objects.ErrGone
 	}
-	c := platform.Changes{Revision: s.revision}
+	c := objects.Changes{Revision: s.revision}
 	for _, o := range s.history {
 		if o.Version > from && slices.Contains(kinds, o.Kind) {
 			c.Objects = append(c.Objects, o)
@@ -198,18 +198,18 @@
 	return c, nil
 }
 
-// Put implements platform.API.
+// Put implements objects.API.
 func (s *Store) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
-	return s.write(ctx, platform.Object{Kind: kind, Name: name, Value: value}, expect)
+	return s.write(ctx, objects.Object{Kind: kind, Name: name, Value: value}, expect)
 }
 
-// Delete implements platform.API.
+// Delete implements objects.API.
 func (s *Store) Delete(ctx context.Context, kind, name string, expect int64) error {
-	_, err := s.write(ctx, platform.Object{Kind: kind, Name: name, Deleted: true}, expect)
+	_, err := s.write(ctx, objects.Object{Kind: kind, Name: name, Deleted: true}, expect)
 	return err
 }
 
-func (s *Store) write(ctx context.Context, o platform.Object, expect int64) (int64, error) {
+func (s *Store) write(ctx context.Context, o objects.Object, expect int64) (int64, error) {
 	if err := s.enter(ctx, true); err != nil {
 		return 0, err
 	}
@@ -217,7 +217,7 @@
 	defer s.mu.Unlock()
 	k := key{o.Kind, o.Name}
 	if s.objects[k].Version != expect {
-		return 0, platform.ErrConflict
+		return 0, objects.ErrConflict
 	}
 	s.revision++
 	o.Version = s.revision
@@ -234,13 +234,13 @@
 	s.wake()
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return 0, platform.ErrAnswerLost
+		return 0, objects.ErrAnswerLost
 	}
 	return o.Version, nil
 }
 
-// Boxes implements platform.API.
-func (s *Store) Boxes(ctx context.Context) ([]platform.Box, error) {
+// Boxes implements objects.API.
+func (s *Store) Boxes(ctx context.Context) ([]objects.Box, error) {
 	if err := s.enter(ctx, false); err != nil {
 		return nil, err
 	}
@@ -260,7 +260,7 @@
 	f := s.faults
 	s.mu.Unlock()
 	if f.Down || ctx.Err() != nil {
-		return platform.ErrUnavailable
+		return objects.ErrUnavailable
 	}
 	if f.Delay <= 0 {
 		return nil
@@ -269,7 +269,7 @@
 	case <-time.After(f.Delay):
 		return nil
 	case <-ctx.Done():
-		return platform.ErrUnavailable
+		return objects.ErrUnavailable
 	}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -12,7 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/catalog"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 
 	"github.com/bellgap/bellgap/internal/part"
 )
@@ -26,8 +26,8 @@
 
 // Source gives changes: the platform or another box.
 type Source interface {
-	List(ctx context.Context, kinds []string, after string) (platform.Changes, error)
-	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error)
+	List(ctx context.Context, kinds []string, after string) (objects.Changes, error)
+	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error)
 	// Authoritative reports whether a list that is behind means that the platform was restored; a box may just be late.
 	Authoritative() bool
 }
@@ -40,7 +40,7 @@
 	// Pick returns the source for the next call.
 	Pick func() Source
 	// Lost returns what other boxes hold and the platform has lost, for the first list; nil in tests that need none.
-	Lost func(ctx context.Context) ([]platform.Object, error)
+	Lost func(ctx context.Context) ([]objects.Object, error)
 	// Scope counts calls.
 	Scope tally.Scope
 }
@@ -104,7 +104,7 @@
 	}
 	f.cfg.Scope.Counter("feed_watches").Inc(1)
 	ch, err := src.Watch(ctx, catalog.WatchedKinds(), f.cfg.Catalog.Revision(), watchWait)
-	if errors.Is(err, platform.ErrGone) {
+	if errors.Is(err, objects.ErrGone) {
 		return f.list(ctx, src)
 	}
 	if err != nil {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -14,14 +14,14 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/part"
-	"github.com/bellgap/bellgap/internal/platform"
 )
 
 // Source lists and watches objects of one kind at a time. It is an interface at the network boundary.
 type Source interface {
-	List(ctx context.Context, kinds []string, after string) (platform.Changes, error)
-	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error)
+	List(ctx context.Context, kinds []string, after string) (objects.Changes, error)
+	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error)
 }
 
 // Kind says how one kind of objects is followed.
@@ -137,7 +137,7 @@
 		case err == nil:
 			backoff = minBackoff
 			f.store.answered(time.Now())
-		case errors.Is(err, platform.ErrGone):
+		case errors.Is(err, objects.ErrGone):
 			klog.InfoS("history gone; listing", "kind", k.Name, "revision", k.revision)
 			k.revision, k.listed = 0, false
 			pause = 0
@@ -182,7 +182,7 @@
 
 func (f *Follower) list(ctx context.Context, k *kindState) error {
 	f.cfg.Scope.Counter("follow_lists").Inc(1)
-	var all platform.Changes
+	var all objects.Changes
 	after := ""
 	for {
 		ch, err := f.cfg.Source.List(ctx, []string{k.Name}, after)
@@ -212,7 +212,7 @@
 	return f.store.backSince().Add(f.cfg.Grace)
 }
 
-func (f *Follower) apply(k *kindState, ch platform.Changes) {
+func (f *Follower) apply(k *kindState, ch objects.Changes) {
 	k.revision = max(k.revision, ch.Revision)
 	f.mu.Lock()
 	f.known[k.Name] = k.revision
@@ -228,8 +228,8 @@
 const maxNamesTold = 8
 
 // told returns the names of objects for the log, bounded.
-func told(objects []platform.Object) (changed, gone []string) {
-	for _, o := range objects {
+func told(all []objects.Object) (changed, gone []string) {
+	for _, o := range all {
 		switch {
 		case o.Deleted && len(gone) < maxNamesTold:
 			gone = append(gone, o.Name)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/follow"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -30,8 +30,8 @@
 type store struct {
 	mu       sync.Mutex
 	revision int64
-	objects  map[string]map[string]platform.Object
-	history  []platform.Object
+	objects  map[string]map[string]objects.Object
+	history  []objects.Object
 	// floor is the revision before which the history is gone.
 	floor int64
 	// deaf watches wait their time and hear nothing.
@@ -42,7 +42,7 @@
 }
 
 func newStore() *store {
-	return &store{objects: map[string]map[string]platform.Object{}, changed: make(chan struct{})}
+	return &store{objects: map[string]map[string]objects.Object{}, changed: make(chan struct{})}
 }
 
 func (s *store) put(c *qt.C, kind resource.Kind, name string, spec resource.Spec) {
@@ -51,7 +51,7 @@
 	s.revision++
 	value, err := json.Marshal(resource.Resource{Kind: kind, Name: name, Generation: s.revision, Spec: spec})
 	c.Assert(err, qt.IsNil)
-	s.write(platform.Object{Kind: string(kind), Name: name, Version: s.revision, Value: value})
+	s.write(objects.Object{Kind: string(kind), Name: name, Version: s.revision, Value: value})
 }
 
 // remove deletes an endpoint.
@@ -59,12 +59,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.write(platform.Object{Kind: string(resource.KindEndpoint), Name: name, Version: s.revision, Deleted: true})
+	s.write(objects.Object{Kind: string(resource.KindEndpoint), Name: name, Version: s.revision, Deleted: true})
 }
 
-func (s *store) write(o platform.Object) {
+func (s *store) write(o objects.Object) {
 	if s.objects[o.Kind] == nil {
-		s.objects[o.Kind] = map[string]platform.Object{}
+		s.objects[o.Kind] = map[string]objects.Object{}
 	}
 	s.objects[o.Kind][o.Name] = o
 	if o.Deleted {
@@ -82,13 +82,13 @@
 }
 
 // List implements follow.Source.
-func (s *store) List(_ context.Context, kinds []string, _ string) (platform.Changes, error) {
+func (s *store) List(_ context.Context, kinds []string, _ string) (objects.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Changes{}, platform.ErrUnavailable
+		return objects.Changes{}, objects.ErrUnavailable
 	}
-	ch := platform.Changes{Revision: s.revision}
+	ch := objects.Changes{Revision: s.revision}
 	for _, o := range s.objects[kinds[0]] {
 		ch.Objects = append(ch.Objects, o)
 	}
@@ -96,7 +96,7 @@
 }
 
 // Watch implements follow.Source.
-func (s *store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
+func (s *store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
@@ -112,21 +112,21 @@
 		select {
 		case <-changed:
 		case <-timeout:
-			return platform.Changes{Revision: from}, nil
+			return objects.Changes{Revision: from}, nil
 		case <-ctx.Done():
-			return platform.Changes{}, ctx.Err()
+			return objects.Changes{}, ctx.Err()
 		}
 	}
 }
 
-func (s *store) since(kind string, from int64) (platform.Changes, error) {
+func (s *store) since(kind string, from int64) (objects.Changes, error) {
 	if s.down {
-		return platform.Changes{}, platform.ErrUnavailable
+		return objects.Changes{}, objects.ErrUnavailable
 	}
 	if from < s.floor {
-		return platform.Changes{}, platform.ErrGone
+		return objects.Changes{}, objects.ErrGone
 	}
-	ch := platform.Changes{Revision: s.revision}
+	ch := objects.Changes{Revision: s.revision}
 	for _, o := range s.history {
 		if o.Kind == kind && o.Version > from {
 			ch.Objects = append(ch.Objects, o)
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // kindState is what a follower knows of one kind. One goroutine uses it.
@@ -29,8 +29,8 @@
 }
 
 // replace takes a full list in and returns what changes by it. Before graceUntil missing objects are kept.
-func (k *kindState) replace(now time.Time, list platform.Changes, graceUntil time.Time) platform.Changes {
-	out := platform.Changes{Revision: list.Revision, Objects: list.Objects}
+func (k *kindState) replace(now time.Time, list objects.Changes, graceUntil time.Time) objects.Changes {
+	out := objects.Changes{Revision: list.Revision, Objects: list.Objects}
 	listed := map[string]bool{}
 	for _, o := range list.Objects {
 		listed[o.Name] = true
@@ -38,7 +38,7 @@
 	}
 	for name := range k.known {
 		if !listed[name] {
-			out.Objects = append(out.Objects, platform.Object{Kind: k.Name, Name: name, Version: list.Revision, Deleted: true})
+			out.Objects = append(out.Objects, objects.Object{Kind: k.Name, Name: name, Version: list.Revision, Deleted: true})
 		}
 	}
 	for name := range listed {
@@ -48,7 +48,7 @@
 }
 
 // changes takes a watch's answer in and returns what changes by it.
-func (k *kindState) changes(now time.Time, ch platform.Changes, graceUntil time.Time) platform.Changes {
+func (k *kindState) changes(now time.Time, ch objects.Changes, graceUntil time.Time) objects.Changes {
 	for _, o := range ch.Objects {
 		if !o.Deleted {
 			k.known[o.Name] = true
@@ -59,8 +59,8 @@
 }
 
 // settle holds deletions back until graceUntil and adds those whose time has come.
-func (k *kindState) settle(now time.Time, ch platform.Changes, graceUntil time.Time) platform.Changes {
-	out := platform.Changes{Revision: ch.Revision}
+func (k *kindState) settle(now time.Time, ch objects.Changes, graceUntil time.Time) objects.Changes {
+	out := objects.Changes{Revision: ch.Revision}
 	for _, o := range ch.Objects {
 		if !o.Deleted {
 			out.Objects = append(out.Objects, o)
@@ -88,11 +88,11 @@
 }
 
 // remove adds the deletion of an object and of what goes with it.
-func (k *kindState) remove(objects []platform.Object, name string, version int64) []platform.Object {
+func (k *kindState) remove(changed []objects.Object, name string, version int64) []objects.Object {
 	for _, kind := range append([]string{k.Name}, k.With...) {
-		objects = append(objects, platform.Object{Kind: kind, Name: name, Version: version, Deleted: true})
+		changed = append(changed, objects.Object{Kind: kind, Name: name, Version: version, Deleted: true})
 	}
-	return objects
+	return changed
 }
 
 // nextExpiry returns the time until the first missing object is given up.
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -6,7 +6,7 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // isRelayed reports whether changes come through another box.
@@ -25,24 +25,24 @@
 
 // Since returns what is known here beyond known, for another box, and the time since the store last answered. Kinds that this box
 // has through another one itself are not passed on.
-func (f *Follower) Since(known map[string]int64) ([]platform.KindChanges, time.Duration) {
+func (f *Follower) Since(known map[string]int64) ([]objects.KindChanges, time.Duration) {
 	if f.isRelayed(time.Now()) {
 		return nil, relayAge + time.Second
 	}
 	own := f.Known()
-	var out []platform.KindChanges
+	var out []objects.KindChanges
 	for _, k := range f.cfg.Kinds {
 		if !k.Relayed || own[k.Name] == 0 || own[k.Name] <= known[k.Name] {
 			continue
 		}
-		objects, complete := f.cfg.Catalog.KindSince(k.Name, known[k.Name])
-		out = append(out, platform.KindChanges{Kind: k.Name, Revision: own[k.Name], Full: !complete, Objects: objects})
+		changed, complete := f.cfg.Catalog.KindSince(k.Name, known[k.Name])
+		out = append(out, objects.KindChanges{Kind: k.Name, Revision: own[k.Name], Full: !complete, Objects: changed})
 	}
 	return out, f.StoreAge()
 }
 
 // Take takes changes from another box in. While they come and that box hears from the store, this one makes no calls.
-func (f *Follower) Take(changes []platform.KindChanges, storeAge time.Duration) {
+func (f *Follower) Take(changes []objects.KindChanges, storeAge time.Duration) {
 	for _, ch := range changes {
 		f.take(ch)
 	}
@@ -68,11 +68,11 @@
 
 // dropUnrelayed forgets what goes with a relayed kind and is not relayed itself, as it would only grow old.
 func (f *Follower) dropUnrelayed() {
-	var drop platform.Changes
+	var drop objects.Changes
 	for _, k := range f.cfg.Kinds {
 		for _, kind := range k.With {
 			for _, name := range f.cfg.Catalog.Names(kind) {
-				drop.Objects = append(drop.Objects, platform.Object{Kind: kind, Name: name, Version: f.Known()[k.Name], Deleted: true})
+				drop.Objects = append(drop.Objects, objects.Object{Kind: kind, Name: name, Version: f.Known()[k.Name], Deleted: true})
 			}
 		}
 	}
@@ -80,8 +80,8 @@
 }
 
 // take takes the changes of one kind in.
-func (f *Follower) take(ch platform.KindChanges) {
-	objects := ch.Objects
+func (f *Follower) take(ch objects.KindChanges) {
+	all := ch.Objects
 	if ch.Full {
 		listed := map[string]bool{}
 		for _, o := range ch.Objects {
@@ -89,7 +89,7 @@
 		}
 		for _, name := range f.cfg.Catalog.Names(ch.Kind) {
 			if !listed[name] {
-				objects = append(objects, platform.Object{Kind: ch.Kind, Name: name, Version: ch.Revision, Deleted: true})
+				all = append(all, objects.Object{Kind: ch.Kind, Name: name, Version: ch.Revision, Deleted: true})
 			}
 		}
 	}
@@ -97,10 +97,10 @@
 	fresh := ch.Revision > f.known[ch.Kind]
 	f.known[ch.Kind] = max(f.known[ch.Kind], ch.Revision)
 	f.mu.Unlock()
-	if !fresh || len(objects) == 0 {
+	if !fresh || len(all) == 0 {
 		return
 	}
-	changed, gone := told(objects)
+	changed, gone := told(all)
 	klog.V(1).InfoS("objects changed", "kind", ch.Kind, "revision", ch.Revision, "changed", changed, "gone", gone, "through", "coordinator")
-	f.cfg.Catalog.Apply(platform.Changes{Objects: objects, Revision: ch.Revision})
+	f.cfg.Catalog.Apply(objects.Changes{Objects: all, Revision: ch.Revision})
 }
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/follow"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -31,20 +31,20 @@
 }
 
 // List implements follow.Source.
-func (s *counted) List(ctx context.Context, kinds []string, after string) (platform.Changes, error) {
+func (s *counted) List(ctx context.Context, kinds []string, after string) (objects.Changes, error) {
 	s.calls.Add(1)
 	if s.cut.Load() {
-		return platform.Changes{}, platform.ErrUnavailable
+		return objects.Changes{}, objects.ErrUnavailable
 	}
 	return s.store.List(ctx, kinds, after)
 }
 
 // Watch implements follow.Source. A cut path says nothing until the caller gives up.
-func (s *counted) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
+func (s *counted) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
 	s.calls.Add(1)
 	ch, err := s.store.Watch(ctx, kinds, from, wait)
 	if s.cut.Load() {
-		return platform.Changes{}, platform.ErrUnavailable
+		return objects.Changes{}, objects.ErrUnavailable
 	}
 	return ch, err
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // Kind is the object kind of leases.
@@ -29,7 +29,7 @@
 
 // Config configures a Lease.
 type Config struct {
-	API platform.API
+	API objects.API
 	// Name is the name of the lease object.
 	Name string
 	// Holder and Address describe this box.
@@ -71,8 +71,8 @@
 // Refresh reads the lease.
 func (l *Lease) Refresh(ctx context.Context) error {
 	o, err := l.cfg.API.Get(ctx, Kind, l.cfg.Name)
-	if errors.Is(err, platform.ErrNotFound) {
-		l.saw(platform.Object{}, Record{})
+	if errors.Is(err, objects.ErrNotFound) {
+		l.saw(objects.Object{}, Record{})
 		return nil
 	}
 	if err != nil {
@@ -86,7 +86,7 @@
 	return nil
 }
 
-func (l *Lease) saw(o platform.Object, r Record) {
+func (l *Lease) saw(o objects.Object, r Record) {
 	if o.Version != l.version || l.changedAt.IsZero() {
 		l.changedAt = time.Now()
 	}
@@ -129,7 +129,7 @@
 func (l *Lease) Renew(ctx context.Context) error {
 	if !l.Ours() {
 		l.validUntil = time.Time{}
-		return platform.ErrConflict
+		return objects.ErrConflict
 	}
 	return l.write(ctx, Record{Holder: l.cfg.Holder, Address: l.cfg.Address, Epoch: l.record.Epoch})
 }
@@ -149,10 +149,10 @@
 	}
 	sentAt := time.Now()
 	version, err := l.cfg.API.Put(ctx, Kind, l.cfg.Name, l.version, value)
-	if errors.Is(err, platform.ErrAnswerLost) {
+	if errors.Is(err, objects.ErrAnswerLost) {
 		version, err = l.settle(ctx, r.Token)
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objects.ErrConflict) {
 		l.validUntil = time.Time{}
 		return errors.Join(err, l.Refresh(ctx))
 	}
@@ -177,7 +177,7 @@
 		return 0, eris.Wrapf(err, "lease: %s", l.cfg.Name)
 	}
 	if r.Token != token {
-		return 0, platform.ErrConflict
+		return 0, objects.ErrConflict
 	}
 	return o.Version, nil
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -11,12 +11,12 @@
 
 	"github.com/bellgap/bellgap/internal/fakeplatform"
 	"github.com/bellgap/bellgap/internal/lease"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 const ttl = 3 * time.Second
 
-func newLease(api platform.API, holder string) *lease.Lease {
+func newLease(api objects.API, holder string) *lease.Lease {
 	n := 0
 	return lease.New(lease.Config{API: api, Name: "zone-z", Holder: holder, TTL: ttl, NewToken: func() string {
 		n++
@@ -44,7 +44,7 @@
 		c.Check(a.Held(time.Now()), qt.IsFalse)
 		c.Assert(b.Take(ctx), qt.IsNil)
 		c.Check(b.Record().Epoch, qt.Equals, a.Record().Epoch+1)
-		c.Check(a.Renew(ctx), qt.ErrorIs, platform.ErrConflict)
+		c.Check(a.Renew(ctx), qt.ErrorIs, objects.ErrConflict)
 	})
 }
 
@@ -61,7 +61,7 @@
 		time.Sleep(ttl)
 		c.Assert(b.Take(ctx), qt.IsNil)
 		c.Assert(a.Refresh(ctx), qt.IsNil)
-		c.Check(a.Renew(ctx), qt.ErrorIs, platform.ErrConflict)
+		c.Check(a.Renew(ctx), qt.ErrorIs, objects.ErrConflict)
 		c.Check(b.Renew(ctx), qt.IsNil)
 	})
 }
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -21,7 +21,7 @@
 	"github.com/bellgap/bellgap/internal/feed"
 	"github.com/bellgap/bellgap/internal/invariant"
 	"github.com/bellgap/bellgap/internal/member"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -277,22 +277,22 @@
 	address string
 }
 
-func (s source) List(context.Context, []string, string) (platform.Changes, error) {
+func (s source) List(context.Context, []string, string) (objects.Changes, error) {
 	to, err := s.reach()
 	if err != nil {
-		return platform.Changes{}, err
+		return objects.Changes{}, err
 	}
 	return to.catalog.All(), nil
 }
 
 func (s source) Authoritative() bool { return false }
 
-func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (platform.Changes, error) {
+func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (objects.Changes, error) {
 	timeout := time.After(wait)
 	for {
 		to, err := s.reach()
 		if err != nil {
-			return platform.Changes{}, err
+			return objects.Changes{}, err
 		}
 		changed := to.catalog.Changed()
 		ch, err := to.catalog.Since(from)
@@ -360,36 +360,36 @@
 	return n.released, nil
 }
 
-// The methods below implement platform.API through the node's gate and cut.
+// The methods below implement objects.API through the node's gate and cut.
 
-func (n *node) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+func (n *node) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	if n.platformCut() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objects.Object{}, objects.ErrUnavailable
 	}
 	o, err := n.cluster.platform.Get(ctx, kind, name)
 	n.gate()
 	return o, err
 }
 
-func (n *node) List(ctx context.Context, kinds []string, after string) (platform.Changes, error) {
+func (n *node) List(ctx context.Context, kinds []string, after string) (objects.Changes, error) {
 	if n.platformCut() {
-		return platform.Changes{}, platform.ErrUnavailable
+		return objects.Changes{}, objects.ErrUnavailable
 	}
 	return n.cluster.platform.List(ctx, kinds, after)
 }
 
 func (n *node) Authoritative() bool { return true }
 
-func (n *node) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (platform.Changes, error) {
+func (n *node) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
 	if n.platformCut() {
-		return platform.Changes{}, platform.ErrUnavailable
+		return objects.Changes{}, objects.ErrUnavailable
 	}
 	return n.cluster.platform.Watch(ctx, kinds, from, wait)
 }
 
 func (n *node) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
 	if n.platformCut() {
-		return 0, platform.ErrUnavailable
+		return 0, objects.ErrUnavailable
 	}
 	v, err := n.cluster.platform.Put(ctx, kind, name, expect, value)
 	n.gate()
@@ -400,6 +400,6 @@
 	return n.cluster.platform.Delete(ctx, kind, name, expect)
 }
 
-func (n *node) Boxes(ctx context.Context) ([]platform.Box, error) {
+func (n *node) Boxes(ctx context.Context) ([]objects.Box, error) {
 	return n.cluster.platform.Boxes(ctx)
 }
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -12,8 +12,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/placement"
-	"github.com/bellgap/bellgap/internal/platform"
 )
 
 // seekLease reads the lease and takes it if it is free.
@@ -98,10 +98,10 @@
 	}, last), nil
 }
 
-func readMap(ctx context.Context, api platform.API, cell string) (coordinator.Map, int64, error) {
+func readMap(ctx context.Context, api objects.API, cell string) (coordinator.Map, int64, error) {
 	var m coordinator.Map
 	o, err := api.Get(ctx, coordinator.MapKind, cell)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objects.ErrNotFound) {
 		return m, 0, nil
 	}
 	if err != nil {
@@ -118,7 +118,7 @@
 	if time.Until(n.lease.ValidUntil()) <= time.Duration(renewBelow*float64(n.cfg.Timing.LeaseTTL)) {
 		err = n.lease.Renew(ctx)
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objects.ErrConflict) {
 		klog.InfoS("lease lost", "cell", n.cfg.Cell, "holder", n.lease.Record().Holder)
 		state = nil
 	}
@@ -147,7 +147,7 @@
 	}
 	var leaving []string
 	for _, b := range boxes {
-		if b.State == platform.BoxLeaving {
+		if b.State == objects.BoxLeaving {
 			leaving = append(leaving, b.Name)
 		}
 	}
@@ -177,10 +177,10 @@
 		return err
 	}
 	version, err := n.cfg.API.Put(ctx, coordinator.MapKind, n.cfg.Cell, n.mapVersion, value)
-	if errors.Is(err, platform.ErrAnswerLost) {
+	if errors.Is(err, objects.ErrAnswerLost) {
 		version, err = n.settleMap(ctx, m)
 	}
-	if errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, objects.ErrConflict) {
 		n.setTenure(nil)
 	}
 	if err != nil {
@@ -206,9 +206,9 @@
 		return version, nil
 	}
 	if m.Lease != wrote.Lease {
-		return 0, platform.ErrConflict
+		return 0, objects.ErrConflict
 	}
-	return 0, platform.ErrUnavailable
+	return 0, objects.ErrUnavailable
 }
 
 func sameMap(a, b coordinator.Map) bool {
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -14,7 +14,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/lease"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 
 	"github.com/bellgap/bellgap/internal/part"
 )
@@ -57,7 +57,7 @@
 	Cell    string
 	Region  string
 	Self    coordinator.Member
-	API     platform.API
+	API     objects.API
 	Peers   Peers
 	Catalog *catalog.Catalog
 	Holder  Holder
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -7,7 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // Spread is what a box passes on with heartbeats, so that the platform's load does not grow with the boxes.
@@ -15,9 +15,9 @@
 	// Known returns the revisions up to which this box knows the kinds that it follows.
 	Known() map[string]int64
 	// Since returns what this box knows beyond known, and the time since the store last answered it.
-	Since(known map[string]int64) ([]platform.KindChanges, time.Duration)
+	Since(known map[string]int64) ([]objects.KindChanges, time.Duration)
 	// Take takes changes from the coordinator in.
-	Take(changes []platform.KindChanges, storeAge time.Duration)
+	Take(changes []objects.KindChanges, storeAge time.Duration)
 }
 
 // keptMaps is how many published maps a coordinator keeps to tell what has changed: boxes that miss more get the whole map.
@@ -74,7 +74,7 @@
 		klog.ErrorS(err, "cell map not taken in", "generation", m.Generation)
 		return
 	}
-	n.cfg.Catalog.Apply(platform.Changes{Objects: []platform.Object{
+	n.cfg.Catalog.Apply(objects.Changes{Objects: []objects.Object{
 		{Kind: coordinator.MapKind, Name: n.cfg.Cell, Version: r.Map.Version, Value: value},
 	}})
 }
--- a/internal/platform/client.go
+++ b/internal/objects/client.go
@@ -1,4 +1,4 @@
-package platform
+package objects
 
 import (
 	"bytes"
@@ -97,7 +97,7 @@
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
-		return eris.Wrap(err, "platform: request")
+		return eris.Wrap(err, "objects: request")
 	}
 	// Without GetBody the transport has nothing to send a second time.
 	req.GetBody = nil
--- a/internal/platform/platform.go
+++ b/internal/objects/objects.go
@@ -1,5 +1,5 @@
-// Package platform is the client of the platform's object API and box list.
-package platform
+// Package objects is the client of the platform's object API and box list.
+package objects
 
 import (
 	"context"
@@ -15,15 +15,15 @@
 // Errors that callers tell apart.
 var (
 	// ErrConflict says that the object's version is not the expected one; the write took no effect.
-	ErrConflict = eris.New("platform: version conflict")
+	ErrConflict = eris.New("objects: version conflict")
 	// ErrNotFound says that there is no such object.
-	ErrNotFound = eris.New("platform: not found")
+	ErrNotFound = eris.New("objects: not found")
 	// ErrGone says that the changes asked for are no longer kept; list instead.
-	ErrGone = eris.New("platform: changes no longer kept")
+	ErrGone = eris.New("objects: changes no longer kept")
 	// ErrUnavailable says that the platform refused or could not be reached; a write took no effect.
-	ErrUnavailable = eris.New("platform: unavailable")
+	ErrUnavailable = eris.New("objects: unavailable")
 	// ErrAnswerLost says that a write may or may not have taken effect.
-	ErrAnswerLost = eris.New("platform: answer lost")
+	ErrAnswerLost = eris.New("objects: answer lost")
 )
 
 // Object is one stored object.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -10,8 +10,8 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/member"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/owner"
-	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -19,7 +19,7 @@
 // Config configures an Operator.
 type Config struct {
 	Box     string
-	API     platform.API
+	API     objects.API
 	Catalog *catalog.Catalog
 	Metrics http.Handler
 	// Ready reports whether this box can serve callers.
--- a/internal/operator/resources.go
+++ b/internal/operator/resources.go
@@ -10,7 +10,7 @@
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/httpx"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -65,7 +65,7 @@
 // without, it is applied to whatever is there. With ?dry_run=true nothing is written.
 func (o *Operator) handlePut(w http.ResponseWriter, r *http.Request) {
 	var res resource.Resource
-	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, platform.MaxValue)).Decode(&res)
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, objects.MaxValue)).Decode(&res)
 	if err == nil {
 		err = res.Check()
 	}
@@ -107,7 +107,7 @@
 
 func (o *Operator) put(ctx context.Context, res resource.Resource, expect int64, dryRun bool) (Written, *result.Error) {
 	have, err := o.cfg.API.Get(ctx, string(res.Kind), res.Name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return Written{}, platformError(err)
 	}
 	if expect != anyVersion && expect != have.Version {
@@ -131,7 +131,7 @@
 		return Written{outcome, have.Version}, nil
 	}
 	version, err := o.cfg.API.Put(ctx, string(res.Kind), res.Name, have.Version, value)
-	if errors.Is(err, platform.ErrAnswerLost) {
+	if errors.Is(err, objects.ErrAnswerLost) {
 		version, err = o.settle(ctx, res, have.Version, value)
 	}
 	if err != nil {
@@ -145,10 +145,10 @@
 func (o *Operator) settle(ctx context.Context, res resource.Resource, before int64, value []byte) (int64, error) {
 	now, err := o.cfg.API.Get(ctx, string(res.Kind), res.Name)
 	if err != nil || now.Version == before {
-		return 0, platform.ErrAnswerLost
+		return 0, objects.ErrAnswerLost
 	}
 	if !bytes.Equal(now.Value, value) {
-		return 0, platform.ErrConflict
+		return 0, objects.ErrConflict
 	}
 	return now.Version, nil
 }
@@ -218,11 +218,11 @@
 
 func platformError(err error) *result.Error {
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objects.ErrConflict):
 		return result.New(result.Conflict, "somebody else wrote at the same time")
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objects.ErrNotFound):
 		return result.New(result.NoSuchResource, "")
-	case errors.Is(err, platform.ErrAnswerLost):
+	case errors.Is(err, objects.ErrAnswerLost):
 		return result.New(result.AnswerUnknown, "read the resource to see whether it took effect")
 	default:
 		return result.New(result.PlatformUnavailable, "%v", err)
--- /dev/null
+++ b/internal/owner/failing.go
@@ -0,0 +1,33 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+func (s *State) refuseFailing(now time.Time, t Ticket) {
+	f := s.failures[t.Ref]
+	err := result.New(result.LoadFailed, "%s failed to load %d times", t.Ref, f.count)
+	err.RetryAfter = f.until.Sub(now)
+	s.refuse(t, err)
+}
+
+func (s *State) failing(now time.Time, ref resource.Ref) bool {
+	return now.Before(s.failures[ref].until) && s.slots[ref] == nil
+}
+
+// fail backs the adapter off and refuses those who wait for it.
+func (s *State) fail(now time.Time, ref resource.Ref) {
+	f := s.failures[ref]
+	f.count++
+	f.until = now.Add(min(maxBackoff, defaultBackoff<<min(f.count-1, 10)))
+	s.failures[ref] = f
+	s.keep(func(t Ticket) bool {
+		if t.Ref == ref {
+			s.refuseFailing(now, t)
+		}
+		return t.Ref != ref
+	})
+}
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -1,10 +1,8 @@
 package owner
 
 import (
-	"slices"
 	"time"
 
-	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -77,26 +75,6 @@
 	latelyPerSlot = 5
 )
 
-// lately remembers the adapters that an engine held last, in the order of their going.
-type lately struct {
-	most int
-	refs []resource.Ref
-}
-
-func (l *lately) has(ref resource.Ref) bool { return slices.Contains(l.refs, ref) }
-
-func (l *lately) add(ref resource.Ref) {
-	l.drop(ref)
-	l.refs = append(l.refs, ref)
-	if extra := len(l.refs) - l.most; extra > 0 {
-		l.refs = slices.Delete(l.refs, 0, extra)
-	}
-}
-
-func (l *lately) drop(ref resource.Ref) {
-	l.refs = slices.DeleteFunc(l.refs, func(r resource.Ref) bool { return r == ref })
-}
-
 // tooSlow reports whether a ticket had better go on to its next engine.
 func (s *State) tooSlow(now time.Time, t Ticket) bool {
 	return t.Accept > 0 && s.expectedWait(now, t) > t.Accept
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -17,7 +17,7 @@
 	"github.com/bellgap/bellgap/internal/feed"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/loads"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -58,8 +58,8 @@
 }
 
 // Lost returns what the box at address holds and the platform has lost.
-func (c *Client) Lost(ctx context.Context, address string) ([]platform.Object, error) {
-	var lost []platform.Object
+func (c *Client) Lost(ctx context.Context, address string) ([]objects.Object, error) {
+	var lost []objects.Object
 	err := c.call(ctx, address, PathLost, callTimeout, struct{}{}, &lost)
 	return lost, err
 }
@@ -113,8 +113,8 @@
 }
 
 // List implements feed.Source; another box's list is one page.
-func (s source) List(ctx context.Context, _ []string, _ string) (platform.Changes, error) {
-	var ch platform.Changes
+func (s source) List(ctx context.Context, _ []string, _ string) (objects.Changes, error) {
+	var ch objects.Changes
 	err := s.client.call(ctx, s.address, PathList, callTimeout, struct{}{}, &ch)
 	return ch, err
 }
@@ -123,8 +123,8 @@
 func (s source) Authoritative() bool { return false }
 
 // Watch implements feed.Source.
-func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (platform.Changes, error) {
-	var ch platform.Changes
+func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (objects.Changes, error) {
+	var ch objects.Changes
 	path := PathChanges + "?from=" + strconv.FormatInt(from, 10) + "&wait=" + wait.String()
 	err := s.client.call(ctx, s.address, path, wait+callTimeout, struct{}{}, &ch)
 	return ch, err
@@ -154,7 +154,7 @@
 	case http.StatusOK:
 		return eris.Wrap(json.Unmarshal(b, out), "peer: answer")
 	case http.StatusGone:
-		return platform.ErrGone
+		return objects.ErrGone
 	}
 	if e, ok := result.Decode(b); ok {
 		return e
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -12,7 +12,7 @@
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/loads"
-	"github.com/bellgap/bellgap/internal/platform"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -88,7 +88,7 @@
 	for {
 		changed := h.cfg.Catalog.Changed()
 		ch, err := h.cfg.Catalog.Since(from)
-		if errors.Is(err, platform.ErrGone) {
+		if errors.Is(err, objects.ErrGone) {
 			http.Error(w, err.Error(), http.StatusGone)
 			return
 		}
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -10,8 +10,8 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/part"
-	"github.com/bellgap/bellgap/internal/platform"
 )
 
 // Rate of the repair: a twentieth of the platform's writes.
@@ -22,7 +22,7 @@
 
 // Config configures a Repair.
 type Config struct {
-	API     platform.API
+	API     objects.API
 	Catalog *catalog.Catalog
 	// Active reports whether this box is the one that repairs now.
 	Active func() bool
@@ -62,12 +62,12 @@
 }
 
 // write puts one object back unless the platform has a newer generation.
-func (r *Repair) write(ctx context.Context, o platform.Object) {
+func (r *Repair) write(ctx context.Context, o objects.Object) {
 	have, err := r.cfg.API.Get(ctx, o.Kind, o.Name)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return
 	}
-	if !needed(o, have, errors.Is(err, platform.ErrNotFound)) {
+	if !needed(o, have, errors.Is(err, objects.ErrNotFound)) {
 		return
 	}
 	if o.Deleted {
@@ -84,7 +84,7 @@
 }
 
 // needed reports whether writing o back changes anything for the better; gone says that the platform has no such object.
-func needed(o, have platform.Object, gone bool) bool {
+func needed(o, have objects.Object, gone bool) bool {
 	if gone {
 		return !o.Deleted
 	}
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -18,8 +18,8 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/fakeplatform"
 	"github.com/bellgap/bellgap/internal/feed"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
-	"github.com/bellgap/bellgap/internal/platform"
 	"github.com/bellgap/bellgap/internal/repair"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -52,7 +52,7 @@
 	}
 	b.feed = feed.New(feed.Config{
 		Catalog: b.catalog, Scope: tally.NoopScope, Pick: func() feed.Source { return r.platform },
-		Lost: func(context.Context) ([]platform.Object, error) {
+		Lost: func(context.Context) ([]objects.Object, error) {
 			return neighbour.Unstored(100), nil
 		},
 	})
@@ -137,7 +137,7 @@
 		r.c.Assert(err, qt.IsNil)
 		r.c.Check(string(o.Value), qt.Contains, `"urgency":5`)
 		_, err = r.platform.Get(r.ctx, "Priority", "old")
-		r.c.Check(err, qt.ErrorIs, platform.ErrNotFound)
+		r.c.Check(err, qt.ErrorIs, objects.ErrNotFound)
 		// What is accepted after the restore is in force everywhere within seconds.
 		r.c.Assert(r.put(r.boxes[1], 6, ""), qt.Equals, result.OK)
 		r.run(6 * time.Second)
