"Not run" is said only when true; bodies bounded in time; one reader of bodies

Causes, from reading the relay again: (1) A repeatable request whose first try may have run and whose second was refused went out as 503, which promises that it did not run. TestNotRunIsSaidOnlyWhenTrue fails before (backend_refused instead of answer_lost). (3) A request whose own time ended while it waited for an owner got 499, the status of a caller that left, though the caller was there. (4) On routes a body could take for ever to arrive.

Change: q.truth, promises, and internal/body, which both kinds of requests now use (the gateway's reader moved there).

Ruled out: passing refusals of later tries on for requests that may run again only.

--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/body"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -68,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if j.body, err = readBody(w, r, g.cfg.Limits); err != nil {
+	if j.body, err = g.readBody(w, r); err != nil {
 		return nil, err
 	}
 	if j.ref, err = parseModel(j.body); err != nil {
@@ -93,31 +91,13 @@
 	return d, nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, l Limits) ([]byte, *result.Error) {
-	if r.ContentLength > l.BodyBytes {
-		return nil, result.New(result.BodyTooLarge, "%d bytes, at most %d", r.ContentLength, l.BodyBytes)
-	}
-	rc := http.NewResponseController(w)
-	// A connection without deadlines still has the bound on the header.
-	_ = rc.SetReadDeadline(time.Now().Add(l.BodyTime))
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, l.BodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return b, nil
-	case errors.As(err, &tooLarge):
-		return nil, result.New(result.BodyTooLarge, "at most %d bytes", l.BodyBytes)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, result.New(result.SlowBody, "at most %s", l.BodyTime)
-	default:
-		return nil, result.New(result.BadRequest, "body: %v", err)
-	}
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *result.Error) {
+	return body.Read(w, r, body.Limits{Bytes: g.cfg.Limits.BodyBytes, Time: g.cfg.Limits.BodyTime})
 }
 
-func parseModel(body []byte) (resource.Ref, *result.Error) {
+func parseModel(b []byte) (resource.Ref, *result.Error) {
 	var f modelField
-	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&f); err != nil {
+	if err := json.NewDecoder(bytes.NewReader(b)).Decode(&f); err != nil {
 		return resource.Ref{}, result.New(result.BadRequest, "body is not JSON: %v", err)
 	}
 	ref, err := resource.ParseRef(f.Model)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -68,7 +68,7 @@
 }
 
 func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, name string, s *resource.Service, requestID string) (*call, *result.Error) {
-	body, rerr := readBody(w, r, g.cfg.Limits)
+	content, rerr := g.readBody(w, r)
 	if rerr != nil {
 		return nil, rerr
 	}
@@ -77,7 +77,7 @@
 	if r.URL.RawQuery != "" {
 		target += "?" + r.URL.RawQuery
 	}
-	c := &call{requestID: requestID, runID: g.cfg.NewID(), method: r.Method, target: target, body: body, header: http.Header{}}
+	c := &call{requestID: requestID, runID: g.cfg.NewID(), method: r.Method, target: target, body: content, header: http.Header{}}
 	for _, h := range passedOn {
 		if v := r.Header.Get(h); v != "" {
 			c.header.Set(h, v)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -105,6 +105,8 @@
 		return result.New(result.NotHeld, "status %d", resp.StatusCode)
 	case head.NotRun:
 		return result.New(result.BackendRefused, "status %d", resp.StatusCode)
+	case promises(resp.StatusCode) && !head.Sealed:
+		return result.New(result.AnswerLost, "status %d without word on whether it ran", resp.StatusCode)
 	case head.ID != q.head.ID:
 		return result.New(result.WrongAnswer, "asked as %q, answered as %q", q.head.ID, head.ID)
 	case !head.Sealed && resp.StatusCode < http.StatusMultipleChoices:
@@ -113,6 +115,16 @@
 	return nil
 }
 
+// promises reports whether a status tells callers that the request did not run and never will.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // writeHead starts the answer to the caller with the endpoint's status and headers.
 func (o *output) writeHead(resp *http.Response) {
 	if o.started {
--- a/internal/relay/parts_test.go
+++ b/internal/relay/parts_test.go
@@ -11,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
 )
 
 func TestBudget(t *testing.T) {
@@ -162,3 +163,26 @@
 		})
 	}
 }
+
+// TestNotRunIsSaidOnlyWhenTrue: a refusal after a try that may have run promises nothing.
+func TestNotRunIsSaidOnlyWhenTrue(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		sent int
+		in   result.Code
+		want result.Code
+	}{
+		{"refused, never sent", 0, result.BackendRefused, result.BackendRefused},
+		{"refused after a try that may have run", 1, result.BackendRefused, result.AnswerLost},
+		{"no engine after a try that may have run", 1, result.NoEngine, result.AnswerLost},
+		{"its time was over before it was sent", 0, result.CallerGone, result.DeadlineUnmet},
+		{"its time was over after it was sent", 1, result.CallerGone, result.AnswerLost},
+		{"a lost answer stays one", 1, result.AnswerLost, result.AnswerLost},
+		{"a cut stream stays one", 2, result.StreamCut, result.StreamCut},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			q := &request{sent: tt.sent}
+			qt.New(t).Check(q.truth(result.New(tt.in, "")).Code, qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -4,15 +4,13 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bellgap/bellgap/internal/body"
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -104,6 +102,18 @@
 	}
 }
 
+// truth returns what a caller that is still there may be told: that a request did not run only holds if no earlier try may have
+// run it, and what ended for want of a caller ended because the request's own time was over.
+func (q *request) truth(rerr *result.Error) *result.Error {
+	if rerr.Code == result.CallerGone {
+		rerr = &result.Error{Code: result.DeadlineUnmet, Detail: rerr.Detail}
+	}
+	if q.sent == 0 || rerr.Code.Info().Ran != result.RanNo {
+		return rerr
+	}
+	return result.New(result.AnswerLost, "an earlier try may have run; then %s", rerr.Error())
+}
+
 // ServeHTTP serves one request.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	r.inFlight.Add(1)
@@ -170,31 +180,18 @@
 		held = min(held, head.Deadline)
 	}
 	q.endsAt = q.came.Add(held)
-	body, rerr := readBody(w, in, table.Limits())
-	q.body = body
+	content, rerr := body.Read(w, in, bodyLimits(table.Limits(), q))
+	q.body = content
 	return q, rerr
 }
 
-func readBody(w http.ResponseWriter, in *http.Request, limits resource.CallerLimits) ([]byte, *result.Error) {
+// bodyLimits bounds a request's body by the configuration's size and the request's own time.
+func bodyLimits(limits resource.CallerLimits, q *request) body.Limits {
 	most := limits.BodyBytes
 	if most <= 0 {
 		most = defaultBody
 	}
-	if in.ContentLength > most {
-		return nil, result.New(result.BodyTooLarge, "%d bytes, at most %d", in.ContentLength, most)
-	}
-	b, err := io.ReadAll(http.MaxBytesReader(w, in.Body, most))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		return b, nil
-	case errors.As(err, &tooLarge):
-		return nil, result.New(result.BodyTooLarge, "at most %d bytes", most)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, result.New(result.SlowBody, "%v", err)
-	default:
-		return nil, result.New(result.BadRequest, "body: %v", err)
-	}
+	return body.Limits{Bytes: most, Time: q.left()}
 }
 
 // isModel reports whether a request goes to a model engine.
@@ -211,8 +208,11 @@
 		r.log(q, result.New(result.OK, ""))
 		return
 	}
-	if caller.Err() != nil {
+	switch {
+	case caller.Err() != nil:
 		rerr = result.New(result.CallerGone, "%s", rerr.Error())
+	case !out.started:
+		rerr = q.truth(rerr)
 	}
 	if !out.started {
 		r.refuse(out.w, q, rerr)
