One way to run a box until it has left, one to wait for a grant with signs of life

Change: runUntilLeft and grant.AcquireAlive serve both. Behaviour stays. Tests of the grant's client and server, which had none of their own.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -291,21 +291,26 @@
 // Run serves until ctx ends, then leaves: it takes nothing new, hands its engines over and finishes what is in flight.
 func (b *Box) Run(ctx context.Context) error {
 	defer close(b.done)
+	return runUntilLeft(ctx, b.root, b.metrics, b.leave)
+}
+
+// runUntilLeft runs a box's parts until ctx ends and leave, which may use them still, has returned.
+func runUntilLeft(ctx context.Context, root *suture.Supervisor, metrics *metric.Metrics, leave func(ctx context.Context)) error {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	group.Go(func() error { return b.root.Serve(running) })
+	group.Go(func() error { return root.Serve(running) })
 	group.Go(func() error {
 		defer stop()
 		select {
 		case <-ctx.Done():
-			b.leave(running)
+			leave(running)
 		case <-running.Done():
 		}
 		return nil
 	})
 	err := group.Wait()
-	if cerr := b.metrics.Close(); cerr != nil {
+	if cerr := metrics.Close(); cerr != nil {
 		klog.ErrorS(cerr, "metrics")
 	}
 	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,7 +12,6 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
-	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/catalog"
@@ -297,27 +295,7 @@
 // Run serves until ctx ends, then leaves.
 func (b *Routed) Run(ctx context.Context) error {
 	defer close(b.done)
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var group errgroup.Group
-	group.Go(func() error { return b.root.Serve(running) })
-	group.Go(func() error {
-		defer stop()
-		select {
-		case <-ctx.Done():
-			b.leave(running)
-		case <-running.Done():
-		}
-		return nil
-	})
-	err := group.Wait()
-	if cerr := b.metrics.Close(); cerr != nil {
-		klog.ErrorS(cerr, "metrics")
-	}
-	if ctx.Err() != nil && errors.Is(err, context.Canceled) {
-		return nil
-	}
-	return err
+	return runUntilLeft(ctx, b.root, b.metrics, b.leave)
 }
 
 // leave serves on for callers that do not know yet, until nothing is in flight, at most the time for leaving.
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -12,10 +12,9 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -152,17 +151,17 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), g.cfg.Limits.Longest)
 	defer cancel()
-	grant, rerr := acquireAlive(ctx, w, runner, j)
+	granted, rerr := grant.AcquireAlive(ctx, w, runner, j.ask(), aliveEvery)
 	if rerr != nil {
 		rerr.Write(w, j.requestID)
 		return
 	}
 	if rerr = j.readHopBody(w, r); rerr != nil {
-		grant.Release(owner.EndWhole)
+		granted.Release(owner.EndWhole)
 		rerr.Write(w, j.requestID)
 		return
 	}
-	a, rerr := g.runGranted(ctx, j, grant)
+	a, rerr := g.runGranted(ctx, j, granted)
 	if rerr != nil {
 		rerr.Write(w, j.requestID)
 		return
@@ -193,32 +192,6 @@
 	}, runner, nil
 }
 
-// acquireAlive waits for the grant and meanwhile shows the sender that this box is alive.
-func acquireAlive(ctx context.Context, w http.ResponseWriter, runner *owner.Runner, j *job) (*owner.Grant, *result.Error) {
-	var grant *owner.Grant
-	var err error
-	got := make(chan struct{})
-	var wait errgroup.Group
-	wait.Go(func() error {
-		defer close(got)
-		grant, err = runner.Acquire(ctx, j.ask())
-		return nil
-	})
-	tick := time.NewTicker(aliveEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			w.WriteHeader(http.StatusProcessing)
-		case <-got:
-			if err != nil {
-				return nil, result.From(err, result.QueueFull)
-			}
-			return grant, nil
-		}
-	}
-}
-
 // readHopBody asks for the body and takes it only whole.
 func (j *job) readHopBody(w http.ResponseWriter, r *http.Request) *result.Error {
 	rc := http.NewResponseController(w)
--- /dev/null
+++ b/internal/grant/client_test.go
@@ -0,0 +1,127 @@
+package grant_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bellgap/bellgap/internal/grant"
+	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+func newClient() *grant.Client {
+	return grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(2)}, Scope: tally.NoopScope})
+}
+
+func start(c *qt.C, h http.Handler) netip.AddrPort {
+	s := httptest.NewServer(h)
+	c.Cleanup(func() { s.CloseClientConnections(); s.Close() })
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func TestAcquire(t *testing.T) {
+	granted := func(w http.ResponseWriter) { httpx.WriteJSON(w, http.StatusOK, map[string]any{"id": 7}) }
+	for _, tt := range []struct {
+		name   string
+		answer func(w http.ResponseWriter, r *http.Request)
+		want   result.Code
+	}{
+		{"granted at once", func(w http.ResponseWriter, _ *http.Request) { granted(w) }, result.OK},
+		{"granted after a wait with signs of life", func(w http.ResponseWriter, _ *http.Request) {
+			for range 10 {
+				w.WriteHeader(http.StatusProcessing)
+				time.Sleep(40 * time.Millisecond)
+			}
+			granted(w)
+		}, result.OK},
+		{"refused", func(w http.ResponseWriter, _ *http.Request) { result.New(result.TryNext, "").Write(w, "") }, result.TryNext},
+		{"silent", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, result.OwnerSilent},
+		{"an answer that is no grant", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("?")) }, result.OwnerSilent},
+		{"another service", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) }, result.OwnerSilent},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			address := start(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				var a grant.Ask
+				c.Check(json.NewDecoder(r.Body).Decode(&a), qt.IsNil)
+				c.Check(a.Engine, qt.Equals, "e-1")
+				tt.answer(w, r)
+			}))
+			g, err := newClient().Acquire(c.Context(), address, grant.Ask{Engine: "e-1"})
+			if tt.want == result.OK {
+				c.Assert(err, qt.IsNil)
+				c.Check(g.End, qt.IsNotNil)
+				return
+			}
+			c.Check(result.Is(err, tt.want), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// TestEndsAreToldTogether ends some grants of one owner; it hears of all of them.
+func TestEndsAreToldTogether(t *testing.T) {
+	c := qt.New(t)
+	type told struct {
+		Ends []struct {
+			ID  uint64    `json:"id"`
+			End owner.End `json:"end"`
+		} `json:"ends"`
+	}
+	heard := make(chan told, 16)
+	next := 0
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /peer/acquire", func(w http.ResponseWriter, _ *http.Request) {
+		next++
+		httpx.WriteJSON(w, http.StatusOK, map[string]any{"id": next})
+	})
+	mux.HandleFunc("POST /peer/end", func(w http.ResponseWriter, r *http.Request) {
+		var m told
+		c.Check(json.NewDecoder(r.Body).Decode(&m), qt.IsNil)
+		heard <- m
+		w.WriteHeader(http.StatusNoContent)
+	})
+	address := start(c, mux)
+	client := newClient()
+	ctx, cancel := context.WithCancel(c.Context())
+	var group errgroup.Group
+	group.Go(func() error { return client.Serve(ctx) })
+	for range 5 {
+		g, err := client.Acquire(ctx, address, grant.Ask{Engine: "e-1"})
+		c.Assert(err, qt.IsNil)
+		g.End(owner.EndBroken)
+	}
+	got := map[uint64]owner.End{}
+	for len(got) < 5 {
+		for _, e := range (<-heard).Ends {
+			got[e.ID] = e.End
+		}
+	}
+	c.Check(got, qt.DeepEquals, map[uint64]owner.End{1: owner.EndBroken, 2: owner.EndBroken, 3: owner.EndBroken, 4: owner.EndBroken, 5: owner.EndBroken})
+	cancel()
+	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
+}
+
+// TestServerWithoutTheEngine refuses what it does not own, and what it cannot read.
+func TestServerWithoutTheEngine(t *testing.T) {
+	c := qt.New(t)
+	mux := http.NewServeMux()
+	grant.NewServer(grant.ServerConfig{Owners: owner.NewSet(owner.SetConfig{})}).Register(mux)
+	address := start(c, mux)
+	_, err := newClient().Acquire(c.Context(), address, grant.Ask{Engine: "e-1"})
+	c.Check(result.Is(err, result.NotOwner), qt.IsTrue, qt.Commentf("%v", err))
+	resp, err := http.Post("http://"+address.String()+"/peer/acquire", "application/json", strings.NewReader("{"))
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.Body.Close(), qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusBadRequest)
+}
--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -1,14 +1,11 @@
 package grant
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/result"
@@ -67,7 +64,7 @@
 		rerr.Write(w, "")
 		return
 	}
-	g, rerr := acquireAlive(r.Context(), w, runner, q)
+	g, rerr := AcquireAlive(r.Context(), w, runner, q, aliveEvery)
 	if rerr != nil {
 		rerr.Write(w, "")
 		return
@@ -79,32 +76,6 @@
 	httpx.WriteJSON(w, http.StatusOK, given{ID: s.hold(g, ask.Hold), Stalled: g.Stalled})
 }
 
-// acquireAlive waits for the grant and meanwhile shows the asker that this box is alive.
-func acquireAlive(ctx context.Context, w http.ResponseWriter, runner *owner.Runner, q owner.Request) (*owner.Grant, *result.Error) {
-	var g *owner.Grant
-	var err error
-	got := make(chan struct{})
-	var wait errgroup.Group
-	wait.Go(func() error {
-		defer close(got)
-		g, err = runner.Acquire(ctx, q)
-		return nil
-	})
-	tick := time.NewTicker(aliveEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			w.WriteHeader(http.StatusProcessing)
-		case <-got:
-			if err != nil {
-				return nil, result.From(err, result.QueueFull)
-			}
-			return g, nil
-		}
-	}
-}
-
 func (s *Server) hold(g *owner.Grant, limit time.Duration) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
