--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -112,6 +112,14 @@
 	return ls, nil
 }
 
+// advertised returns where other boxes reach the peer listener.
+func (ls listeners) advertised(l settings.Listen) netip.AddrPort {
+	if l.PeerAdvertised.IsValid() {
+		return l.PeerAdvertised
+	}
+	return addressOf(ls.peer)
+}
+
 func logEvent(e suture.Event) {
 	klog.InfoS("supervisor", "event", e.String())
 }
@@ -131,7 +139,7 @@
 		return nil, err
 	}
 	address := l.Record().Address
-	if address == "" || address == addressOf(b.listeners.peer).String() {
+	if address == "" || address == b.listeners.advertised(b.cfg.Settings.Listen).String() {
 		return nil, nil
 	}
 	return peers.Lost(ctx, address)
@@ -188,7 +196,7 @@
 	b.node = member.New(member.Config{
 		Cell: s.Box.Cell, Region: s.Box.Region, API: api, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text,
 		Self: coordinator.Member{
-			Box: s.Box.Name, Zone: s.Box.Zone, Incarnation: rand.Text(), Caller: b.CallerAddress(), Peer: addressOf(b.listeners.peer),
+			Box: s.Box.Name, Zone: s.Box.Zone, Incarnation: rand.Text(), Caller: b.CallerAddress(), Peer: b.listeners.advertised(b.cfg.Settings.Listen),
 		},
 		Timing: member.Timing{Beat: s.Timing.Beat, LeaseTTL: s.Timing.LeaseTTL, Term: s.Timing.Term, Drain: s.Timing.Drain},
 	})
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -190,7 +190,7 @@
 	b.node = member.New(member.Config{
 		Cell: s.Box.Cell, Region: s.Box.Region, API: b.cfg.Deployment.API, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text, Spread: b.follower,
 		Self: coordinator.Member{
-			Box: s.Box.Name, Zone: s.Box.Zone, Incarnation: rand.Text(), Caller: addressOf(b.listeners.caller), Peer: addressOf(b.listeners.peer),
+			Box: s.Box.Name, Zone: s.Box.Zone, Incarnation: rand.Text(), Caller: addressOf(b.listeners.caller), Peer: b.listeners.advertised(s.Listen),
 		},
 		Timing: member.Timing{
 			Beat: t.Beat, LeaseTTL: t.LeaseTTL, Term: t.Term, Drain: t.Drain, SilentAfter: silentBeats * t.Beat, OrderGap: t.OrderGap + orderMargin, Reclaim: t.Reclaim,
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -40,6 +40,13 @@
 	busy []string
 }
 
+// holder is the box that an engine is held for. If it gave the engine up itself, released names the process that did: only the
+// next one wants it back.
+type holder struct {
+	box      string
+	released string
+}
+
 // silent reports whether a member has missed its heartbeats.
 func (c *Config) silent(now time.Time, m *member) bool {
 	return c.SilentAfter > 0 && now.Sub(m.seen) > c.SilentAfter
@@ -52,11 +59,11 @@
 	owners  map[string]*Ownership
 	// zones holds the zone of each declared engine.
 	zones map[string]string
-	// freedAt is when an engine lost its last owner, heldUntil how long no other box may give it orders, and heldFor the box
-	// that may have it back before.
+	// freedAt is when an engine lost its last owner, heldUntil how long no other box may give it orders, and heldFor who may
+	// have it back before.
 	freedAt   map[string]time.Time
 	heldUntil map[string]time.Time
-	heldFor   map[string]string
+	heldFor   map[string]holder
 	// published is the last map stored by this coordinator; nothing is granted before the first.
 	published    Map
 	hasPublished bool
@@ -69,7 +76,7 @@
 
 // New returns a State that continues from the cell's last published map.
 func New(cfg Config, last Map) *State {
-	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, heldFor: map[string]string{}, leaving: last.Leaving}
+	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, heldFor: map[string]holder{}, leaving: last.Leaving}
 	for _, m := range last.Members {
 		s.members[m.Box] = &member{Member: m, seen: cfg.Started}
 	}
@@ -129,14 +136,14 @@
 	for _, o := range s.owners {
 		if o.Owner == box {
 			s.unown(now, o, previous)
-			s.hold(o.Engine, box, until)
+			s.hold(o.Engine, holder{box: box}, until)
 		}
 	}
 }
 
 // hold keeps an engine for the box that last owned it.
-func (s *State) hold(engine, box string, until time.Time) {
-	s.heldUntil[engine], s.heldFor[engine] = until.Add(s.cfg.OrderGap), box
+func (s *State) hold(engine string, h holder, until time.Time) {
+	s.heldUntil[engine], s.heldFor[engine] = until.Add(s.cfg.OrderGap), h
 }
 
 func (s *State) unown(now time.Time, o *Ownership, previous string) {
@@ -202,7 +209,7 @@
 // handOver takes an engine from an owner that has released it.
 func (s *State) handOver(now time.Time, o *Ownership) {
 	if m := s.members[o.Owner]; m != nil && slices.Contains(m.released, Release{o.Engine, o.Epoch}) {
-		s.hold(o.Engine, o.Owner, now)
+		s.hold(o.Engine, holder{o.Owner, m.Incarnation}, now)
 		s.unown(now, o, o.Owner)
 	}
 }
@@ -224,9 +231,9 @@
 			continue
 		}
 		if now.Before(s.heldUntil[name]) {
-			if box := s.heldFor[name]; s.cfg.Reclaim && slices.Contains(live, box) && !s.gaveBack(box, o) {
-				s.own(o, box)
-				load[box]++
+			if h := s.heldFor[name]; s.cfg.Reclaim && slices.Contains(live, h.box) && s.members[h.box].Incarnation != h.released {
+				s.own(o, h.box)
+				load[h.box]++
 			}
 			continue
 		}
@@ -249,12 +256,6 @@
 	delete(s.heldFor, o.Engine)
 }
 
-// gaveBack reports whether a box's present process has released the engine, and so does not want it back.
-func (s *State) gaveBack(box string, o *Ownership) bool {
-	m := s.members[box]
-	return m != nil && slices.ContainsFunc(m.released, func(r Release) bool { return r.Engine == o.Engine })
-}
-
 // preferZone moves the members of a zone to the front and keeps the order otherwise.
 func (s *State) preferZone(zone string, boxes []string) []string {
 	near := make([]string, 0, len(boxes))
--- a/internal/coordinator/state_test.go
+++ b/internal/coordinator/state_test.go
@@ -104,3 +104,46 @@
 		c.Check(s.Map().Owners[0].Previous, qt.Equals, step.previous, qt.Commentf(step.name))
 	}
 }
+
+// TestReleasedEngineGoesToAnotherBox: a box that gives an engine up because others have joined does not get it back, neither at
+// once nor after the order gap, while its next process may have it back at once.
+func TestReleasedEngineGoesToAnotherBox(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// incarnation is that of the box after its release, wait how long after the release the ownership is looked at.
+		incarnation string
+		wait        time.Duration
+		owner       string
+	}{
+		{"the same process, within the gap", "i", beat, ""},
+		{"the same process, after the gap", "i", gap + beat, "box-2"},
+		{"the next process", "k", beat, "box-1"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(coordinator.Config{OrderGap: gap, Reclaim: true, SilentAfter: 3 * beat})
+			w.beat("box-1", "i")
+			w.tick(0)
+			c.Assert(w.owner(), qt.Equals, "box-1")
+			w.state.Beat(w.now, coordinator.Beat{
+				Member:   coordinator.Member{Box: "box-1", Zone: "z", Incarnation: "i", Leaving: tt.incarnation != "i"},
+				Released: []coordinator.Release{{Engine: engineName, Epoch: w.epoch()}},
+			})
+			w.tick(0)
+			c.Assert(w.owner(), qt.Equals, "")
+			for waited := time.Duration(0); waited < tt.wait; waited += beat {
+				w.beat("box-1", tt.incarnation)
+				if tt.owner == "box-2" {
+					w.beat("box-2", "j")
+				}
+				w.tick(beat)
+			}
+			if tt.owner == "box-2" {
+				// Either box may have it now; what counts is that it was free in between.
+				c.Check(w.owner(), qt.Not(qt.Equals), "")
+				return
+			}
+			c.Check(w.owner(), qt.Equals, tt.owner)
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -212,16 +212,18 @@
 	return f.store.backSince().Add(f.cfg.Grace)
 }
 
+// apply takes changes in. The catalog has them before the revision counts as known: another box that is told the one must be able
+// to have the other.
 func (f *Follower) apply(k *kindState, ch objects.Changes) {
 	k.revision = max(k.revision, ch.Revision)
-	f.mu.Lock()
-	f.known[k.Name] = k.revision
-	f.mu.Unlock()
 	if len(ch.Objects) > 0 {
 		changed, gone := told(ch.Objects)
 		klog.V(1).InfoS("objects changed", "kind", k.Name, "revision", ch.Revision, "changed", changed, "gone", gone)
 		f.cfg.Catalog.Apply(ch)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known[k.Name] = k.revision
 }
 
 // maxNamesTold bounds the names in a line.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -226,3 +226,10 @@
 		c.Check(endpoints(cat), qt.Equals, 2)
 	})
 }
+
+// newest returns the store's revision.
+func (s *store) newest() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -93,14 +93,15 @@
 			}
 		}
 	}
-	f.mu.Lock()
-	fresh := ch.Revision > f.known[ch.Kind]
-	f.known[ch.Kind] = max(f.known[ch.Kind], ch.Revision)
-	f.mu.Unlock()
-	if !fresh || len(all) == 0 {
+	if ch.Revision <= f.Known()[ch.Kind] {
 		return
 	}
-	changed, gone := told(all)
-	klog.V(1).InfoS("objects changed", "kind", ch.Kind, "revision", ch.Revision, "changed", changed, "gone", gone, "through", "coordinator")
-	f.cfg.Catalog.Apply(objects.Changes{Objects: all, Revision: ch.Revision})
+	if len(all) > 0 {
+		changed, gone := told(all)
+		klog.V(1).InfoS("objects changed", "kind", ch.Kind, "revision", ch.Revision, "changed", changed, "gone", gone, "through", "coordinator")
+		f.cfg.Catalog.Apply(objects.Changes{Objects: all, Revision: ch.Revision})
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.known[ch.Kind] = max(f.known[ch.Kind], ch.Revision)
 }
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -147,3 +147,52 @@
 	}
 	return cat
 }
+
+// TestChangesArePassedOnWhole asks for changes while they are being taken in: what a box is said to know, it has been told.
+func TestChangesArePassedOnWhole(t *testing.T) {
+	c := qt.New(t)
+	s := newStore()
+	s.put(c, resource.KindRouting, catalog.RoutingName, routing(1))
+	s.put(c, resource.KindEndpoint, "e0", endpoint(1))
+	kinds := []follow.Kind{
+		{Name: string(resource.KindRouting), Wait: time.Second, Relayed: true}, {Name: string(resource.KindEndpoint), Wait: time.Second, Relayed: true},
+	}
+	from := follow.New(follow.Config{Source: s, Catalog: catalog.New(), Scope: tally.NoopScope, Kinds: kinds})
+	told := catalog.New()
+	to := follow.New(follow.Config{Source: s, Catalog: told, Scope: tally.NoopScope, Kinds: kinds, RelayFor: relayFor})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return from.Serve(ctx) })
+	<-from.Ready()
+	var asking errgroup.Group
+	stop := make(chan struct{})
+	asking.Go(func() error {
+		for {
+			to.Take(from.Since(to.Known()))
+			select {
+			case <-stop:
+				return nil
+			default:
+			}
+		}
+	})
+	const changes = 3000
+	for i := range changes {
+		s.put(c, resource.KindEndpoint, fmt.Sprint("e", i), endpoint(1))
+		if i%50 == 0 {
+			// Lets the follower take changes in one by one now and then.
+			for from.Known()[string(resource.KindEndpoint)] < s.newest() {
+				time.Sleep(time.Microsecond)
+			}
+		}
+	}
+	for from.Known()[string(resource.KindEndpoint)] < s.newest() {
+		time.Sleep(time.Millisecond)
+	}
+	close(stop)
+	c.Assert(asking.Wait(), qt.IsNil)
+	to.Take(from.Since(to.Known()))
+	c.Check(len(told.Names(string(resource.KindEndpoint))), qt.Equals, changes)
+	cancel()
+	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,8 @@
 	Caller   netip.AddrPort `toml:"caller"`
 	Peer     netip.AddrPort `toml:"peer"`
 	Operator netip.AddrPort `toml:"operator"`
+	// PeerAdvertised is where other boxes reach the peer listener, if that is not Peer: behind a forwarded port, say.
+	PeerAdvertised netip.AddrPort `toml:"peer_advertised"`
 	// Ready and Directory are used on platforms that check boxes and whose callers ask for addresses there.
 	Ready     netip.AddrPort `toml:"ready"`
 	Directory netip.AddrPort `toml:"directory"`
@@ -196,6 +198,9 @@
 			"platform.lapse_grace", "How long after an outage of the store endpoints missing there are kept.", d.Platform.LapseGrace.String(),
 			func(s *Settings) string { return needBetween(s.Platform.LapseGrace, 0, time.Minute) },
 		},
+		{
+			"listen.peer_advertised", "Address under which other boxes reach this one, where that is not `listen.peer`.", "unused", func(*Settings) string { return "" },
+		},
 		{"listen.ready", "Address of the platform's readiness checks; with `objects` only.", "unused", func(*Settings) string { return "" }},
 		{"listen.directory", "Address where callers ask for addresses; with `objects` only.", "unused", func(*Settings) string { return "" }},
 		{
