--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -113,7 +113,8 @@
 		delete(s.slots, former.ref)
 	}
 	if took := now.Sub(sl.loadAt); !s.lately.has(ref) {
-		s.loadTime += time.Duration(loadTimeSmoothing * float64(took-s.loadTime))
+		expected := s.expectedLoadTime(now)
+		s.loadTime, s.loadSeen = expected+time.Duration(loadTimeSmoothing*float64(took-expected)), now
 	}
 	s.lately.drop(ref)
 	return s.flush(now)
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -86,6 +86,7 @@
 	slot    *slot
 	urgency int
 	tokens  int
+	at      time.Time
 }
 
 // State is the decision state of one engine. One goroutine uses it.
@@ -100,7 +101,11 @@
 	urgent   int
 	rates    map[resource.Ref]rate
 	failures map[resource.Ref]failure
+	// loadTime is the mean time of a load as of loadSeen, when the last one ended.
 	loadTime time.Duration
+	loadSeen time.Time
+	// runTime is the mean time from the start of a run to its end.
+	runTime time.Duration
 	// asked holds the urgency with which a permit was asked for and not yet answered.
 	asked   map[resource.Ref]int
 	stopped bool
@@ -132,7 +137,7 @@
 	}
 	return &State{
 		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]started{},
-		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, asked: map[resource.Ref]int{}, wanted: map[resource.Ref]int{}, loadTime: defaultLoadTime,
+		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, asked: map[resource.Ref]int{}, wanted: map[resource.Ref]int{}, loadTime: defaultLoadTime, runTime: defaultRunTime,
 		blind: cfg.AwaitReport, lately: lately{most: latelyPerSlot * cfg.Slots},
 	}
 }
@@ -257,6 +262,9 @@
 	}
 	delete(s.running, id)
 	s.tokens -= st.tokens
+	if end == EndWhole {
+		s.runTime += time.Duration(runTimeSmoothing * float64(now.Sub(st.at)-s.runTime))
+	}
 	if st.urgency > 0 {
 		s.urgent--
 	}
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -1,21 +1,40 @@
 package owner
 
 import (
+	"math"
 	"time"
 
 	"github.com/bellgap/bellgap/internal/result"
 )
 
-// fullWait is added to the expected wait of a ticket that finds the engine's batch or cache full: about the time in which
-// one of some tens of running requests ends.
-const fullWait = 200 * time.Millisecond
+const (
+	// defaultRunTime is expected of a run until some have ended: answers of about a hundred tokens at some 10 ms each.
+	defaultRunTime = time.Second
+	// runTimeSmoothing is the weight of the newest run in the mean.
+	runTimeSmoothing = 0.05
+)
+
+// turnWait returns how long a ticket waits for room in the batch and the cache behind those ahead of it: running requests end one
+// after the other, on average that many in the time of one run.
+func (s *State) turnWait(t Ticket, ahead, tokensAhead int) time.Duration {
+	before := len(s.running) + ahead
+	turns := max(0, before+1-s.cfg.Batch)
+	if turns == 0 && before > 0 && !s.fitsCache(s.tokens+tokensAhead+t.Prompt+t.Output) {
+		turns = 1
+	}
+	return s.runTime * time.Duration(turns) / time.Duration(max(1, min(before, s.cfg.Batch)))
+}
+
+func (s *State) fitsCache(tokens int) bool {
+	return s.cfg.KVTokens == 0 || tokens <= s.cfg.KVTokens
+}
 
 // fits reports whether the engine has room to start a ticket. A ticket larger than the whole cache is left to the engine to refuse.
 func (s *State) fits(t Ticket) bool {
 	if len(s.running) >= s.cfg.Batch {
 		return false
 	}
-	return s.cfg.KVTokens == 0 || s.tokens == 0 || s.tokens+t.Prompt+t.Output <= s.cfg.KVTokens
+	return s.tokens == 0 || s.fitsCache(s.tokens+t.Prompt+t.Output)
 }
 
 func (s *State) prefillTime(tokens int) time.Duration {
@@ -36,17 +55,16 @@
 // expectedWait returns how long a ticket would wait until the engine starts to read its prompt.
 func (s *State) expectedWait(now time.Time, t Ticket) time.Duration {
 	wait := max(0, s.prefillFree.Sub(now))
-	ahead := 0
+	ahead, prompts, tokens := 0, 0, 0
 	for _, w := range s.waiting {
 		if w.Urgency < t.Urgency {
 			break
 		}
-		ahead += w.Prompt
-	}
-	wait += s.prefillTime(ahead)
-	if !s.fits(t) {
-		wait += fullWait
+		ahead++
+		prompts += w.Prompt
+		tokens += w.Prompt + w.Output
 	}
+	wait += s.prefillTime(prompts) + s.turnWait(t, ahead, tokens)
 	// The longer queue counts half again: work that is sent past it also slows those who are in it.
 	return max(wait, s.loadWait(now, t)) + wait/2
 }
@@ -56,19 +74,29 @@
 	if s.Holds(t.Ref) {
 		return 0
 	}
+	expected := s.expectedLoadTime(now)
 	if sl := s.slots[t.Ref]; sl != nil && sl.phase == loading {
-		return max(0, s.loadTime-now.Sub(sl.loadAt))
+		return max(0, expected-now.Sub(sl.loadAt))
 	}
 	if s.lately.has(t.Ref) {
-		return s.loadTime / latelyFaster
+		return expected / latelyFaster
 	}
-	return s.loadTime + freshCost
+	return expected + freshCost
+}
+
+// expectedLoadTime returns the time that loads have taken, fading towards the usual one: an engine that was slow once would
+// otherwise get no load that could show that it is slow no longer.
+func (s *State) expectedLoadTime(now time.Time) time.Duration {
+	fade := math.Exp2(-float64(now.Sub(s.loadSeen)) / float64(loadTimeHalfLife))
+	return defaultLoadTime + time.Duration(fade*float64(s.loadTime-defaultLoadTime))
 }
 
 const (
 	// freshCost is the wait that a load from the weight store is worth beside its own time: it takes a part of what the store
 	// can bring to all engines.
 	freshCost = 150 * time.Millisecond
+	// loadTimeHalfLife is the time in which what slow loads have taught fades by half: bursts of loads last a few seconds.
+	loadTimeHalfLife = 2 * time.Second
 	// latelyFaster is how much faster an engine loads an adapter that it held lately.
 	latelyFaster = 10
 	// latelyPerSlot is how many adapters an engine is taken to have at hand for each slot.
@@ -84,6 +112,9 @@
 func (s *State) sendOn(now time.Time, t Ticket) {
 	err := result.New(result.TryNext, "another engine can start it sooner")
 	if t.Accept > 0 {
+		if s.Holds(t.Ref) {
+			err.Code = result.Crowded
+		}
 		err.RetryAfter = max(time.Millisecond, s.expectedWait(now, t))
 	}
 	s.refuse(t, err)
--- /dev/null
+++ b/internal/relay/candidates.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/placement"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+const (
+	// maxCandidates is how many engines are asked for one request unless its adapter version is crowded.
+	maxCandidates = 6
+	// maxAsked bounds the engines that are asked when it is. The most wanted adapter draws a fifth of all requests, which at 500
+	// requests a second and 12 slots an engine takes some 15 engines.
+	maxAsked = 18
+)
+
+// candidate is an engine that may serve a request.
+type candidate struct {
+	name    string
+	address netip.AddrPort
+	owner   coordinator.Member
+	// holds says that the adapter version is there, by discovery or by earlier answers.
+	holds bool
+	// doubtful says that requests failed there lately.
+	doubtful bool
+}
+
+// candidates returns the engines for an adapter version in the order in which they are asked.
+func (r *Relay) candidates(q *request, ref resource.Ref, avoid map[string]bool) []candidate {
+	t := r.cfg.Catalog.Topology()
+	now := time.Now()
+	byName := map[string]candidate{}
+	var names []string
+	for _, e := range t.Endpoints[q.service] {
+		view, declared := t.Engines[e.Name]
+		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model {
+			continue
+		}
+		_, failures := r.health.load(e.Name, now)
+		byName[e.Name] = candidate{
+			name: e.Name, address: e.Spec.Address, owner: view.Owner, doubtful: failures >= avoidFrom,
+			holds: holds(e, ref) || r.memory.holds(ref, e.Name, now),
+		}
+		names = append(names, e.Name)
+	}
+	key := ref.String()
+	if ref.IsBase() {
+		// Without an adapter any engine does; the request's own id spreads the load.
+		key = q.head.ID
+	}
+	ranked := make([]candidate, 0, len(names))
+	for _, name := range placement.Rank(key, names) {
+		ranked = append(ranked, byName[name])
+	}
+	return arrange(ranked, r.crowds.has(ref, now))
+}
+
+// arrange puts ranked candidates in the order in which they are asked: the first few, those further on that hold the version, the
+// next few, and last those that failed lately. If the version is crowded, all that hold it come first and in no order, so that
+// its requests spread over them without asking the full ones first.
+func arrange(ranked []candidate, crowded bool) []candidate {
+	var first, holders, next, doubtful []candidate
+	for _, c := range ranked {
+		switch {
+		case c.doubtful:
+			doubtful = append(doubtful, c)
+		case c.holds && (crowded || len(first) >= maxCandidates):
+			holders = append(holders, c)
+		case len(first) < maxCandidates:
+			first = append(first, c)
+		default:
+			next = append(next, c)
+		}
+	}
+	if crowded {
+		rand.Shuffle(len(holders), func(i, j int) { holders[i], holders[j] = holders[j], holders[i] })
+		first, holders = holders, first
+	}
+	all := slices.Concat(first, holders, next, doubtful)
+	return all[:min(len(all), maxAsked)]
+}
+
+func holds(e catalog.EndpointView, ref resource.Ref) bool {
+	if ref.IsBase() {
+		return e.Spec.BaseModel != ""
+	}
+	return slices.Contains(e.Holds, ref.String())
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -3,22 +3,15 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
-	"github.com/bellgap/bellgap/internal/catalog"
-	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
-	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
 const (
-	// maxCandidates is how many engines are asked for one request. The most wanted adapter draws a fifth of all requests,
-	// which a few engines carry.
-	maxCandidates = 6
 	// acceptShare is the part of the objective up to which an expected wait is accepted at once; beyond it all candidates
 	// are compared.
 	acceptShare = 0.2
@@ -32,17 +25,6 @@
 	urgencies = 10
 )
 
-// candidate is an engine that may serve a request.
-type candidate struct {
-	name    string
-	address netip.AddrPort
-	owner   coordinator.Member
-	// holds says that the adapter version is there, by discovery or by earlier answers.
-	holds bool
-	// doubtful says that requests failed there lately.
-	doubtful bool
-}
-
 // chosen is an engine that a request may be sent to now.
 type chosen struct {
 	name    string
@@ -78,7 +60,8 @@
 }
 
 // chooseNow asks the candidates: the first candidate that expects to start it soon, else the one that expects to be
-// the soonest, else, where no owner answers, one that is listed as holding the adapter version.
+// the soonest, else, where no owner answers, one that is listed as holding the adapter version. More than the first few are only
+// asked while the soonest is one that holds the version already and has others waiting: the version needs more engines then.
 func (r *Relay) chooseNow(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosen, *result.Error) {
 	candidates := r.candidates(q, ref, avoid)
 	ask := r.ask(q, ref)
@@ -86,7 +69,11 @@
 	last := result.New(result.NoEngine, "%s of %s", q.head.Model, q.service)
 	var best *candidate
 	var shortest time.Duration
+	crowded := false
 	for i := range candidates {
+		if i >= maxCandidates && !crowded {
+			break
+		}
 		c := &candidates[i]
 		got, rerr := r.acquire(ctx, q, c, ask)
 		if rerr == nil {
@@ -96,13 +83,16 @@
 			return nil, rerr
 		}
 		last = rerr
-		if rerr.Code != result.TryNext || rerr.RetryAfter <= 0 {
+		if !sentOn(rerr) || rerr.RetryAfter <= 0 {
 			continue
 		}
-		if wait := rerr.RetryAfter + time.Duration(i)*orderBias; best == nil || wait < shortest {
-			best, shortest = c, wait
+		if wait := rerr.RetryAfter + time.Duration(min(i, maxCandidates))*orderBias; best == nil || wait < shortest {
+			best, shortest, crowded = c, wait, rerr.Code == result.Crowded
 		}
 	}
+	if crowded {
+		r.crowds.add(ref, time.Now())
+	}
 	if best != nil {
 		ask.Accept, ask.Last = 0, true
 		got, rerr := r.acquire(ctx, q, best, ask)
@@ -118,6 +108,11 @@
 	return nil, last
 }
 
+// sentOn reports whether an owner sent a request on to other engines.
+func sentOn(rerr *result.Error) bool {
+	return rerr.Code == result.TryNext || rerr.Code == result.Crowded
+}
+
 func (r *Relay) ask(q *request, ref resource.Ref) grant.Ask {
 	a := grant.Ask{
 		Urgency: urgencies - q.route.Priority, Hold: q.left() + holdSlack, Prompt: q.head.Prompt, Output: q.head.expectedOutput(),
@@ -129,52 +124,6 @@
 	return a
 }
 
-// candidates returns the engines for an adapter version in the order of their hash, those that failed lately last. Beyond the
-// first few only those that hold the version are of use.
-func (r *Relay) candidates(q *request, ref resource.Ref, avoid map[string]bool) []candidate {
-	t := r.cfg.Catalog.Topology()
-	now := time.Now()
-	byName := map[string]candidate{}
-	var names []string
-	for _, e := range t.Endpoints[q.service] {
-		view, declared := t.Engines[e.Name]
-		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model {
-			continue
-		}
-		_, failures := r.health.load(e.Name, now)
-		byName[e.Name] = candidate{
-			name: e.Name, address: e.Spec.Address, owner: view.Owner, doubtful: failures >= avoidFrom,
-			holds: holds(e, ref) || r.memory.holds(ref, e.Name, now),
-		}
-		names = append(names, e.Name)
-	}
-	key := ref.String()
-	if ref.IsBase() {
-		// Without an adapter any engine does; the request's own id spreads the load.
-		key = q.head.ID
-	}
-	var first, doubtful, holders []candidate
-	for _, name := range placement.Rank(key, names) {
-		switch c := byName[name]; {
-		case c.doubtful:
-			doubtful = append(doubtful, c)
-		case len(first) < maxCandidates:
-			first = append(first, c)
-		case c.holds:
-			holders = append(holders, c)
-		}
-	}
-	doubtful = doubtful[:min(len(doubtful), maxCandidates-len(first))]
-	return slices.Concat(first, holders, doubtful)
-}
-
-func holds(e catalog.EndpointView, ref resource.Ref) bool {
-	if ref.IsBase() {
-		return e.Spec.BaseModel != ""
-	}
-	return slices.Contains(e.Holds, ref.String())
-}
-
 // acquire asks a candidate's owner and notes the answer.
 func (r *Relay) acquire(ctx context.Context, q *request, c *candidate, a grant.Ask) (*chosen, *result.Error) {
 	got, rerr := r.askOwner(ctx, c, a)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,11 +59,12 @@
 	budgets  *budgets
 	sample   *sample
 	memory   *memory
+	crowds   *crowds
 }
 
 // New returns a Relay.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, health: newHealth(), suspects: newSuspects(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory()}
+	return &Relay{cfg: cfg, health: newHealth(), suspects: newSuspects(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory(), crowds: newCrowds()}
 }
 
 // InFlight returns the requests in flight.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -55,6 +55,7 @@
 	TryNext     Code = 6002
 	StaleBeat   Code = 6003
 	OwnerSilent Code = 6004
+	Crowded     Code = 6005
 )
 
 // Ran says whether the back end ran the request.
@@ -140,6 +141,7 @@
 	{TryNext, "try_next", http.StatusServiceUnavailable, RanNo, 0, "another engine should be tried"},
 	{StaleBeat, "stale_beat", http.StatusConflict, RanNo, 0, "this box does not coordinate the cell"},
 	{OwnerSilent, "owner_silent", http.StatusServiceUnavailable, RanNo, time.Second, "the owner of the engine did not answer"},
+	{Crowded, "crowded", http.StatusServiceUnavailable, RanNo, 0, "the engine holds the adapter and has others waiting; another engine should be tried"},
 }
 
 // All returns every code in table order.
