An endpoint that lapsed for good is given up by all boxes

After an outage of the store a box keeps endpoints that are missing for a grace and then takes them as gone. Boxes that have their changes with heartbeats already know the store's revision by then, so nothing told them, and they kept the dead endpoint until its entry changed again, which it never does. The same for a box that was cut off alone: it kept what was missing, its own calls ended when heartbeats told it of changes again, and the other box had given the endpoint up at an older revision.

Change: late deletions are passed on for 3 s whatever the other box knows. A box whose changes begin to come with heartbeats asks for the kinds that lapse in full.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -78,15 +78,19 @@
 	listed map[string]bool
 	// known holds the revisions up to which the kinds are known, by calls or through another box.
 	known map[string]int64
+	// whole holds the kinds that another box has to tell of in full.
+	whole map[string]bool
 	// relayed is until when another box's changes stand in for calls.
 	relayed time.Time
+	// late holds the deletions that were taken in later than the store made them.
+	late []lateDeletion
 }
 
 // New returns a Follower; its Serve has to run.
 func New(cfg Config) *Follower {
 	return &Follower{
 		cfg: cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
-		known: map[string]int64{},
+		known: map[string]int64{}, whole: map[string]bool{},
 	}
 }
 
@@ -224,6 +228,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known[k.Name] = k.revision
+	f.late = noteLate(f.late, k, ch, time.Now())
 }
 
 // maxNamesTold bounds the names in a line.
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -16,11 +17,63 @@
 	return now.Before(f.relayed)
 }
 
-// Known returns the revisions up to which the kinds are known.
+// Known returns the revisions up to which the kinds are known, for another box that is to tell what lies beyond. Kinds that are
+// needed whole are left out.
 func (f *Follower) Known() map[string]int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return maps.Clone(f.known)
+	known := maps.Clone(f.known)
+	for kind, whole := range f.whole {
+		if whole {
+			delete(known, kind)
+		}
+	}
+	return known
+}
+
+// revision returns the one up to which a kind is known.
+func (f *Follower) revision(kind string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known[kind]
+}
+
+// lateFor is how long a late deletion is passed on: several heartbeats, and longer than another box goes without one before it asks
+// the store itself.
+const lateFor = 3 * time.Second
+
+// lateDeletion is a deletion that was held back for a while after an outage. By then other boxes know the store's revision, so
+// that nothing else would tell them.
+type lateDeletion struct {
+	object objects.Object
+	at     time.Time
+}
+
+// noteLate adds the deletions of a kind that lapses and drops those that all boxes have been told of.
+func noteLate(late []lateDeletion, k *kindState, ch objects.Changes, now time.Time) []lateDeletion {
+	late = slices.DeleteFunc(late, func(d lateDeletion) bool { return now.Sub(d.at) > lateFor })
+	if !k.Lapses {
+		return late
+	}
+	for _, o := range ch.Objects {
+		if o.Deleted && o.Kind == k.Name {
+			late = append(late, lateDeletion{o, now})
+		}
+	}
+	return late
+}
+
+// lateOf returns the late deletions of a kind that a box may not have been told of, which knows the kind up to a revision.
+func (f *Follower) lateOf(kind string, known int64) []objects.Object {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []objects.Object
+	for _, d := range f.late {
+		if d.object.Kind == kind && d.object.Version <= known && time.Since(d.at) <= lateFor {
+			out = append(out, d.object)
+		}
+	}
+	return out
 }
 
 // Since returns what is known here beyond known, for another box, and the time since the store last answered. Kinds that this box
@@ -29,18 +82,29 @@
 	if f.isRelayed(time.Now()) {
 		return nil, relayAge + time.Second
 	}
-	own := f.Known()
 	var out []objects.KindChanges
 	for _, k := range f.cfg.Kinds {
-		if !k.Relayed || own[k.Name] == 0 || own[k.Name] <= known[k.Name] {
-			continue
+		if ch, ok := f.kindSince(k, known[k.Name]); ok {
+			out = append(out, ch)
 		}
-		changed, complete := f.cfg.Catalog.KindSince(k.Name, known[k.Name])
-		out = append(out, objects.KindChanges{Kind: k.Name, Revision: own[k.Name], Full: !complete, Objects: changed})
 	}
 	return out, f.StoreAge()
 }
 
+// kindSince returns what is known of a kind beyond a revision.
+func (f *Follower) kindSince(k Kind, known int64) (objects.KindChanges, bool) {
+	own := f.revision(k.Name)
+	if !k.Relayed || own == 0 {
+		return objects.KindChanges{}, false
+	}
+	late := f.lateOf(k.Name, known)
+	if own <= known {
+		return objects.KindChanges{Kind: k.Name, Revision: known, Objects: late}, len(late) > 0
+	}
+	changed, complete := f.cfg.Catalog.KindSince(k.Name, known)
+	return objects.KindChanges{Kind: k.Name, Revision: own, Full: !complete, Objects: append(changed, late...)}, true
+}
+
 // Take takes changes from another box in. While they come and that box hears from the store, this one makes no calls.
 func (f *Follower) Take(changes []objects.KindChanges, storeAge time.Duration) {
 	for _, ch := range changes {
@@ -62,17 +126,28 @@
 	f.store.heardThrough(now.Add(-storeAge))
 	if began {
 		f.dropUnrelayed()
+		f.askWhole()
 		klog.V(1).InfoS("changes come with heartbeats", "store_age", storeAge)
 	}
 }
 
+// askWhole makes the next heartbeats ask for all of the kinds that lapse: what this box has kept through an outage of its own the
+// other may have given up long ago.
+func (f *Follower) askWhole() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range f.cfg.Kinds {
+		f.whole[k.Name] = k.Lapses
+	}
+}
+
 // dropUnrelayed forgets what goes with a relayed kind and is not relayed itself, as it would only grow old.
 func (f *Follower) dropUnrelayed() {
 	var drop objects.Changes
 	for _, k := range f.cfg.Kinds {
 		for _, kind := range k.With {
 			for _, name := range f.cfg.Catalog.Names(kind) {
-				drop.Objects = append(drop.Objects, objects.Object{Kind: kind, Name: name, Version: f.Known()[k.Name], Deleted: true})
+				drop.Objects = append(drop.Objects, objects.Object{Kind: kind, Name: name, Version: f.revision(k.Name), Deleted: true})
 			}
 		}
 	}
@@ -93,7 +168,7 @@
 			}
 		}
 	}
-	if ch.Revision <= f.Known()[ch.Kind] {
+	if ch.Revision < f.revision(ch.Kind) {
 		return
 	}
 	if len(all) > 0 {
@@ -104,4 +179,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known[ch.Kind] = max(f.known[ch.Kind], ch.Revision)
+	f.whole[ch.Kind] = f.whole[ch.Kind] && !ch.Full
 }
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -196,3 +196,36 @@
 	cancel()
 	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
 }
+
+// TestLapsedEndpointGoesEverywhere: an endpoint that is still missing a while after an outage is given up by all boxes, also if the
+// store has no further change.
+func TestLapsedEndpointGoesEverywhere(t *testing.T) {
+	relayed(t, func(c *qt.C, s *store, from, to *side, _ *atomic.Bool) {
+		s.set(func(s *store) { s.down = true })
+		time.Sleep(3 * time.Second)
+		s.remove("e1")
+		s.set(func(s *store) { s.down = false })
+		time.Sleep(grace + 2*time.Second)
+		c.Check(endpoints(from.catalog), qt.Equals, 2)
+		c.Check(endpoints(to.catalog), qt.Equals, 2)
+	})
+}
+
+// TestBoxBackFromItsOwnOutageDropsWhatIsGone: a box that was cut off alone keeps what the store lacks for a while; the other has long
+// given it up and says so when it tells of changes again.
+func TestBoxBackFromItsOwnOutageDropsWhatIsGone(t *testing.T) {
+	relayed(t, func(c *qt.C, s *store, from, to *side, beating *atomic.Bool) {
+		beating.Store(false)
+		to.source.cut.Store(true)
+		time.Sleep(3 * time.Second)
+		s.remove("e1")
+		time.Sleep(3 * time.Second)
+		to.source.cut.Store(false)
+		// One list that keeps what is missing, and heartbeats again.
+		time.Sleep(1100 * time.Millisecond)
+		beating.Store(true)
+		time.Sleep(grace + 2*time.Second)
+		c.Check(endpoints(from.catalog), qt.Equals, 2)
+		c.Check(endpoints(to.catalog), qt.Equals, 2)
+	})
+}
