--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"syscall"
 
@@ -60,6 +61,7 @@
 	if err := setLog(s.Log.Level); err != nil {
 		return err
 	}
+	debug.SetGCPercent(s.Process.GCPercent)
 	if s.Platform.Form == settings.FormObjects {
 		return runRouted(ctx, s, cmd.String("settings"))
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,7 @@
 	Loads    Loads    `toml:"loads"`
 	Timing   Timing   `toml:"timing"`
 	Log      Log      `toml:"log"`
+	Process  Process  `toml:"process"`
 }
 
 // Box says which box this is.
@@ -120,6 +121,12 @@
 	Level int `toml:"level"`
 }
 
+// Process sets the process itself.
+type Process struct {
+	// GCPercent is how much the heap may grow between two garbage collections, in percent: less saves memory and costs processor time.
+	GCPercent int `toml:"gc_percent"`
+}
+
 // Default returns the settings that hold where the file says nothing.
 func Default() Settings {
 	return Settings{
@@ -133,6 +140,7 @@
 		Loads:    Loads{PerSecond: 3, AtOnce: 2, Limit: LimitAdapters},
 		Timing:   Timing{Beat: time.Second, LeaseTTL: 3 * time.Second, Term: 4 * time.Second, Drain: 10 * time.Minute, Leave: 10 * time.Minute},
 		Log:      Log{Level: 1},
+		Process:  Process{GCPercent: 100},
 	}
 }
 
@@ -287,6 +295,10 @@
 			"log.level", "Verbosity of the log, 0 to 4; 2 logs each request.", fmt.Sprint(d.Log.Level),
 			func(s *Settings) string { return needBetween(s.Log.Level, 0, 4) },
 		},
+		{
+			"process.gc_percent", "Growth of the heap between two garbage collections, in percent; less saves memory and costs processor time.", fmt.Sprint(d.Process.GCPercent),
+			func(s *Settings) string { return needBetween(s.Process.GCPercent, 5, 1000) },
+		},
 	}
 }
 
