A box that stood still sends no order that it may no longer give

An owner asks for its authority before it gives an order, but the worker's client sent the order up to six times and then asked by it every 25 ms, for up to 20 s, whether it was carried out. A freeze in between outlasts the term, and the loop went on with the old token.

Change: an order carries the question whether it may be sent now, under its epoch; the client asks it before every send. One that loses its authority on the way counts as doubtful, as it may have been taken.

The soak did not find it: its loads take 20 ms, so that a pause seldom falls into one.

--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -2,6 +2,7 @@
 package engine
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 )
@@ -29,8 +30,17 @@
 	Action  Action `json:"action"`
 	Model   string `json:"model"`
 	Weights string `json:"weights,omitempty"`
+	// Allowed says whether the order may be sent now. Whoever sends an order more than once, or asks by it whether it is carried
+	// out, asks each time: the process may have stood still in between. Nil allows it.
+	Allowed func() bool `json:"-"`
 }
 
+// MaySend reports whether the order may be sent now.
+func (o *Order) MaySend() bool { return o.Allowed == nil || o.Allowed() }
+
+// ErrAuthorityOver ends an order whose sender has lost the right to give it; it may have been taken before.
+var ErrAuthorityOver = errors.New("engine: the authority to give the order is over")
+
 // Report is what an engine says of itself; it lags.
 type Report struct {
 	// Incarnation changes when the engine restarts; it then holds no adapter.
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -71,9 +71,13 @@
 			return errNoAuthority
 		}
 		o.Epoch = epoch
+		o.Allowed = func() bool {
+			now, ok := r.cfg.Authority(time.Now())
+			return ok && now == epoch
+		}
 		err = r.cfg.Client.Give(ctx, r.target(), o)
 		var refused *engine.OrderRefusedError
-		if err == nil || errors.As(err, &refused) || ctx.Err() != nil {
+		if err == nil || errors.As(err, &refused) || errors.Is(err, engine.ErrAuthorityOver) || ctx.Err() != nil {
 			return err
 		}
 		r.cfg.Scope.Counter("order_retries").Inc(1)
