Fewer calls to the store while it or the coordinator is away

Each box that lost its heartbeats or whose coordinator lost the store listed four kinds and went on calling for all of them, also while every call failed, and read the lease at every heartbeat.

Change: while the store is away only the calls for endpoints find out whether it is back. What heartbeats have told up to a revision is watched from there and not listed again.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -118,7 +118,7 @@
 func followedKinds() []follow.Kind {
 	return []follow.Kind{
 		{Name: string(resource.KindRouting), Wait: quietWait, Relayed: true},
-		{Name: string(resource.KindEndpoint), Pace: endpointPace, Wait: endpointWait, Lapses: true, With: []string{string(resource.KindHolding)}, Relayed: true},
+		{Name: string(resource.KindEndpoint), Pace: endpointPace, Wait: endpointWait, Lapses: true, With: []string{string(resource.KindHolding)}, Relayed: true, Probes: true},
 		{Name: string(resource.KindAdapterVersion), Wait: quietWait, Relayed: true},
 		{Name: coordinator.MapKind, Wait: quietWait},
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -38,6 +38,9 @@
 	With []string
 	// Relayed kinds are passed on to other boxes.
 	Relayed bool
+	// Probes says that while the store is lost, calls for this kind alone find out whether it is back: each call is paid for, also
+	// one that fails. Without such a kind all go on calling.
+	Probes bool
 }
 
 // Config configures a Follower.
@@ -73,6 +76,8 @@
 	done  chan struct{}
 	ready chan struct{}
 	store *storeState
+	// probes says that one of the kinds does.
+	probes bool
 
 	mu     sync.Mutex
 	listed map[string]bool
@@ -89,7 +94,8 @@
 // New returns a Follower; its Serve has to run.
 func New(cfg Config) *Follower {
 	return &Follower{
-		cfg: cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
+		probes: slices.ContainsFunc(cfg.Kinds, func(k Kind) bool { return k.Probes }),
+		cfg:    cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
 		known: map[string]int64{}, whole: map[string]bool{},
 	}
 }
@@ -130,10 +136,15 @@
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if f.isRelayed(time.Now()) {
-			k.listed = false
+			k.relayed = true
 			part.Sleep(ctx, relayLook)
 			continue
 		}
+		if f.probes && !k.Probes && f.store.isAway() {
+			part.Sleep(ctx, relayLook)
+			continue
+		}
+		f.resume(k)
 		began := time.Now()
 		err := f.step(ctx, k)
 		pause := k.Pace - time.Since(began)
@@ -161,6 +172,21 @@
 	}
 }
 
+// resume goes on with calls after another box's changes have stood in for them. What that box has told up to a revision need not be
+// listed again.
+func (f *Follower) resume(k *kindState) {
+	if !k.relayed {
+		return
+	}
+	k.relayed = false
+	clear(k.missing)
+	known := f.Known()[k.Name]
+	if k.listed = k.Relayed && known > 0; k.listed {
+		k.revision = known
+		k.know(f.cfg.Catalog.Names(k.Name))
+	}
+}
+
 // step makes one call: a list until there has been one, then watches.
 func (f *Follower) step(ctx context.Context, k *kindState) error {
 	if !k.listed {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -233,3 +233,14 @@
 	defer s.mu.Unlock()
 	return s.revision
 }
+
+// of returns all objects of a kind.
+func (s *store) of(kind resource.Kind) []objects.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []objects.Object
+	for _, o := range s.objects[string(kind)] {
+		all = append(all, o)
+	}
+	return all
+}
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -12,7 +12,9 @@
 	// revision is that up to which the kind is known once it has been listed.
 	revision int64
 	listed   bool
-	known    map[string]bool
+	// relayed says that changes have come through another box since the last call.
+	relayed bool
+	known   map[string]bool
 	// missing holds objects that were removed shortly after an outage, with the time at which that is believed.
 	missing map[string]time.Time
 }
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -83,6 +83,13 @@
 	klog.InfoS("store regained", "away", now.Sub(s.since))
 }
 
+// isAway reports whether the store has not answered since a call failed.
+func (s *storeState) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
 // backSince returns when the last outage ended; while one lasts, that is the present.
 func (s *storeState) backSince() time.Time {
 	s.mu.Lock()
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -44,7 +44,10 @@
 }
 
 // grace is how long this box lets better placed ones go first, so that not all members write at once when their coordinator is gone.
-func (n *Node) grace() time.Duration {
+func (n *Node) grace() time.Duration { return time.Duration(n.rank()) * n.cfg.Timing.Beat }
+
+// rank returns how many boxes go before this one in seeking the lease, at most maxCandidates; none do where no map is known.
+func (n *Node) rank() int {
 	m, _, ok := n.cfg.Catalog.Map(n.cfg.Cell)
 	if !ok {
 		return 0
@@ -59,9 +62,9 @@
 	key := fmt.Sprintf("%s/%d", n.cfg.Cell, record.Epoch)
 	rank := slices.Index(placement.Top(key, names, maxCandidates), n.cfg.Self.Box)
 	if rank < 0 {
-		rank = maxCandidates
+		return maxCandidates
 	}
-	return time.Duration(rank) * n.cfg.Timing.Beat
+	return rank
 }
 
 // CoordinatorAddress returns the peer address of the coordinator if another box coordinates and has answered lately.
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -78,6 +78,8 @@
 	boxListBeats = 2
 	// dutyShare is the part of the lease's time that one duty of a round may take.
 	dutyShare = 3
+	// seekShare is the part of the lease's time between two looks at it of a box that others go before.
+	seekShare = 2
 	// renewBelow is the part of the lease's time left below which it is renewed.
 	renewBelow = 0.7
 	// missedBeats is how many heartbeats may go unanswered before the coordinator counts as out of reach.
@@ -290,11 +292,20 @@
 		n.cfg.Scope.Counter("beat_failures").Inc(1)
 		klog.V(1).InfoS("heartbeat failed", "cell", n.cfg.Cell, "err", err)
 	}
-	if err != nil || (n.isFrozen() && time.Since(n.lastSeek) >= n.cfg.Timing.LeaseTTL) {
+	if (err != nil && time.Since(n.lastSeek) >= n.seekPause()) || (n.isFrozen() && time.Since(n.lastSeek) >= n.cfg.Timing.LeaseTTL) {
 		n.seekLease(ctx)
 	}
 }
 
+// seekPause returns how long this box waits between two looks at the lease of a coordinator that does not answer: not at all if it
+// is one of those that would take it first, else long enough for one of them to have it, as every look is paid for.
+func (n *Node) seekPause() time.Duration {
+	if n.lease.Record().Holder == "" || n.rank() < maxCandidates {
+		return 0
+	}
+	return n.cfg.Timing.LeaseTTL / seekShare
+}
+
 func (n *Node) coordinating() *coordinator.State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
