--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -235,6 +235,9 @@
 // DirectoryAddress returns where callers ask for addresses.
 func (b *Routed) DirectoryAddress() netip.AddrPort { return addressOf(b.directory) }
 
+// Topology returns the fleet as this box knows it.
+func (b *Routed) Topology() *catalog.Topology { return b.catalog.Topology() }
+
 // Done is closed when Run has ended.
 func (b *Routed) Done() <-chan struct{} { return b.done }
 
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -154,20 +154,32 @@
 	f.cfg.Catalog.Apply(drop)
 }
 
-// take takes the changes of one kind in.
-func (f *Follower) take(ch objects.KindChanges) {
-	all := ch.Objects
-	if ch.Full {
-		listed := map[string]bool{}
-		for _, o := range ch.Objects {
-			listed[o.Name] = true
+// news returns what of another box's changes is new here: without deletions of what is gone already, which are told more than once,
+// and with those that a full list implies.
+func (f *Follower) news(ch objects.KindChanges) []objects.Object {
+	held := map[string]bool{}
+	for _, name := range f.cfg.Catalog.Names(ch.Kind) {
+		held[name] = true
+	}
+	listed := map[string]bool{}
+	var all []objects.Object
+	for _, o := range ch.Objects {
+		listed[o.Name] = true
+		if !o.Deleted || held[o.Name] {
+			all = append(all, o)
 		}
-		for _, name := range f.cfg.Catalog.Names(ch.Kind) {
-			if !listed[name] {
-				all = append(all, objects.Object{Kind: ch.Kind, Name: name, Version: ch.Revision, Deleted: true})
-			}
+	}
+	for name := range held {
+		if ch.Full && !listed[name] {
+			all = append(all, objects.Object{Kind: ch.Kind, Name: name, Version: ch.Revision, Deleted: true})
 		}
 	}
+	return all
+}
+
+// take takes the changes of one kind in.
+func (f *Follower) take(ch objects.KindChanges) {
+	all := f.news(ch)
 	if ch.Revision < f.revision(ch.Kind) {
 		return
 	}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -86,6 +86,7 @@
 	slot    *slot
 	urgency int
 	tokens  int
+	prompt  int
 	at      time.Time
 }
 
@@ -113,8 +114,10 @@
 	closed bool
 	// blind says that the engine's holdings are not known yet.
 	blind bool
-	// tokens counts those of the running tickets; prefillFree is when the engine will have read the prompts of all of them.
+	// tokens counts those of the running tickets, prompts those of their prompts alone; prefillFree is when the engine will have
+	// read all of these, unless it finds some in its cache.
 	tokens      int
+	prompts     int
 	prefillFree time.Time
 	lately      lately
 	out         []Action
@@ -262,6 +265,7 @@
 	}
 	delete(s.running, id)
 	s.tokens -= st.tokens
+	s.prompts -= st.prompt
 	if end == EndWhole {
 		s.runTime += time.Duration(runTimeSmoothing * float64(now.Sub(st.at)-s.runTime))
 	}
--- a/internal/owner/state_test.go
+++ b/internal/owner/state_test.go
@@ -454,3 +454,17 @@
 	now = now.Add(10 * time.Second)
 	c.Check(expected() < usual+usual/5, qt.IsTrue, qt.Commentf("%v, usually %v", expected(), usual))
 }
+
+// TestExpectedWaitForgetsPromptsOfEndedRuns: runs that end before their prompts were thought to be read leave no wait behind.
+func TestExpectedWaitForgetsPromptsOfEndedRuns(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(2)
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	for id := range uint64(50) {
+		s.Submit(now, owner.Ticket{ID: id, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: 200, Last: true})
+		s.Done(now, id, owner.EndWhole)
+	}
+	actions := s.Submit(now, owner.Ticket{ID: 99, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: 200, Accept: time.Millisecond})
+	c.Check(actionsOf[owner.Start](actions), qt.HasLen, 1)
+}
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -54,7 +54,9 @@
 
 // expectedWait returns how long a ticket would wait until the engine starts to read its prompt.
 func (s *State) expectedWait(now time.Time, t Ticket) time.Duration {
-	wait := max(0, s.prefillFree.Sub(now))
+	// Prompts that were found in the engine's cache are read sooner than was thought: no more can be left to read than those of the
+	// runs that have not ended.
+	wait := max(0, min(s.prefillFree.Sub(now), s.prefillTime(s.prompts)))
 	ahead, prompts, tokens := 0, 0, 0
 	for _, w := range s.waiting {
 		if w.Urgency < t.Urgency {
