--- /dev/null
+++ b/internal/owner/loading_test.go
@@ -0,0 +1,71 @@
+package owner_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// TestUnansweredLoadKeepsItsSlot: a load whose answer was lost may be carried out seconds later, so its slot is not given to another adapter.
+func TestUnansweredLoadKeepsItsSlot(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(1)
+	s.Submit(now, owner.Ticket{ID: 1, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Assert(actionsOf[owner.Load](s.Granted(now, ref(1))), qt.HasLen, 1)
+	s.Loaded(now, ref(1), errors.New("no answer"))
+	now = now.Add(5 * time.Second)
+	s.Submit(now, owner.Ticket{ID: 2, Ref: ref(2), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Check(actionsOf[owner.Load](s.Granted(now, ref(2))), qt.HasLen, 0)
+	now = now.Add(11 * time.Second)
+	c.Check(actionsOf[owner.AskPermit](s.Tick(now)), qt.HasLen, 1)
+	c.Check(actionsOf[owner.Load](s.Granted(now, ref(2))), qt.HasLen, 1)
+}
+
+// TestReplacedVersionKeepsItsSlotUntilTheNewOneIsThere: both count while the old one's runs go on.
+func TestReplacedVersionKeepsItsSlotUntilTheNewOneIsThere(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(2)
+	first, second, other := resource.Ref{Adapter: "a", Version: "1"}, resource.Ref{Adapter: "a", Version: "2"}, ref(9)
+	s.Adopt([]resource.Ref{first}, false)
+	c.Assert(actionsOf[owner.Start](s.Submit(now, owner.Ticket{ID: 1, Ref: first, Arrived: now, StartBy: now.Add(time.Minute)})), qt.HasLen, 1)
+	s.Submit(now, owner.Ticket{ID: 2, Ref: second, Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Assert(actionsOf[owner.Load](s.Granted(now, second)), qt.HasLen, 1)
+	s.Submit(now, owner.Ticket{ID: 3, Ref: other, Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Check(actionsOf[owner.Load](s.Granted(now, other)), qt.HasLen, 0)
+	c.Check(actionsOf[owner.Start](s.Loaded(now, second, nil)), qt.HasLen, 1)
+	c.Check(s.Holds(first), qt.IsFalse)
+	c.Check(actionsOf[owner.Load](s.Granted(now, other)), qt.HasLen, 1)
+}
+
+// TestNothingIsLoadedBeforeTheFirstReport: what the engine holds is not known yet.
+func TestNothingIsLoadedBeforeTheFirstReport(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := owner.New(owner.Config{Slots: 1, Batch: 1, MaxQueue: 4, AwaitReport: true})
+	actions := s.Submit(now, owner.Ticket{ID: 1, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	c.Check(actionsOf[owner.AskPermit](actions), qt.HasLen, 0)
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	c.Check(actionsOf[owner.Start](s.Tick(now)), qt.HasLen, 1)
+}
+
+// TestNoLoadWhileMoreIsHeldThanFits: reports showed more than was known, so an unload alone makes no room.
+func TestNoLoadWhileMoreIsHeldThanFits(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(2)
+	s.Adopt([]resource.Ref{ref(1), ref(2)}, false)
+	s.Submit(now, owner.Ticket{ID: 1, Ref: ref(3), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	unload := actionsOf[owner.Unload](s.Granted(now, ref(3)))
+	c.Assert(unload, qt.HasLen, 1)
+	s.Adopt([]resource.Ref{ref(4), ref(5)}, false)
+	actions := s.Unloaded(now, unload[0].Ref, nil)
+	c.Check(actionsOf[owner.Load](actions), qt.HasLen, 0)
+	c.Check(actionsOf[owner.ReturnPermit](actions), qt.HasLen, 1)
+}
--- /dev/null
+++ b/internal/owner/wait_test.go
@@ -0,0 +1,131 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// TestExpectedWait sends a ticket on with the wait that it would have here.
+func TestExpectedWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ask := func(prompt int, accept time.Duration) owner.Ticket {
+		return owner.Ticket{ID: 99, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: prompt, Accept: accept}
+	}
+	for _, tt := range []struct {
+		name string
+		busy int
+		ask  owner.Ticket
+		want time.Duration
+	}{
+		{"free", 0, ask(100, 100*time.Millisecond), 0},
+		{"a prompt of 200 ms ahead, half again as its weight", 200, ask(100, 100*time.Millisecond), 300 * time.Millisecond},
+		{"as long as is accepted", 200, ask(100, 300*time.Millisecond), 0},
+		{"the cache is full until the one run ends", 950, ask(100, 100*time.Millisecond), (950 + 1000) * 3 / 2 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := discovered(2)
+			s.Adopt([]resource.Ref{ref(1)}, false)
+			if tt.busy > 0 {
+				s.Submit(now, owner.Ticket{ID: 1, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: tt.busy})
+			}
+			actions := s.Submit(now, tt.ask)
+			if tt.want == 0 {
+				c.Check(actionsOf[owner.Start](actions), qt.HasLen, 1)
+				return
+			}
+			refused := actionsOf[owner.Refuse](actions)
+			c.Assert(refused, qt.HasLen, 1)
+			c.Check(refused[0].Err.Code, qt.Equals, result.Crowded)
+			c.Check(refused[0].Err.RetryAfter, qt.Equals, tt.want)
+		})
+	}
+}
+
+// TestExpectedWaitCountsTheQueue fills a batch: each ticket that waits adds the time in which one of the runs ends, as runs have lasted.
+func TestExpectedWaitCountsTheQueue(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := owner.New(owner.Config{Slots: 2, Batch: 4, MaxQueue: 100})
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	submit := func(id uint64, accept time.Duration) []owner.Action {
+		return s.Submit(now, owner.Ticket{ID: id, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Accept: accept, Last: accept == 0})
+	}
+	id := uint64(0)
+	for range 200 {
+		id++
+		submit(id, 0)
+		now = now.Add(400 * time.Millisecond)
+		s.Done(now, id, owner.EndWhole)
+	}
+	for range 4 {
+		id++
+		c.Assert(actionsOf[owner.Start](submit(id, 0)), qt.HasLen, 1)
+	}
+	for waiting := range 3 {
+		refused := actionsOf[owner.Refuse](submit(1000, time.Millisecond))
+		c.Assert(refused, qt.HasLen, 1)
+		want := time.Duration(waiting+1) * 100 * time.Millisecond * 3 / 2
+		c.Check((refused[0].Err.RetryAfter-want).Abs() < 2*time.Millisecond, qt.IsTrue, qt.Commentf("%d waiting: %v", waiting, refused[0].Err.RetryAfter))
+		id++
+		submit(id, 0)
+	}
+}
+
+// TestExpectedWaitCountsThoseWhoWaitForALoad: tickets that wait for the same adapter fill the batch as soon as it is there.
+func TestExpectedWaitCountsThoseWhoWaitForALoad(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := owner.New(owner.Config{Slots: 2, Batch: 4, MaxQueue: 100})
+	submit := func(id uint64, accept time.Duration) []owner.Action {
+		return s.Submit(now, owner.Ticket{ID: id, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Accept: accept, Last: accept == 0})
+	}
+	for id := range uint64(4) {
+		c.Assert(actionsOf[owner.Refuse](submit(id, 500*time.Millisecond)), qt.HasLen, 0, qt.Commentf("%d", id))
+	}
+	refused := actionsOf[owner.Refuse](submit(4, 300*time.Millisecond))
+	c.Check(refused, qt.HasLen, 1)
+}
+
+// TestSlowLoadsAreForgotten: what slow loads have taught fades, so that the engine gets loads again.
+func TestSlowLoadsAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := owner.New(owner.Config{Slots: 50, Batch: 50, MaxQueue: 100})
+	expected := func() time.Duration {
+		refused := actionsOf[owner.Refuse](s.Submit(now, owner.Ticket{ID: 1000, Ref: ref(99), Arrived: now, StartBy: now.Add(time.Minute), Accept: time.Millisecond}))
+		c.Assert(refused, qt.HasLen, 1)
+		return refused[0].Err.RetryAfter
+	}
+	usual := expected()
+	for i := range 20 {
+		s.Submit(now, owner.Ticket{ID: uint64(i), Ref: ref(i), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+		s.Granted(now, ref(i))
+		now = now.Add(2 * time.Second)
+		s.Loaded(now, ref(i), nil)
+	}
+	slow := expected()
+	c.Check(slow > 2*usual, qt.IsTrue, qt.Commentf("%v, usually %v", slow, usual))
+	now = now.Add(10 * time.Second)
+	c.Check(expected() < usual+usual/5, qt.IsTrue, qt.Commentf("%v, usually %v", expected(), usual))
+}
+
+// TestExpectedWaitForgetsPromptsOfEndedRuns: runs that end before their prompts were thought to be read leave no wait behind.
+func TestExpectedWaitForgetsPromptsOfEndedRuns(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(2)
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	for id := range uint64(50) {
+		s.Submit(now, owner.Ticket{ID: id, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: 200, Last: true})
+		s.Done(now, id, owner.EndWhole)
+	}
+	actions := s.Submit(now, owner.Ticket{ID: 99, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: 200, Accept: time.Millisecond})
+	c.Check(actionsOf[owner.Start](actions), qt.HasLen, 1)
+}
