Names and a comment from reading the change again

Cause: a variable named now held an epoch; the comment on late deletions said that only held back ones are passed on, while all of a kind that lapses are.

--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -42,8 +42,8 @@
 // the store itself.
 const lateFor = 3 * time.Second
 
-// lateDeletion is a deletion that was held back for a while after an outage. By then other boxes know the store's revision, so
-// that nothing else would tell them.
+// lateDeletion is a deletion of a kind that lapses. One that was held back for a while after an outage comes when other boxes know
+// the store's revision already, so that nothing else would tell them; the others are told once more than needed.
 type lateDeletion struct {
 	object objects.Object
 	at     time.Time
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -72,8 +72,8 @@
 		}
 		o.Epoch = epoch
 		o.Allowed = func() bool {
-			now, ok := r.cfg.Authority(time.Now())
-			return ok && now == epoch
+			current, ok := r.cfg.Authority(time.Now())
+			return ok && current == epoch
 		}
 		err = r.cfg.Client.Give(ctx, r.target(), o)
 		var refused *engine.OrderRefusedError
