--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -39,7 +39,7 @@
 	// endpointWait bounds a watch of the endpoints: a path that has fallen silent is noticed that much later.
 	endpointWait = 700 * time.Millisecond
 	// quietWait is how long watches of kinds that seldom change wait. They are given up early when another call fails.
-	quietWait = 6 * time.Second
+	quietWait = time.Second
 	// orderMargin is added to the gap between two owners' orders, for messages on their way.
 	orderMargin = 200 * time.Millisecond
 	// silentBeats is how many heartbeats a box may miss before callers are not sent to it.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -60,6 +60,9 @@
 	// the store is back, long enough not to press a store that is refusing calls.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = time.Second
+	// probeWait is how long a watch waits that is to find out whether the store is back: waiting for a change would keep the other
+	// kinds from calling for as long.
+	probeWait = time.Millisecond
 	// relayLook is how often a follower whose changes come through another box looks whether they still do.
 	relayLook = 100 * time.Millisecond
 	// relayAge is how old the other box's own knowledge may be: a second and a bit is what a look at the endpoints takes when
@@ -181,7 +184,8 @@
 	k.relayed = false
 	clear(k.missing)
 	known := f.Known()[k.Name]
-	if k.listed = k.Relayed && known > 0; k.listed {
+	// What goes with a kind is not relayed and has been dropped: only a list brings it back.
+	if k.listed = k.Relayed && known > 0 && len(k.With) == 0; k.listed {
 		k.revision = known
 		k.know(f.cfg.Catalog.Names(k.Name))
 	}
@@ -197,6 +201,9 @@
 	if due, ok := k.nextExpiry(time.Now()); ok {
 		wait = min(wait, due)
 	}
+	if f.store.isAway() {
+		wait = probeWait
+	}
 	waiting, cancel := f.store.whileThere(ctx)
 	defer cancel()
 	ch, err := f.cfg.Source.Watch(waiting, []string{k.Name}, k.revision, wait)
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -36,7 +36,11 @@
 	if s.cut.Load() {
 		return objects.Changes{}, objects.ErrUnavailable
 	}
-	return s.store.List(ctx, kinds, after)
+	ch, err := s.store.List(ctx, kinds, after)
+	if kinds[0] == string(resource.KindEndpoint) {
+		ch.Objects = append(ch.Objects, s.of(resource.KindHolding)...)
+	}
+	return ch, err
 }
 
 // Watch implements follow.Source. A cut path says nothing until the caller gives up.
@@ -229,3 +233,16 @@
 		c.Check(endpoints(to.catalog), qt.Equals, 2)
 	})
 }
+
+// TestHoldingsComeBackWithCalls: what endpoints hold does not come with heartbeats; a box that goes back to calls needs it at once,
+// as no owner may be there to ask.
+func TestHoldingsComeBackWithCalls(t *testing.T) {
+	relayed(t, func(c *qt.C, s *store, _, to *side, beating *atomic.Bool) {
+		holding := string(resource.KindHolding)
+		s.put(c, resource.KindHolding, "e1", &resource.Holding{Holds: []string{"a@1"}})
+		c.Check(to.catalog.Names(holding), qt.HasLen, 0)
+		beating.Store(false)
+		time.Sleep(relayFor + pace)
+		c.Check(to.catalog.Names(holding), qt.DeepEquals, []string{"e1"})
+	})
+}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -60,6 +62,12 @@
 			}
 			break
 		}
+		if r.hasLeft(q.service, c.name) {
+			// The grant was waited for; until it came the engine may have begun to leave.
+			c.end(owner.EndWhole)
+			avoid[c.name] = true
+			continue
+		}
 		lastEvent, rerr = r.runOn(ctx, out, q, c, Attempt{Version: version, Priority: q.route.Priority, LastEvent: lastEvent})
 		r.remember(ref, c.name, rerr)
 		if rerr == nil {
@@ -77,6 +85,13 @@
 	return last
 }
 
+// hasLeft reports whether an endpoint is gone or gets no new work, as this box knows now.
+func (r *Relay) hasLeft(service, endpoint string) bool {
+	all := r.cfg.Catalog.Topology().Endpoints[service]
+	i := slices.IndexFunc(all, func(e catalog.EndpointView) bool { return e.Name == endpoint })
+	return i < 0 || all[i].Spec.Leaving
+}
+
 // remember notes what the end of a request says of its engine's holdings.
 func (r *Relay) remember(ref resource.Ref, engine string, rerr *result.Error) {
 	switch {
