--- a/internal/grant/message.go
+++ b/internal/grant/message.go
@@ -26,6 +26,8 @@
 	StartIn time.Duration `json:"start_in"`
 	// Accept is the longest expected wait with which the owner takes the request in; zero accepts any.
 	Accept time.Duration `json:"accept,omitempty"`
+	// Near asks the owner to take the request in only if the adapter needs not be brought from the weight store.
+	Near bool `json:"near,omitempty"`
 	// Hold is how long the grant may be held; after that the owner counts it as ended.
 	Hold time.Duration `json:"hold"`
 	// Last says that no other engine will be tried after this one.
@@ -38,7 +40,7 @@
 func (a *Ask) Request(now time.Time) (owner.Request, *result.Error) {
 	q := owner.Request{
 		Weights: a.Weights, Urgency: a.Urgency, StartBy: now.Add(a.StartIn), Last: a.Last,
-		Prompt: a.Prompt, Output: a.Output, Accept: a.Accept,
+		Prompt: a.Prompt, Output: a.Output, Accept: a.Accept, Near: a.Near,
 	}
 	if a.Ref == "" {
 		return q, nil
--- a/internal/owner/action.go
+++ b/internal/owner/action.go
@@ -24,6 +24,8 @@
 	Output int
 	// Accept, if positive, is the longest expected wait for its first token with which it is taken in; beyond, it is sent on.
 	Accept time.Duration
+	// Near takes it in only if its adapter needs not be brought from the weight store.
+	Near bool
 }
 
 // Action is what the caller of State has to do. It is sealed.
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -150,10 +150,11 @@
 	StartBy time.Time
 	// Last says that no other engine will be tried after this one.
 	Last bool
-	// Prompt, Output and Accept are as in Ticket.
+	// Prompt, Output, Accept and Near are as in Ticket.
 	Prompt int
 	Output int
 	Accept time.Duration
+	Near   bool
 }
 
 // Grant lets one request run on the engine until it is released.
@@ -174,7 +175,7 @@
 func (r *Runner) Acquire(ctx context.Context, q Request) (*Grant, error) {
 	id := r.nextID.Add(1)
 	reply := make(chan verdict, 1)
-	t := Ticket{ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: time.Now(), StartBy: q.StartBy, Last: q.Last, Prompt: q.Prompt, Output: q.Output, Accept: q.Accept}
+	t := Ticket{ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: time.Now(), StartBy: q.StartBy, Last: q.Last, Prompt: q.Prompt, Output: q.Output, Accept: q.Accept, Near: q.Near}
 	select {
 	case r.events <- submitted{t, reply}:
 	case <-r.done:
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -83,7 +84,7 @@
 	if s.lately.has(t.Ref) {
 		return expected / latelyFaster
 	}
-	return expected + freshCost
+	return expected
 }
 
 // expectedLoadTime returns the time that loads have taken, fading towards the usual one: an engine that was slow once would
@@ -94,9 +95,6 @@
 }
 
 const (
-	// freshCost is the wait that a load from the weight store is worth beside its own time: it takes a part of what the store
-	// can bring to all engines.
-	freshCost = 150 * time.Millisecond
 	// loadTimeHalfLife is the time in which what slow loads have taught fades by half: bursts of loads last a few seconds.
 	loadTimeHalfLife = 2 * time.Second
 	// latelyFaster is how much faster an engine loads an adapter that it held lately.
@@ -107,14 +105,19 @@
 
 // tooSlow reports whether a ticket had better go on to its next engine.
 func (s *State) tooSlow(now time.Time, t Ticket) bool {
-	return t.Accept > 0 && s.expectedWait(now, t) > t.Accept
+	return t.Accept > 0 && ((t.Near && !s.near(t.Ref)) || s.expectedWait(now, t) > t.Accept)
+}
+
+// near reports whether an adapter is on the engine, on its way there or at hand, so that the weight store need not bring it.
+func (s *State) near(ref resource.Ref) bool {
+	return s.Holds(ref) || s.slots[ref] != nil || s.wanted[ref] > 0 || s.lately.has(ref)
 }
 
 // sendOn sends a ticket on and tells, if it named a wait, what was expected, so that the asker can come back to the shortest.
 func (s *State) sendOn(now time.Time, t Ticket) {
 	err := result.New(result.TryNext, "another engine can start it sooner")
 	if t.Accept > 0 {
-		if s.Holds(t.Ref) {
+		if s.near(t.Ref) {
 			err.Code = result.Crowded
 		}
 		err.RetryAfter = max(time.Millisecond, s.expectedWait(now, t))
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -15,9 +15,11 @@
 	// acceptShare is the part of the objective up to which an expected wait is accepted at once; beyond it all candidates
 	// are compared.
 	acceptShare = 0.2
-	// orderBias is the wait that a place in the order is worth: without it, differences between guesses would scatter an
-	// adapter's requests over all engines.
-	orderBias = 15 * time.Millisecond
+	// inTimeShare is the part of the objective after which a start is too late: the prompt has to be read as well.
+	inTimeShare = 0.5
+	// orderShare is the part of the objective that a place in the order is worth: without it, differences between guesses would
+	// scatter an adapter's requests over all engines, each of which would bring it from the weight store.
+	orderShare = 0.125
 	// ownerlessShare is the part of the objective for which a request looks for an owner, every ownerlessLook.
 	ownerlessShare = 0.5
 	ownerlessLook  = 60 * time.Millisecond
@@ -59,19 +61,17 @@
 	}
 }
 
-// chooseNow asks the candidates: the first candidate that expects to start it soon, else the one that expects to be
-// the soonest, else, where no owner answers, one that is listed as holding the adapter version. More than the first few are only
-// asked while the soonest is one that holds the version already and has others waiting: the version needs more engines then.
+// chooseNow asks the candidates whether the adapter version is near enough to start the request soon, and takes the first that
+// says so. Else it weighs what they said: see weigh. Where no owner answers, one that is listed as holding the version is taken.
+// More than the first few are only asked while all that have it near are too busy to start the request in time.
 func (r *Relay) chooseNow(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosen, *result.Error) {
 	candidates := r.candidates(q, ref, avoid)
 	ask := r.ask(q, ref)
-	ask.Accept = time.Duration(acceptShare * float64(q.route.Objective))
+	ask.Accept, ask.Near = shareOf(q.route.Objective, acceptShare), true
+	offers := offers{inTime: shareOf(q.route.Objective, inTimeShare) - time.Since(q.came)}
 	last := result.New(result.NoEngine, "%s of %s", q.head.Model, q.service)
-	var best *candidate
-	var shortest time.Duration
-	crowded := false
 	for i := range candidates {
-		if i >= maxCandidates && !crowded {
+		if i >= maxCandidates && !offers.crowded() {
 			break
 		}
 		c := &candidates[i]
@@ -83,23 +83,21 @@
 			return nil, rerr
 		}
 		last = rerr
-		if !sentOn(rerr) || rerr.RetryAfter <= 0 {
-			continue
-		}
-		if wait := rerr.RetryAfter + time.Duration(min(i, maxCandidates))*orderBias; best == nil || wait < shortest {
-			best, shortest, crowded = c, wait, rerr.Code == result.Crowded
+		if sentOn(rerr) && rerr.RetryAfter > 0 {
+			offers.add(c, rerr, shareOf(q.route.Objective, orderShare*float64(min(i, maxCandidates))))
 		}
 	}
-	if crowded {
+	if offers.crowded() {
 		r.crowds.add(ref, time.Now())
 	}
-	if best != nil {
-		ask.Accept, ask.Last = 0, true
-		got, rerr := r.acquire(ctx, q, best, ask)
-		if rerr == nil {
-			return got, nil
+	if best := offers.best(); best != nil {
+		if ask.StartIn < best.wait {
+			late := result.New(result.DeadlineUnmet, "the soonest start is in %s", best.wait.Round(time.Millisecond))
+			late.RetryAfter = best.wait
+			return nil, late
 		}
-		return nil, rerr
+		ask.Accept, ask.Near, ask.Last = 0, false, true
+		return r.acquire(ctx, q, best.candidate, ask)
 	}
 	if got := r.withoutOwner(candidates, ref); got != nil {
 		q.tried(got.name, "without owner")
@@ -108,6 +106,11 @@
 	return nil, last
 }
 
+// shareOf returns a part of a request's objective.
+func shareOf(objective resource.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(objective))
+}
+
 // sentOn reports whether an owner sent a request on to other engines.
 func sentOn(rerr *result.Error) bool {
 	return rerr.Code == result.TryNext || rerr.Code == result.Crowded
--- /dev/null
+++ b/internal/relay/offers.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// offer is what an engine's owner expects of a request that it did not take in at once.
+type offer struct {
+	candidate *candidate
+	// wait is the expected time until it starts, weight that with the engine's place in the order.
+	wait   time.Duration
+	weight time.Duration
+}
+
+// offers holds the best of what owners said about one request.
+type offers struct {
+	// inTime is the longest wait with which the request can be answered within its objective.
+	inTime time.Duration
+	// near is the best engine that has the adapter version near, fresh the best of those that would bring it from the weight store.
+	near  *offer
+	fresh *offer
+}
+
+// add takes an owner's answer in; bias is what the engine's place in the order weighs.
+func (o *offers) add(c *candidate, rerr *result.Error, bias time.Duration) {
+	to := &o.fresh
+	if rerr.Code == result.Crowded {
+		to, bias = &o.near, 0
+	}
+	if weight := rerr.RetryAfter + bias; *to == nil || weight < (*to).weight {
+		*to = &offer{candidate: c, wait: rerr.RetryAfter, weight: weight}
+	}
+}
+
+// crowded reports whether there are engines with the version near, none of which can start the request in time.
+func (o *offers) crowded() bool { return o.near != nil && o.near.wait > o.inTime }
+
+// best returns the engine to take, nil if none made an offer. A load from the weight store takes a part of what it can bring to all
+// engines, so one more copy is loaded only where it serves the request in time and no engine that has the version near does.
+func (o *offers) best() *offer {
+	switch {
+	case o.near == nil:
+		return o.fresh
+	case o.fresh == nil || !o.crowded() || o.fresh.wait > o.inTime:
+		return o.near
+	default:
+		return o.fresh
+	}
+}
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -141,7 +141,7 @@
 	{TryNext, "try_next", http.StatusServiceUnavailable, RanNo, 0, "another engine should be tried"},
 	{StaleBeat, "stale_beat", http.StatusConflict, RanNo, 0, "this box does not coordinate the cell"},
 	{OwnerSilent, "owner_silent", http.StatusServiceUnavailable, RanNo, time.Second, "the owner of the engine did not answer"},
-	{Crowded, "crowded", http.StatusServiceUnavailable, RanNo, 0, "the engine holds the adapter and has others waiting; another engine should be tried"},
+	{Crowded, "crowded", http.StatusServiceUnavailable, RanNo, 0, "the engine has the adapter at hand, but cannot start the request soon; another engine should be tried"},
 }
 
 // All returns every code in table order.
