--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -26,12 +26,12 @@
 	// aliveWithin is how long an owner may be silent. A round trip between zones takes 2 to 3 ms, so a box that says nothing
 	// for this long is busy beyond use, frozen, cut off or gone.
 	aliveWithin = 180 * time.Millisecond
-	// endRing bounds the ends that wait to be told; an owner that misses one lets the grant expire.
-	endRing = 4096
-	// endEvery gathers the ends for one owner into one call.
-	endEvery = 25 * time.Millisecond
-	// endTimeout bounds a call that tells ends.
-	endTimeout = time.Second
+	// newsRing bounds the news that wait to be told; an owner that misses an end lets the grant expire.
+	newsRing = 4096
+	// newsEvery gathers the news for one owner into one call.
+	newsEvery = 25 * time.Millisecond
+	// newsTimeout bounds a call that tells news.
+	newsTimeout = time.Second
 	// maxAnswer bounds an answer.
 	maxAnswer = 64 << 10
 )
@@ -42,21 +42,23 @@
 	Scope tally.Scope
 }
 
-// Client asks owners on other boxes. Its Serve has to run, to tell them how requests ended.
+// Client asks owners on other boxes. Its Serve has to run, to tell them how requests go and ended.
 type Client struct {
 	cfg  ClientConfig
-	ends chan farEnd
+	news chan news
 	done chan struct{}
 }
 
-type farEnd struct {
+// news is what the owner at an address is to hear of a grant: its end or, if read, that the first token has come.
+type news struct {
 	address netip.AddrPort
 	end     end
+	read    bool
 }
 
 // NewClient returns a Client.
 func NewClient(cfg ClientConfig) *Client {
-	return &Client{cfg: cfg, ends: make(chan farEnd, endRing), done: make(chan struct{})}
+	return &Client{cfg: cfg, news: make(chan news, newsRing), done: make(chan struct{})}
 }
 
 // Done is closed when Serve has ended.
@@ -110,26 +112,30 @@
 	if err := json.Unmarshal(b, &g); err != nil {
 		return nil, result.New(result.OwnerSilent, "%v", err)
 	}
-	return &Grant{Stalled: g.Stalled, End: func(e owner.End) { c.tell(address, g.ID, e) }}, nil
+	return &Grant{
+		Stalled: g.Stalled,
+		Read:    func() { c.tell(news{address: address, end: end{ID: g.ID}, read: true}) },
+		End:     func(e owner.End) { c.tell(news{address: address, end: end{g.ID, e}}) },
+	}, nil
 }
 
-// tell queues the end of a granted request.
-func (c *Client) tell(address netip.AddrPort, id uint64, e owner.End) {
+// tell queues news of a granted request.
+func (c *Client) tell(n news) {
 	select {
-	case c.ends <- farEnd{address, end{id, e}}:
+	case c.news <- n:
 	default:
-		c.cfg.Scope.Counter("grant_ends_dropped").Inc(1)
+		c.cfg.Scope.Counter("grant_news_dropped").Inc(1)
 	}
 }
 
-// Serve tells owners how requests ended, until ctx ends.
+// Serve tells owners how requests go and ended, until ctx ends.
 func (c *Client) Serve(ctx context.Context) error {
 	defer part.CloseAtEnd(ctx, c.done)
 	var calls errgroup.Group
 	defer func() { _ = calls.Wait() }()
 	for {
 		select {
-		case first := <-c.ends:
+		case first := <-c.news:
 			c.gather(ctx, &calls, first)
 		case <-ctx.Done():
 			return ctx.Err()
@@ -137,32 +143,47 @@
 	}
 }
 
-// gather waits a little for more ends and sends one call an owner.
-func (c *Client) gather(ctx context.Context, calls *errgroup.Group, first farEnd) {
-	byOwner := map[netip.AddrPort][]end{first.address: {first.end}}
-	timer := time.NewTimer(endEvery)
+// gather waits a little for more news and sends one call an owner.
+func (c *Client) gather(ctx context.Context, calls *errgroup.Group, first news) {
+	all := []news{first}
+	timer := time.NewTimer(newsEvery)
 	defer timer.Stop()
 	for waiting := true; waiting; {
 		select {
-		case e := <-c.ends:
-			byOwner[e.address] = append(byOwner[e.address], e.end)
+		case n := <-c.news:
+			all = append(all, n)
 		case <-timer.C:
 			waiting = false
 		case <-ctx.Done():
 			waiting = false
 		}
 	}
-	for address, ends := range byOwner {
-		calls.Go(func() error { c.sendEnds(ctx, address, ends); return nil })
+	for address, msg := range byOwner(all) {
+		calls.Go(func() error { c.send(ctx, address, msg); return nil })
 	}
 }
 
-func (c *Client) sendEnds(ctx context.Context, address netip.AddrPort, ends []end) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
+// byOwner sorts news into one message for each owner.
+func byOwner(all []news) map[netip.AddrPort]ended {
+	messages := map[netip.AddrPort]ended{}
+	for _, n := range all {
+		msg := messages[n.address]
+		if n.read {
+			msg.Read = append(msg.Read, n.end.ID)
+		} else {
+			msg.Ends = append(msg.Ends, n.end)
+		}
+		messages[n.address] = msg
+	}
+	return messages
+}
+
+func (c *Client) send(ctx context.Context, address netip.AddrPort, msg ended) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), newsTimeout)
 	defer cancel()
-	if err := c.post(ctx, address, ended{ends}); err != nil {
-		c.cfg.Scope.Counter("grant_ends_lost").Inc(int64(len(ends)))
-		klog.V(1).InfoS("ends of grants not told; they expire", "owner", address, "ends", len(ends), "err", err)
+	if err := c.post(ctx, address, msg); err != nil {
+		c.cfg.Scope.Counter("grant_ends_lost").Inc(int64(len(msg.Ends)))
+		klog.V(1).InfoS("ends of grants not told; they expire", "owner", address, "ends", len(msg.Ends), "err", err)
 	}
 }
 
--- a/internal/grant/message.go
+++ b/internal/grant/message.go
@@ -34,13 +34,15 @@
 	Last   bool `json:"last,omitempty"`
 	Prompt int  `json:"prompt,omitempty"`
 	Output int  `json:"output,omitempty"`
+	// Parts are those of the prompt that other requests may share, in order.
+	Parts []owner.Part `json:"parts,omitempty"`
 }
 
 // Request returns the owner's form of an ask.
 func (a *Ask) Request(now time.Time) (owner.Request, *result.Error) {
 	q := owner.Request{
 		Weights: a.Weights, Urgency: a.Urgency, StartBy: now.Add(a.StartIn), Last: a.Last,
-		Prompt: a.Prompt, Output: a.Output, Accept: a.Accept, Near: a.Near,
+		Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Accept: a.Accept, Near: a.Near,
 	}
 	if a.Ref == "" {
 		return q, nil
@@ -59,9 +61,10 @@
 	Stalled time.Duration `json:"stalled,omitempty"`
 }
 
-// ended tells how granted requests ended.
+// ended tells how granted requests ended, and whose first tokens have come.
 type ended struct {
-	Ends []end `json:"ends"`
+	Ends []end    `json:"ends"`
+	Read []uint64 `json:"read,omitempty"`
 }
 
 type end struct {
@@ -73,5 +76,7 @@
 type Grant struct {
 	// Stalled is how long the request waited for its adapter.
 	Stalled time.Duration
-	End     func(owner.End)
+	// Read tells the owner that the first token of the answer has come.
+	Read func()
+	End  func(owner.End)
 }
--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -87,6 +87,16 @@
 	return id
 }
 
+// read passes on that the first token of a granted request has come.
+func (s *Server) read(id uint64) {
+	s.mu.Lock()
+	h, ok := s.held[id]
+	s.mu.Unlock()
+	if ok {
+		h.grant.Read()
+	}
+}
+
 func (s *Server) release(id uint64, e owner.End) {
 	s.mu.Lock()
 	h, ok := s.held[id]
@@ -104,6 +114,9 @@
 		result.New(result.BadRequest, "%v", err).Write(w, "")
 		return
 	}
+	for _, id := range msg.Read {
+		s.read(id)
+	}
 	for _, e := range msg.Ends {
 		s.release(e.ID, e.End)
 	}
--- a/internal/owner/action.go
+++ b/internal/owner/action.go
@@ -22,6 +22,8 @@
 	// Prompt and Output are its tokens to read and, by the caller's guess, to write; zero if not known.
 	Prompt int
 	Output int
+	// Parts are those of its prompt, in order.
+	Parts []Part
 	// Accept, if positive, is the longest expected wait for its first token with which it is taken in; beyond, it is sent on.
 	Accept time.Duration
 	// Near takes it in only if its adapter needs not be brought from the weight store.
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -30,6 +30,8 @@
 	end End
 }
 
+type promptRead struct{ id uint64 }
+
 type permitGiven struct {
 	ref    resource.Ref
 	permit loads.Permit
@@ -60,6 +62,7 @@
 func (submitted) event()     {}
 func (canceled) event()      {}
 func (ended) event()         {}
+func (promptRead) event()    {}
 func (permitGiven) event()   {}
 func (permitDenied) event()  {}
 func (loadEnded) event()     {}
--- /dev/null
+++ b/internal/owner/reading_test.go
@@ -0,0 +1,99 @@
+package owner_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// expected returns the wait that an engine expects for a prompt of some tokens.
+func expected(c *qt.C, s *owner.State, now time.Time, prompt, urgency int, parts ...owner.Part) time.Duration {
+	actions := s.Submit(now, owner.Ticket{
+		ID: 9999, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: prompt, Urgency: urgency, Parts: parts, Accept: time.Nanosecond,
+	})
+	refused := actionsOf[owner.Refuse](actions)
+	c.Assert(refused, qt.HasLen, 1)
+	return refused[0].Err.RetryAfter
+}
+
+func give(s *owner.State, now time.Time, id uint64, prompt, urgency int, parts ...owner.Part) {
+	s.Submit(now, owner.Ticket{ID: id, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: prompt, Urgency: urgency, Parts: parts, Last: true})
+}
+
+// engines are two unlike ones: how fast they read, and the tokens of their caches.
+var engines = []struct {
+	name string
+	rate float64
+	kv   int
+}{
+	{"fast, large cache", 40000, 250000},
+	{"slow, small cache", 5000, 40000},
+}
+
+// TestReadingIsObserved: whatever the setting says, the time to a first token is soon that of the engine itself.
+func TestReadingIsObserved(t *testing.T) {
+	for _, tt := range engines {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			s := owner.New(owner.Config{Slots: 2, Batch: 8, MaxQueue: 100, PrefillRate: 19000, KVTokens: tt.kv})
+			s.Adopt([]resource.Ref{ref(1)}, false)
+			for id := range uint64(30) {
+				give(s, now, id, 4000, 1)
+				now = now.Add(time.Duration(4000 / tt.rate * float64(time.Second)))
+				s.Read(now, id)
+				s.Done(now, id, owner.EndWhole)
+			}
+			want := time.Duration(2000 / tt.rate * float64(time.Second))
+			got := expected(c, s, now, 2000, 1)
+			c.Check((got-want).Abs() < want/20, qt.IsTrue, qt.Commentf("%v, want %v", got, want))
+		})
+	}
+}
+
+// TestSharedPartsAreReadOnce: parts that the engine has read count no more for the same adapter, until others have taken their place.
+func TestSharedPartsAreReadOnce(t *testing.T) {
+	for _, tt := range engines {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			s := owner.New(owner.Config{Slots: 2, Batch: 8, MaxQueue: 100, PrefillRate: tt.rate, KVTokens: tt.kv})
+			s.Adopt([]resource.Ref{ref(1)}, false)
+			shared := owner.Part{Key: 1, Tokens: 6000}
+			whole := expected(c, s, now, 8000, 1, shared, owner.Part{Key: 2, Tokens: 2000})
+			give(s, now, 1, 8000, 1, shared, owner.Part{Key: 2, Tokens: 2000})
+			s.Read(now, 1)
+			s.Done(now, 1, owner.EndWhole)
+			c.Check(expected(c, s, now, 8000, 1, shared, owner.Part{Key: 3, Tokens: 2000}), qt.Equals, whole/4)
+			c.Check(expected(c, s, now, 8000, 1, owner.Part{Key: 4, Tokens: 6000}, owner.Part{Key: 3, Tokens: 2000}), qt.Equals, whole)
+			for id := range uint64(tt.kv/8000 + 1) {
+				give(s, now, 10+id, 8000, 1, owner.Part{Key: 100 + id, Tokens: 8000})
+				s.Done(now, 10+id, owner.EndWhole)
+			}
+			c.Check(expected(c, s, now, 8000, 1, shared, owner.Part{Key: 3, Tokens: 2000}), qt.Equals, whole)
+		})
+	}
+}
+
+// TestUrgentPromptsAreReadFirst: a prompt waits for those of its urgency and above, and for what is left of them.
+func TestUrgentPromptsAreReadFirst(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := owner.New(owner.Config{Slots: 2, Batch: 8, MaxQueue: 100, PrefillRate: 1000, KVTokens: 100000})
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	give(s, now, 1, 500, 1)
+	give(s, now, 2, 300, 1)
+	c.Check(expected(c, s, now, 100, 1), qt.Equals, 900*time.Millisecond)
+	c.Check(expected(c, s, now, 100, 2), qt.Equals, 100*time.Millisecond)
+	now = now.Add(200 * time.Millisecond)
+	c.Check(expected(c, s, now, 100, 1), qt.Equals, 700*time.Millisecond)
+	now = now.Add(300 * time.Millisecond)
+	s.Read(now, 1)
+	c.Check(expected(c, s, now, 100, 1), qt.Equals, 400*time.Millisecond)
+	s.Done(now, 2, owner.EndBroken)
+	c.Check(expected(c, s, now, 100, 1), qt.Equals, 100*time.Millisecond)
+}
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -150,9 +150,10 @@
 	StartBy time.Time
 	// Last says that no other engine will be tried after this one.
 	Last bool
-	// Prompt, Output, Accept and Near are as in Ticket.
+	// Prompt, Output, Parts, Accept and Near are as in Ticket.
 	Prompt int
 	Output int
+	Parts  []Part
 	Accept time.Duration
 	Near   bool
 }
@@ -168,6 +169,9 @@
 	runner  *Runner
 }
 
+// Read says that the first token of the answer has come.
+func (g *Grant) Read() { g.runner.post(promptRead{g.id}) }
+
 // Release ends the request. Call it once.
 func (g *Grant) Release(end End) { g.runner.post(ended{g.id, end}) }
 
@@ -175,7 +179,7 @@
 func (r *Runner) Acquire(ctx context.Context, q Request) (*Grant, error) {
 	id := r.nextID.Add(1)
 	reply := make(chan verdict, 1)
-	t := Ticket{ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: time.Now(), StartBy: q.StartBy, Last: q.Last, Prompt: q.Prompt, Output: q.Output, Accept: q.Accept, Near: q.Near}
+	t := Ticket{ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: time.Now(), StartBy: q.StartBy, Last: q.Last, Prompt: q.Prompt, Output: q.Output, Parts: q.Parts, Accept: q.Accept, Near: q.Near}
 	select {
 	case r.events <- submitted{t, reply}:
 	case <-r.done:
@@ -271,6 +275,9 @@
 		return r.state.Cancel(now, e.id)
 	case ended:
 		return r.state.Done(now, e.id, e.end)
+	case promptRead:
+		r.state.Read(now, e.id)
+		return nil
 	case permitGiven:
 		r.permits = append(r.permits, e.permit)
 		return r.state.Granted(now, e.ref)
--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -40,9 +40,8 @@
 	}
 	tokens := t.Prompt + t.Output
 	s.tokens += tokens
-	s.prompts += t.Prompt
-	s.running[t.ID] = started{slot: sl, urgency: t.Urgency, tokens: tokens, prompt: t.Prompt, at: now}
-	s.addPrefill(now, t)
+	s.running[t.ID] = started{slot: sl, urgency: t.Urgency, tokens: tokens, at: now}
+	s.reading.begin(now, t)
 	if t.Urgency > 0 {
 		s.urgent++
 	}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -43,7 +43,8 @@
 	HalfLife time.Duration
 	// KVTokens bounds the tokens of the running tickets; zero sets no bound.
 	KVTokens int
-	// PrefillRate is how many prompt tokens the engine reads in a second; zero leaves them out of the expected wait.
+	// PrefillRate is how many prompt tokens the engine is taken to read in a second until that has been observed; zero leaves prompts
+	// out of the expected wait.
 	PrefillRate float64
 	// FinishesFirst says that the engine ends an adapter's runs before it unloads or replaces the adapter, and that a load
 	// replaces the adapter's other versions.
@@ -86,7 +87,6 @@
 	slot    *slot
 	urgency int
 	tokens  int
-	prompt  int
 	at      time.Time
 }
 
@@ -114,13 +114,11 @@
 	closed bool
 	// blind says that the engine's holdings are not known yet.
 	blind bool
-	// tokens counts those of the running tickets, prompts those of their prompts alone; prefillFree is when the engine will have
-	// read all of these, unless it finds some in its cache.
-	tokens      int
-	prompts     int
-	prefillFree time.Time
-	lately      lately
-	out         []Action
+	// tokens counts those of the running tickets.
+	tokens  int
+	reading *reading
+	lately  lately
+	out     []Action
 }
 
 type rate struct {
@@ -142,6 +140,7 @@
 		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]started{},
 		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, asked: map[resource.Ref]int{}, wanted: map[resource.Ref]int{}, loadTime: defaultLoadTime, runTime: defaultRunTime,
 		blind: cfg.AwaitReport, lately: lately{most: latelyPerSlot * cfg.Slots},
+		reading: newReading(cfg.PrefillRate, cfg.KVTokens),
 	}
 }
 
@@ -170,9 +169,13 @@
 			delete(s.slots, ref)
 		}
 	}
+	s.reading.restarted()
 	return s.flush(now)
 }
 
+// Read says that the first token of a started ticket has come: the engine has read its prompt.
+func (s *State) Read(now time.Time, id uint64) { s.reading.read(now, id) }
+
 // Knows reports whether ref takes a slot or is about to.
 func (s *State) Knows(ref resource.Ref) bool {
 	sl := s.slots[ref]
@@ -265,7 +268,7 @@
 	}
 	delete(s.running, id)
 	s.tokens -= st.tokens
-	s.prompts -= st.prompt
+	s.reading.drop(id)
 	if end == EndWhole {
 		s.runTime += time.Duration(runTimeSmoothing * float64(now.Sub(st.at)-s.runTime))
 	}
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -38,26 +38,8 @@
 	return s.tokens == 0 || s.fitsCache(s.tokens+t.Prompt+t.Output)
 }
 
-func (s *State) prefillTime(tokens int) time.Duration {
-	if s.cfg.PrefillRate <= 0 {
-		return 0
-	}
-	return time.Duration(float64(tokens) / s.cfg.PrefillRate * float64(time.Second))
-}
-
-// addPrefill notes that the engine starts to read a ticket's prompt after those before it.
-func (s *State) addPrefill(now time.Time, t Ticket) {
-	if s.prefillFree.Before(now) {
-		s.prefillFree = now
-	}
-	s.prefillFree = s.prefillFree.Add(s.prefillTime(t.Prompt))
-}
-
-// expectedWait returns how long a ticket would wait until the engine starts to read its prompt.
+// expectedWait returns how long a ticket would wait for its first token, that is until the engine has read its prompt.
 func (s *State) expectedWait(now time.Time, t Ticket) time.Duration {
-	// Prompts that were found in the engine's cache are read sooner than was thought: no more can be left to read than those of the
-	// runs that have not ended.
-	wait := max(0, min(s.prefillFree.Sub(now), s.prefillTime(s.prompts)))
 	ahead, prompts, tokens := 0, 0, 0
 	for _, w := range s.waiting {
 		if w.Urgency < t.Urgency {
@@ -67,9 +49,8 @@
 		prompts += w.Prompt
 		tokens += w.Prompt + w.Output
 	}
-	wait += s.prefillTime(prompts) + s.turnWait(t, ahead, tokens)
-	// The longer queue counts half again: work that is sent past it also slows those who are in it.
-	return max(wait, s.loadWait(now, t)) + wait/2
+	begun := max(s.reading.time(s.reading.backlog(now, t.Urgency)), s.loadWait(now, t))
+	return begun + s.turnWait(t, ahead, tokens) + s.reading.time(prompts+s.reading.tokens(t))
 }
 
 // loadWait returns how long the adapter of a ticket takes to be there.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -14,9 +14,10 @@
 const (
 	// acceptShare is the part of the objective up to which an expected wait is accepted at once; beyond it all candidates
 	// are compared.
-	acceptShare = 0.2
-	// inTimeShare is the part of the objective after which a start is too late: the prompt has to be read as well.
-	inTimeShare = 0.5
+	acceptShare = 0.5
+	// inTimeShare is the part of the objective up to which an expected first token counts as in time; the rest is for what was
+	// expected wrongly.
+	inTimeShare = 0.85
 	// orderShare is the part of the objective that a place in the order is worth: without it, differences between guesses would
 	// scatter an adapter's requests over all engines, each of which would bring it from the weight store.
 	orderShare = 0.125
@@ -31,8 +32,9 @@
 type chosen struct {
 	name    string
 	address netip.AddrPort
-	// end tells the owner that the request is over.
-	end func(owner.End)
+	// read tells the owner that the first token has come, end that the request is over.
+	read func()
+	end  func(owner.End)
 }
 
 // choose finds an engine for a request. While no owner can be asked, as right after a start or between two owners, it looks again.
@@ -118,7 +120,7 @@
 
 func (r *Relay) ask(q *request, ref resource.Ref) grant.Ask {
 	a := grant.Ask{
-		Urgency: urgencies - q.route.Priority, Hold: q.left() + holdSlack, Prompt: q.head.Prompt, Output: q.head.expectedOutput(),
+		Urgency: urgencies - q.route.Priority, Hold: q.left() + holdSlack, Prompt: q.head.Prompt, Output: q.head.expectedOutput(), Parts: q.head.Parts,
 		StartIn: min(q.left(), time.Duration(startWithin*float64(q.route.Objective))-time.Since(q.came)),
 	}
 	if !ref.IsBase() {
@@ -160,7 +162,7 @@
 		}
 		return nil, rerr
 	}
-	return &chosen{name: c.name, address: c.address, end: g.End}, nil
+	return &chosen{name: c.name, address: c.address, read: g.Read, end: g.End}, nil
 }
 
 func (r *Relay) acquireHere(ctx context.Context, runner *owner.Runner, c *candidate, a grant.Ask) (*chosen, *result.Error) {
@@ -172,7 +174,7 @@
 	if err != nil {
 		return nil, result.From(err, result.QueueFull)
 	}
-	return &chosen{name: c.name, address: c.address, end: g.Release}, nil
+	return &chosen{name: c.name, address: c.address, read: g.Read, end: g.Release}, nil
 }
 
 // withoutOwner picks an engine that is listed as holding the adapter version, for requests that no owner can be asked about:
@@ -195,5 +197,5 @@
 		return nil
 	}
 	r.cfg.Scope.Counter("sent_without_owner").Inc(1)
-	return &chosen{name: best.name, address: best.address, end: func(owner.End) {}}
+	return &chosen{name: best.name, address: best.address, read: func() {}, end: func(owner.End) {}}
 }
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
@@ -125,7 +126,7 @@
 	if resp.StatusCode != http.StatusOK || q.route.Kind != resource.RouteStream {
 		rerr = r.passOther(out, q, resp)
 	} else {
-		out.beat = watch.beat
+		out.beat = beats(c, watch)
 		last, rerr = out.copyEvents(r.cfg.Wire, resp, a.LastEvent)
 		rerr = watch.blame(rerr)
 	}
@@ -134,6 +135,15 @@
 	return last, rerr
 }
 
+// beats returns what is called for each event: the first one tells the owner that the prompt has been read.
+func beats(c *chosen, watch *stallWatch) func() {
+	first := sync.OnceFunc(c.read)
+	return func() {
+		first()
+		watch.beat()
+	}
+}
+
 // passOther passes an answer on that is no stream of events; a failure is an error where the request may run again.
 func (r *Relay) passOther(out *output, q *request, resp *http.Response) *result.Error {
 	if resp.StatusCode >= http.StatusInternalServerError && q.route.Idempotent() && q.sent < q.route.Attempts {
--- a/internal/relay/offers.go
+++ b/internal/relay/offers.go
@@ -9,7 +9,7 @@
 // offer is what an engine's owner expects of a request that it did not take in at once.
 type offer struct {
 	candidate *candidate
-	// wait is the expected time until it starts, weight that with the engine's place in the order.
+	// wait is the expected time until its first token, weight that with the engine's place in the order.
 	wait   time.Duration
 	weight time.Duration
 }
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/bellgap/bellgap/internal/owner"
 )
 
 // Head is what the headers of a request say, whatever their names.
@@ -18,6 +20,8 @@
 	Prompt     int
 	Output     int
 	OutputHint int
+	// Parts are those of the prompt, in order; other requests may share all but the last.
+	Parts []owner.Part
 	// LastEvent is the id of the last event that the caller has, if it takes up a broken stream.
 	LastEvent string
 }
