--- a/internal/owner/reading_test.go
+++ b/internal/owner/reading_test.go
@@ -20,8 +20,8 @@
 	return refused[0].Err.RetryAfter
 }
 
-func give(s *owner.State, now time.Time, id uint64, prompt, urgency int, parts ...owner.Part) {
-	s.Submit(now, owner.Ticket{ID: id, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: prompt, Urgency: urgency, Parts: parts, Last: true})
+func give(s *owner.State, now time.Time, id uint64, prompt int, parts ...owner.Part) {
+	s.Submit(now, owner.Ticket{ID: id, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: prompt, Urgency: 1, Parts: parts, Last: true})
 }
 
 // engines are two unlike ones: how fast they read, and the tokens of their caches.
@@ -43,7 +43,7 @@
 			s := owner.New(owner.Config{Slots: 2, Batch: 8, MaxQueue: 100, PrefillRate: 19000, KVTokens: tt.kv})
 			s.Adopt([]resource.Ref{ref(1)}, false)
 			for id := range uint64(30) {
-				give(s, now, id, 4000, 1)
+				give(s, now, id, 4000)
 				now = now.Add(time.Duration(4000 / tt.rate * float64(time.Second)))
 				s.Read(now, id)
 				s.Done(now, id, owner.EndWhole)
@@ -65,13 +65,15 @@
 			s.Adopt([]resource.Ref{ref(1)}, false)
 			shared := owner.Part{Key: 1, Tokens: 6000}
 			whole := expected(c, s, now, 8000, 1, shared, owner.Part{Key: 2, Tokens: 2000})
-			give(s, now, 1, 8000, 1, shared, owner.Part{Key: 2, Tokens: 2000})
+			give(s, now, 1, 8000, shared, owner.Part{Key: 2, Tokens: 2000})
+			now = now.Add(whole)
 			s.Read(now, 1)
 			s.Done(now, 1, owner.EndWhole)
 			c.Check(expected(c, s, now, 8000, 1, shared, owner.Part{Key: 3, Tokens: 2000}), qt.Equals, whole/4)
+			now = now.Add(time.Minute)
 			c.Check(expected(c, s, now, 8000, 1, owner.Part{Key: 4, Tokens: 6000}, owner.Part{Key: 3, Tokens: 2000}), qt.Equals, whole)
 			for id := range uint64(tt.kv/8000 + 1) {
-				give(s, now, 10+id, 8000, 1, owner.Part{Key: 100 + id, Tokens: 8000})
+				give(s, now, 10+id, 8000, owner.Part{Key: 100 + id, Tokens: 8000})
 				s.Done(now, 10+id, owner.EndWhole)
 			}
 			c.Check(expected(c, s, now, 8000, 1, shared, owner.Part{Key: 3, Tokens: 2000}), qt.Equals, whole)
@@ -85,8 +87,8 @@
 	now := time.Unix(1000, 0)
 	s := owner.New(owner.Config{Slots: 2, Batch: 8, MaxQueue: 100, PrefillRate: 1000, KVTokens: 100000})
 	s.Adopt([]resource.Ref{ref(1)}, false)
-	give(s, now, 1, 500, 1)
-	give(s, now, 2, 300, 1)
+	give(s, now, 1, 500)
+	give(s, now, 2, 300)
 	c.Check(expected(c, s, now, 100, 1), qt.Equals, 900*time.Millisecond)
 	c.Check(expected(c, s, now, 100, 2), qt.Equals, 100*time.Millisecond)
 	now = now.Add(200 * time.Millisecond)
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -63,9 +63,35 @@
 		return max(0, expected-now.Sub(sl.loadAt))
 	}
 	if s.lately.has(t.Ref) {
-		return expected / latelyFaster
+		expected /= latelyFaster
 	}
-	return expected
+	return s.slotWait(now, t) + expected
+}
+
+// slotWait returns how long a ticket waits until a slot is free for its adapter: those in use become free one after the other, on
+// average all of them in the time of one run, and missing adapters of tickets ahead take the first.
+func (s *State) slotWait(now time.Time, t Ticket) time.Duration {
+	free, inUse := s.cfg.Slots-len(s.slots), 0
+	for _, sl := range s.slots {
+		switch {
+		case s.evictable(now, sl):
+			free++
+		case sl.inUse > 0:
+			inUse++
+		}
+	}
+	needed := 1
+	seen := map[resource.Ref]bool{t.Ref: true}
+	for _, w := range s.waiting {
+		if w.Urgency < t.Urgency {
+			break
+		}
+		if !seen[w.Ref] && s.missing(now, w.Ref) {
+			needed++
+		}
+		seen[w.Ref] = true
+	}
+	return s.runTime * time.Duration(max(0, needed-free)) / time.Duration(max(1, inUse))
 }
 
 // expectedLoadTime returns the time that loads have taken, fading towards the usual one: an engine that was slow once would
--- a/internal/owner/wait_test.go
+++ b/internal/owner/wait_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -130,3 +131,27 @@
 	actions := s.Submit(now, owner.Ticket{ID: 99, Ref: ref(1), Arrived: now, StartBy: now.Add(time.Minute), Prompt: 200, Accept: 200 * time.Millisecond})
 	c.Check(actionsOf[owner.Start](actions), qt.HasLen, 1)
 }
+
+// TestExpectedWaitCountsSlotsInUse: an adapter that is missing waits until one that is in use makes way, behind those of tickets
+// ahead, on engines of any number of slots.
+func TestExpectedWaitCountsSlotsInUse(t *testing.T) {
+	const loadTime = 280 * time.Millisecond
+	for _, slots := range []int{2, 8} {
+		t.Run(fmt.Sprint(slots, " slots"), func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			s := owner.New(owner.Config{Slots: slots, Batch: 64, MaxQueue: 100})
+			for i := range slots {
+				s.Adopt([]resource.Ref{ref(i)}, false)
+				s.Submit(now, owner.Ticket{ID: uint64(i), Ref: ref(i), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+			}
+			oneFree := time.Second / time.Duration(slots)
+			for ahead := range 3 {
+				refused := actionsOf[owner.Refuse](s.Submit(now, owner.Ticket{ID: 99, Ref: ref(99), Arrived: now, StartBy: now.Add(time.Minute), Accept: time.Millisecond}))
+				c.Assert(refused, qt.HasLen, 1)
+				c.Check(refused[0].Err.RetryAfter, qt.Equals, oneFree*time.Duration(ahead+1)+loadTime)
+				s.Submit(now, owner.Ticket{ID: uint64(50 + ahead), Ref: ref(50 + ahead), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+			}
+		})
+	}
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -18,6 +18,9 @@
 	// inTimeShare is the part of the objective up to which an expected first token counts as in time; the rest is for what was
 	// expected wrongly.
 	inTimeShare = 0.85
+	// copyShare is the part of the objective by which a copy of an adapter has to be sooner where an engine that has it near may
+	// start the request in time as well.
+	copyShare = 0.5
 	// orderShare is the part of the objective that a place in the order is worth: without it, differences between guesses would
 	// scatter an adapter's requests over all engines, each of which would bring it from the weight store.
 	orderShare = 0.125
@@ -70,7 +73,9 @@
 	candidates := r.candidates(q, ref, avoid)
 	ask := r.ask(q, ref)
 	ask.Accept, ask.Near = shareOf(q.route.Objective, acceptShare), true
-	offers := offers{inTime: shareOf(q.route.Objective, inTimeShare) - time.Since(q.came)}
+	offers := offers{
+		inTime: shareOf(q.route.Objective, inTimeShare) - time.Since(q.came), price: shareOf(q.route.Objective, copyShare),
+	}
 	last := result.New(result.NoEngine, "%s of %s", q.head.Model, q.service)
 	for i := range candidates {
 		if i >= maxCandidates && !offers.crowded() {
--- a/internal/relay/offers.go
+++ b/internal/relay/offers.go
@@ -18,6 +18,8 @@
 type offers struct {
 	// inTime is the longest wait with which the request can be answered within its objective.
 	inTime time.Duration
+	// price is how much sooner a copy has to be than the engines that have the version near.
+	price time.Duration
 	// near is the best engine that has the adapter version near, fresh the best of those that would bring it from the weight store.
 	near  *offer
 	fresh *offer
@@ -38,14 +40,17 @@
 func (o *offers) crowded() bool { return o.near != nil && o.near.wait > o.inTime }
 
 // best returns the engine to take, nil if none made an offer. A load from the weight store takes a part of what it can bring to all
-// engines, so one more copy is loaded only where it serves the request in time and no engine that has the version near does.
+// engines, so one more copy is loaded only where it serves the request in time, and no engine that has the version near does or
+// all would make it wait much longer: what is expected of busy engines is often too short.
 func (o *offers) best() *offer {
 	switch {
 	case o.near == nil:
 		return o.fresh
-	case o.fresh == nil || !o.crowded() || o.fresh.wait > o.inTime:
+	case o.fresh == nil || o.fresh.wait > o.inTime:
 		return o.near
-	default:
+	case o.crowded() || o.near.wait > o.fresh.wait+o.price:
 		return o.fresh
+	default:
+		return o.near
 	}
 }
