--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -74,6 +74,8 @@
 	RefusalNotLoaded  = "adapter_not_loaded"
 	RefusalStaleEpoch = "stale_epoch"
 	RefusalLoadFailed = "load_failed"
+	// RefusalNotThere says that what the order is for is not at the engine, or that the engine is another one by now.
+	RefusalNotThere   = "not_there"
 	RefusalNoSlot     = "no_slot"
 	RefusalBadRequest = "bad_request"
 )
--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -73,13 +73,15 @@
 		return s.flush(now)
 	}
 	next := sl.next
-	if err != nil {
+	if err != nil && !notThere(err) {
 		sl.phase, sl.next = loaded, nil
 		s.emit(ReturnPermit{})
 		return s.flush(now)
 	}
 	delete(s.slots, ref)
-	s.lately.add(ref)
+	if err == nil {
+		s.lately.add(ref)
+	}
 	if s.stopped {
 		s.emit(ReturnPermit{})
 		return s.flush(now)
@@ -96,6 +98,12 @@
 	return s.flush(now)
 }
 
+// notThere reports whether an engine said that what an order is for is not there.
+func notThere(err error) bool {
+	var refused *engine.OrderRefusedError
+	return errors.As(err, &refused) && refused.Type == engine.RefusalNotThere
+}
+
 // Loaded ends a Load. On failure the waiters are refused and the adapter backs off.
 func (s *State) Loaded(now time.Time, ref resource.Ref, err error) []Action {
 	sl := s.slots[ref]
--- a/internal/owner/loading_test.go
+++ b/internal/owner/loading_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/resource"
 )
@@ -69,3 +70,17 @@
 	c.Check(actionsOf[owner.Load](actions), qt.HasLen, 0)
 	c.Check(actionsOf[owner.ReturnPermit](actions), qt.HasLen, 1)
 }
+
+// TestUnloadOfWhatIsNotThere: an engine that says that an adapter is not there has room for another one.
+func TestUnloadOfWhatIsNotThere(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(1)
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	s.Submit(now, owner.Ticket{ID: 1, Ref: ref(2), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	unloads := actionsOf[owner.Unload](s.Granted(now, ref(2)))
+	c.Assert(unloads, qt.HasLen, 1)
+	loads := actionsOf[owner.Load](s.Unloaded(now, ref(1), &engine.OrderRefusedError{Type: engine.RefusalNotThere}))
+	c.Assert(loads, qt.HasLen, 1)
+	c.Check(loads[0].Ref, qt.Equals, ref(2))
+}
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -77,9 +77,11 @@
 	foreign     bool
 	reconciler  *reconciler
 	orders      *errgroup.Group
-	// baseMissing says that the engine lacks its base model, leaving that its box is leaving; either closes the state.
+	// baseMissing says that the engine lacks its base model, leaving that its box is leaving, gone that it has refused an order as
+	// not there and no report has come since; each closes the state.
 	baseMissing bool
 	leaving     bool
+	gone        bool
 
 	mu     sync.Mutex
 	status Status
@@ -285,10 +287,10 @@
 		return r.state.Denied(now, e.ref)
 	case loadEnded:
 		r.ordering.Add(-1)
-		return r.state.Loaded(now, e.ref, e.err)
+		return append(r.state.Loaded(now, e.ref, e.err), r.noteGone(now, e.err)...)
 	case unloadEnded:
 		r.ordering.Add(-1)
-		return r.state.Unloaded(now, e.ref, e.err)
+		return append(r.state.Unloaded(now, e.ref, e.err), r.noteGone(now, e.err)...)
 	case reported:
 		return r.report(now, e.report)
 	case settled:
@@ -299,34 +301,55 @@
 		return r.state.Stop(now)
 	case closing:
 		r.leaving = e.closed
-		return r.state.Close(now, r.leaving || r.baseMissing)
+		return r.close(now)
 	case baseLoadEnded:
 		r.ordering.Add(-1)
 		if r.baseMissing = e.err != nil; r.baseMissing {
 			// The next report starts it over.
 			r.incarnation = ""
 		}
-		return r.state.Close(now, r.leaving || r.baseMissing)
+		return r.close(now)
 	default:
 		return nil
 	}
 }
 
+// close sends what waits to other engines while this one can take nothing.
+func (r *Runner) close(now time.Time) []Action {
+	return r.state.Close(now, r.leaving || r.baseMissing || r.gone)
+}
+
+// noteGone closes the state when the engine has refused an order as not there: its entry in discovery lapses seconds later, and
+// whatever waits here until then waits in vain. The next report opens it again.
+func (r *Runner) noteGone(now time.Time, err error) []Action {
+	if !notThere(err) || r.gone {
+		return nil
+	}
+	klog.InfoS("engine not there", "engine", r.cfg.Name, "err", err)
+	r.cfg.Scope.Counter("engines_not_there").Inc(1)
+	r.gone = true
+	return r.close(now)
+}
+
 // report corrects the state: a new incarnation is empty, the first report shows what is loaded, later ones correct what steadily differs.
 func (r *Runner) report(now time.Time, rep engine.Report) []Action {
+	var out []Action
+	if r.gone {
+		r.gone = false
+		out = r.close(now)
+	}
 	if r.incarnation == rep.Incarnation {
-		return r.reconcile(now, rep)
+		return append(out, r.reconcile(now, rep)...)
 	}
-	var out []Action
 	if r.incarnation != "" {
 		klog.InfoS("engine restarted", "engine", r.cfg.Name)
 		r.cfg.Scope.Counter("engine_restarts").Inc(1)
-		out = r.state.Restarted(now)
+		out = append(out, r.state.Restarted(now)...)
 	}
 	r.incarnation = rep.Incarnation
 	r.baseMissing = rep.BaseModels != nil && !slices.Contains(rep.BaseModels, r.cfg.Engine.BaseModel)
 	if r.baseMissing {
-		out = append(out, r.state.Close(now, true)...)
+		out = append(out, r.close(now)...)
 		out = append(out, LoadBase{})
 	}
 	r.state.Adopt(refsOf(rep), r.foreign)
