--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -17,9 +17,9 @@
 const (
 	// firstVersion is the version of an adapter that has never been replaced.
 	firstVersion = 1
-	// startWithin is how many times its objective a request may wait for its start: callers of streams hang up after four
-	// objectives without an event, and the prompt has to be read as well.
-	startWithin = 2.5
+	// startWithin is how many times its objective a request may wait for its start: with more, those that come late take the place of
+	// those that could be in time; with less, more are refused than that gains.
+	startWithin = 1.5
 	// holdSlack is added to what is left of a request when its grant's life is set.
 	holdSlack = time.Second
 	// stallFirst is how many objectives, and stallAfter how long between two events, a resumable stream may be silent before
