Mechanisms of the decisions can be switched off by a setting

Cause: the ablation that the users ask for needs each mechanism off by itself, on any deployment.

Change: policy.off lists mechanisms by name, checked and documented; package policy holds them as one typed value that owners and relays read. All are on by default. chooseNow is split.

Ruled out: build tags and patched copies, which nobody could run again.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -146,10 +146,10 @@
 	}
 	b.owners = owner.NewSet(owner.SetConfig{
 		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: b.cfg.Deployment.Engines,
-		PrefillRate: b.cfg.Settings.Routes.PrefillRate,
-		Authority:   func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
-		Lookup:      b.lookupEngine,
-		Leaving:     func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
+		PrefillRate: b.cfg.Settings.Routes.PrefillRate, Policy: b.cfg.Settings.Policy.Chosen(),
+		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
+		Lookup:    b.lookupEngine,
+		Leaving:   func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
 	})
 	return scheduler
 }
@@ -204,6 +204,7 @@
 		Box: s.Box.Name, Zone: s.Box.Zone, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
 		Endpoints: &http.Client{Transport: httpx.NewTransport(connsPerEngine), CheckRedirect: noRedirect},
 		Budget:    relay.BudgetConfig{PerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxes},
+		Policy:    s.Policy.Chosen(),
 		StoreAge:  b.follower.StoreAge, Leaving: b.leavingFor, LastStream: s.Timing.LastStream, LastRequest: max(0, s.Timing.Leave-lastRefusal),
 	})
 }
--- a/internal/cli/routed.go
+++ b/internal/cli/routed.go
@@ -95,6 +95,6 @@
 			klog.ErrorS(err, "verbosity not set", "level", next.Log.Level)
 		}
 	}
-	klog.InfoS("settings reloaded", "file", path, "level", next.Log.Level, "changed", next != s)
+	klog.InfoS("settings reloaded", "file", path, "level", next.Log.Level, "changed", !next.Equal(s))
 	return next
 }
--- a/internal/owner/evict.go
+++ b/internal/owner/evict.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -31,6 +32,9 @@
 	if s.cfg.Worth != nil {
 		return s.cfg.Worth(ref, now)
 	}
+	if !s.cfg.Policy.On(policy.UseRate) {
+		return -float64(now.Sub(s.rates[ref].at))
+	}
 	return s.rateAt(now, ref)
 }
 
--- a/internal/owner/reading.go
+++ b/internal/owner/reading.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/bellgap/bellgap/internal/policy"
 )
 
 const (
@@ -15,6 +17,7 @@
 // reading is what an owner knows of the prompts that its engine has been given and not read yet. Engines read one after the other,
 // the more urgent first, and make a request's first token once its prompt is read.
 type reading struct {
+	policy policy.Policy
 	// perToken is the time that an engine takes for a token, as observed over samples prompts.
 	perToken time.Duration
 	samples  int
@@ -35,8 +38,8 @@
 	at     time.Time
 }
 
-func newReading(perSecond float64, kvTokens int) *reading {
-	r := &reading{cache: newPrefixes(kvTokens)}
+func newReading(perSecond float64, kvTokens int, p policy.Policy) *reading {
+	r := &reading{policy: p, cache: newPrefixes(kvTokens)}
 	if perSecond > 0 {
 		r.perToken = time.Duration(float64(time.Second) / perSecond)
 	}
@@ -47,7 +50,12 @@
 func (r *reading) time(tokens int) time.Duration { return time.Duration(tokens) * r.perToken }
 
 // tokens returns how many tokens of a ticket's prompt the engine has to read.
-func (r *reading) tokens(t Ticket) int { return max(0, t.Prompt-r.cache.cached(t.Ref, t.Parts)) }
+func (r *reading) tokens(t Ticket) int {
+	if !r.policy.On(policy.Prefixes) {
+		return t.Prompt
+	}
+	return max(0, t.Prompt-r.cache.cached(t.Ref, t.Parts))
+}
 
 // begin notes that the engine has been given a ticket's prompt.
 func (r *reading) begin(now time.Time, t Ticket) {
@@ -66,7 +74,7 @@
 		return
 	}
 	r.since = now
-	if total := u.before + u.tokens; total >= minSample {
+	if total := u.before + u.tokens; total >= minSample && r.policy.On(policy.ReadRate) {
 		r.samples++
 		weight := max(readSmoothing, 1/float64(r.samples))
 		r.perToken += time.Duration(weight * float64(now.Sub(u.at)/time.Duration(total)-r.perToken))
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -14,6 +14,7 @@
 
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -53,6 +54,7 @@
 	BaseLoads loads.Source
 	// PrefillRate is how many prompt tokens the engine reads in a second.
 	PrefillRate float64
+	Policy      policy.Policy
 	// Authority is asked right before each order.
 	Authority Authority
 	Scope     tally.Scope
@@ -103,7 +105,7 @@
 		cfg: cfg, events: make(chan event, eventRing), done: make(chan struct{}),
 		state: New(Config{
 			Slots: cfg.Engine.Slots, Batch: cfg.Engine.Batch, MaxQueue: cfg.MaxQueue, Pack: cfg.Pack, KVTokens: cfg.Engine.KVTokens,
-			PrefillRate: cfg.PrefillRate, FinishesFirst: cfg.Engine.FinishesFirst, AwaitReport: cfg.Engine.FinishesFirst,
+			PrefillRate: cfg.PrefillRate, FinishesFirst: cfg.Engine.FinishesFirst, AwaitReport: cfg.Engine.FinishesFirst, Policy: cfg.Policy,
 		}),
 		replies: map[uint64]chan verdict{}, foreign: true, reconciler: newReconciler(), orders: &errgroup.Group{},
 		status: Status{Engine: cfg.Name},
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -11,6 +11,7 @@
 
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -35,6 +36,7 @@
 	BaseLoads loads.Source
 	// PrefillRate is how many prompt tokens an engine reads in a second; zero leaves prompts out of the expected wait.
 	PrefillRate float64
+	Policy      policy.Policy
 	// Authority says whether this box may give an engine orders now.
 	Authority func(engine string, now time.Time) (epoch uint64, ok bool)
 	Scope     tally.Scope
@@ -171,8 +173,8 @@
 	name := g.Engine
 	cfg := RunnerConfig{
 		Name: name, Engine: t.engine, MaxQueue: t.maxQueue, Pack: t.pack, Client: s.cfg.Client, Loads: s.cfg.Loads, BaseLoads: s.cfg.BaseLoads, Scope: s.cfg.Scope,
-		PrefillRate: s.cfg.PrefillRate,
-		Authority:   func(now time.Time) (uint64, bool) { return s.cfg.Authority(name, now) },
+		PrefillRate: s.cfg.PrefillRate, Policy: s.cfg.Policy,
+		Authority: func(now time.Time) (uint64, bool) { return s.cfg.Authority(name, now) },
 	}
 	r := NewRunner(cfg)
 	o := &owned{runner: r, epoch: g.Epoch, terms: t}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -51,6 +52,8 @@
 	FinishesFirst bool
 	// AwaitReport withholds loads until Adopt has said what the engine holds.
 	AwaitReport bool
+	// Policy says which mechanisms are on.
+	Policy policy.Policy
 	// Worth rates an idle adapter in place of its decayed rate of use; the least is unloaded first. Nil except in comparisons.
 	Worth func(ref resource.Ref, now time.Time) float64
 }
@@ -140,7 +143,7 @@
 		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]started{},
 		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, asked: map[resource.Ref]int{}, wanted: map[resource.Ref]int{}, loadTime: defaultLoadTime, runTime: defaultRunTime,
 		blind: cfg.AwaitReport, lately: lately{most: latelyPerSlot * cfg.Slots},
-		reading: newReading(cfg.PrefillRate, cfg.KVTokens),
+		reading: newReading(cfg.PrefillRate, cfg.KVTokens, cfg.Policy),
 	}
 }
 
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -62,7 +63,7 @@
 	if sl := s.slots[t.Ref]; sl != nil && sl.phase == loading {
 		return max(0, expected-now.Sub(sl.loadAt))
 	}
-	if s.lately.has(t.Ref) {
+	if s.atHand(t.Ref) {
 		expected /= latelyFaster
 	}
 	return s.slotWait(now, t) + expected
@@ -71,6 +72,9 @@
 // slotWait returns how long a ticket waits until a slot is free for its adapter: those in use become free one after the other, on
 // average all of them in the time of one run, and missing adapters of tickets ahead take the first.
 func (s *State) slotWait(now time.Time, t Ticket) time.Duration {
+	if !s.cfg.Policy.On(policy.SlotWait) {
+		return 0
+	}
 	free, inUse := s.cfg.Slots-len(s.slots), 0
 	for _, sl := range s.slots {
 		switch {
@@ -97,6 +101,9 @@
 // expectedLoadTime returns the time that loads have taken, fading towards the usual one: an engine that was slow once would
 // otherwise get no load that could show that it is slow no longer.
 func (s *State) expectedLoadTime(now time.Time) time.Duration {
+	if !s.cfg.Policy.On(policy.LoadTime) {
+		return defaultLoadTime
+	}
 	fade := math.Exp2(-float64(now.Sub(s.loadSeen)) / float64(loadTimeHalfLife))
 	return defaultLoadTime + time.Duration(fade*float64(s.loadTime-defaultLoadTime))
 }
@@ -115,9 +122,14 @@
 	return t.Accept > 0 && ((t.Near && !s.near(t.Ref)) || s.expectedWait(now, t) > t.Accept)
 }
 
+// atHand reports whether the engine held an adapter lately, so that it loads fast.
+func (s *State) atHand(ref resource.Ref) bool {
+	return s.cfg.Policy.On(policy.AtHand) && s.lately.has(ref)
+}
+
 // near reports whether an adapter is on the engine, on its way there or at hand, so that the weight store need not bring it.
 func (s *State) near(ref resource.Ref) bool {
-	return s.Holds(ref) || s.slots[ref] != nil || s.wanted[ref] > 0 || s.lately.has(ref)
+	return s.Holds(ref) || s.slots[ref] != nil || s.wanted[ref] > 0 || s.atHand(ref)
 }
 
 // sendOn sends a ticket on and tells, if it named a wait, what was expected, so that the asker can come back to the shortest.
--- /dev/null
+++ b/internal/policy/policy_test.go
@@ -0,0 +1,21 @@
+package policy_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/policy"
+)
+
+func TestPolicy(t *testing.T) {
+	c := qt.New(t)
+	p, err := policy.New([]policy.Mechanism{policy.Crowds})
+	c.Assert(err, qt.IsNil)
+	for _, m := range policy.Mechanisms() {
+		c.Check(p.On(m), qt.Equals, m != policy.Crowds)
+		c.Check(policy.Policy{}.On(m), qt.IsTrue)
+	}
+	_, err = policy.New([]policy.Mechanism{"crowd"})
+	c.Check(err, qt.ErrorMatches, `policy: "crowd" is none of copies, .*`)
+}
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -9,6 +9,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/placement"
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -45,8 +46,8 @@
 		}
 		_, failures := r.health.load(e.Name, now)
 		byName[e.Name] = candidate{
-			name: e.Name, address: e.Spec.Address, owner: view.Owner, doubtful: failures >= avoidFrom,
-			holds: holds(e, ref) || r.memory.holds(ref, e.Name, now), near: e.Spec.Zone == r.cfg.Zone,
+			name: e.Name, address: e.Spec.Address, owner: view.Owner, doubtful: failures >= avoidFrom && r.cfg.Policy.On(policy.Health),
+			holds: holds(e, ref) || r.memory.holds(ref, e.Name, now), near: e.Spec.Zone == r.cfg.Zone && r.cfg.Policy.On(policy.NearZone),
 		}
 		names = append(names, e.Name)
 	}
@@ -59,7 +60,7 @@
 	for _, name := range placement.Rank(key, names) {
 		ranked = append(ranked, byName[name])
 	}
-	return arrange(ranked, r.crowds.has(ref, now))
+	return arrange(ranked, r.crowds.has(ref, now) && r.cfg.Policy.On(policy.Crowds))
 }
 
 // arrange puts ranked candidates in the order in which they are asked: the first few, those further on that hold the version, the
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -7,6 +7,7 @@
 
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -72,13 +73,12 @@
 func (r *Relay) chooseNow(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosen, *result.Error) {
 	candidates := r.candidates(q, ref, avoid)
 	ask := r.ask(q, ref)
-	ask.Accept, ask.Near = shareOf(q.route.Objective, acceptShare), true
-	offers := offers{
-		inTime: shareOf(q.route.Objective, inTimeShare) - time.Since(q.came), price: shareOf(q.route.Objective, copyShare),
-	}
+	ask.Accept, ask.Near = shareOf(q.route.Objective, acceptShare), r.cfg.Policy.On(policy.Copies)
+	offers := r.newOffers(q)
 	last := result.New(result.NoEngine, "%s of %s", q.head.Model, q.service)
 	for i := range candidates {
-		if i >= maxCandidates && !offers.crowded() {
+		wider := offers.crowded() && r.cfg.Policy.On(policy.Crowds)
+		if i >= maxCandidates && !wider {
 			break
 		}
 		c := &candidates[i]
@@ -91,28 +91,49 @@
 		}
 		last = rerr
 		if sentOn(rerr) && rerr.RetryAfter > 0 {
-			offers.add(c, rerr, shareOf(q.route.Objective, orderShare*float64(min(i, maxCandidates))))
+			offers.add(c, rerr, r.placeWeight(q)*time.Duration(min(i, maxCandidates)))
 		}
 	}
 	if offers.crowded() {
 		r.crowds.add(ref, time.Now())
 	}
 	if best := offers.best(); best != nil {
-		if ask.StartIn < best.wait {
-			late := result.New(result.DeadlineUnmet, "the soonest start is in %s", best.wait.Round(time.Millisecond))
-			late.RetryAfter = best.wait
-			return nil, late
-		}
-		ask.Accept, ask.Near, ask.Last = 0, false, true
-		return r.acquire(ctx, q, best.candidate, ask)
+		return r.takeOffer(ctx, q, best, ask)
 	}
-	if got := r.withoutOwner(candidates, ref); got != nil {
+	if got := r.withoutOwner(candidates, ref); got != nil && r.cfg.Policy.On(policy.Ownerless) {
 		q.tried(got.name, "without owner")
 		return got, nil
 	}
 	return nil, last
 }
 
+// takeOffer waits for the grant of the best engine, unless that is not expected in the request's time.
+func (r *Relay) takeOffer(ctx context.Context, q *request, best *offer, ask grant.Ask) (*chosen, *result.Error) {
+	if ask.StartIn < best.wait && r.cfg.Policy.On(policy.Admission) {
+		late := result.New(result.DeadlineUnmet, "the soonest start is in %s", best.wait.Round(time.Millisecond))
+		late.RetryAfter = best.wait
+		return nil, late
+	}
+	ask.Accept, ask.Near, ask.Last = 0, false, true
+	return r.acquire(ctx, q, best.candidate, ask)
+}
+
+// newOffers returns no offers yet for a request.
+func (r *Relay) newOffers(q *request) offers {
+	return offers{
+		copies: r.cfg.Policy.On(policy.Copies), price: shareOf(q.route.Objective, copyShare),
+		inTime: shareOf(q.route.Objective, inTimeShare) - time.Since(q.came),
+	}
+}
+
+// placeWeight returns what a place in the order of engines weighs for a request.
+func (r *Relay) placeWeight(q *request) time.Duration {
+	if !r.cfg.Policy.On(policy.Order) {
+		return 0
+	}
+	return shareOf(q.route.Objective, orderShare)
+}
+
 // shareOf returns a part of a request's objective.
 func shareOf(objective resource.Duration, share float64) time.Duration {
 	return time.Duration(share * float64(objective))
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -10,6 +10,7 @@
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -177,7 +178,7 @@
 
 func (r *Relay) watchStall(q *request, cancel context.CancelFunc) *stallWatch {
 	w := &stallWatch{fired: make(chan struct{})}
-	if !q.route.Idempotent() || q.sent+1 >= q.route.Attempts {
+	if !r.cfg.Policy.On(policy.Stalls) || !q.route.Idempotent() || q.sent+1 >= q.route.Attempts {
 		return w
 	}
 	w.timer = time.AfterFunc(stallFirst*time.Duration(q.route.Objective), func() {
--- a/internal/relay/offers.go
+++ b/internal/relay/offers.go
@@ -18,6 +18,8 @@
 type offers struct {
 	// inTime is the longest wait with which the request can be answered within its objective.
 	inTime time.Duration
+	// copies says that a copy has to be worth its load; else the soonest engine is best.
+	copies bool
 	// price is how much sooner a copy has to be than the engines that have the version near.
 	price time.Duration
 	// near is the best engine that has the adapter version near, fresh the best of those that would bring it from the weight store.
@@ -46,6 +48,8 @@
 	switch {
 	case o.near == nil:
 		return o.fresh
+	case !o.copies && o.fresh != nil && o.fresh.weight < o.near.weight:
+		return o.fresh
 	case o.fresh == nil || o.fresh.wait > o.inTime:
 		return o.near
 	case o.crowded() || o.near.wait > o.fresh.wait+o.price:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/route"
@@ -47,6 +48,7 @@
 	Leaving     func() time.Duration
 	LastStream  time.Duration
 	LastRequest time.Duration
+	Policy      policy.Policy
 	// StoreAge returns the time since the store last answered this box.
 	StoreAge func() time.Duration
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,12 +6,14 @@
 	"io"
 	"net/netip"
 	"os"
+	"reflect"
 	"slices"
 	"time"
 
 	"github.com/BurntSushi/toml"
 	"github.com/rotisserie/eris"
 
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -26,6 +28,7 @@
 	Timing   Timing   `toml:"timing"`
 	Log      Log      `toml:"log"`
 	Process  Process  `toml:"process"`
+	Policy   Policy   `toml:"policy"`
 }
 
 // Box says which box this is.
@@ -115,6 +118,21 @@
 	Reclaim bool `toml:"reclaim"`
 }
 
+// Policy chooses among the mechanisms of the decisions.
+type Policy struct {
+	// Off lists the mechanisms that are switched off, to measure what they are worth.
+	Off []policy.Mechanism `toml:"off"`
+}
+
+// Chosen returns the policy that the settings choose; they have been checked.
+func (p Policy) Chosen() policy.Policy {
+	chosen, err := policy.New(p.Off)
+	if err != nil {
+		return policy.Policy{}
+	}
+	return chosen
+}
+
 // Log sets the log.
 type Log struct {
 	// Level is the klog verbosity.
@@ -144,6 +162,11 @@
 	}
 }
 
+// Equal reports whether two boxes would run alike.
+func (s Settings) Equal(other Settings) bool {
+	return reflect.DeepEqual(s, other)
+}
+
 // Load reads the settings file at path.
 func Load(path string) (Settings, error) {
 	f, err := os.Open(path)
@@ -295,6 +318,9 @@
 			"log.level", "Verbosity of the log, 0 to 4; 2 logs each request.", fmt.Sprint(d.Log.Level),
 			func(s *Settings) string { return needBetween(s.Log.Level, 0, 4) },
 		},
+		{
+			"policy.off", "Mechanisms of the decisions that are switched off, to measure their worth: " + policy.Names() + ".", "none", needMechanisms,
+		},
 		{
 			"process.gc_percent", "Growth of the heap between two garbage collections, in percent; less saves memory and costs processor time.", fmt.Sprint(d.Process.GCPercent),
 			func(s *Settings) string { return needBetween(s.Process.GCPercent, 5, 1000) },
@@ -302,6 +328,13 @@
 	}
 }
 
+func needMechanisms(s *Settings) string {
+	if _, err := policy.New(s.Policy.Off); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
 func needForm(s *Settings) string {
 	if reason := needOneOf(s.Platform.Form, FormBellgap, FormObjects); reason != "" || s.Platform.Form == FormBellgap {
 		return reason
