--- a/internal/owner/reading.go
+++ b/internal/owner/reading.go
@@ -10,6 +10,9 @@
 const (
 	// readSmoothing is the weight of the newest prompt in the mean time that a token takes to read.
 	readSmoothing = 0.1
+	// maxRise bounds how much longer than expected a token is taken to have taken: prompts are held up by work that the owner does
+	// not know of, such as that which an owner before it left, and by more urgent ones.
+	maxRise = 2
 	// minSample is how many tokens have to be read for their time to tell of the engine rather than of messages and steps.
 	minSample = 1000
 )
@@ -75,12 +78,21 @@
 	}
 	r.since = now
 	if total := u.before + u.tokens; total >= minSample && r.policy.On(policy.ReadRate) {
-		r.samples++
-		weight := max(readSmoothing, 1/float64(r.samples))
-		r.perToken += time.Duration(weight * float64(now.Sub(u.at)/time.Duration(total)-r.perToken))
+		r.observe(now.Sub(u.at) / time.Duration(total))
 	}
 }
 
+// observe takes the time that a token took in. The first few prompts count more, unless they took long.
+func (r *reading) observe(took time.Duration) {
+	r.samples++
+	weight := readSmoothing
+	if took < r.perToken {
+		weight = max(weight, 1/float64(r.samples))
+	}
+	took = min(took, time.Duration(maxRise*float64(r.perToken)))
+	r.perToken += time.Duration(weight * float64(took-r.perToken))
+}
+
 // drop forgets a prompt.
 func (r *reading) drop(id uint64) (unread, bool) {
 	i := slices.IndexFunc(r.unread, func(u unread) bool { return u.id == id })
--- a/internal/owner/reading_test.go
+++ b/internal/owner/reading_test.go
@@ -99,3 +99,28 @@
 	s.Done(now, 2, owner.EndBroken)
 	c.Check(expected(c, s, now, 100, 1), qt.Equals, 100*time.Millisecond)
 }
+
+// TestHeldUpPromptsTeachLittle: prompts that took ten times as long, behind work that the owner does not know of, do not make the
+// engine look slow for long.
+func TestHeldUpPromptsTeachLittle(t *testing.T) {
+	for _, tt := range engines {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			s := owner.New(owner.Config{Slots: 2, Batch: 8, MaxQueue: 100, PrefillRate: tt.rate, KVTokens: tt.kv})
+			s.Adopt([]resource.Ref{ref(1)}, false)
+			usual := time.Duration(4000 / tt.rate * float64(time.Second))
+			for id := range uint64(13) {
+				took := usual
+				if id < 3 {
+					took = 10 * usual
+				}
+				give(s, now, id, 4000)
+				now = now.Add(took)
+				s.Read(now, id)
+				s.Done(now, id, owner.EndWhole)
+			}
+			c.Check(expected(c, s, now, 4000, 1) < usual*6/5, qt.IsTrue)
+		})
+	}
+}
