--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -28,6 +29,9 @@
 	LocateKeep time.Duration
 }
 
+// suspectFor is how long a box that did not answer is tried last.
+const suspectFor = 3 * time.Second
+
 // Config configures a Gateway.
 type Config struct {
 	// Box is the name of this box.
@@ -56,13 +60,14 @@
 	cfg      Config
 	mu       sync.Mutex
 	inFlight map[string]int
-	suspects *suspects
+	// suspects are the boxes that did not answer lately.
+	suspects *recent.Set[string]
 	retries  *budget
 }
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
-	return &Gateway{cfg: cfg, inFlight: map[string]int{}, suspects: newSuspects(), retries: newBudget()}
+	return &Gateway{cfg: cfg, inFlight: map[string]int{}, suspects: recent.New[string](suspectFor), retries: newBudget()}
 }
 
 // Handler serves callers.
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -115,7 +115,7 @@
 	resp, err := g.cfg.Hop.Do(req)
 	if err != nil {
 		if !watch.Stop() || !errors.Is(err, context.Canceled) {
-			g.suspects.add(e.Owner.Box)
+			g.suspects.Add(e.Owner.Box, time.Now())
 		}
 		if body.read.Load() {
 			return nil, result.New(result.AnswerLost, "box %s: %v", e.Owner.Box, err)
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -19,6 +19,8 @@
 	// maxAsked bounds the engines that are asked when it is. The most wanted adapter draws a fifth of all requests, which at 500
 	// requests a second and 12 slots an engine takes some 15 engines.
 	maxAsked = 18
+	// crowdedFor is how long after the last sign of it an adapter version counts as crowded: a few times the life of a request.
+	crowdedFor = 5 * time.Second
 )
 
 // candidate is an engine that may serve a request.
@@ -60,7 +62,7 @@
 	for _, name := range placement.Rank(key, names) {
 		ranked = append(ranked, byName[name])
 	}
-	return arrange(ranked, r.crowds.has(ref, now) && r.cfg.Policy.On(policy.Crowds))
+	return arrange(ranked, r.crowds.Has(ref, now) && r.cfg.Policy.On(policy.Crowds))
 }
 
 // arrange puts ranked candidates in the order in which they are asked: the first few, those further on that hold the version, the
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -42,10 +42,15 @@
 }
 
 // choose finds an engine for a request. While no owner can be asked, as right after a start or between two owners, it looks again.
+// If the engine chosen cannot take the request after all, it goes on to the next ones; avoid then holds the engine.
 func (r *Relay) choose(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosen, *result.Error) {
-	giveUp := q.came.Add(time.Duration(ownerlessShare * float64(q.route.Objective)))
+	giveUp := q.came.Add(shareOf(q.route.Objective, ownerlessShare))
 	for {
+		tried := len(avoid)
 		c, rerr := r.chooseNow(ctx, q, ref, avoid)
+		if rerr != nil && len(avoid) > tried && ctx.Err() == nil {
+			continue
+		}
 		if rerr == nil || !ownerless(rerr) || !time.Now().Add(ownerlessLook).Before(giveUp) {
 			return c, rerr
 		}
@@ -67,8 +72,18 @@
 	}
 }
 
+// cannotTake reports whether an owner said that its engine cannot take a request that it would have taken a moment before.
+func cannotTake(rerr *result.Error) bool {
+	switch rerr.Code {
+	case result.LoadFailed, result.TryNext, result.QueueFull:
+		return true
+	default:
+		return false
+	}
+}
+
 // chooseNow asks the candidates whether the adapter version is near enough to start the request soon, and takes the first that
-// says so. Else it weighs what they said: see weigh. Where no owner answers, one that is listed as holding the version is taken.
+// says so, else the best of what they said. Where no owner answers, one that is listed as holding the version is taken.
 // More than the first few are only asked while all that have it near are too busy to start the request in time.
 func (r *Relay) chooseNow(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosen, *result.Error) {
 	candidates := r.candidates(q, ref, avoid)
@@ -95,12 +110,19 @@
 		}
 	}
 	if offers.crowded() {
-		r.crowds.add(ref, time.Now())
+		r.crowds.Add(ref, time.Now())
 	}
 	if best := offers.best(); best != nil {
-		return r.takeOffer(ctx, q, best, ask)
+		got, rerr := r.takeOffer(ctx, q, best, ask)
+		if rerr != nil && cannotTake(rerr) {
+			avoid[best.candidate.name] = true
+		}
+		return got, rerr
+	}
+	if !r.cfg.Policy.On(policy.Ownerless) {
+		return nil, last
 	}
-	if got := r.withoutOwner(candidates, ref); got != nil && r.cfg.Policy.On(policy.Ownerless) {
+	if got := r.withoutOwner(candidates, ref); got != nil {
 		q.tried(got.name, "without owner")
 		return got, nil
 	}
@@ -177,14 +199,14 @@
 	if c.owner.Box == "" || c.owner.Box == r.cfg.Box {
 		return nil, result.New(result.NotOwner, "%s has no owner now", c.name)
 	}
-	if r.suspects.has(c.owner.Box, time.Now()) {
+	if r.suspects.Has(c.owner.Box, time.Now()) {
 		return nil, result.New(result.OwnerSilent, "%s did not answer lately", c.owner.Box)
 	}
 	g, err := r.cfg.Grants.Acquire(ctx, c.owner.Peer, a)
 	if err != nil {
 		rerr := result.From(err, result.OwnerSilent)
 		if rerr.Code == result.OwnerSilent {
-			r.suspects.add(c.owner.Box, time.Now())
+			r.suspects.Add(c.owner.Box, time.Now())
 		}
 		return nil, rerr
 	}
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/choose_test.go
@@ -21,6 +21,7 @@
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
 )
 
 // plainWire sends no headers but the request's id and takes every answer for the endpoint's own.
@@ -53,62 +54,109 @@
 	cat.Apply(objects.Changes{Revision: version, Objects: []objects.Object{{Kind: kind, Name: name, Version: version, Value: raw}}})
 }
 
-// TestNothingIsSentToAnEngineThatBeganToLeave: the grant of the first engine asked comes when the engine has begun to leave.
-func TestNothingIsSentToAnEngineThatBeganToLeave(t *testing.T) {
-	c := qt.New(t)
-	cat := catalog.New()
-	var arrived [2]atomic.Int64
-	var left atomic.Int64
-	left.Store(-1)
-	version := int64(10)
-	engines := map[string]*resource.Endpoint{}
+// twoEngines is a relay before two engines whose owner is another box.
+type twoEngines struct {
+	c       *qt.C
+	catalog *catalog.Catalog
+	relay   *Relay
+	engines map[string]*resource.Endpoint
+	arrived [2]atomic.Int64
+}
+
+// startTwoEngines starts the engines, and their owner with an answer to those who ask for a grant.
+func startTwoEngines(c *qt.C, answer func(w *twoEngines, rw http.ResponseWriter, ask grant.Ask)) *twoEngines {
+	w := &twoEngines{c: c, catalog: catalog.New(), engines: map[string]*resource.Endpoint{}}
 	owners := coordinator.Map{Cell: "c", Generation: 1}
-	for i := range arrived {
-		address := servedAddress(c, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			arrived[i].Add(1)
-			w.Header().Set("Content-Type", "text/event-stream")
-			_, _ = w.Write([]byte("data: x\n\n"))
+	for i := range w.arrived {
+		address := servedAddress(c, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			w.arrived[i].Add(1)
+			rw.Header().Set("Content-Type", "text/event-stream")
+			_, _ = rw.Write([]byte("data: x\n\n"))
 		}))
 		name := fmt.Sprint("e", i)
-		engines[name] = &resource.Endpoint{Service: "s", Address: address, Zone: "z", Slots: 4, BaseModel: "base"}
+		w.engines[name] = &resource.Endpoint{Service: "s", Address: address, Zone: "z", Slots: 4, BaseModel: "base"}
 		owners.Owners = append(owners.Owners, coordinator.Ownership{Engine: name, Owner: "far", Epoch: 1})
 	}
 	far := http.NewServeMux()
-	far.HandleFunc("POST /peer/end", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	far.HandleFunc("POST /peer/acquire", func(w http.ResponseWriter, r *http.Request) {
+	far.HandleFunc("POST /peer/end", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusNoContent) })
+	far.HandleFunc("POST /peer/acquire", func(rw http.ResponseWriter, r *http.Request) {
 		var ask grant.Ask
 		c.Check(json.NewDecoder(r.Body).Decode(&ask), qt.IsNil)
-		if left.CompareAndSwap(-1, int64(ask.Engine[1]-'0')) {
-			leaving := *engines[ask.Engine]
-			leaving.Leaving = true
-			put(c, cat, version+1, string(resource.KindEndpoint), ask.Engine, &leaving)
-		}
-		httpx.WriteJSON(w, http.StatusOK, map[string]any{"id": 1})
+		answer(w, rw, ask)
 	})
 	owners.Members = []coordinator.Member{{Box: "far", Zone: "z", Peer: servedAddress(c, far)}}
-	put(c, cat, 1, string(resource.KindRouting), catalog.RoutingName, &resource.Routing{
+	put(c, w.catalog, 1, string(resource.KindRouting), catalog.RoutingName, &resource.Routing{
 		Version: 1, Services: []resource.RouteService{{Name: "s", Engine: &resource.EngineClass{Batch: 4, KVTokens: 1000, AdapterSlots: 4, WeightsMB: 100}}},
 		Routes: []resource.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: resource.RouteStream, Attempts: 2, Timeout: resource.Duration(5 * time.Second),
 			Objective: resource.Duration(time.Second), Targets: []resource.Target{{Service: "s", Weight: 1}},
 		}},
 	})
-	for name, e := range engines {
-		put(c, cat, version, string(resource.KindEndpoint), name, e)
+	for name, e := range w.engines {
+		put(c, w.catalog, 10, string(resource.KindEndpoint), name, e)
 	}
-	put(c, cat, 1, coordinator.MapKind, "c", owners)
-	r := New(Config{
-		Box: "near", Zone: "z", Catalog: cat, Owners: owner.NewSet(owner.SetConfig{}), Wire: plainWire{}, Scope: tally.NoopScope,
+	put(c, w.catalog, 1, coordinator.MapKind, "c", owners)
+	w.relay = New(Config{
+		Box: "near", Zone: "z", Catalog: w.catalog, Owners: owner.NewSet(owner.SetConfig{}), Wire: plainWire{}, Scope: tally.NoopScope,
 		Grants:    grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(2)}, Scope: tally.NoopScope}),
 		Endpoints: &http.Client{Transport: httpx.NewTransport(2)}, Budget: BudgetConfig{Allowance: 10, Boxes: func() int { return 1 }},
 		Leaving: func() time.Duration { return 0 }, StoreAge: func() time.Duration { return 0 },
 	})
+	return w
+}
+
+// call sends one request through the relay and returns its answer.
+func (w *twoEngines) call() *httptest.ResponseRecorder {
 	in := httptest.NewRequest(http.MethodPost, "http://h/x", strings.NewReader("prompt"))
 	in.Header.Set("Id", "id")
-	w := httptest.NewRecorder()
-	r.ServeHTTP(w, in)
-	c.Check(w.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", w.Body))
-	c.Assert(left.Load() >= 0, qt.IsTrue)
-	c.Check(arrived[left.Load()].Load(), qt.Equals, int64(0))
-	c.Check(arrived[1-left.Load()].Load(), qt.Equals, int64(1))
+	out := httptest.NewRecorder()
+	w.relay.ServeHTTP(out, in)
+	return out
+}
+
+// checkOnlyOther checks that nothing reached one of the engines and one request the other.
+func (w *twoEngines) checkOnlyOther(engine int64) {
+	w.c.Assert(engine >= 0, qt.IsTrue)
+	w.c.Check(w.arrived[engine].Load(), qt.Equals, int64(0))
+	w.c.Check(w.arrived[1-engine].Load(), qt.Equals, int64(1))
+}
+
+// TestNothingIsSentToAnEngineThatBeganToLeave: the grant of the first engine asked comes when the engine has begun to leave.
+func TestNothingIsSentToAnEngineThatBeganToLeave(t *testing.T) {
+	c := qt.New(t)
+	var left atomic.Int64
+	left.Store(-1)
+	w := startTwoEngines(c, func(w *twoEngines, rw http.ResponseWriter, ask grant.Ask) {
+		if left.CompareAndSwap(-1, int64(ask.Engine[1]-'0')) {
+			leaving := *w.engines[ask.Engine]
+			leaving.Leaving = true
+			put(c, w.catalog, 11, string(resource.KindEndpoint), ask.Engine, &leaving)
+		}
+		httpx.WriteJSON(rw, http.StatusOK, map[string]any{"id": 1})
+	})
+	out := w.call()
+	c.Check(out.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", out.Body))
+	w.checkOnlyOther(left.Load())
+}
+
+// TestRequestGoesOnWhenItsEngineCannotTakeIt: both engines offer to load the adapter; the load of the one chosen fails.
+func TestRequestGoesOnWhenItsEngineCannotTakeIt(t *testing.T) {
+	c := qt.New(t)
+	var failed atomic.Int64
+	failed.Store(-1)
+	w := startTwoEngines(c, func(_ *twoEngines, rw http.ResponseWriter, ask grant.Ask) {
+		switch {
+		case ask.Near:
+			offer := result.New(result.TryNext, "")
+			offer.RetryAfter = 300 * time.Millisecond
+			offer.Write(rw, "")
+		case failed.CompareAndSwap(-1, int64(ask.Engine[1]-'0')):
+			result.New(result.LoadFailed, "").Write(rw, "")
+		default:
+			httpx.WriteJSON(rw, http.StatusOK, map[string]any{"id": 1})
+		}
+	})
+	out := w.call()
+	c.Check(out.Code, qt.Equals, http.StatusOK, qt.Commentf("%s", out.Body))
+	w.checkOnlyOther(failed.Load())
 }
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -89,26 +89,3 @@
 	}
 	return e.failures * math.Exp2(-float64(now.Sub(e.at))/float64(failureHalfLife))
 }
-
-// suspects remembers boxes that did not answer lately.
-type suspects struct {
-	mu    sync.Mutex
-	until map[string]time.Time
-}
-
-func newSuspects() *suspects { return &suspects{until: map[string]time.Time{}} }
-
-func (s *suspects) add(box string, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.until) >= maxRemembered {
-		clear(s.until)
-	}
-	s.until[box] = now.Add(suspectFor)
-}
-
-func (s *suspects) has(box string, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return now.Before(s.until[box])
-}
--- a/internal/relay/parts_test.go
+++ b/internal/relay/parts_test.go
@@ -68,16 +68,6 @@
 	c.Check(failures, qt.Equals, 0.0)
 }
 
-func TestSuspects(t *testing.T) {
-	c := qt.New(t)
-	now := time.Unix(1000, 0)
-	s := newSuspects()
-	s.add("box", now)
-	c.Check(s.has("box", now), qt.IsTrue)
-	c.Check(s.has("box", now.Add(suspectFor)), qt.IsFalse)
-	c.Check(s.has("other", now), qt.IsFalse)
-}
-
 func TestMemory(t *testing.T) {
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/policy"
+	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/route"
@@ -58,16 +59,20 @@
 	cfg      Config
 	inFlight atomic.Int64
 	health   *health
-	suspects *suspects
+	// suspects are the boxes that did not answer lately, crowds the adapter versions whose engines all had requests waiting.
+	suspects *recent.Set[string]
+	crowds   *recent.Set[resource.Ref]
 	budgets  *budgets
 	sample   *sample
 	memory   *memory
-	crowds   *crowds
 }
 
 // New returns a Relay.
 func New(cfg Config) *Relay {
-	return &Relay{cfg: cfg, health: newHealth(), suspects: newSuspects(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory(), crowds: newCrowds()}
+	return &Relay{
+		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory(),
+		suspects: recent.New[string](suspectFor), crowds: recent.New[resource.Ref](crowdedFor),
+	}
 }
 
 // InFlight returns the requests in flight.
