--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -38,8 +38,14 @@
 	endpointPace = 700 * time.Millisecond
 	// endpointWait bounds a watch of the endpoints: a path that has fallen silent is noticed that much later.
 	endpointWait = 700 * time.Millisecond
-	// quietWait is how long watches of kinds that seldom change wait. They are given up early when another call fails.
-	quietWait = time.Second
+	// routingWait and versionWait are how long watches of the configuration and of adapter versions wait. One that the store no longer
+	// answers or tells of changes is deaf for that long, also when the store is back, and no other call shows it: a configuration
+	// has to be in force two seconds after its acknowledgement, a version after five.
+	routingWait = 1500 * time.Millisecond
+	versionWait = 3 * time.Second
+	// mapWait is how long a watch of the cell map waits, which also comes with heartbeats. It is given up early when another call
+	// fails.
+	mapWait = 6 * time.Second
 	// orderMargin is added to the gap between two owners' orders, for messages on their way.
 	orderMargin = 200 * time.Millisecond
 	// silentBeats is how many heartbeats a box may miss before callers are not sent to it.
@@ -117,10 +123,10 @@
 
 func followedKinds() []follow.Kind {
 	return []follow.Kind{
-		{Name: string(resource.KindRouting), Wait: quietWait, Relayed: true},
+		{Name: string(resource.KindRouting), Wait: routingWait, Relayed: true},
 		{Name: string(resource.KindEndpoint), Pace: endpointPace, Wait: endpointWait, Lapses: true, With: []string{string(resource.KindHolding)}, Relayed: true, Probes: true},
-		{Name: string(resource.KindAdapterVersion), Wait: quietWait, Relayed: true},
-		{Name: coordinator.MapKind, Wait: quietWait},
+		{Name: string(resource.KindAdapterVersion), Wait: versionWait, Relayed: true},
+		{Name: coordinator.MapKind, Wait: mapWait},
 	}
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -184,16 +184,21 @@
 	k.relayed = false
 	clear(k.missing)
 	known := f.Known()[k.Name]
-	// What goes with a kind is not relayed and has been dropped: only a list brings it back.
-	if k.listed = k.Relayed && known > 0 && len(k.With) == 0; k.listed {
+	if k.listed = k.Relayed && known > 0; k.listed {
 		k.revision = known
 		k.know(f.cfg.Catalog.Names(k.Name))
+		k.listAt = time.Time{}
+		if len(k.With) > 0 {
+			// What goes with a kind is not relayed and has been dropped: only a list brings it back. Lists are paid for by the page, so
+			// that waits until heartbeats have been missing for longer than one of them takes to be lost.
+			k.listAt = time.Now().Add(k.Pace)
+		}
 	}
 }
 
 // step makes one call: a list until there has been one, then watches.
 func (f *Follower) step(ctx context.Context, k *kindState) error {
-	if !k.listed {
+	if !k.listed || k.listIsDue(time.Now()) {
 		return f.list(ctx, k)
 	}
 	f.cfg.Scope.Counter("follow_watches").Inc(1)
@@ -236,7 +241,7 @@
 	}
 	k.know(f.cfg.Catalog.Names(k.Name))
 	f.apply(k, k.replace(time.Now(), all, f.graceUntil(k)))
-	k.listed = true
+	k.listed, k.listAt = true, time.Time{}
 	f.noteListed(k.Name)
 	return nil
 }
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -14,7 +14,9 @@
 	listed   bool
 	// relayed says that changes have come through another box since the last call.
 	relayed bool
-	known   map[string]bool
+	// listAt is when the kind is to be listed anew though it is known; zero if it is not.
+	listAt time.Time
+	known  map[string]bool
 	// missing holds objects that were removed shortly after an outage, with the time at which that is believed.
 	missing map[string]time.Time
 }
@@ -23,6 +25,9 @@
 	return &kindState{Kind: k, known: map[string]bool{}, missing: map[string]time.Time{}}
 }
 
+// listIsDue reports whether the kind is to be listed anew.
+func (k *kindState) listIsDue(now time.Time) bool { return !k.listAt.IsZero() && !now.Before(k.listAt) }
+
 // know adds objects that came by another way than by calls.
 func (k *kindState) know(names []string) {
 	for _, name := range names {
