--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -211,7 +211,6 @@
 	}
 	waiting, cancel := f.store.whileThere(ctx)
 	defer cancel()
-	began := time.Now()
 	ch, err := f.cfg.Source.Watch(waiting, []string{k.Name}, k.revision, wait)
 	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
 		return errWoken
@@ -219,9 +218,6 @@
 	if err != nil {
 		return err
 	}
-	if len(ch.Objects) == 0 {
-		ch.Revision = k.confirm(ch.Revision, time.Since(began))
-	}
 	f.apply(k, k.changes(time.Now(), ch, f.graceUntil(k)))
 	return nil
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -36,9 +36,7 @@
 	floor int64
 	// deaf watches wait their time and hear nothing.
 	deaf bool
-	// unseen changes are numbered, but watches end without them.
-	unseen bool
-	down   bool
+	down bool
 	// woken is closed at each change.
 	changed chan struct{}
 }
@@ -81,8 +79,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	change(s)
-	close(s.changed)
-	s.changed = make(chan struct{})
 }
 
 // List implements follow.Source.
@@ -104,14 +100,10 @@
 	timeout := time.After(wait)
 	for {
 		s.mu.Lock()
-		changed, deaf, unseen := s.changed, s.deaf, s.unseen
-		ended := objects.Changes{Revision: from}
-		if unseen {
-			ended.Revision = s.revision
-		}
+		changed, deaf := s.changed, s.deaf
 		ch, err := s.since(kinds[0], from)
 		s.mu.Unlock()
-		if err != nil || (len(ch.Objects) > 0 && !deaf && !unseen) {
+		if err != nil || (len(ch.Objects) > 0 && !deaf) {
 			return ch, err
 		}
 		if deaf {
@@ -120,7 +112,7 @@
 		select {
 		case <-changed:
 		case <-timeout:
-			return ended, nil
+			return objects.Changes{Revision: from}, nil
 		case <-ctx.Done():
 			return objects.Changes{}, ctx.Err()
 		}
@@ -252,17 +244,3 @@
 	}
 	return all
 }
-
-// TestChangeNumberedBeforeItIsSeen: the store numbers a change while it comes back, and tells watches of it only half a second later;
-// those that end before name a revision beyond it.
-func TestChangeNumberedBeforeItIsSeen(t *testing.T) {
-	setUp := func(c *qt.C, s *store) { s.put(c, resource.KindRouting, catalog.RoutingName, routing(1)) }
-	run(t, setUp, func(c *qt.C, s *store, cat *catalog.Catalog) {
-		s.set(func(s *store) { s.unseen = true })
-		s.put(c, resource.KindRouting, catalog.RoutingName, routing(2))
-		time.Sleep(time.Minute + 100*time.Millisecond)
-		s.set(func(s *store) { s.unseen = false })
-		time.Sleep(time.Minute + time.Second)
-		c.Check(version(cat), qt.Equals, int64(2))
-	})
-}
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -14,8 +14,6 @@
 	listed   bool
 	// relayed says that changes have come through another box since the last call.
 	relayed bool
-	// empty is the revision that the last watch without changes named.
-	empty int64
 	// listAt is when the kind is to be listed anew though it is known; zero if it is not.
 	listAt time.Time
 	known  map[string]bool
@@ -27,21 +25,6 @@
 	return &kindState{Kind: k, known: map[string]bool{}, missing: map[string]time.Time{}}
 }
 
-// visibleWithin is how long a change that the store has numbered may stay invisible to watches, as while it comes back from an
-// outage: boxes that went on from the revision of a watch without changes have been seen to miss one for good.
-const visibleWithin = 500 * time.Millisecond
-
-// confirm takes the revision of a watch without changes in and returns the one to go on from: that of the watch without changes
-// before it, which this one has looked past for long enough.
-func (k *kindState) confirm(revision int64, waited time.Duration) int64 {
-	if waited < visibleWithin {
-		return k.revision
-	}
-	confirmed := max(k.revision, min(k.empty, revision))
-	k.empty = revision
-	return confirmed
-}
-
 // listIsDue reports whether the kind is to be listed anew.
 func (k *kindState) listIsDue(now time.Time) bool { return !k.listAt.IsZero() && !now.Before(k.listAt) }
 
