--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -60,6 +60,8 @@
 	// the store is back, long enough not to press a store that is refusing calls.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = time.Second
+	// minPause is the least pause after a failed call.
+	minPause = 100 * time.Millisecond
 	// probeWait is how long a watch waits that is to find out whether the store is back: waiting for a change would keep the other
 	// kinds from calling for as long.
 	probeWait = time.Millisecond
@@ -159,6 +161,7 @@
 			klog.InfoS("history gone; listing", "kind", k.Name, "revision", k.revision)
 			k.revision, k.listed = 0, false
 			pause = 0
+			f.store.answered(time.Now())
 			// What one kind missed the others may have missed too, and their watches may never hear of it.
 			f.store.wakeAll()
 		case errors.Is(err, errWoken):
@@ -166,7 +169,8 @@
 		case ctx.Err() == nil:
 			f.store.failed(time.Now(), k.Name, err)
 			f.cfg.Scope.Counter("follow_failures").Inc(1)
-			pause = backoff/2 + rand.N(backoff)
+			// A call that has hung for long has kept its distance from the next.
+			pause = max(minPause, backoff/2+rand.N(backoff)-time.Since(began))
 			backoff = min(2*backoff, maxBackoff)
 		}
 		if pause > 0 {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -37,6 +37,8 @@
 	// deaf watches wait their time and hear nothing.
 	deaf bool
 	down bool
+	// hangs is how long calls hang before they fail while the store is down.
+	hangs time.Duration
 	// woken is closed at each change.
 	changed chan struct{}
 }
@@ -98,6 +100,13 @@
 // Watch implements follow.Source.
 func (s *store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
 	timeout := time.After(wait)
+	s.mu.Lock()
+	hangs := s.hangs
+	s.mu.Unlock()
+	if hangs > 0 {
+		time.Sleep(hangs)
+		return objects.Changes{}, objects.ErrUnavailable
+	}
 	for {
 		s.mu.Lock()
 		changed, deaf := s.changed, s.deaf
@@ -244,3 +253,21 @@
 	}
 	return all
 }
+
+// TestCallsThatHungAreFollowedAtOnce: behind a path that swallows calls for 2.5 s each, one is always under way: after the path is
+// back a change is in force within the time of a call and a bit.
+func TestCallsThatHungAreFollowedAtOnce(t *testing.T) {
+	setUp := func(c *qt.C, s *store) { s.put(c, resource.KindRouting, catalog.RoutingName, routing(1)) }
+	run(t, setUp, func(c *qt.C, s *store, cat *catalog.Catalog) {
+		s.set(func(s *store) { s.hangs, s.down = 2500*time.Millisecond, true })
+		time.Sleep(70 * time.Second)
+		for range 20 {
+			s.put(c, resource.KindRouting, catalog.RoutingName, routing(s.newest()+1))
+			s.set(func(s *store) { s.hangs, s.down = 0, false })
+			time.Sleep(2700 * time.Millisecond)
+			c.Check(version(cat), qt.Equals, s.newest())
+			s.set(func(s *store) { s.hangs, s.down = 2500*time.Millisecond, true })
+			time.Sleep(70 * time.Second)
+		}
+	})
+}
--- a/internal/owner/evict.go
+++ b/internal/owner/evict.go
@@ -10,6 +10,9 @@
 
 // victim returns the idle loaded adapter with the least predicted use, never one in use, awaited or foreign.
 func (s *State) victim(now time.Time) *slot {
+	if now.Before(s.unloadFrom) {
+		return nil
+	}
 	var worst *slot
 	worstRate := math.Inf(1)
 	for _, sl := range s.slots {
--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -33,6 +33,9 @@
 
 // victimFor returns the adapter that makes way for ref: an idle former version of it, else the least useful one.
 func (s *State) victimFor(now time.Time, ref resource.Ref) *slot {
+	if now.Before(s.unloadFrom) {
+		return nil
+	}
 	for _, sl := range s.formerVersions(ref) {
 		if s.evictable(now, sl) {
 			return sl
@@ -75,6 +78,7 @@
 	next := sl.next
 	if err != nil && !notThere(err) {
 		sl.phase, sl.next = loaded, nil
+		s.unloadFrom = now.Add(unloadPause)
 		s.emit(ReturnPermit{})
 		return s.flush(now)
 	}
--- a/internal/owner/loading_test.go
+++ b/internal/owner/loading_test.go
@@ -84,3 +84,28 @@
 	c.Assert(loads, qt.HasLen, 1)
 	c.Check(loads[0].Ref, qt.Equals, ref(2))
 }
+
+// TestFailedUnloadIsNotOrderedAgainAtOnce: a box without authority fails its own orders at once; it tries again some times a second.
+func TestFailedUnloadIsNotOrderedAgainAtOnce(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := discovered(1)
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	pending := s.Submit(now, owner.Ticket{ID: 1, Ref: ref(2), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	unloads := 0
+	for until := now.Add(time.Second); now.Before(until); now = now.Add(10 * time.Millisecond) {
+		for i := 0; len(pending) > 0 && i < 100; i++ {
+			var next []owner.Action
+			for range actionsOf[owner.AskPermit](pending) {
+				next = append(next, s.Granted(now, ref(2))...)
+			}
+			for _, u := range actionsOf[owner.Unload](pending) {
+				unloads++
+				next = append(next, s.Unloaded(now, u.Ref, errors.New("no authority"))...)
+			}
+			pending = next
+		}
+		pending = s.Tick(now)
+	}
+	c.Check(unloads >= 3 && unloads <= 6, qt.IsTrue, qt.Commentf("%d unloads in a second", unloads))
+}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -26,6 +26,9 @@
 	crowdedShare = 4
 	// maxAsked bounds the adapters for which permits are asked at once.
 	maxAsked = 8
+	// unloadPause is the time from a failed unload to the next. Without it a box that had lost its authority ordered 16,000 a second,
+	// each refused by itself, and had no processor time left to take a configuration in.
+	unloadPause = 200 * time.Millisecond
 	// doubtTime is how long an order without an answer may still be carried out: engines have been seen to take up to 12 s.
 	doubtTime = 15 * time.Second
 )
@@ -120,7 +123,9 @@
 	tokens  int
 	reading *reading
 	lately  lately
-	out     []Action
+	// unloadFrom is when the next unload may be ordered after one has failed.
+	unloadFrom time.Time
+	out        []Action
 }
 
 type rate struct {
