Sight: what a coordinator goes by for each box, what the directory leaves out, what a leaving box still has in flight

Ruled out: a field in the map for the age (that changes what boxes exchange, and belongs to a mend). Change: 'box standing' (was, is, age, inherited, generation, lease) when a stored map shows a box otherwise, 'directory changed' (added, dropped, silent, leaving, nobody_stays, generation, coordinator) when an answer differs from the last, 'still leaving' twice a second; counters box_standings and directory_changes. The directory's answer moved out of routed.go. No decision changed. Lines are one for each change, none for a request.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +51,9 @@
 	silentBeats = 3
 	// lastRefusal is how long before the end a leaving box takes no new request: plain ones have 1.5 s at most.
 	lastRefusal = 1700 * time.Millisecond
+	// leaveTold is how often a leaving box says what it still has in flight: if its process is ended by something else than its own
+	// decision, the last such line says when and with how much.
+	leaveTold = 500 * time.Millisecond
 	// killMargin is how long before the platform kills it a leaving box is gone.
 	killMargin = 500 * time.Millisecond
 )
@@ -89,6 +91,8 @@
 	directory net.Listener
 	// leftAt is when the box was told to leave, in Unix nanoseconds, zero before.
 	leftAt atomic.Int64
+	// told is what callers were last told of the fleet.
+	told told
 }
 
 // NewRouted opens the listeners and builds the parts; Run runs them.
@@ -266,26 +270,6 @@
 	return b.follower.IsReady() && t.Routes != nil && len(t.Endpoints) > 0 && b.leavingFor() == 0
 }
 
-// Addresses returns where callers may connect: the live boxes that are not leaving, else all live ones, else this one.
-func (b *Routed) Addresses() []netip.AddrPort {
-	var staying, all []netip.AddrPort
-	for _, m := range b.catalog.Topology().Boxes {
-		all = append(all, m.Caller)
-		if !m.Leaving && !m.Silent {
-			staying = append(staying, m.Caller)
-		}
-	}
-	if len(staying) == 0 {
-		staying = all
-	}
-	self := b.CallerAddress()
-	if b.leavingFor() == 0 && !slices.Contains(staying, self) && b.Ready() {
-		staying = append(staying, self)
-	}
-	slices.SortFunc(staying, netip.AddrPort.Compare)
-	return staying
-}
-
 // Run serves until ctx ends, then leaves.
 func (b *Routed) Run(ctx context.Context) error {
 	defer close(b.done)
@@ -301,11 +285,15 @@
 	began := time.Now()
 	tick := time.NewTicker(leavePoll)
 	defer tick.Stop()
+	tell := time.NewTicker(leaveTold)
+	defer tell.Stop()
 	for time.Since(began) < timing.Leave-killMargin {
 		if time.Since(began) >= timing.Linger && b.InFlight() == 0 {
 			break
 		}
 		select {
+		case <-tell.C:
+			klog.InfoS("still leaving", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight(), "after", time.Since(began))
 		case <-tick.C:
 		case <-ctx.Done():
 			return
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -34,8 +34,10 @@
 
 type member struct {
 	Member
-	seen     time.Time
-	released []Release
+	seen time.Time
+	// inherited says that this coordinator has only taken the box over from the map of the one before and not heard from it.
+	inherited bool
+	released  []Release
 	// busy lists the engines that the box owns, as far as it knows, or still has requests in flight on.
 	busy []string
 }
@@ -78,7 +80,7 @@
 func New(cfg Config, last Map) *State {
 	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, heldFor: map[string]holder{}, leaving: last.Leaving}
 	for _, m := range last.Members {
-		s.members[m.Box] = &member{Member: m, seen: cfg.Started}
+		s.members[m.Box] = &member{Member: m, seen: cfg.Started, inherited: true}
 	}
 	for _, o := range last.Owners {
 		s.adopt(o)
@@ -114,6 +116,23 @@
 	s.members[b.Member.Box] = &member{Member: b.Member, seen: now, released: b.Released, busy: busy}
 }
 
+// Heard is what a coordinator goes by when it judges whether a box is there.
+type Heard struct {
+	// Age is the time since it last heard from the box, or since it took over.
+	Age time.Duration
+	// Inherited says that it has not heard from the box itself.
+	Inherited bool
+}
+
+// Heard returns what is known of a box, for the log; of one that is no member, nothing.
+func (s *State) Heard(now time.Time, box string) Heard {
+	m := s.members[box]
+	if m == nil {
+		return Heard{}
+	}
+	return Heard{Age: now.Sub(m.seen), Inherited: m.inherited}
+}
+
 // returned takes in that a box has come back as a new process.
 func (s *State) returned(now time.Time, m *member) {
 	previous := m.Box + "/" + m.Incarnation
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -94,7 +94,7 @@
 	n.mu.Unlock()
 	epoch := n.lease.Record().Epoch
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
-	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch)
+	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
 	return coordinator.New(coordinator.Config{
 		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
 		SilentAfter: n.cfg.Timing.SilentAfter, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim,
@@ -189,10 +189,12 @@
 	if err != nil {
 		return err
 	}
+	before := n.published
 	n.mapVersion, n.published = version, m
 	n.cfg.Scope.Counter("map_writes").Inc(1)
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.logStandings(before, m, state)
 	state.Published(m)
 	n.mapStored = version
 	n.keep(m)
