--- a/internal/coordinator/world_test.go
+++ b/internal/coordinator/world_test.go
@@ -16,6 +16,7 @@
 
 // world is a coordinator with one engine, in a time of its own.
 type world struct {
+	cfg   coordinator.Config
 	now   time.Time
 	state *coordinator.State
 }
@@ -23,10 +24,19 @@
 func newWorld(cfg coordinator.Config) *world {
 	w := &world{now: time.Unix(1000, 0)}
 	cfg.Cell, cfg.Box, cfg.Lease, cfg.Term, cfg.Drain, cfg.Started = "c", "a", 1, term, time.Minute, w.now
+	w.cfg = cfg
 	w.state = coordinator.New(cfg, coordinator.Map{})
 	return w
 }
 
+// takeOver has another coordinator, or the next process of the same one, go on from the stored map after a time without any.
+func (w *world) takeOver(without time.Duration) {
+	stored := w.state.Map()
+	w.now = w.now.Add(without)
+	w.cfg.Started, w.cfg.Lease = w.now, w.cfg.Lease+1
+	w.state = coordinator.New(w.cfg, stored)
+}
+
 func (w *world) beat(box, incarnation string) {
 	w.state.Beat(w.now, coordinator.Beat{Member: coordinator.Member{Box: box, Zone: "z", Incarnation: incarnation}})
 }
@@ -57,3 +67,9 @@
 	}
 	return coordinator.Member{}
 }
+
+// shows reports whether callers are sent to a box.
+func (w *world) shows(box string) bool {
+	m := w.member(box)
+	return m.Box != "" && !m.Silent && !m.Leaving
+}
