A box that is silent stays hidden from callers when the coordinator changes

Cause: as the failing test tells; a successor took every box of the stored map for just heard from, so silence was forgotten with the coordinator that had noticed it. The class: what was taken over is taken for fresh. Change: a member that the map shows as silent stays hidden until the new coordinator hears from it, and so does the box whose lease ran out, which has said nothing for that long. What decides about its engines is unchanged: its grants may hold for a term from the takeover. Ruled out: dating the last word of a silent box back by its silence. TestTakeoverKeepsTheTermOfASilentBox guards that.

--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -30,10 +30,14 @@
 	Reclaim bool
 	// Started is when the lease was taken; no engine changes hands within Term of it, as the last coordinator's grants may hold.
 	Started time.Time
+	// Lapsed names the box whose lease ran out, empty if it was given up or is this box's own.
+	Lapsed string
 }
 
 type member struct {
 	Member
+	// seen is when the box was last heard; of an inherited one, when this coordinator took over, as its grants may hold for a term from
+	// shortly before.
 	seen time.Time
 	// inherited says that this coordinator has only taken the box over from the map of the one before and not heard from it.
 	inherited bool
@@ -49,9 +53,14 @@
 	released string
 }
 
-// silent reports whether a member has missed its heartbeats.
+// silent reports whether a member has missed its heartbeats. One that was silent for the coordinator before stays so until this one
+// hears from it: seen, which is the takeover for it, is when its grants were last good at the latest, not when it was last there.
+// Without this a lost box is shown to callers for another SilentAfter at each change of coordinator.
 func (c *Config) silent(now time.Time, m *member) bool {
-	return c.SilentAfter > 0 && now.Sub(m.seen) > c.SilentAfter
+	if c.SilentAfter == 0 {
+		return false
+	}
+	return m.inherited && m.Silent || now.Sub(m.seen) > c.SilentAfter
 }
 
 // State is the coordinator's state. One goroutine uses it.
@@ -80,6 +89,8 @@
 func New(cfg Config, last Map) *State {
 	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, heldFor: map[string]holder{}, leaving: last.Leaving}
 	for _, m := range last.Members {
+		// A box that let its lease run out has said nothing for that long.
+		m.Silent = m.Silent || m.Box == cfg.Lapsed
 		s.members[m.Box] = &member{Member: m, seen: cfg.Started, inherited: true}
 	}
 	for _, o := range last.Owners {
--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -58,3 +58,44 @@
 		})
 	}
 }
+
+// TestLapsedCoordinatorIsHidden: a coordinator whose lease ran out has been silent for that long, and callers are not sent to it from the
+// first map of its successor on, until it is heard.
+func TestLapsedCoordinatorIsHidden(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(coordinator.Config{OrderGap: gap, Reclaim: true, SilentAfter: 3 * beat})
+	w.beat("stays", "i")
+	w.beat("lapsed", "j")
+	w.tick(0)
+	c.Assert(w.shows("lapsed"), qt.IsTrue)
+	w.cfg.Lapsed = "lapsed"
+	w.takeOver(2400 * time.Millisecond)
+	w.beat("stays", "i")
+	w.tick(0)
+	c.Check(w.shows("lapsed"), qt.IsFalse)
+	c.Check(w.shows("stays"), qt.IsTrue)
+	w.beat("lapsed", "j")
+	w.tick(beat)
+	c.Check(w.shows("lapsed"), qt.IsTrue)
+}
+
+// TestTakeoverKeepsTheTermOfASilentBox: that a box stays hidden says nothing of its grants. It may have been heard, and given a whole
+// term, after the last map was stored, so no other box may own its engine within a term of the takeover.
+func TestTakeoverKeepsTheTermOfASilentBox(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(coordinator.Config{OrderGap: gap, Reclaim: true, SilentAfter: 3 * beat})
+	w.beat("owner", "i")
+	w.tick(0)
+	c.Assert(w.owner(), qt.Equals, "owner")
+	for range 10 {
+		w.beat("other", "j")
+		w.tick(beat)
+	}
+	c.Assert(w.member("owner").Silent, qt.IsTrue)
+	w.takeOver(beat)
+	for w.now.Sub(w.cfg.Started) < term {
+		w.beat("other", "j")
+		w.tick(beat)
+		c.Check(w.owner() == "owner" || w.now.Sub(w.cfg.Started) >= term, qt.IsTrue, qt.Commentf("%q owns it %s after the takeover", w.owner(), w.now.Sub(w.cfg.Started)))
+	}
+}
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -78,9 +78,13 @@
 
 // takeLease takes the lease and continues from the cell's last map.
 func (n *Node) takeLease(ctx context.Context) (*coordinator.State, error) {
+	lapsed := n.lease.Record().Holder
 	if err := n.lease.Take(ctx); err != nil {
 		return nil, err
 	}
+	if lapsed == n.cfg.Self.Box {
+		lapsed = ""
+	}
 	last, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
 	if err != nil {
 		return nil, err
@@ -94,10 +98,10 @@
 	n.mu.Unlock()
 	epoch := n.lease.Record().Epoch
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
-	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
+	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", lapsed, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
 	return coordinator.New(coordinator.Config{
 		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
-		SilentAfter: n.cfg.Timing.SilentAfter, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim,
+		SilentAfter: n.cfg.Timing.SilentAfter, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim, Lapsed: lapsed,
 	}, last), nil
 }
 
