An engine whose entry is missing for a moment stays held for its owner; epochs grow for good

All that was known of an engine (owner, hold, epoch) was dropped at the first look without its entry. If the entry came back, as after an outage of the store, another box got the engine at once, within the term of the first; and after a takeover the epoch could be one that had been given out. Ruled out: keeping such engines out of the map; then the next coordinator does not know of the hold. An engine that is gone for good stays in the map for a term and the order gap, one more write of the map for each.

--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -51,6 +51,8 @@
 	Generation int64 `json:"generation"`
 	// Lease is the epoch of the coordinator's lease.
 	Lease uint64 `json:"lease"`
+	// Epoch is the highest that an engine of the cell has had, also one that is gone: an engine of that name may come back.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Coordinator names the box that coordinates.
 	Coordinator string      `json:"coordinator"`
 	Members     []Member    `json:"members"`
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/bellgap/bellgap/internal/placement"
 )
 
 // Config configures a State.
@@ -87,7 +85,10 @@
 
 // New returns a State that continues from the cell's last published map.
 func New(cfg Config, last Map) *State {
-	s := &State{cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{}, heldUntil: map[string]time.Time{}, heldFor: map[string]holder{}, leaving: last.Leaving}
+	s := &State{
+		cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{},
+		heldUntil: map[string]time.Time{}, heldFor: map[string]holder{}, leaving: last.Leaving, epoch: last.Epoch,
+	}
 	for _, m := range last.Members {
 		// A box that let its lease run out has said nothing for that long.
 		m.Silent = m.Silent || m.Box == cfg.Lapsed
@@ -198,12 +199,9 @@
 			s.owners[e.Name] = &Ownership{Engine: e.Name}
 		}
 	}
-	for name := range s.owners {
-		if _, declared := s.zones[name]; !declared {
-			delete(s.owners, name)
-			delete(s.freedAt, name)
-			delete(s.heldUntil, name)
-			delete(s.heldFor, name)
+	for _, o := range s.owners {
+		if _, declared := s.zones[o.Engine]; !declared {
+			s.undeclared(now, o)
 		}
 	}
 	for _, o := range s.owners {
@@ -213,6 +211,22 @@
 	s.assign(now)
 }
 
+// undeclared takes an engine whose entry is missing from its owner. An entry may come back, as after an outage of the store, and the
+// owner's grants hold for up to a term: until then the engine is held for that box, here and in the map for the next coordinator.
+func (s *State) undeclared(now time.Time, o *Ownership) {
+	if box := o.Owner; box != "" {
+		s.unown(now, o, box)
+		s.hold(o.Engine, holder{box: box}, now.Add(s.cfg.Term))
+	}
+	if now.Before(s.heldUntil[o.Engine]) {
+		return
+	}
+	delete(s.owners, o.Engine)
+	delete(s.freedAt, o.Engine)
+	delete(s.heldUntil, o.Engine)
+	delete(s.heldFor, o.Engine)
+}
+
 func (s *State) dropSilent(now time.Time) {
 	for box, m := range s.members {
 		if now.Sub(m.seen) > s.cfg.Term {
@@ -244,92 +258,6 @@
 	}
 }
 
-// assign gives engines without an owner to the live member with the best hash that is under its share; members in the engine's zone go first.
-func (s *State) assign(now time.Time) {
-	if !s.cfg.Reclaim && now.Sub(s.cfg.Started) < s.cfg.Term {
-		return
-	}
-	live := s.live()
-	if len(live) == 0 {
-		return
-	}
-	load := s.load()
-	share := s.share(len(live))
-	for _, name := range s.engineNames() {
-		o := s.owners[name]
-		if o.Owner != "" {
-			continue
-		}
-		if now.Before(s.heldUntil[name]) {
-			if h := s.heldFor[name]; s.cfg.Reclaim && slices.Contains(live, h.box) && s.members[h.box].Incarnation != h.released {
-				s.own(o, h.box)
-				load[h.box]++
-			}
-			continue
-		}
-		order := s.preferZone(s.zones[name], placement.Rank(name, live))
-		pick := order[0]
-		for _, box := range order {
-			if load[box] < share {
-				pick = box
-				break
-			}
-		}
-		load[pick]++
-		s.own(o, pick)
-	}
-}
-
-func (s *State) own(o *Ownership, box string) {
-	s.epoch++
-	o.Owner, o.Epoch = box, s.epoch
-	delete(s.heldFor, o.Engine)
-}
-
-// preferZone moves the members of a zone to the front and keeps the order otherwise.
-func (s *State) preferZone(zone string, boxes []string) []string {
-	near := make([]string, 0, len(boxes))
-	var far []string
-	for _, b := range boxes {
-		if s.members[b].Zone == zone {
-			near = append(near, b)
-		} else {
-			far = append(far, b)
-		}
-	}
-	return append(near, far...)
-}
-
-func (s *State) engineNames() []string {
-	names := make([]string, 0, len(s.owners))
-	for n := range s.owners {
-		names = append(names, n)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (s *State) live() []string {
-	var boxes []string
-	for b, m := range s.members {
-		if !m.Leaving && !slices.Contains(s.leaving, b) && !s.cfg.silent(s.now, m) {
-			boxes = append(boxes, b)
-		}
-	}
-	slices.Sort(boxes)
-	return boxes
-}
-
-func (s *State) load() map[string]int {
-	load := map[string]int{}
-	for _, o := range s.owners {
-		load[o.Owner]++
-	}
-	return load
-}
-
-func (s *State) share(boxes int) int { return (len(s.owners) + boxes - 1) / boxes }
-
 // Published says that mp is stored; from now on its owners may be told.
 func (s *State) Published(mp Map) { s.published, s.hasPublished = mp, true }
 
@@ -349,29 +277,9 @@
 	return r
 }
 
-// release picks what a member should hand over: all when it leaves, and what is above its share when boxes have joined.
-func (s *State) release(now time.Time, m *member, grants []Ownership) []string {
-	live := s.live()
-	if len(live) == 0 || now.Sub(s.cfg.Started) < s.cfg.Term {
-		return nil
-	}
-	keep := s.share(len(live))
-	leaving := m.Leaving || slices.Contains(s.leaving, m.Box)
-	if leaving && !s.cfg.Reclaim {
-		keep = 0
-	}
-	var names []string
-	for _, o := range grants[min(keep, len(grants)):] {
-		if o.Previous == "" || leaving {
-			names = append(names, o.Engine)
-		}
-	}
-	return names
-}
-
 // Map returns the map to publish, in a fixed order.
 func (s *State) Map() Map {
-	mp := Map{Cell: s.cfg.Cell, Region: s.cfg.Region, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Leaving: s.leaving}
+	mp := Map{Cell: s.cfg.Cell, Region: s.cfg.Region, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Epoch: s.epoch, Leaving: s.leaving}
 	for _, m := range s.members {
 		shown := m.Member
 		shown.Leaving = shown.Leaving || slices.Contains(s.leaving, m.Box)
