A coordinator does not take its own unanswered write for another's

A write of the lease or of the cell map that took effect without an answer, and could not be read back in the time of the duty, was met again as a conflict; the coordinator gave up, took its own lease as if it were new and went on from the stored map, forgetting who was silent and who had been heard. With boxes that cannot take their lease back it left the cell without coordinator for the lease's time. Ruled out: a fresh time limit for reading back. The store may be slow for longer than any duty; that the write is recognised later needs none. Change: the lease keeps the tokens of writes whose outcome is unknown; a conflict that cannot be read while there are such is not yet a loss (the tenure is counted from the last answered write and ends by itself); a stored map of this coordinator's own is where the next write goes on.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -52,6 +53,9 @@
 	changedAt time.Time
 	// token is that of our own last write that took effect.
 	token string
+	// unsettled holds the tokens of the last own writes of which it is not known whether they took effect. Reading one of them back shows
+	// that it did; without that a holder whose store was slow would take its own write for another box's, and give up what it holds.
+	unsettled []string
 	// validUntil is when our own tenure ends unless renewed; zero when not held.
 	validUntil time.Time
 }
@@ -59,6 +63,9 @@
 // New returns a Lease that has not been read yet.
 func New(cfg Config) *Lease { return &Lease{cfg: cfg} }
 
+// maxUnsettled bounds the writes that may still take effect late: at two or three tries a second, those of the last five seconds and more.
+const maxUnsettled = 16
+
 // Record returns the last state read or written.
 func (l *Lease) Record() Record { return l.record }
 
@@ -91,6 +98,9 @@
 		l.changedAt = time.Now()
 	}
 	l.version, l.record = o.Version, r
+	if slices.Contains(l.unsettled, r.Token) {
+		l.token = r.Token
+	}
 }
 
 // Version returns the version of the lease object as last read or written.
@@ -140,8 +150,18 @@
 	return l.write(ctx, Record{Epoch: l.record.Epoch})
 }
 
-// write puts r if nobody wrote since, and settles a lost answer by reading back.
+// write puts r if nobody wrote since, also if the lease is seen to stand as an earlier write of this box left it.
 func (l *Lease) write(ctx context.Context, r Record) error {
+	was := l.token
+	err := l.put(ctx, r)
+	if errors.Is(err, objects.ErrConflict) && l.token != was && l.Ours() {
+		return l.put(ctx, r)
+	}
+	return err
+}
+
+// put makes one conditional write and settles a lost answer by reading back.
+func (l *Lease) put(ctx context.Context, r Record) error {
 	r.Token = l.cfg.NewToken()
 	value, err := json.Marshal(r)
 	if err != nil {
@@ -153,12 +173,14 @@
 		version, err = l.settle(ctx, r.Token)
 	}
 	if errors.Is(err, objects.ErrConflict) {
-		l.validUntil = time.Time{}
-		return errors.Join(err, l.Refresh(ctx))
+		return l.conflict(ctx, err)
 	}
 	if err != nil {
+		l.unsettled = append(l.unsettled, r.Token)
+		l.unsettled = l.unsettled[max(0, len(l.unsettled)-maxUnsettled):]
 		return err
 	}
+	l.unsettled = nil
 	l.record, l.version, l.changedAt, l.token = r, version, time.Now(), r.Token
 	if r.Holder != "" {
 		l.validUntil = sentAt.Add(l.cfg.TTL)
@@ -166,6 +188,17 @@
 	return nil
 }
 
+// conflict reads who wrote instead. While that cannot be read, and it may have been an earlier write of this box, nothing is lost yet: the
+// tenure ends by itself in time, as it is counted from the last write that was answered.
+func (l *Lease) conflict(ctx context.Context, err error) error {
+	rerr := l.Refresh(ctx)
+	if rerr != nil && len(l.unsettled) > 0 {
+		return rerr
+	}
+	l.validUntil = time.Time{}
+	return errors.Join(err, rerr)
+}
+
 // settle reads the lease back and says whether the write with token took effect.
 func (l *Lease) settle(ctx context.Context, token string) (int64, error) {
 	o, err := l.cfg.API.Get(ctx, Kind, l.cfg.Name)
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -61,8 +61,10 @@
 	thawed      chan struct{}
 	cutPlatform bool
 	cutPeers    bool
-	owned       map[string]bool
-	released    []string
+	// unanswered lets the box's writes take effect without an answer, and its reads fail, as when the store is too slow for them.
+	unanswered bool
+	owned      map[string]bool
+	released   []string
 }
 
 func newCluster(t *testing.T, boxes, engines int) *cluster {
@@ -258,6 +260,18 @@
 	}
 }
 
+func (n *node) setUnanswered(on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.unanswered = on
+}
+
+func (n *node) isUnanswered() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.unanswered
+}
+
 func (n *node) platformCut() bool {
 	n.gate()
 	n.mu.Lock()
@@ -370,7 +384,7 @@
 // The methods below implement objects.API through the node's gate and cut.
 
 func (n *node) Get(ctx context.Context, kind, name string) (objects.Object, error) {
-	if n.platformCut() {
+	if n.platformCut() || n.isUnanswered() {
 		return objects.Object{}, objects.ErrUnavailable
 	}
 	o, err := n.cluster.platform.Get(ctx, kind, name)
@@ -402,6 +416,9 @@
 	v, err := n.cluster.platform.Put(ctx, kind, name, expect, value)
 	time.Sleep(n.cluster.answerTime)
 	n.gate()
+	if n.isUnanswered() && err == nil {
+		return 0, objects.ErrAnswerLost
+	}
 	return v, err
 }
 
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -184,10 +184,11 @@
 		return err
 	}
 	version, err := n.cfg.API.Put(ctx, coordinator.MapKind, n.cfg.Cell, n.mapVersion, value)
-	if errors.Is(err, objects.ErrAnswerLost) {
+	if errors.Is(err, objects.ErrAnswerLost) || errors.Is(err, objects.ErrConflict) {
 		version, err = n.settleMap(ctx, m)
 	}
 	if errors.Is(err, objects.ErrConflict) {
+		klog.InfoS("map written by another coordinator", "cell", n.cfg.Cell, "lease", m.Lease)
 		n.setTenure(nil)
 	}
 	if err != nil {
@@ -205,7 +206,9 @@
 	return nil
 }
 
-// settleMap reads the map back after a lost answer.
+// settleMap reads the map back when it is not known whether a write took effect, or when the stored map is not the one that was expected.
+// One of this coordinator's own, written before and thought lost, is where the next write goes on: only another coordinator's ends this
+// one's, as giving up means to forget who is there.
 func (n *Node) settleMap(ctx context.Context, wrote coordinator.Map) (int64, error) {
 	m, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
 	if err != nil {
@@ -214,9 +217,12 @@
 	if sameMap(m, wrote) {
 		return version, nil
 	}
-	if m.Lease != wrote.Lease {
+	if m.Lease != wrote.Lease || m.Coordinator != wrote.Coordinator {
 		return 0, objects.ErrConflict
 	}
+	// It stands in no reply yet, so that it counts as one of another lease and the next round writes.
+	m.Lease = 0
+	n.mapVersion, n.published = version, m
 	return 0, objects.ErrUnavailable
 }
 
