An old outage of the store is not taken for one that has just ended

A box that lost the store and then had its changes through the coordinator again stayed 'away' until its own next call, which may come hours later, when the coordinator falls silent; it then took the outage for just over and kept endpoints that were gone. Figures: TestOldOutageIsNotTakenForANewOne fails before (a removed endpoint goes after 2.85 s ten minutes after an outage; bound 2 s, without an outage before it is met) and passes now; internal/follow passes under the race detector. Change: hearing through another box that the store answers ends the outage. 'store regained' says through whom.

--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -78,9 +78,7 @@
 	if !s.away {
 		return
 	}
-	s.away, s.back = false, now
-	s.scope.Counter("store_regained").Inc(1)
-	klog.InfoS("store regained", "away", now.Sub(s.since))
+	s.regained(now, "own call")
 }
 
 // isAway reports whether the store has not answered since a call failed.
@@ -107,11 +105,22 @@
 	return now.Sub(s.heard)
 }
 
-// heardThrough notes that another box heard from the store at a time.
+// heardThrough notes that another box heard from the store at a time. An outage that began before ends with that: while the other box's
+// changes stand in for calls, no call of this box would end it, and the next one, much later, would take it for an outage just over.
 func (s *storeState) heardThrough(at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at.After(s.heard) {
 		s.heard = at
 	}
+	if s.away && at.After(s.since) {
+		s.regained(at, "another box")
+	}
+}
+
+// regained ends an outage. The caller holds the lock.
+func (s *storeState) regained(at time.Time, through string) {
+	s.away, s.back = false, at
+	s.scope.Counter("store_regained").Inc(1)
+	klog.InfoS("store regained", "away", at.Sub(s.since), "through", through)
 }
