The end of a grant that a former process gave ends none of the next one's

Grants are numbered by process and ended at the box's address; each process began at one. Change: the first number is drawn.

--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -39,8 +40,11 @@
 	expiry *time.Timer
 }
 
-// NewServer returns a Server.
-func NewServer(cfg ServerConfig) *Server { return &Server{cfg: cfg, held: map[uint64]*held{}} }
+// NewServer returns a Server. Its grants are numbered from anywhere: the end of a grant that a former process of this box gave may still
+// come, to the same address, and must not end a grant of this one.
+func NewServer(cfg ServerConfig) *Server {
+	return &Server{cfg: cfg, nextID: rand.Uint64(), held: map[uint64]*held{}}
+}
 
 // Register adds the paths to mux.
 func (s *Server) Register(mux *http.ServeMux) {
