An adapter is not unloaded under a run that began before it was loaded anew

Change: uses are counted by adapter, and the time for which a broken-off run may go on belongs to whatever slot the adapter has.

--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -35,7 +35,7 @@
 	sl := s.slots[t.Ref]
 	stalled := time.Duration(0)
 	if sl != nil {
-		sl.inUse++
+		s.uses[sl.ref]++
 		stalled = max(0, sl.readyAt.Sub(t.Arrived))
 	}
 	tokens := t.Prompt + t.Output
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -74,7 +74,6 @@
 type slot struct {
 	ref   resource.Ref
 	phase phase
-	inUse int
 	// busyUntil keeps the adapter loaded while a request that ended without its whole answer may still run.
 	busyUntil time.Time
 	// next is loaded once this one is unloaded.
@@ -103,6 +102,9 @@
 	// wanted counts the waiting tickets of each adapter.
 	wanted  map[resource.Ref]int
 	running map[uint64]started
+	// uses counts the running tickets of each adapter, also those that began before it was loaded anew: it may not be unloaded under
+	// them whatever became of the slot that they began on.
+	uses map[resource.Ref]int
 	// urgent counts the running tickets with an urgency.
 	urgent   int
 	rates    map[resource.Ref]rate
@@ -144,7 +146,7 @@
 		cfg.HalfLife = defaultHalfLife
 	}
 	return &State{
-		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]started{},
+		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]started{}, uses: map[resource.Ref]int{},
 		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, asked: map[resource.Ref]int{}, wanted: map[resource.Ref]int{}, loadTime: defaultLoadTime, runTime: defaultRunTime,
 		blind: cfg.AwaitReport, lately: lately{most: latelyPerSlot * cfg.Slots},
 		reading: newReading(cfg.PrefillRate, cfg.KVTokens, cfg.Policy),
@@ -203,7 +205,7 @@
 // Lost says that the engine does not hold refs; those in use are left to the requests' own ends.
 func (s *State) Lost(now time.Time, refs []resource.Ref) []Action {
 	for _, ref := range refs {
-		if sl := s.slots[ref]; sl != nil && sl.phase == loaded && sl.inUse == 0 {
+		if sl := s.slots[ref]; sl != nil && sl.phase == loaded && s.uses[ref] == 0 {
 			delete(s.slots, ref)
 		}
 	}
@@ -248,10 +250,12 @@
 	if sl == nil {
 		return s.flush(now)
 	}
-	sl.inUse--
+	if s.uses[sl.ref]--; s.uses[sl.ref] == 0 {
+		delete(s.uses, sl.ref)
+	}
 	switch end {
 	case EndBroken:
-		sl.busyUntil = now.Add(brokenLinger)
+		s.linger(now, sl.ref)
 	case EndNotLoaded:
 		if sl.phase == loaded && s.slots[sl.ref] == sl {
 			delete(s.slots, sl.ref)
@@ -261,6 +265,13 @@
 	return s.flush(now)
 }
 
+// linger keeps an adapter loaded while a request that ended without its whole answer may still run on it.
+func (s *State) linger(now time.Time, ref resource.Ref) {
+	if sl := s.slots[ref]; sl != nil && sl.busyUntil.Before(now.Add(brokenLinger)) {
+		sl.busyUntil = now.Add(brokenLinger)
+	}
+}
+
 // Stop refuses all that waits and takes nothing more, before the engine is handed over.
 func (s *State) Stop(now time.Time) []Action {
 	s.stopped = true
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -80,7 +80,7 @@
 		switch {
 		case s.evictable(now, sl):
 			free++
-		case sl.inUse > 0:
+		case s.uses[sl.ref] > 0:
 			inUse++
 		}
 	}
