A box that is lost just before the coordinator is hidden within 5.6 s

A box that falls silent less than 1.2 s before its coordinator is lost is noticed by nobody: the successor has to notice it anew, and everything that led there took its time: the lease's wait began only at the first look after a missed heartbeat (what replies said of its version was not believed unless it had been read), the looks lay up to 1.1 s apart, boxes learned of the new coordinator by looking once a second, and it waited another 1.2 s and a heartbeat for each of them. Change: a reply of the lease's holder counts as a look at the lease, as was meant; a box whose turn to take the lease comes keeps to it; a map that names a newer coordinator, or a look that finds one, leads to a heartbeat at once; the successor hides who is unheard after two heartbeats. Ruled out: hiding all that a successor has not heard from its first map on, which sends all callers to one box. Two losses of a coordinator within a second of each other can still add up to more.

--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -18,6 +18,9 @@
 	Term time.Duration
 	// SilentAfter is how long a box may say nothing before it is shown as silent; zero never shows it.
 	SilentAfter time.Duration
+	// UnheardAfter is the same for a box of the map that was taken over, which has said nothing to this coordinator yet and may have
+	// fallen silent before; zero stands for SilentAfter.
+	UnheardAfter time.Duration
 	// Drain is how long, after its term, a silent box may still have requests in flight: serve-on time and longest request.
 	Drain time.Duration
 	// OrderGap is the least time between the last order of one owner and the first of the next, for engines that check no
@@ -55,10 +58,14 @@
 // hears from it: seen, which is the takeover for it, is when its grants were last good at the latest, not when it was last there.
 // Without this a lost box is shown to callers for another SilentAfter at each change of coordinator.
 func (c *Config) silent(now time.Time, m *member) bool {
-	if c.SilentAfter == 0 {
+	switch {
+	case c.SilentAfter == 0:
 		return false
+	case m.inherited:
+		return m.Silent || now.Sub(m.seen) > cmp.Or(c.UnheardAfter, c.SilentAfter)
+	default:
+		return now.Sub(m.seen) > c.SilentAfter
 	}
-	return m.inherited && m.Silent || now.Sub(m.seen) > c.SilentAfter
 }
 
 // State is the coordinator's state. One goroutine uses it.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -106,25 +106,32 @@
 // Version returns the version of the lease object as last read or written.
 func (l *Lease) Version() int64 { return l.version }
 
-// Observe notes at now that the holder itself named version as the newest.
-func (l *Lease) Observe(now time.Time, version int64) {
-	if version == l.version {
-		l.changedAt = now
+// Observe notes at now that the holder of an epoch itself named version as the newest. That is as good as having read the lease, as long
+// as it is the holder of the record; without it the wait for a free lease would only begin at the first heartbeat that is not answered.
+func (l *Lease) Observe(now time.Time, epoch uint64, version int64) {
+	if epoch == l.record.Epoch && version >= l.version {
+		l.version, l.changedAt = version, now
 	}
 }
 
 // Free reports whether the lease may be taken: it was given up, never existed, or stood unchanged for TTL and grace.
 func (l *Lease) Free(now time.Time, grace time.Duration) bool {
-	if l.changedAt.IsZero() {
-		return false
-	}
-	if l.cfg.Reclaim && l.record.Holder == l.cfg.Holder {
-		return true
-	}
-	if l.record.Holder == "" {
-		return now.Sub(l.changedAt) >= grace
+	at, known := l.FreeAt(grace)
+	return known && !now.Before(at)
+}
+
+// FreeAt returns from when on the lease may be taken if nobody writes it; it is not known before the lease has been read.
+func (l *Lease) FreeAt(grace time.Duration) (time.Time, bool) {
+	switch {
+	case l.changedAt.IsZero():
+		return time.Time{}, false
+	case l.cfg.Reclaim && l.record.Holder == l.cfg.Holder:
+		return l.changedAt, true
+	case l.record.Holder == "":
+		return l.changedAt.Add(grace), true
+	default:
+		return l.changedAt.Add(l.cfg.TTL + grace), true
 	}
-	return now.Sub(l.changedAt) >= l.cfg.TTL+grace
 }
 
 // Take writes this box as the holder with the next epoch. Only call it when Free or when this box is the recorded holder.
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -37,6 +37,10 @@
 func (n *Node) beat(ctx context.Context) error {
 	ctx, cancel := n.limit(ctx)
 	defer cancel()
+	if at, ok := n.turn(); ok {
+		ctx, cancel = context.WithDeadline(ctx, at)
+		defer cancel()
+	}
 	b, address := n.nextBeat()
 	if address == "" {
 		return errors.New("member: no coordinator known")
@@ -97,6 +101,6 @@
 	}
 	n.grants = grants
 	n.mu.Unlock()
-	n.lease.Observe(now, r.LeaseVersion)
+	n.lease.Observe(now, r.Lease, r.LeaseVersion)
 	n.cfg.Holder.Update(r.Grants, r.Release)
 }
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -44,6 +44,7 @@
 	beats    int
 	// answerTime is what the platform takes to answer a Get or Put.
 	answerTime time.Duration
+	timing     member.Timing
 }
 
 // node is one box: membership, catalog and feed, with faults at its interfaces.
@@ -71,9 +72,21 @@
 	return newSlowCluster(t, boxes, engines, 0)
 }
 
+// routedTiming holds the periods of boxes that serve routes, as they are deployed.
+func routedTiming() member.Timing {
+	return member.Timing{
+		Beat: 400 * time.Millisecond, LeaseTTL: 2 * time.Second, Term: 7 * time.Second, Drain: time.Minute, SilentAfter: 1200 * time.Millisecond,
+		OrderGap: 3200 * time.Millisecond, Reclaim: true,
+	}
+}
+
 // newSlowCluster returns a cluster whose platform takes a time to answer.
 func newSlowCluster(t *testing.T, boxes, engines int, answerTime time.Duration) *cluster {
-	cl := &cluster{c: qt.New(t), platform: fakeplatform.New(), nodes: map[string]*node{}, answerTime: answerTime}
+	return newTimedCluster(t, boxes, engines, answerTime, member.DefaultTiming())
+}
+
+func newTimedCluster(t *testing.T, boxes, engines int, answerTime time.Duration, timing member.Timing) *cluster {
+	cl := &cluster{c: qt.New(t), platform: fakeplatform.New(), nodes: map[string]*node{}, answerTime: answerTime, timing: timing}
 	for i := range engines {
 		cl.declareEngine(fmt.Sprintf("engine-%03d", i))
 	}
@@ -101,7 +114,7 @@
 	n.address = peer.String()
 	tokens := 0
 	n.Node = member.New(member.Config{
-		Cell: cell, API: n, Peers: n, Catalog: n.catalog, Holder: n, Timing: member.DefaultTiming(), Scope: tally.NoopScope,
+		Cell: cell, API: n, Peers: n, Catalog: n.catalog, Holder: n, Timing: cl.timing, Scope: tally.NoopScope,
 		Self: coordinator.Member{Box: name, Zone: zone, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Caller: peer, Peer: peer},
 		NewToken: func() string {
 			tokens++
@@ -286,7 +299,7 @@
 }
 
 func (n *node) pick() feed.Source {
-	if address, ok := n.CoordinatorAddress(); ok {
+	if address, ok := n.CoordinatorAddress(); ok && !n.cluster.timing.Reclaim {
 		return source{n, address}
 	}
 	return n
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -21,6 +21,9 @@
 	ctx, cancel := n.limit(ctx)
 	defer cancel()
 	n.lastSeek = time.Now()
+	if m, _, ok := n.cfg.Catalog.Map(n.cfg.Cell); ok {
+		n.soughtFor = m.Lease
+	}
 	if err := n.lease.Refresh(ctx); err != nil {
 		n.cfg.Scope.Counter("lease_read_failures").Inc(1)
 		return
@@ -55,7 +58,7 @@
 	record := n.lease.Record()
 	var names []string
 	for _, b := range m.Members {
-		if b.Box != record.Holder && !b.Leaving {
+		if b.Box != record.Holder && !b.Leaving && !b.Silent {
 			names = append(names, b.Box)
 		}
 	}
@@ -90,6 +93,8 @@
 		return nil, err
 	}
 	n.mapVersion, n.published = version, last
+	unheardAfter := unheardBeats * n.cfg.Timing.Beat
+	n.unheardUntil = time.Now().Add(unheardAfter + time.Millisecond)
 	n.mu.Lock()
 	n.maps, n.mapStored = nil, version
 	if last.Generation > 0 {
@@ -101,7 +106,7 @@
 	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", lapsed, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
 	return coordinator.New(coordinator.Config{
 		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
-		SilentAfter: n.cfg.Timing.SilentAfter, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim, Lapsed: lapsed,
+		SilentAfter: n.cfg.Timing.SilentAfter, UnheardAfter: unheardAfter, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim, Lapsed: lapsed,
 	}, last), nil
 }
 
--- /dev/null
+++ b/internal/member/lost_test.go
@@ -0,0 +1,104 @@
+package member_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// namedFor is the longest that callers may be sent to a lost box by the cell maps of the others: the box may go unnoticed for 1.2 s before
+// the coordinator is lost, the next looks at the lease 1.1 s later (a heartbeat and its time limit), takes it when it has stood for 2 s,
+// 0.4 s later if the lost box would have gone first, and hides what it has not heard 0.8 s after that; 0.1 s for calls and for this look.
+const namedFor = 5600 * time.Millisecond
+
+// TestLostBoxIsNotNamedForLong: a box is lost, and the coordinator before or after it, so that nobody may have noticed the silence of the
+// box yet. Callers are not sent to either for long, and to all who are there all the time.
+func TestLostBoxIsNotNamedForLong(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// boxFirst is how long after the box the coordinator is lost, coordinatorFirst the other way round.
+		boxFirst, coordinatorFirst time.Duration
+	}{
+		{"both at once", 0, 0},
+		{"the coordinator 0.4 s later", 400 * time.Millisecond, 0},
+		{"the coordinator 0.8 s later", 800 * time.Millisecond, 0},
+		{"the coordinator 1.2 s later", 1200 * time.Millisecond, 0},
+		{"the coordinator 2 s later", 2 * time.Second, 0},
+		{"the box 0.4 s later", 0, 400 * time.Millisecond},
+		{"the box 1.6 s later", 0, 1600 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range 4 {
+				synctest.Test(t, func(t *testing.T) {
+					cl := newTimedCluster(t, 6, 6, 4*time.Millisecond, routedTiming())
+					defer cl.end()
+					cl.settle()
+					cl.run(20*time.Second + time.Duration(seed)*137*time.Millisecond)
+					lost := cl.lose(tt.boxFirst, tt.coordinatorFirst)
+					named, hidden := cl.watchNamed(lost, 12*time.Second)
+					for _, box := range lost {
+						c.Check(named[box.name] <= namedFor, qt.IsTrue, qt.Commentf("seed %d: %s is named for %s", seed, box.name, named[box.name]))
+					}
+					c.Check(hidden, qt.Equals, 0, qt.Commentf("seed %d: boxes that are there are hidden", seed))
+				})
+			}
+		})
+	}
+}
+
+// lostBox is a box without power.
+type lostBox struct {
+	name string
+	at   time.Time
+}
+
+// lose takes the power from a box and from the coordinator, one a time after the other.
+func (cl *cluster) lose(boxFirst, coordinatorFirst time.Duration) []lostBox {
+	first, second := (*node)(nil), cl.coordinator()
+	for _, n := range cl.list() {
+		if n != second {
+			first = n
+		}
+	}
+	if coordinatorFirst > 0 {
+		first, second = second, first
+	}
+	lost := []lostBox{{first.name, time.Now()}}
+	first.freeze()
+	time.Sleep(max(boxFirst, coordinatorFirst))
+	second.freeze()
+	return append(lost, lostBox{second.name, time.Now()})
+}
+
+// watchNamed looks for a time at what the others' maps show, and returns how long after its loss a box was still shown and how often a
+// box that is there was not.
+func (cl *cluster) watchNamed(lost []lostBox, d time.Duration) (named map[string]time.Duration, hidden int) {
+	const every = 50 * time.Millisecond
+	at := map[string]time.Time{}
+	for _, b := range lost {
+		at[b.name] = b.at
+	}
+	named = map[string]time.Duration{}
+	for waited := time.Duration(0); waited < d; waited += every {
+		time.Sleep(every)
+		for _, n := range cl.list() {
+			if _, gone := at[n.name]; gone {
+				continue
+			}
+			m, _, _ := n.catalog.Map(cell)
+			for _, b := range m.Members {
+				since, gone := at[b.Box]
+				switch {
+				case gone && !b.Silent:
+					named[b.Box] = time.Since(since)
+				case !gone && b.Silent:
+					hidden++
+				}
+			}
+		}
+	}
+	return named, hidden
+}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -84,6 +84,10 @@
 	renewBelow = 0.7
 	// missedBeats is how many heartbeats may go unanswered before the coordinator counts as out of reach.
 	missedBeats = 3
+	// unheardBeats is how many heartbeats after a takeover a box may go unheard before callers are not sent to it. All boxes are told of
+	// the takeover by the map, so that they answer within one; the box may have been lost seconds before the coordinator that had not
+	// noticed it yet.
+	unheardBeats = 2
 )
 
 type grant struct {
@@ -104,6 +108,13 @@
 	published  coordinator.Map
 	lastSeek   time.Time
 	lastBoxes  time.Time
+	// missed says that the last heartbeat was not answered, beatTo under which epoch of the lease it was sent.
+	missed bool
+	beatTo uint64
+	// soughtFor is the epoch of the newest lease for which the lease has been read because a map named it.
+	soughtFor uint64
+	// unheardUntil is when, after a takeover, boxes that have not been heard are to be shown as silent.
+	unheardUntil time.Time
 
 	mu sync.Mutex
 	// state is set while this box coordinates.
@@ -254,10 +265,20 @@
 // rest waits for the next round, which comes early when a new map gives this box an engine that it has no grant for.
 func (n *Node) rest(ctx context.Context) {
 	jitter := time.Duration(rand.Int64N(int64(n.cfg.Timing.Beat/10) + 1))
-	next := time.NewTimer(n.cfg.Timing.Beat - jitter)
+	pause := n.cfg.Timing.Beat - jitter
+	if at, ok := n.turn(); ok {
+		pause = min(pause, time.Until(at))
+	}
+	if left := time.Until(n.unheardUntil); left > 0 && n.coordinating() != nil {
+		pause = min(pause, left)
+	}
+	next := time.NewTimer(pause)
 	defer next.Stop()
 	for {
 		changed := n.cfg.Catalog.Changed()
+		if n.supplanted() || n.found() {
+			return
+		}
 		if n.awaitsGrant() {
 			early := time.NewTimer(n.cfg.Timing.Beat / earlyBeat)
 			defer early.Stop()
@@ -296,7 +317,12 @@
 	if state := n.coordinating(); state != nil {
 		n.coordinate(ctx, state)
 	}
+	if n.supplanted() {
+		n.seekLease(ctx)
+	}
+	n.beatTo = n.lease.Record().Epoch
 	err := n.beat(ctx)
+	n.missed = err != nil
 	if err != nil {
 		n.cfg.Scope.Counter("beat_failures").Inc(1)
 		klog.V(1).InfoS("heartbeat failed", "cell", n.cfg.Cell, "err", err)
@@ -315,6 +341,26 @@
 	return n.cfg.Timing.LeaseTTL / seekShare
 }
 
+// turn returns when this box may take the lease of a coordinator that does not answer, if it is one of those that go first and that
+// time is still to come. It is kept to: a heartbeat that hangs and the pause after it would add up to a second to every takeover.
+func (n *Node) turn() (time.Time, bool) {
+	if !n.missed || n.rank() >= maxCandidates {
+		return time.Time{}, false
+	}
+	at, known := n.lease.FreeAt(n.grace())
+	return at, known && time.Now().Before(at)
+}
+
+// supplanted reports whether the cell map names a newer coordinator than this box knows, and the lease has not been read since:
+// heartbeats to the one before would only time out, and the new one takes boxes that it does not hear for lost.
+func (n *Node) supplanted() bool {
+	m, _, ok := n.cfg.Catalog.Map(n.cfg.Cell)
+	return ok && m.Lease > max(n.soughtFor, n.lease.Record().Epoch)
+}
+
+// found reports whether the lease has been seen to have another holder since a heartbeat was missed.
+func (n *Node) found() bool { return n.missed && n.lease.Record().Epoch != n.beatTo }
+
 func (n *Node) coordinating() *coordinator.State {
 	n.mu.Lock()
 	defer n.mu.Unlock()
