A coordinator that the store turns away is replaced when its lease has stood for its time

Change: a box whose turn it is looks at the lease when it may be free, also while the coordinator answers but cannot renew it.

--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -327,11 +327,26 @@
 		n.cfg.Scope.Counter("beat_failures").Inc(1)
 		klog.V(1).InfoS("heartbeat failed", "cell", n.cfg.Cell, "err", err)
 	}
-	if (err != nil && time.Since(n.lastSeek) >= n.seekPause()) || (n.isFrozen() && time.Since(n.lastSeek) >= n.cfg.Timing.LeaseTTL) {
+	if n.seekIsDue(time.Now(), err) {
 		n.seekLease(ctx)
 	}
 }
 
+// seekIsDue reports whether it is time to look at the lease: when the coordinator does not answer, when it cannot renew its lease, and
+// in either case when this box's turn has come to take it.
+func (n *Node) seekIsDue(now time.Time, missed error) bool {
+	switch since := now.Sub(n.lastSeek); {
+	case missed != nil && since >= n.seekPause():
+		return true
+	case n.isFrozen() && since >= n.cfg.Timing.LeaseTTL:
+		return true
+	case missed == nil && !n.isFrozen():
+		return false
+	}
+	at, known := n.lease.FreeAt(n.grace())
+	return known && n.rank() < maxCandidates && n.lastSeek.Before(at) && !now.Before(at)
+}
+
 // seekPause returns how long this box waits between two looks at the lease of a coordinator that does not answer: not at all if it
 // is one of those that would take it first, else long enough for one of them to have it, as every look is paid for.
 func (n *Node) seekPause() time.Duration {
@@ -341,10 +356,11 @@
 	return n.cfg.Timing.LeaseTTL / seekShare
 }
 
-// turn returns when this box may take the lease of a coordinator that does not answer, if it is one of those that go first and that
-// time is still to come. It is kept to: a heartbeat that hangs and the pause after it would add up to a second to every takeover.
+// turn returns when this box may take the lease of a coordinator that does not answer or cannot renew it, if it is one of those that go
+// first and that time is still to come. It is kept to: a heartbeat that hangs and the pause after it would add up to a second to every
+// takeover, and a coordinator that the store turns away would keep its cell for two times of the lease.
 func (n *Node) turn() (time.Time, bool) {
-	if !n.missed || n.rank() >= maxCandidates {
+	if (!n.missed && !n.isFrozen()) || n.rank() >= maxCandidates {
 		return time.Time{}, false
 	}
 	at, known := n.lease.FreeAt(n.grace())
