--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -61,9 +61,17 @@
 }
 
 func newSide(s *store) *side {
-	x := &side{source: &counted{store: s}, catalog: catalog.New()}
+	source := &counted{store: s}
+	x := newSideOf(source)
+	x.source = source
+	return x
+}
+
+// newSideOf returns a side with another source.
+func newSideOf(source follow.Source) *side {
+	x := &side{catalog: catalog.New()}
 	x.Follower = follow.New(follow.Config{
-		Source: x.source, Catalog: x.catalog, Scope: tally.NoopScope, Grace: grace, RelayFor: relayFor, Kinds: []follow.Kind{
+		Source: source, Catalog: x.catalog, Scope: tally.NoopScope, Grace: grace, RelayFor: relayFor, Kinds: []follow.Kind{
 			{Name: string(resource.KindRouting), Wait: 6 * time.Second, Relayed: true},
 			{Name: string(resource.KindEndpoint), Pace: pace, Wait: 700 * time.Millisecond, Lapses: true, Relayed: true, With: []string{string(resource.KindHolding)}},
 		},
