follow: large changes are fetched from the store, not passed on to every box

Cause: a change was passed on whole to every box whatever its size, and each box asked for the whole list of endpoints whenever its heartbeats came back. On a coordinator with a link of 10 Mbit/s neither fits into the time of a heartbeat; the answers that nobody waits for any more still fill the link, the boxes ask again, and the coordinator's own calls of the store wait behind them: it loses its lease, and its own configuration stays old. A box now passes on changes of up to 4 KB always, larger ones at 128 KB a second over all boxes; a box that was not told all is told that the store's word is old, so that it asks the store itself, which boxes of before understand too. The whole list is asked for only by a box that keeps what the store no longer has. TestChangesArePassedOnWhole asked once at its end for all that was missing; it asks until the box is said to know all now, and checks as before that it has been told all of it. Conclusion: mended for what is relayed by kind; a whole cell map, sent to a box that has missed 16 of them, is not bounded yet.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -37,6 +37,8 @@
 	changed int64
 	// listing is the number of the last list that held the object.
 	listing int64
+	// size is about how many bytes the object takes in a message.
+	size int
 	// value is a resource.Spec or a *coordinator.Map.
 	value any
 }
@@ -174,7 +176,7 @@
 		c.entries[k.kind][k.name] = have
 		return
 	}
-	c.add(k, entry{version: o.Version, changed: o.Version, generation: generation, listing: c.listings, value: v})
+	c.add(k, entry{version: o.Version, changed: o.Version, generation: generation, listing: c.listings, size: sizeOf(o), value: v})
 }
 
 // add sets an entry and notes a version of an adapter that was not known.
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -94,7 +94,7 @@
 	}
 	c.remove(k, 0)
 	delete(c.deleted, k)
-	c.add(k, entry{generation: generation, listing: c.listings, value: v})
+	c.add(k, entry{generation: generation, listing: c.listings, size: sizeOf(o), value: v})
 }
 
 // GenerationOf returns the generation of a stored object, zero if it has none.
@@ -158,3 +158,26 @@
 	}
 	return changed, complete
 }
+
+// objectFrame is about how many bytes an object takes in a message besides its name and value.
+const objectFrame = 64
+
+func sizeOf(o objects.Object) int { return objectFrame + len(o.Kind) + len(o.Name) + len(o.Value) }
+
+// KindSize returns about how many bytes what KindSince returns takes in a message, without encoding it.
+func (c *Catalog) KindSize(kind string, from int64) int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	complete, size := from > 0 && from >= c.floor, 0
+	for _, e := range c.entries[kind] {
+		if !complete || e.changed > from {
+			size += e.size
+		}
+	}
+	for k, t := range c.deleted {
+		if complete && k.kind == kind && t.version > from {
+			size += objectFrame + len(kind) + len(k.name)
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/internal/catalog/size_test.go
@@ -0,0 +1,57 @@
+package catalog_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/objects"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// TestKindSize compares the size told with what the changes take in a message.
+func TestKindSize(t *testing.T) {
+	c := qt.New(t)
+	kind := string(resource.KindEndpoint)
+	cat := catalog.New()
+	for i := range int64(100) {
+		name := fmt.Sprint("endpoint-", i)
+		value, err := json.Marshal(resource.Resource{Kind: resource.KindEndpoint, Name: name, Generation: i + 1, Spec: &resource.Endpoint{
+			Service: "summaries", Zone: "a", Slots: 8, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+		}})
+		c.Assert(err, qt.IsNil)
+		cat.Apply(objects.Changes{Revision: i + 1, Objects: []objects.Object{{Kind: kind, Name: name, Version: i + 1, Value: value}}})
+	}
+	for i := range int64(10) {
+		cat.Apply(objects.Changes{Revision: 101 + i, Objects: []objects.Object{
+			{Kind: kind, Name: fmt.Sprint("endpoint-", i), Version: 101 + i, Deleted: true},
+		}})
+	}
+	for _, test := range []struct {
+		name string
+		from int64
+		none bool
+	}{
+		{name: "all", from: 0},
+		{name: "some", from: 50},
+		{name: "deletions", from: 100},
+		{name: "none", from: 110, none: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			changed, _ := cat.KindSince(kind, test.from)
+			message, err := json.Marshal(changed)
+			c.Assert(err, qt.IsNil)
+			size := cat.KindSize(kind, test.from)
+			if test.none {
+				c.Check(size, qt.Equals, 0)
+				return
+			}
+			c.Check(size > len(message)*3/4 && size < len(message)*5/4, qt.IsTrue, qt.Commentf("%d told, %d sent", size, len(message)))
+		})
+	}
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -94,6 +94,10 @@
 	relayed time.Time
 	// late holds the deletions that were taken in later than the store made them.
 	late []lateDeletion
+	// held holds the kinds of which objects are kept that the store no longer has.
+	held map[string]bool
+	// told bounds what other boxes are told.
+	told allowance
 }
 
 // New returns a Follower; its Serve has to run.
@@ -101,7 +105,7 @@
 	return &Follower{
 		probes: slices.ContainsFunc(cfg.Kinds, func(k Kind) bool { return k.Probes }),
 		cfg:    cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
-		known: map[string]int64{}, whole: map[string]bool{},
+		known: map[string]int64{}, whole: map[string]bool{}, held: map[string]bool{},
 	}
 }
 
@@ -270,6 +274,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known[k.Name] = k.revision
+	f.held[k.Name] = len(k.missing) > 0
 	f.late = noteLate(f.late, k, ch, time.Now())
 }
 
--- a/internal/follow/narrow_test.go
+++ b/internal/follow/narrow_test.go
@@ -201,3 +201,17 @@
 		c.Check(n.lost.Load(), qt.Equals, int64(0))
 	})
 }
+
+// TestLargeConfigurationReachesABoxCutFromTheStore: what most boxes fetch from the store themselves is told to one that cannot.
+func TestLargeConfigurationReachesABoxCutFromTheStore(t *testing.T) {
+	inNarrowCell(t, 66, 20, func(c *qt.C, n *narrowCell) {
+		cut := n.boxes[len(n.boxes)-1]
+		cut.source.cut.Store(true)
+		for i := range 3 {
+			v := int64(i + 2)
+			n.store.put(c, resource.KindRouting, catalog.RoutingName, large(v, 1400))
+			time.Sleep(6 * time.Second)
+			c.Check(n.behind(v), qt.Equals, 0, qt.Commentf("version %d", v))
+		}
+	})
+}
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -76,19 +76,72 @@
 	return out
 }
 
+const (
+	// smallChange is the size of changes that every box is told of at once.
+	smallChange = 4 << 10
+	// tellRate is how many bytes of larger changes are passed on in a second, over all boxes: a tenth of what a link of 10 Mbit/s
+	// carries. A configuration of 1,400 routes is 280 KB; to tell 66 boxes of it took such a link 15 seconds, in which no heartbeat
+	// was answered in time and no call of the teller's own came through.
+	tellRate = 128 << 10
+	// untold is the age of the store's last answer as told to a box that is to ask the store itself.
+	untold = relayAge + time.Second
+)
+
+// allowance is what may be passed on of large changes.
+type allowance struct {
+	// owed is how many bytes have been passed on beyond what the time up to at allows.
+	owed float64
+	at   time.Time
+}
+
+// take reports whether changes of a size may be passed on now. One that is larger than all that a second allows may pass too, and the
+// next has to wait for as long as it is worth.
+func (a *allowance) take(now time.Time, size int) bool {
+	if size <= smallChange {
+		return true
+	}
+	a.owed, a.at = max(0, a.owed-now.Sub(a.at).Seconds()*tellRate), now
+	if a.owed >= tellRate {
+		return false
+	}
+	a.owed += float64(size)
+	return true
+}
+
+// mayTell reports whether changes of a size may be passed on now.
+func (f *Follower) mayTell(size int) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told.take(time.Now(), size)
+}
+
 // Since returns what is known here beyond known, for another box, and the time since the store last answered. Kinds that this box
-// has through another one itself are not passed on.
+// has through another one itself are not passed on, nor is more in a second than a link carries with ease: a box that could not be
+// told all is to ask the store itself. One that cannot is told a little later.
 func (f *Follower) Since(known map[string]int64) ([]objects.KindChanges, time.Duration) {
 	if f.isRelayed(time.Now()) {
-		return nil, relayAge + time.Second
+		return nil, untold
 	}
 	var out []objects.KindChanges
+	age := f.StoreAge()
 	for _, k := range f.cfg.Kinds {
+		if !f.mayTell(f.sizeSince(k, known[k.Name])) {
+			age = max(age, untold)
+			continue
+		}
 		if ch, ok := f.kindSince(k, known[k.Name]); ok {
 			out = append(out, ch)
 		}
 	}
-	return out, f.StoreAge()
+	return out, age
+}
+
+// sizeSince returns about how large what kindSince returns is.
+func (f *Follower) sizeSince(k Kind, known int64) int {
+	if !k.Relayed || f.revision(k.Name) <= known {
+		return 0
+	}
+	return f.cfg.Catalog.KindSize(k.Name, known)
 }
 
 // kindSince returns what is known of a kind beyond a revision.
@@ -131,13 +184,13 @@
 	}
 }
 
-// askWhole makes the next heartbeats ask for all of the kinds that lapse: what this box has kept through an outage of its own the
-// other may have given up long ago.
+// askWhole makes the next heartbeats ask for all of the kinds of which this box keeps what the store no longer has: what it has kept
+// through an outage of its own the other may have given up long ago.
 func (f *Follower) askWhole() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, k := range f.cfg.Kinds {
-		f.whole[k.Name] = k.Lapses
+		f.whole[k.Name] = f.held[k.Name]
 	}
 }
 
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -203,7 +203,11 @@
 	}
 	close(stop)
 	c.Assert(asking.Wait(), qt.IsNil)
-	to.Take(from.Since(to.Known()))
+	// What is passed on in a second is bounded.
+	for to.Known()[string(resource.KindEndpoint)] < s.newest() {
+		to.Take(from.Since(to.Known()))
+		time.Sleep(time.Millisecond)
+	}
 	c.Check(len(told.Names(string(resource.KindEndpoint))), qt.Equals, changes)
 	cancel()
 	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
