follow: a test of a box that tells others while one kind no longer reaches it, red

Cause: the age of the store's word that goes with heartbeats is that of any kind's last answer. A coordinator whose watch of the configuration fails, while its looks at the endpoints come through, goes on to tell all boxes that its word is fresh; they make no calls, and stay at the old configuration.

--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -28,12 +28,16 @@
 	*store
 	calls atomic.Int64
 	cut   atomic.Bool
+	// cutFrom is a kind of which no answer comes through.
+	cutFrom atomic.Value
 }
 
+func (s *counted) isCut(kind string) bool { return s.cut.Load() || s.cutFrom.Load() == kind }
+
 // List implements follow.Source.
 func (s *counted) List(ctx context.Context, kinds []string, after string) (objects.Changes, error) {
 	s.calls.Add(1)
-	if s.cut.Load() {
+	if s.isCut(kinds[0]) {
 		return objects.Changes{}, objects.ErrUnavailable
 	}
 	ch, err := s.store.List(ctx, kinds, after)
@@ -47,7 +51,7 @@
 func (s *counted) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
 	s.calls.Add(1)
 	ch, err := s.store.Watch(ctx, kinds, from, wait)
-	if s.cut.Load() {
+	if s.isCut(kinds[0]) {
 		return objects.Changes{}, objects.ErrUnavailable
 	}
 	return ch, err
@@ -149,6 +153,28 @@
 	})
 }
 
+// TestKindThatTheRelayCannotReadIsReplacedByCalls keeps the answers of one kind from the relaying box, as when they are too large for its
+// link at the time; all others reach it, and its heartbeats go on.
+func TestKindThatTheRelayCannotReadIsReplacedByCalls(t *testing.T) {
+	for _, kind := range []resource.Kind{resource.KindRouting, resource.KindEndpoint} {
+		t.Run(string(kind), func(t *testing.T) {
+			relayed(t, func(c *qt.C, s *store, from, to *side, _ *atomic.Bool) {
+				from.source.cutFrom.Store(string(kind))
+				s.remove("e1")
+				s.put(c, resource.KindRouting, catalog.RoutingName, routing(2))
+				time.Sleep(2 * time.Second)
+				c.Check(endpoints(to.catalog), qt.Equals, 2)
+				c.Check(version(to.catalog), qt.Equals, int64(2))
+				from.source.cutFrom.Store("")
+				time.Sleep(4 * time.Second)
+				before := to.source.calls.Load()
+				time.Sleep(4 * time.Second)
+				c.Check(to.source.calls.Load(), qt.Equals, before)
+			})
+		})
+	}
+}
+
 // asCatalog returns what a box should know of the store now.
 func (s *store) asCatalog(c *qt.C) *catalog.Catalog {
 	cat := catalog.New()
