follow: a box tells others how old the store's word is of the kind that it has the oldest of

A relayed kind whose last call failed now counts with the time since its own last answer; calls that wait for a change still count as answered, so nothing changes while all calls come through. Ruled out: a bound on silent waits alone: a watch of the configuration waits 1.5 s and may be held up 0.5 s more, and a bound short of that would send all boxes to the store whenever one answer is late.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -96,6 +96,9 @@
 	late []lateDeletion
 	// held holds the kinds of which objects are kept that the store no longer has.
 	held map[string]bool
+	// answered holds when the store last answered for a kind, failing the kinds whose last call failed.
+	answered map[string]time.Time
+	failing  map[string]bool
 	// told bounds what other boxes are told.
 	told allowance
 }
@@ -105,7 +108,8 @@
 	return &Follower{
 		probes: slices.ContainsFunc(cfg.Kinds, func(k Kind) bool { return k.Probes }),
 		cfg:    cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
-		known: map[string]int64{}, whole: map[string]bool{}, held: map[string]bool{},
+		known: map[string]int64{}, whole: map[string]bool{}, held: map[string]bool{}, answered: map[string]time.Time{},
+		failing: map[string]bool{},
 	}
 }
 
@@ -157,6 +161,7 @@
 		began := time.Now()
 		err := f.step(ctx, k)
 		pause := k.Pace - time.Since(began)
+		f.noteCall(k.Name, err)
 		switch {
 		case err == nil:
 			backoff = minBackoff
@@ -183,6 +188,18 @@
 	}
 }
 
+// noteCall notes how a call for a kind ended. One that was given up for another's sake says nothing.
+func (f *Follower) noteCall(kind string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case err == nil:
+		f.answered[kind], f.failing[kind] = time.Now(), false
+	case !errors.Is(err, errWoken):
+		f.failing[kind] = true
+	}
+}
+
 // resume goes on with calls after another box's changes have stood in for them. What that box has told up to a revision need not be
 // listed again.
 func (f *Follower) resume(k *kindState) {
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -123,7 +123,7 @@
 		return nil, untold
 	}
 	var out []objects.KindChanges
-	age := f.StoreAge()
+	age := f.tellAge(time.Now())
 	for _, k := range f.cfg.Kinds {
 		if !f.mayTell(f.sizeSince(k, known[k.Name])) {
 			age = max(age, untold)
@@ -136,6 +136,20 @@
 	return out, age
 }
 
+// tellAge returns the age of what other boxes are told: that of the kind of which the store's last word is the oldest, if calls for it
+// fail. Calls that wait for a change are as good as an answer.
+func (f *Follower) tellAge(now time.Time) time.Duration {
+	age := f.StoreAge()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, k := range f.cfg.Kinds {
+		if k.Relayed && f.failing[k.Name] {
+			age = max(age, now.Sub(f.answered[k.Name]))
+		}
+	}
+	return age
+}
+
 // sizeSince returns about how large what kindSince returns is.
 func (f *Follower) sizeSince(k Kind, known int64) int {
 	if !k.Relayed || f.revision(k.Name) <= known {
