--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -48,6 +48,8 @@
 	// answerTime is what the platform takes to answer a Get or Put.
 	answerTime time.Duration
 	timing     member.Timing
+	// spread is given to all boxes started from now on.
+	spread member.Spread
 }
 
 // node is one box: membership, catalog and feed, with faults at its interfaces.
@@ -117,7 +119,7 @@
 	n.address = peer.String()
 	tokens := 0
 	n.Node = member.New(member.Config{
-		Cell: cell, API: n, Peers: n, Catalog: n.catalog, Holder: n, Timing: cl.timing, Scope: tally.NoopScope,
+		Cell: cell, API: n, Peers: n, Catalog: n.catalog, Holder: n, Timing: cl.timing, Scope: tally.NoopScope, Spread: cl.spread,
 		Self: coordinator.Member{Box: name, Zone: zone, Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Caller: peer, Peer: peer},
 		NewToken: func() string {
 			tokens++
