member: maps are told within the same bound, and none to a box that knows a later one

A delta, whole or not, now passes the bound of what is told to other boxes; a box that is not told one is to ask the platform. A box that knows a later map than the coordinator has heard to be written is told none.

--- a/internal/coordinator/delta.go
+++ b/internal/coordinator/delta.go
@@ -28,6 +28,19 @@
 	return d
 }
 
+// Sizes in a message, about.
+const (
+	headSize   = 200
+	memberSize = 160
+	ownerSize  = 80
+	nameSize   = 20
+)
+
+// Size returns about how many bytes the delta takes in a message, without encoding it.
+func (d Delta) Size() int {
+	return headSize + memberSize*len(d.Members) + ownerSize*len(d.Owners) + nameSize*(len(d.MembersGone)+len(d.OwnersGone)+len(d.Head.Leaving))
+}
+
 func changed[T comparable](from, to []T, name func(T) string) (now []T, gone []string) {
 	had := make(map[string]T, len(from))
 	for _, t := range from {
--- a/internal/coordinator/delta_test.go
+++ b/internal/coordinator/delta_test.go
@@ -1,6 +1,7 @@
 package coordinator_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -97,3 +98,25 @@
 	}
 	c.Check(w.now.Sub(silentSince) >= term+gap, qt.IsTrue, qt.Commentf("%s", w.now.Sub(silentSince)))
 }
+
+// TestDeltaSize compares the size told with what a delta takes in a message.
+func TestDeltaSize(t *testing.T) {
+	for _, boxes := range []int{0, 1, 66, 300} {
+		t.Run(fmt.Sprint(boxes), func(t *testing.T) {
+			c := qt.New(t)
+			to := coordinator.Map{Cell: "default", Region: "region", Generation: 7, Lease: 3, Coordinator: "edge-hall-a-1"}
+			for i := range boxes {
+				name := fmt.Sprint("edge-hall-a-", i)
+				to.Members = append(to.Members, coordinator.Member{
+					Box: name, Zone: "hall-a", Incarnation: "0f8fad5b-d9cb-469f", Caller: netip.MustParseAddrPort("10.0.0.1:8080"),
+					Peer: netip.MustParseAddrPort("10.0.0.1:7160"),
+				})
+				to.Owners = append(to.Owners, coordinator.Ownership{Engine: fmt.Sprint("i-8a458e71e", i), Owner: name, Epoch: uint64(i)})
+			}
+			d := coordinator.Diff(coordinator.Map{}, to)
+			sent, err := json.Marshal(d)
+			c.Assert(err, qt.IsNil)
+			c.Check(d.Size() > len(sent)/2 && d.Size() < 2*len(sent), qt.IsTrue, qt.Commentf("%d told, %d sent", d.Size(), len(sent)))
+		})
+	}
+}
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -108,8 +108,8 @@
 	return true
 }
 
-// mayTell reports whether changes of a size may be passed on now.
-func (f *Follower) mayTell(size int) bool {
+// MayTell reports whether something of so many bytes may be told another box now.
+func (f *Follower) MayTell(size int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.told.take(time.Now(), size)
@@ -125,7 +125,7 @@
 	var out []objects.KindChanges
 	age := f.tellAge(time.Now())
 	for _, k := range f.cfg.Kinds {
-		if !f.mayTell(f.sizeSince(k, known[k.Name])) {
+		if !f.MayTell(f.sizeSince(k, known[k.Name])) {
 			age = max(age, untold)
 			continue
 		}
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -16,10 +16,15 @@
 	Known() map[string]int64
 	// Since returns what this box knows beyond known, and the time since the store last answered it.
 	Since(known map[string]int64) ([]objects.KindChanges, time.Duration)
+	// MayTell reports whether something of so many bytes may be told another box now. One that was not told is to ask the platform.
+	MayTell(size int) bool
 	// Take takes changes from the coordinator in.
 	Take(changes []objects.KindChanges, storeAge time.Duration)
 }
 
+// askPlatform is the age of the platform's last answer as told to a box that is to ask the platform itself.
+const askPlatform = time.Minute
+
 // keptMaps is how many published maps a coordinator keeps to tell what has changed: boxes that miss more get the whole map.
 const keptMaps = 16
 
@@ -41,7 +46,8 @@
 		return
 	}
 	newest := n.maps[len(n.maps)-1]
-	if newest.Generation == b.MapGeneration {
+	// A box may know a later map than this one, which has not heard yet that its write was done.
+	if newest.Generation <= b.MapGeneration {
 		return
 	}
 	var from coordinator.Map
@@ -51,6 +57,10 @@
 		}
 	}
 	d := coordinator.Diff(from, newest)
+	if !n.cfg.Spread.MayTell(d.Size()) {
+		r.StoreAge = max(r.StoreAge, askPlatform)
+		return
+	}
 	d.Version = n.mapStored
 	r.Map = &d
 }
