A box keeps its signals from its first line to its last

Cause: watchReload took SIGHUP when the box's parts ran and gave it back when the box was told to stop. Before and after, the signal's default action holds: reading settings again ended a leaving box at once, without its gone line, and cut its streams; it ended a starting box too. A log whose reader has gone ended a box by SIGPIPE in the same way.

Change: the daemon takes SIGHUP in its first line and never gives it back; settings are reread until the box has left, for both forms. SIGPIPE is ignored, writes to a closed log fail unnoticed as the log sink wants it.

Not closed: for some 8 ms after exec, before the first line of main, the default action still holds. Nothing listens then.

--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -24,6 +24,11 @@
 
 // Daemon runs bellgapd and returns its exit status.
 func Daemon(args []string, out, errOut io.Writer) int {
+	// Signals are the process's own from its first line to its last: not taken yet or given back, SIGHUP ends a box at once, as does
+	// SIGPIPE when nobody reads its log, and cuts the streams of one that leaves.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	cmd := &cli.Command{
 		Name: "bellgapd", Usage: "serve LoRA adapters from a fleet of engines", Writer: out, ErrWriter: errOut,
 		Flags: []cli.Flag{
@@ -31,7 +36,7 @@
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 			&cli.StringFlag{Name: "address-file", Usage: "write the addresses to `FILE` once listening"},
 		},
-		Action: runDaemon,
+		Action: func(ctx context.Context, cmd *cli.Command) error { return runDaemon(ctx, cmd, hup) },
 	}
 	return run(cmd, args, errOut)
 }
@@ -49,8 +54,9 @@
 	return 0
 }
 
-func runDaemon(ctx context.Context, cmd *cli.Command) error {
-	s, err := settings.Load(cmd.String("settings"))
+func runDaemon(ctx context.Context, cmd *cli.Command, hup <-chan os.Signal) error {
+	file := cmd.String("settings")
+	s, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
@@ -63,7 +69,7 @@
 	}
 	debug.SetGCPercent(s.Process.GCPercent)
 	if s.Platform.Form == settings.FormObjects {
-		return runRouted(ctx, s, cmd.String("settings"))
+		return runRouted(ctx, s, file, hup)
 	}
 	b, err := box.New(box.Config{Settings: s})
 	if err != nil {
@@ -75,7 +81,7 @@
 			return err
 		}
 	}
-	return b.Run(ctx)
+	return runRereading(ctx, s, file, hup, b.Run)
 }
 
 func setLog(level int) error {
--- a/internal/cli/routed.go
+++ b/internal/cli/routed.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
@@ -24,7 +22,7 @@
 )
 
 // runRouted runs a box on the platform that platform/ speaks to, with its log on standard output.
-func runRouted(ctx context.Context, s settings.Settings, path string) error {
+func runRouted(ctx context.Context, s settings.Settings, path string, hup <-chan os.Signal) error {
 	sink := logsink.New(logsink.Config{Out: os.Stdout})
 	if err := logTo(sink); err != nil {
 		return err
@@ -32,7 +30,7 @@
 	logging, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	var log errgroup.Group
 	log.Go(func() error { return sink.Serve(logging) })
-	err := serveRouted(ctx, s, path)
+	err := serveRouted(ctx, s, path, hup)
 	klog.InfoS("stopped", "box", s.Box.Name, "err", err, "lines_left_out", sink.Dropped())
 	stopLog()
 	// The sink ends with its context and has no other error.
@@ -40,7 +38,7 @@
 	return err
 }
 
-func serveRouted(ctx context.Context, s settings.Settings, path string) error {
+func serveRouted(ctx context.Context, s settings.Settings, path string, hup <-chan os.Signal) error {
 	store := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address, HTTP: &http.Client{Transport: httpx.NewTransport(connsToStore)}})
 	keep := s.Request.LocateKeep
 	b, err := box.NewRouted(box.RoutedConfig{Settings: s, Deployment: box.Deployment{
@@ -57,23 +55,25 @@
 		return err
 	}
 	klog.InfoS("started", "box", s.Box.Name, "zone", s.Box.Zone, "caller", s.Listen.Caller, "store", s.Platform.Address)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	return runRereading(ctx, s, path, hup, b.Run)
+}
+
+// runRereading runs a box, which leaves when ctx ends, and reads the settings file again when told until the box has left.
+func runRereading(ctx context.Context, s settings.Settings, path string, hup <-chan os.Signal, run func(context.Context) error) error {
+	running, left := context.WithCancel(context.WithoutCancel(ctx))
+	defer left()
 	var group errgroup.Group
-	group.Go(func() error { watchReload(ctx, s, path); return nil })
+	group.Go(func() error { watchReload(running, s, path, hup); return nil })
 	group.Go(func() error {
-		defer cancel()
-		return b.Run(ctx)
+		defer left()
+		return run(ctx)
 	})
 	return group.Wait()
 }
 
 // watchReload reads the settings file again when told. The log's verbosity takes effect at once; what a box is made of is set at
 // its start. A file that cannot be read leaves the settings in force.
-func watchReload(ctx context.Context, s settings.Settings, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func watchReload(ctx context.Context, s settings.Settings, path string, hup <-chan os.Signal) {
 	for {
 		select {
 		case <-hup:
