A box takes nothing more before it closes its connections

Change: a box that has been told to stop and has nothing in flight closes itself to new requests first, looks again, and only then ends; a server that ends lets answers that are being written end, for 100 ms. Ruled out: only ending the servers gently. A request that is passed on in that time may take longer than a box has.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -91,6 +91,8 @@
 	directory net.Listener
 	// leftAt is when the box was told to leave, in Unix nanoseconds, zero before.
 	leftAt atomic.Int64
+	// closed is set when the box, having nothing in flight, takes nothing more.
+	closed atomic.Bool
 	// told is what callers were last told of the fleet.
 	told told
 }
@@ -215,7 +217,7 @@
 		Endpoints: &http.Client{Transport: httpx.NewTransport(connsPerEngine), CheckRedirect: noRedirect},
 		Budget:    relay.BudgetConfig{PerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxes},
 		Policy:    s.Policy.Chosen(),
-		StoreAge:  b.follower.StoreAge, Leaving: b.leavingFor, LastStream: s.Timing.LastStream, LastRequest: max(0, s.Timing.Leave-lastRefusal),
+		StoreAge:  b.follower.StoreAge, Leaving: b.leavingFor, Closed: b.closed.Load, LastStream: s.Timing.LastStream, LastRequest: max(0, s.Timing.Leave-lastRefusal),
 	})
 }
 
@@ -276,6 +278,16 @@
 	return runUntilLeft(ctx, b.root, b.metrics, b.leave)
 }
 
+// idle reports whether the box may go: nothing is in flight and, as it was closed before that was looked at, nothing can be any more.
+// A request that came between the look and the end of the process would have been passed on and not answered.
+func (b *Routed) idle() bool {
+	if b.InFlight() > 0 {
+		return false
+	}
+	b.closed.Store(true)
+	return b.InFlight() == 0
+}
+
 // leave serves on for callers that do not know yet, until nothing is in flight, at most the time for leaving.
 func (b *Routed) leave(ctx context.Context) {
 	timing := b.cfg.Settings.Timing
@@ -288,7 +300,7 @@
 	tell := time.NewTicker(leaveTold)
 	defer tell.Stop()
 	for time.Since(began) < timing.Leave-killMargin {
-		if time.Since(began) >= timing.Linger && b.InFlight() == 0 {
+		if time.Since(began) >= timing.Linger && b.idle() {
 			break
 		}
 		select {
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -19,6 +19,8 @@
 	maxHeaderBytes    = 32 << 10
 	dialTimeout       = time.Second
 	drainLimit        = 64 << 10
+	// closeTime bounds the end of a server: what is left then is answers of a few hundred bytes, and waits that nobody ends.
+	closeTime = 100 * time.Millisecond
 	// continueTimeout lies past every deadline: the body is never sent unasked.
 	continueTimeout = 24 * time.Hour
 )
@@ -84,12 +86,20 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// Serve serves l until ctx ends, then closes the server at once.
+// Serve serves l until ctx ends, then takes no more connections and lets answers that are being written end, for closeTime at most.
 func Serve(ctx context.Context, s *http.Server, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	if err := s.Serve(l); ctx.Err() == nil {
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTime)
+		defer cancel()
+		if err := s.Shutdown(last); err != nil {
+			_ = s.Close()
+		}
+	})
+	if err := s.Serve(l); stop() {
 		return err
 	}
+	<-closed
 	return ctx.Err()
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,7 +49,9 @@
 	Leaving     func() time.Duration
 	LastStream  time.Duration
 	LastRequest time.Duration
-	Policy      policy.Policy
+	// Closed reports whether this box is about to go: it takes nothing more, so that nothing is in flight when it closes connections.
+	Closed func() bool
+	Policy policy.Policy
 	// StoreAge returns the time since the store last answered this box.
 	StoreAge func() time.Duration
 }
@@ -160,7 +162,7 @@
 	if q.route.Kind == resource.RouteStream {
 		last = r.cfg.LastStream
 	}
-	if leaving < last {
+	if leaving < last && !r.cfg.Closed() {
 		return nil
 	}
 	rerr := result.New(result.Leaving, "%s", r.cfg.Box)
