follow: a test of what a large change costs in calls of the store, red

Cause: a box that is not told of a large change takes the store's word for old and calls for all of its kinds.

--- a/internal/follow/narrow_test.go
+++ b/internal/follow/narrow_test.go
@@ -184,6 +184,25 @@
 	})
 }
 
+// TestLargeConfigurationCostsOneCallABox: a box that is not told of a large change asks the store for that kind alone.
+func TestLargeConfigurationCostsOneCallABox(t *testing.T) {
+	const boxes, changes = 66, 5
+	inNarrowCell(t, boxes, 20, func(c *qt.C, n *narrowCell) {
+		calls := func() (sum int64) {
+			for _, b := range n.boxes {
+				sum += b.source.calls.Load()
+			}
+			return sum
+		}
+		before := calls()
+		for i := range changes {
+			n.store.put(c, resource.KindRouting, catalog.RoutingName, large(int64(i+2), 1400))
+			time.Sleep(inForce)
+		}
+		c.Check(calls()-before <= boxes*changes, qt.IsTrue, qt.Commentf("%d calls", calls()-before))
+	})
+}
+
 // TestHeartbeatsComeBackOverANarrowLink takes the heartbeats from 90 boxes for a while, as when the coordinator is lost, in a cell of
 // 150 endpoints: all boxes come back at once, and the configuration changes then.
 func TestHeartbeatsComeBackOverANarrowLink(t *testing.T) {
