What is passed on of large changes follows the width of the box's link

Cause: the bound of 128 KB a second was that of the narrowest link (10 Mbit/s). Change: box.link_mbps, filled by the platform; a tenth of it. Where nothing is set it is 10 Mbit/s.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -51,6 +51,9 @@
 	silentBeats = 3
 	// lastRefusal is how long before the end a leaving box takes no new request: plain ones have 1.5 s at most.
 	lastRefusal = 1700 * time.Millisecond
+	// tellShare is the part of a box's link that may pass large changes on: heartbeats have to be answered in time beside them.
+	tellShare    = 0.1
+	bytesPerMbit = 1e6 / 8
 	// leaveTold is how often a leaving box says what it still has in flight: if its process is ended by something else than its own
 	// decision, the last such line says when and with how much.
 	leaveTold = 500 * time.Millisecond
@@ -116,7 +119,7 @@
 	}
 	b.follower = follow.New(follow.Config{
 		Source: cfg.Deployment.Source, Catalog: b.catalog, Kinds: followedKinds(), Grace: cfg.Settings.Platform.LapseGrace, Scope: b.metrics.Scope,
-		RelayFor: silentBeats * cfg.Settings.Timing.Beat,
+		RelayFor: silentBeats * cfg.Settings.Timing.Beat, TellRate: tellShare * bytesPerMbit * cfg.Settings.Box.LinkMbps,
 	})
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
 	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Scope: b.metrics.Scope})
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,6 +2,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -50,6 +51,8 @@
 	Kinds   []Kind
 	// RelayFor is how long changes taken from another box stand in for calls of this one; zero always calls.
 	RelayFor time.Duration
+	// TellRate is how many bytes of large changes are passed on in a second, over all boxes; zero stands for defaultTellRate.
+	TellRate float64
 	// Grace is how long after an outage missing objects of kinds that lapse are kept.
 	Grace time.Duration
 	Scope tally.Scope
@@ -111,7 +114,7 @@
 		probes: slices.ContainsFunc(cfg.Kinds, func(k Kind) bool { return k.Probes }),
 		cfg:    cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
 		known: map[string]int64{}, whole: map[string]bool{}, held: map[string]bool{}, answered: map[string]time.Time{},
-		asked: map[string]bool{}, failing: map[string]bool{},
+		asked: map[string]bool{}, failing: map[string]bool{}, told: allowance{rate: cmp.Or(cfg.TellRate, defaultTellRate)},
 	}
 }
 
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -86,16 +86,17 @@
 const (
 	// smallChange is the size of changes that every box is told of at once.
 	smallChange = 4 << 10
-	// tellRate is how many bytes of larger changes are passed on in a second, over all boxes: a tenth of what a link of 10 Mbit/s
-	// carries. A configuration of 1,400 routes is 280 KB; to tell 66 boxes of it took such a link 15 seconds, in which no heartbeat
-	// was answered in time and no call of the teller's own came through.
-	tellRate = 128 << 10
+	// defaultTellRate is a tenth of what a link of 10 Mbit/s carries. A configuration of 1,400 routes is 280 KB; to tell 66 boxes of it
+	// took such a link 15 seconds, in which no heartbeat was answered in time and no call of the teller's own came through.
+	defaultTellRate = 125_000
 	// untold is the age of the store's last answer as told to a box that is to ask the store itself.
 	untold = relayAge + time.Second
 )
 
 // allowance is what may be passed on of large changes.
 type allowance struct {
+	// rate is in bytes a second, over all boxes.
+	rate float64
 	// owed is how many bytes have been passed on beyond what the time up to at allows.
 	owed float64
 	at   time.Time
@@ -107,8 +108,8 @@
 	if size <= smallChange {
 		return true
 	}
-	a.owed, a.at = max(0, a.owed-now.Sub(a.at).Seconds()*tellRate), now
-	if a.owed >= tellRate {
+	a.owed, a.at = max(0, a.owed-now.Sub(a.at).Seconds()*a.rate), now
+	if a.owed >= a.rate {
 		return false
 	}
 	a.owed += float64(size)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -39,6 +39,8 @@
 	Cell string `toml:"cell"`
 	// Region groups the cells that share a weight store.
 	Region string `toml:"region"`
+	// LinkMbps is what the link of this box carries, in millions of bits a second.
+	LinkMbps float64 `toml:"link_mbps"`
 }
 
 // Listen holds the addresses of the three listeners.
@@ -148,7 +150,7 @@
 // Default returns the settings that hold where the file says nothing.
 func Default() Settings {
 	return Settings{
-		Box: Box{Cell: resource.DefaultCell, Region: "default"},
+		Box: Box{Cell: resource.DefaultCell, Region: "default", LinkMbps: 10},
 		Request: Request{
 			BodyBytes: 4 << 20, BodyTime: 10 * time.Second, DefaultWait: 30 * time.Second,
 			Longest: 10 * time.Minute, LocateKeep: 10 * time.Second,
@@ -217,6 +219,10 @@
 		{"box.zone", "Availability zone of this box.", required, func(s *Settings) string { return needText(s.Box.Zone) }},
 		{"box.cell", "Cell of this box: the boxes and engines that are coordinated together. One cell does for up to about 16 boxes.", d.Box.Cell, func(s *Settings) string { return needText(s.Box.Cell) }},
 		{"box.region", "Region of this box; the cells of a region share a weight store.", d.Box.Region, func(s *Settings) string { return needText(s.Box.Region) }},
+		{
+			"box.link_mbps", "What the link of this box carries, in Mbit/s: a tenth of it may pass large changes on to other boxes.", fmt.Sprint(d.Box.LinkMbps),
+			func(s *Settings) string { return needBetween(s.Box.LinkMbps, 0.1, 1e6) },
+		},
 		{"listen.caller", "Address for callers.", required, func(s *Settings) string { return needAddress(s.Listen.Caller) }},
 		{"listen.peer", "Address for other boxes.", required, func(s *Settings) string { return needAddress(s.Listen.Peer) }},
 		{"listen.operator", "Address for operators and metrics.", required, func(s *Settings) string { return needAddress(s.Listen.Operator) }},
