An endpoint that went and came back in one answer of the store is kept

Figures: TestObjectThatCameBackIsKept fails in one of four cases before, passes now; internal/follow passes.

--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -41,27 +41,17 @@
 	listed := map[string]bool{}
 	for _, o := range list.Objects {
 		listed[o.Name] = true
-		delete(k.missing, o.Name)
 	}
 	for name := range k.known {
 		if !listed[name] {
 			out.Objects = append(out.Objects, objects.Object{Kind: k.Name, Name: name, Version: list.Revision, Deleted: true})
 		}
 	}
-	for name := range listed {
-		k.known[name] = true
-	}
 	return k.settle(now, out, graceUntil)
 }
 
 // changes takes a watch's answer in and returns what changes by it.
 func (k *kindState) changes(now time.Time, ch objects.Changes, graceUntil time.Time) objects.Changes {
-	for _, o := range ch.Objects {
-		if !o.Deleted {
-			k.known[o.Name] = true
-			delete(k.missing, o.Name)
-		}
-	}
 	return k.settle(now, ch, graceUntil)
 }
 
@@ -70,6 +60,9 @@
 	out := objects.Changes{Revision: ch.Revision}
 	for _, o := range ch.Objects {
 		if !o.Deleted {
+			// In the order of the answer: one that went and is back is there.
+			k.known[o.Name] = true
+			delete(k.missing, o.Name)
 			out.Objects = append(out.Objects, o)
 			continue
 		}
