--- a/internal/coordinator/assign.go
+++ b/internal/coordinator/assign.go
@@ -75,7 +75,7 @@
 func (s *State) live() []string {
 	var boxes []string
 	for b, m := range s.members {
-		if !m.Leaving && !slices.Contains(s.leaving, b) && !s.cfg.silent(s.now, m) {
+		if !m.Leaving && !slices.Contains(s.leaving, b) && !s.silent(s.now, m) {
 			boxes = append(boxes, b)
 		}
 	}
--- a/internal/coordinator/bench_test.go
+++ b/internal/coordinator/bench_test.go
@@ -25,7 +25,7 @@
 		s.Beat(start, beats[i])
 	}
 	s.Tick(start, engines)
-	s.Published(s.Map())
+	s.Published(start, s.Map())
 	for i := range beats {
 		beats[i].Owned = s.Reply(start, beats[i].Member.Box).Grants
 	}
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -18,8 +18,8 @@
 	Term time.Duration
 	// SilentAfter is how long a box may say nothing before it is shown as silent; zero never shows it.
 	SilentAfter time.Duration
-	// UnheardAfter is the same for a box of the map that was taken over, which has said nothing to this coordinator yet and may have
-	// fallen silent before; zero stands for SilentAfter.
+	// UnheardAfter is the same, from the first stored map on, for a box of the map that was taken over, which has said nothing to this
+	// coordinator yet and may have fallen silent before; zero stands for SilentAfter.
 	UnheardAfter time.Duration
 	// Drain is how long, after its term, a silent box may still have requests in flight: serve-on time and longest request.
 	Drain time.Duration
@@ -54,20 +54,6 @@
 	released string
 }
 
-// silent reports whether a member has missed its heartbeats. One that was silent for the coordinator before stays so until this one
-// hears from it: seen, which is the takeover for it, is when its grants were last good at the latest, not when it was last there.
-// Without this a lost box is shown to callers for another SilentAfter at each change of coordinator.
-func (c *Config) silent(now time.Time, m *member) bool {
-	switch {
-	case c.SilentAfter == 0:
-		return false
-	case m.inherited:
-		return m.Silent || now.Sub(m.seen) > cmp.Or(c.UnheardAfter, c.SilentAfter)
-	default:
-		return now.Sub(m.seen) > c.SilentAfter
-	}
-}
-
 // State is the coordinator's state. One goroutine uses it.
 type State struct {
 	cfg     Config
@@ -83,7 +69,9 @@
 	// published is the last map stored by this coordinator; nothing is granted before the first.
 	published    Map
 	hasPublished bool
-	epoch        uint64
+	// toldAt is when the first of them was stored: from then on boxes can learn of this coordinator.
+	toldAt time.Time
+	epoch  uint64
 	// now is the time of the last Tick, as of which silent boxes are shown.
 	now time.Time
 	// leaving holds the boxes that the platform says are leaving.
@@ -152,6 +140,20 @@
 	return Heard{Age: now.Sub(m.seen), Inherited: m.inherited}
 }
 
+// silent reports whether a member has missed its heartbeats. One that was silent for the coordinator before stays so until this one
+// hears from it: seen, which is the takeover for it, is when its grants were last good at the latest, not when it was last there.
+// Without this a lost box is shown to callers for another SilentAfter at each change of coordinator.
+func (s *State) silent(now time.Time, m *member) bool {
+	switch {
+	case s.cfg.SilentAfter == 0:
+		return false
+	case m.inherited:
+		return m.Silent || s.hasPublished && now.Sub(s.toldAt) > cmp.Or(s.cfg.UnheardAfter, s.cfg.SilentAfter)
+	default:
+		return now.Sub(m.seen) > s.cfg.SilentAfter
+	}
+}
+
 // returned takes in that a box has come back as a new process.
 func (s *State) returned(now time.Time, m *member) {
 	previous := m.Box + "/" + m.Incarnation
@@ -266,7 +268,12 @@
 }
 
 // Published says that mp is stored; from now on its owners may be told.
-func (s *State) Published(mp Map) { s.published, s.hasPublished = mp, true }
+func (s *State) Published(now time.Time, mp Map) {
+	if !s.hasPublished {
+		s.toldAt = now
+	}
+	s.published, s.hasPublished = mp, true
+}
 
 // Reply returns the answer to the last beat of box. It grants only what is published and still meant.
 func (s *State) Reply(now time.Time, box string) Reply {
@@ -290,7 +297,7 @@
 	for _, m := range s.members {
 		shown := m.Member
 		shown.Leaving = shown.Leaving || slices.Contains(s.leaving, m.Box)
-		shown.Silent = s.cfg.silent(s.now, m)
+		shown.Silent = s.silent(s.now, m)
 		mp.Members = append(mp.Members, shown)
 	}
 	slices.SortFunc(mp.Members, func(a, b Member) int { return cmp.Compare(a.Box, b.Box) })
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -51,7 +53,7 @@
 	if address == n.cfg.Self.Peer.String() {
 		r, err = n.HandleBeat(b)
 	} else {
-		r, err = n.cfg.Peers.Beat(ctx, address, b)
+		r, err = n.callCoordinator(ctx, address, b)
 	}
 	if err != nil {
 		return err
@@ -63,6 +65,38 @@
 	return nil
 }
 
+// callCoordinator sends a heartbeat to another box. It is given up when the map names a newer coordinator: one that hangs would keep this
+// box from being heard by the new one for longer than that waits.
+func (n *Node) callCoordinator(ctx context.Context, address string, b coordinator.Beat) (r coordinator.Reply, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group errgroup.Group
+	group.Go(func() error {
+		n.awaitSupplanted(ctx)
+		cancel()
+		return nil
+	})
+	r, err = n.cfg.Peers.Beat(ctx, address, b)
+	cancel()
+	// It returns no error.
+	_ = group.Wait()
+	return r, err
+}
+
+// awaitSupplanted returns when the map names a newer coordinator, or ctx ends. The loop that it reads the lease of waits for it.
+func (n *Node) awaitSupplanted(ctx context.Context) {
+	for {
+		changed := n.cfg.Catalog.Changed()
+		if n.supplanted() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (n *Node) nextBeat() (coordinator.Beat, string) {
 	released, draining := n.cfg.Holder.Released()
 	n.mu.Lock()
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -81,20 +81,18 @@
 
 // takeLease takes the lease and continues from the cell's last map.
 func (n *Node) takeLease(ctx context.Context) (*coordinator.State, error) {
-	lapsed := n.lease.Record().Holder
+	// A take that was not answered, or whose map could not be read, is tried again: this box is the holder then.
+	if holder := n.lease.Record().Holder; holder != n.cfg.Self.Box {
+		n.lapsed = holder
+	}
 	if err := n.lease.Take(ctx); err != nil {
 		return nil, err
 	}
-	if lapsed == n.cfg.Self.Box {
-		lapsed = ""
-	}
 	last, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
 	if err != nil {
 		return nil, err
 	}
 	n.mapVersion, n.published = version, last
-	unheardAfter := unheardBeats * n.cfg.Timing.Beat
-	n.unheardUntil = time.Now().Add(unheardAfter + time.Millisecond)
 	n.mu.Lock()
 	n.maps, n.mapStored = nil, version
 	if last.Generation > 0 {
@@ -103,10 +101,10 @@
 	n.mu.Unlock()
 	epoch := n.lease.Record().Epoch
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
-	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", lapsed, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
+	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", n.lapsed, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
 	return coordinator.New(coordinator.Config{
 		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
-		SilentAfter: n.cfg.Timing.SilentAfter, UnheardAfter: unheardAfter, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim, Lapsed: lapsed,
+		SilentAfter: n.cfg.Timing.SilentAfter, UnheardAfter: unheardBeats * n.cfg.Timing.Beat, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim, Lapsed: n.lapsed,
 	}, last), nil
 }
 
@@ -190,7 +188,7 @@
 	}
 	version, err := n.cfg.API.Put(ctx, coordinator.MapKind, n.cfg.Cell, n.mapVersion, value)
 	if errors.Is(err, objects.ErrAnswerLost) || errors.Is(err, objects.ErrConflict) {
-		version, err = n.settleMap(ctx, m)
+		m, version, err = n.settleMap(ctx)
 	}
 	if errors.Is(err, objects.ErrConflict) {
 		klog.InfoS("map written by another coordinator", "cell", n.cfg.Cell, "lease", m.Lease)
@@ -199,36 +197,43 @@
 	if err != nil {
 		return err
 	}
-	before := n.published
+	if version == n.mapVersion {
+		// It did not take effect.
+		return objects.ErrUnavailable
+	}
+	n.stored(state, m, version)
+	return nil
+}
+
+// stored takes in that a map of this coordinator is stored: the newest, or an earlier one that was thought lost.
+func (n *Node) stored(state *coordinator.State, m coordinator.Map, version int64) {
+	before, first := n.published, n.published.Lease != m.Lease
 	n.mapVersion, n.published = version, m
 	n.cfg.Scope.Counter("map_writes").Inc(1)
+	if first {
+		n.lapsed = ""
+		n.unheardUntil = time.Now().Add(unheardBeats*n.cfg.Timing.Beat + time.Millisecond)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.logStandings(before, m, state)
-	state.Published(m)
+	state.Published(time.Now(), m)
 	n.mapStored = version
 	n.keep(m)
-	return nil
 }
 
 // settleMap reads the map back when it is not known whether a write took effect, or when the stored map is not the one that was expected.
-// One of this coordinator's own, written before and thought lost, is where the next write goes on: only another coordinator's ends this
-// one's, as giving up means to forget who is there.
-func (n *Node) settleMap(ctx context.Context, wrote coordinator.Map) (int64, error) {
+// One of this coordinator's own, written before and thought lost, is as good as published: only another coordinator's ends this one's,
+// as giving up means to forget who is there.
+func (n *Node) settleMap(ctx context.Context) (coordinator.Map, int64, error) {
 	m, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
 	if err != nil {
-		return 0, err
-	}
-	if sameMap(m, wrote) {
-		return version, nil
+		return m, 0, err
 	}
-	if m.Lease != wrote.Lease || m.Coordinator != wrote.Coordinator {
-		return 0, objects.ErrConflict
+	if m.Lease != n.lease.Record().Epoch || m.Coordinator != n.cfg.Self.Box {
+		return m, 0, objects.ErrConflict
 	}
-	// It stands in no reply yet, so that it counts as one of another lease and the next round writes.
-	m.Lease = 0
-	n.mapVersion, n.published = version, m
-	return 0, objects.ErrUnavailable
+	return m, version, nil
 }
 
 func sameMap(a, b coordinator.Map) bool {
--- a/internal/member/lost_test.go
+++ b/internal/member/lost_test.go
@@ -1,6 +1,8 @@
 package member_test
 
 import (
+	"context"
+	"encoding/json"
 	"net/netip"
 	"slices"
 	"testing"
@@ -9,6 +11,10 @@
 
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/lease"
+	"github.com/bellgap/bellgap/internal/member"
 )
 
 // namedFor is the longest that callers may be sent to a lost box by the cell maps of the others: the box may go unnoticed for 1.2 s before
@@ -170,3 +176,65 @@
 	}
 	return named, hidden
 }
+
+// TestTakeoverHidesNobodyWhoIsThere: a coordinator is lost while the store takes its time. Boxes have to learn of the next one, read the
+// lease and be heard before that one takes them for lost.
+func TestTakeoverHidesNobodyWhoIsThere(t *testing.T) {
+	for _, answer := range []time.Duration{4 * time.Millisecond, 150 * time.Millisecond, 220 * time.Millisecond, 260 * time.Millisecond} {
+		t.Run(answer.String(), func(t *testing.T) {
+			c := qt.New(t)
+			for seed := range 15 {
+				synctest.Test(t, func(t *testing.T) {
+					cl := newTimedCluster(t, 6, 6, answer, routedTiming())
+					defer cl.end()
+					cl.settle()
+					cl.run(20*time.Second + time.Duration(seed)*37*time.Millisecond)
+					lost := lostBox{cl.coordinator().name, time.Now()}
+					cl.nodes[lost.name].freeze()
+					_, hidden := cl.watchNamed([]lostBox{lost}, 10*time.Second)
+					c.Check(hidden, qt.Equals, 0, qt.Commentf("seed %d", seed))
+				})
+			}
+		})
+	}
+}
+
+// TestLapsedCoordinatorIsHiddenAfterAnUnansweredTake: the write with which another box takes the lease takes effect without an answer, so that
+// it finds itself as the holder when it tries again. The box whose lease ran out is still the one that has said nothing.
+func TestLapsedCoordinatorIsHiddenAfterAnUnansweredTake(t *testing.T) {
+	for _, unanswered := range []time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond} {
+		t.Run(unanswered.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newTimedCluster(t, 6, 6, 4*time.Millisecond, routedTiming())
+				defer cl.end()
+				cl.settle()
+				cl.run(20 * time.Second)
+				old := cl.coordinator()
+				old.freeze()
+				for cl.holder() == old.name {
+					time.Sleep(time.Millisecond)
+				}
+				next := cl.nodes[cl.holder()]
+				next.setUnanswered(unanswered > 0)
+				time.Sleep(unanswered)
+				next.setUnanswered(false)
+				var m coordinator.Map
+				for m.Coordinator != next.name {
+					time.Sleep(time.Millisecond)
+					m, _, _ = next.catalog.Map(cell)
+				}
+				i := slices.IndexFunc(m.Members, func(b coordinator.Member) bool { return b.Box == old.name })
+				cl.c.Check(m.Members[i].Silent, qt.IsTrue)
+			})
+		})
+	}
+}
+
+// holder returns the holder of the lease as it is stored.
+func (cl *cluster) holder() string {
+	var r lease.Record
+	o, err := cl.platform.Get(context.Background(), lease.Kind, member.LeaseName(cell))
+	cl.c.Assert(err, qt.IsNil)
+	cl.c.Assert(json.Unmarshal(o.Value, &r), qt.IsNil)
+	return r.Holder
+}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -113,6 +113,8 @@
 	beatTo uint64
 	// soughtFor is the epoch of the newest lease for which the lease has been read because a map named it.
 	soughtFor uint64
+	// lapsed is the box whose lease ran out before this one took it, until a map says so.
+	lapsed string
 	// unheardUntil is when, after a takeover, boxes that have not been heard are to be shown as silent.
 	unheardUntil time.Time
 
--- a/internal/member/unanswered_test.go
+++ b/internal/member/unanswered_test.go
@@ -1,11 +1,15 @@
 package member_test
 
 import (
+	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/coordinator"
 )
 
 // TestUnansweredWritesDoNotEndACoordinator: while the store is slow, a coordinator's writes take effect and it does not hear of it, nor
@@ -42,3 +46,39 @@
 		})
 	}
 }
+
+// TestUnansweredMapIsToldAsItIsStored: a map that took effect without an answer is told other boxes as it stands in the store, so that one
+// that has read it there is told nothing. Told with another number it was sent to all boxes whole, with each heartbeat.
+func TestUnansweredMapIsToldAsItIsStored(t *testing.T) {
+	for _, unanswered := range []time.Duration{500 * time.Millisecond, time.Second, 1500 * time.Millisecond} {
+		t.Run(unanswered.String(), func(t *testing.T) {
+			for range 6 {
+				synctest.Test(t, func(t *testing.T) {
+					cl := newTimedCluster(t, 0, 40, 4*time.Millisecond, routedTiming())
+					defer cl.end()
+					cl.spread = &spread{}
+					for i, box := range []string{"box-000", "box-001", "box-002"} {
+						cl.start(box, i)
+					}
+					cl.settle()
+					cl.run(20 * time.Second)
+					n := cl.coordinator()
+					n.setUnanswered(true)
+					cl.declareEngine("engine-new")
+					cl.run(unanswered)
+					n.setUnanswered(false)
+					cl.run(20 * time.Second)
+					var stored coordinator.Map
+					o, err := cl.platform.Get(context.Background(), coordinator.MapKind, cell)
+					cl.c.Assert(err, qt.IsNil)
+					cl.c.Assert(json.Unmarshal(o.Value, &stored), qt.IsNil)
+					r, err := n.HandleBeat(coordinator.Beat{
+						Member: coordinator.Member{Box: "box-001", Zone: zone, Incarnation: "x"}, Known: map[string]int64{}, MapGeneration: stored.Generation,
+					})
+					cl.c.Assert(err, qt.IsNil)
+					cl.c.Check(r.Map, qt.IsNil)
+				})
+			}
+		})
+	}
+}
