--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -99,6 +99,9 @@
 	late []lateDeletion
 	// held holds the kinds of which objects are kept that the store no longer has.
 	held map[string]bool
+	// takenAt is when another box last told anything, listedAt when the kinds were last listed by calls.
+	takenAt  time.Time
+	listedAt map[string]time.Time
 	// asked holds the kinds to ask the store for though changes come through another box.
 	asked map[string]bool
 	// answered holds when the store last answered for a kind, failing the kinds whose last call failed.
@@ -114,7 +117,7 @@
 		probes: slices.ContainsFunc(cfg.Kinds, func(k Kind) bool { return k.Probes }),
 		cfg:    cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
 		known: map[string]int64{}, whole: map[string]bool{}, held: map[string]bool{}, answered: map[string]time.Time{},
-		asked: map[string]bool{}, failing: map[string]bool{}, told: allowance{rate: cmp.Or(cfg.TellRate, defaultTellRate)},
+		listedAt: map[string]time.Time{}, asked: map[string]bool{}, failing: map[string]bool{}, told: allowance{rate: cmp.Or(cfg.TellRate, defaultTellRate)},
 	}
 }
 
@@ -323,6 +326,7 @@
 func (f *Follower) noteListed(kind string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.listedAt[kind] = time.Now()
 	if f.listed[kind] {
 		return
 	}
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -105,10 +105,12 @@
 // take reports whether changes of a size may be passed on now. One that is larger than all that a second allows may pass too, and the
 // next has to wait for as long as it is worth.
 func (a *allowance) take(now time.Time, size int) bool {
+	a.owed, a.at = max(0, a.owed-now.Sub(a.at).Seconds()*a.rate), now
 	if size <= smallChange {
+		// Small changes always pass. They count up to what a second allows, so that large ones leave them room.
+		a.owed = max(a.owed, min(a.owed+float64(size), a.rate))
 		return true
 	}
-	a.owed, a.at = max(0, a.owed-now.Sub(a.at).Seconds()*a.rate), now
 	if a.owed >= a.rate {
 		return false
 	}
@@ -188,6 +190,7 @@
 
 // Take takes changes from another box in. While they come and that box hears from the store, this one makes no calls.
 func (f *Follower) Take(changes []objects.KindChanges, storeAge time.Duration) {
+	f.noteGap(time.Now())
 	var asked []string
 	for _, ch := range changes {
 		if !ch.Ask {
@@ -224,13 +227,28 @@
 	}
 }
 
+// noteGap asks for all of the kinds that lapse after a time without a word from the other box, unless this one has listed them itself
+// since: deletions that the other made late are repeated for lateFor only, and nothing else would tell of them.
+func (f *Follower) noteGap(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := f.takenAt
+	f.takenAt = now
+	if since.IsZero() || now.Sub(since) < lateFor/2 {
+		return
+	}
+	for _, k := range f.cfg.Kinds {
+		f.whole[k.Name] = f.whole[k.Name] || (k.Lapses && f.listedAt[k.Name].Before(since))
+	}
+}
+
 // askWhole makes the next heartbeats ask for all of the kinds of which this box keeps what the store no longer has: what it has kept
 // through an outage of its own the other may have given up long ago.
 func (f *Follower) askWhole() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, k := range f.cfg.Kinds {
-		f.whole[k.Name] = f.held[k.Name]
+		f.whole[k.Name] = f.whole[k.Name] || f.held[k.Name]
 	}
 }
 
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -230,7 +230,8 @@
 	close(stop)
 	c.Assert(asking.Wait(), qt.IsNil)
 	// What is passed on in a second is bounded.
-	for to.Known()[string(resource.KindEndpoint)] < s.newest() {
+	for giveUp := time.Now().Add(time.Minute); to.Known()[string(resource.KindEndpoint)] < s.newest(); {
+		c.Assert(time.Now().Before(giveUp), qt.IsTrue, qt.Commentf("not all is passed on"))
 		to.Take(from.Since(to.Known()))
 		time.Sleep(time.Millisecond)
 	}
@@ -284,3 +285,32 @@
 		c.Check(to.catalog.Names(holding), qt.DeepEquals, []string{"e1"})
 	})
 }
+
+// TestLateDeletionIsNotMissed: a box comes back to the other's changes after the store was down; an entry has gone meanwhile, which the other
+// keeps for a while yet. The box knows the store's newest revision by then; cut off from all while the other gives the entry up, and
+// back before it has listed anything itself, it would keep the entry for good.
+func TestLateDeletionIsNotMissed(t *testing.T) {
+	for range 10 {
+		relayed(t, func(c *qt.C, s *store, from, to *side, beating *atomic.Bool) {
+			s.set(func(s *store) { s.down = true })
+			time.Sleep(3 * time.Second)
+			s.remove("e1")
+			to.source.cut.Store(true)
+			s.set(func(s *store) { s.down = false })
+			for endpoints(from.catalog) > 2 {
+				time.Sleep(10 * time.Millisecond)
+				if from.StoreAge() < 500*time.Millisecond && beating.Load() {
+					time.Sleep(grace - 600*time.Millisecond)
+					beating.Store(false)
+				}
+			}
+			time.Sleep(4 * time.Second)
+			beating.Store(true)
+			time.Sleep(beatEvery + 10*time.Millisecond)
+			to.source.cut.Store(false)
+			time.Sleep(10 * time.Second)
+			c.Check(endpoints(from.catalog), qt.Equals, 2)
+			c.Check(endpoints(to.catalog), qt.Equals, 2)
+		})
+	}
+}
--- a/internal/owner/evict.go
+++ b/internal/owner/evict.go
@@ -28,7 +28,7 @@
 }
 
 func (s *State) evictable(now time.Time, sl *slot) bool {
-	return sl.phase == loaded && s.uses[sl.ref] == 0 && !sl.foreign && !now.Before(sl.busyUntil) && !s.awaited(sl.ref)
+	return sl.phase == loaded && s.uses[sl.ref] == 0 && !sl.foreign && !now.Before(s.lingers[sl.ref]) && !s.awaited(sl.ref)
 }
 
 func (s *State) worth(now time.Time, ref resource.Ref) float64 {
--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -136,7 +136,7 @@
 func (s *State) endLoad(now time.Time, sl *slot, err error) {
 	var refused *engine.OrderRefusedError
 	if s.cfg.FinishesFirst && !errors.As(err, &refused) && !errors.Is(err, errNoAuthority) {
-		sl.phase, sl.busyUntil = doubtful, now.Add(doubtTime)
+		sl.phase, sl.doubtUntil = doubtful, now.Add(doubtTime)
 		return
 	}
 	delete(s.slots, sl.ref)
@@ -145,7 +145,7 @@
 // dropDoubts frees the slots of loads that can no longer be carried out.
 func (s *State) dropDoubts(now time.Time) {
 	for ref, sl := range s.slots {
-		if sl.phase == doubtful && !now.Before(sl.busyUntil) {
+		if sl.phase == doubtful && !now.Before(sl.doubtUntil) {
 			delete(s.slots, ref)
 		}
 	}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -3,6 +3,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -74,8 +75,8 @@
 type slot struct {
 	ref   resource.Ref
 	phase phase
-	// busyUntil keeps the adapter loaded while a request that ended without its whole answer may still run.
-	busyUntil time.Time
+	// doubtUntil is how long a load without an answer may still be carried out.
+	doubtUntil time.Time
 	// next is loaded once this one is unloaded.
 	next *Load
 	// foreign says that an earlier owner may have requests in flight on it.
@@ -102,6 +103,8 @@
 	// wanted counts the waiting tickets of each adapter.
 	wanted  map[resource.Ref]int
 	running map[uint64]started
+	// lingers holds until when a run that ended without its whole answer may go on, by adapter like uses.
+	lingers map[resource.Ref]time.Time
 	// uses counts the running tickets of each adapter, also those that began before it was loaded anew: it may not be unloaded under
 	// them whatever became of the slot that they began on.
 	uses map[resource.Ref]int
@@ -146,7 +149,7 @@
 		cfg.HalfLife = defaultHalfLife
 	}
 	return &State{
-		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]started{}, uses: map[resource.Ref]int{},
+		cfg: cfg, slots: map[resource.Ref]*slot{}, running: map[uint64]started{}, uses: map[resource.Ref]int{}, lingers: map[resource.Ref]time.Time{},
 		rates: map[resource.Ref]rate{}, failures: map[resource.Ref]failure{}, asked: map[resource.Ref]int{}, wanted: map[resource.Ref]int{}, loadTime: defaultLoadTime, runTime: defaultRunTime,
 		blind: cfg.AwaitReport, lately: lately{most: latelyPerSlot * cfg.Slots},
 		reading: newReading(cfg.PrefillRate, cfg.KVTokens, cfg.Policy),
@@ -255,7 +258,7 @@
 	}
 	switch end {
 	case EndBroken:
-		s.linger(now, sl.ref)
+		s.lingers[sl.ref] = now.Add(brokenLinger)
 	case EndNotLoaded:
 		if sl.phase == loaded && s.slots[sl.ref] == sl {
 			delete(s.slots, sl.ref)
@@ -265,13 +268,6 @@
 	return s.flush(now)
 }
 
-// linger keeps an adapter loaded while a request that ended without its whole answer may still run on it.
-func (s *State) linger(now time.Time, ref resource.Ref) {
-	if sl := s.slots[ref]; sl != nil && sl.busyUntil.Before(now.Add(brokenLinger)) {
-		sl.busyUntil = now.Add(brokenLinger)
-	}
-}
-
 // Stop refuses all that waits and takes nothing more, before the engine is handed over.
 func (s *State) Stop(now time.Time) []Action {
 	s.stopped = true
@@ -297,6 +293,7 @@
 // Tick refuses what can no longer start in time.
 func (s *State) Tick(now time.Time) []Action {
 	s.dropDoubts(now)
+	maps.DeleteFunc(s.lingers, func(_ resource.Ref, until time.Time) bool { return !now.Before(until) })
 	return s.flush(now)
 }
 
--- a/internal/owner/uses_test.go
+++ b/internal/owner/uses_test.go
@@ -48,3 +48,29 @@
 		})
 	}
 }
+
+// TestBrokenOffRunKeepsAnAdapterThatWasLoadedAnew: as above, but the other run breaks off before the adapter is loaded anew; it may go on
+// at the engine for a while.
+func TestBrokenOffRunKeepsAnAdapterThatWasLoadedAnew(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := owner.New(owner.Config{Slots: 1, Batch: 4, MaxQueue: 4})
+	ticket := func(id uint64, r resource.Ref) owner.Ticket {
+		return owner.Ticket{ID: id, Ref: r, Arrived: now, StartBy: now.Add(time.Hour), Last: true}
+	}
+	s.Adopt([]resource.Ref{ref(1)}, false)
+	for id := range uint64(2) {
+		c.Assert(actionsOf[owner.Start](s.Submit(now, ticket(id+1, ref(1)))), qt.HasLen, 1)
+	}
+	s.Done(now, 1, owner.EndNotLoaded)
+	s.Done(now, 2, owner.EndBroken)
+	s.Submit(now, ticket(3, ref(1)))
+	c.Assert(actionsOf[owner.Load](s.Granted(now, ref(1))), qt.HasLen, 1)
+	s.Loaded(now, ref(1), nil)
+	s.Done(now, 3, owner.EndWhole)
+	s.Submit(now, ticket(4, ref(2)))
+	c.Check(actionsOf[owner.Unload](s.Granted(now, ref(2))), qt.HasLen, 0)
+	now = now.Add(time.Minute)
+	s.Tick(now)
+	c.Check(actionsOf[owner.Unload](s.Granted(now, ref(2))), qt.HasLen, 1)
+}
