--- a/internal/coordinator/takeover_test.go
+++ b/internal/coordinator/takeover_test.go
@@ -13,7 +13,8 @@
 // before. It had been hidden from them after 1.2 s, as it was silent; then the coordinator's process was killed, the next one took the
 // lease back half a second later, and for another 1.2 s the map showed the lost box again. The cause: whoever takes over gave every box
 // of the stored map the time of the takeover as the time it was last heard, so that the silence of a box was forgotten with the
-// coordinator that had noticed it. The stored map of that moment shows it: silent before the takeover, not silent in the first map after.
+// coordinator that had noticed it. What proved it: on days like that one the box that answered had the new coordinator's first map, in
+// which the lost box was not silent, as it had been in the map before.
 func TestSilentBoxStaysHiddenWhenTheCoordinatorChanges(t *testing.T) {
 	const silentAfter = 3 * beat
 	for _, tt := range []struct {
