--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -282,7 +282,8 @@
 }
 
 // idle reports whether the box may go: nothing is in flight and, as it was closed before that was looked at, nothing can be any more.
-// A request that came between the look and the end of the process would have been passed on and not answered.
+// A request that came between the look and the end of the process would have been passed on and not answered. Once closed the box
+// stays so; a request that came just before is waited for.
 func (b *Routed) idle() bool {
 	if b.InFlight() > 0 {
 		return false
