An entry that came back is told to boxes that had dropped it

Ruled out: a grace for boxes whose coordinator's word had grown old: a coordinator that is cut off alone would then keep removed endpoints in use for longer than two seconds everywhere. Change: an object that comes back while it is kept as missing counts as changed.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -179,6 +179,16 @@
 	c.add(k, entry{version: o.Version, changed: o.Version, generation: generation, listing: c.listings, size: sizeOf(o), value: v})
 }
 
+// Touch counts an object as changed with its present version though it is as before: others may have dropped it meanwhile.
+func (c *Catalog) Touch(kind, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if e, ok := c.entries[kind][name]; ok {
+		e.changed = e.version
+		c.entries[kind][name] = e
+	}
+}
+
 // add sets an entry and notes a version of an adapter that was not known.
 func (c *Catalog) add(k key, e entry) {
 	if _, known := c.entries[k.kind][k.name]; !known && k.kind == string(resource.KindAdapterVersion) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -297,6 +297,10 @@
 		klog.V(1).InfoS("objects changed", "kind", k.Name, "revision", ch.Revision, "changed", changed, "gone", gone)
 		f.cfg.Catalog.Apply(ch)
 	}
+	for _, name := range k.returned {
+		f.cfg.Catalog.Touch(k.Name, name)
+	}
+	k.returned = nil
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known[k.Name] = k.revision
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -19,6 +19,8 @@
 	known  map[string]bool
 	// missing holds objects that were removed shortly after an outage, with the time at which that is believed.
 	missing map[string]time.Time
+	// returned holds objects that came back while they were kept as missing: other boxes may have dropped them.
+	returned []string
 }
 
 func newKindState(k Kind) *kindState {
@@ -62,7 +64,7 @@
 		if !o.Deleted {
 			// In the order of the answer: one that went and is back is there.
 			k.known[o.Name] = true
-			delete(k.missing, o.Name)
+			k.back(o.Name)
 			out.Objects = append(out.Objects, o)
 			continue
 		}
@@ -87,6 +89,14 @@
 	return out
 }
 
+// back takes in that an object is there.
+func (k *kindState) back(name string) {
+	if _, missing := k.missing[name]; missing {
+		delete(k.missing, name)
+		k.returned = append(k.returned, name)
+	}
+}
+
 // remove adds the deletion of an object and of what goes with it.
 func (k *kindState) remove(changed []objects.Object, name string, version int64) []objects.Object {
 	for _, kind := range append([]string{k.Name}, k.With...) {
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -314,3 +314,25 @@
 		})
 	}
 }
+
+// TestEntryThatCameBackIsToldAgain: the box that tells the other loses the store for a while, and an entry goes meanwhile. The other follows
+// the store itself then and drops the entry; the first keeps it after its outage, and nothing changes for it when the entry is back. It
+// has to tell the other all the same: an endpoint of a cell was known to its coordinator alone for good.
+func TestEntryThatCameBackIsToldAgain(t *testing.T) {
+	for _, away := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+		t.Run(away.String(), func(t *testing.T) {
+			relayed(t, func(c *qt.C, s *store, from, to *side, _ *atomic.Bool) {
+				from.source.cut.Store(true)
+				time.Sleep(away - 300*time.Millisecond)
+				s.remove("e1")
+				time.Sleep(300 * time.Millisecond)
+				from.source.cut.Store(false)
+				time.Sleep(1200 * time.Millisecond)
+				s.put(c, resource.KindEndpoint, "e1", endpoint(1))
+				time.Sleep(10 * time.Second)
+				c.Check(endpoints(from.catalog), qt.Equals, 3)
+				c.Check(endpoints(to.catalog), qt.Equals, 3)
+			})
+		})
+	}
+}
