--- a/internal/member/lost_test.go
+++ b/internal/member/lost_test.go
@@ -22,6 +22,14 @@
 // 0.4 s later if the lost box would have gone first, and hides what it has not heard 0.8 s after that; 0.1 s for calls and for this look.
 const namedFor = 5600 * time.Millisecond
 
+// newCalmCluster returns six boxes that serve routes, well after their start; the seed shifts what follows against their heartbeats.
+func newCalmCluster(t *testing.T, answer time.Duration, seed int) *cluster {
+	cl := newTimedCluster(t, 6, 6, answer, routedTiming())
+	cl.settle()
+	cl.run(20*time.Second + time.Duration(seed)*137*time.Millisecond)
+	return cl
+}
+
 // TestLostBoxIsNotNamedForLong: a box is lost, and the coordinator before or after it, so that nobody may have noticed the silence of the
 // box yet. Callers are not sent to either for long, and to all who are there all the time.
 func TestLostBoxIsNotNamedForLong(t *testing.T) {
@@ -42,10 +50,8 @@
 			c := qt.New(t)
 			for seed := range 4 {
 				synctest.Test(t, func(t *testing.T) {
-					cl := newTimedCluster(t, 6, 6, 4*time.Millisecond, routedTiming())
+					cl := newCalmCluster(t, 4*time.Millisecond, seed)
 					defer cl.end()
-					cl.settle()
-					cl.run(20*time.Second + time.Duration(seed)*137*time.Millisecond)
 					lost := cl.lose(tt.boxFirst, tt.coordinatorFirst)
 					named, hidden := cl.watchNamed(lost, 12*time.Second)
 					for _, box := range lost {
@@ -91,10 +97,8 @@
 			c := qt.New(t)
 			for seed := range 4 {
 				synctest.Test(t, func(t *testing.T) {
-					cl := newTimedCluster(t, 6, 6, 4*time.Millisecond, routedTiming())
+					cl := newCalmCluster(t, 4*time.Millisecond, seed)
 					defer cl.end()
-					cl.settle()
-					cl.run(20*time.Second + time.Duration(seed)*137*time.Millisecond)
 					holder := cl.coordinator()
 					lost := lostBox{cl.other(holder).name, time.Now()}
 					cl.nodes[lost.name].freeze()
@@ -185,10 +189,8 @@
 			c := qt.New(t)
 			for seed := range 15 {
 				synctest.Test(t, func(t *testing.T) {
-					cl := newTimedCluster(t, 6, 6, answer, routedTiming())
+					cl := newCalmCluster(t, answer, seed)
 					defer cl.end()
-					cl.settle()
-					cl.run(20*time.Second + time.Duration(seed)*37*time.Millisecond)
 					lost := lostBox{cl.coordinator().name, time.Now()}
 					cl.nodes[lost.name].freeze()
 					_, hidden := cl.watchNamed([]lostBox{lost}, 10*time.Second)
@@ -205,10 +207,8 @@
 	for _, unanswered := range []time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond} {
 		t.Run(unanswered.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				cl := newTimedCluster(t, 6, 6, 4*time.Millisecond, routedTiming())
+				cl := newCalmCluster(t, 4*time.Millisecond, 0)
 				defer cl.end()
-				cl.settle()
-				cl.run(20 * time.Second)
 				old := cl.coordinator()
 				old.freeze()
 				for cl.holder() == old.name {
