--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -87,26 +87,16 @@
 	// probes says that one of the kinds does.
 	probes bool
 
-	mu     sync.Mutex
-	listed map[string]bool
-	// known holds the revisions up to which the kinds are known, by calls or through another box.
-	known map[string]int64
-	// whole holds the kinds that another box has to tell of in full.
-	whole map[string]bool
-	// relayed is until when another box's changes stand in for calls.
+	mu sync.Mutex
+	// kinds holds what is known of each kind, by name.
+	kinds map[string]*knowledge
+	// unlisted counts the kinds that have not been listed yet.
+	unlisted int
+	// relayed is until when another box's changes stand in for calls, takenAt when one last told anything.
 	relayed time.Time
+	takenAt time.Time
 	// late holds the deletions that were taken in later than the store made them.
 	late []lateDeletion
-	// held holds the kinds of which objects are kept that the store no longer has.
-	held map[string]bool
-	// takenAt is when another box last told anything, listedAt when the kinds were last listed by calls.
-	takenAt  time.Time
-	listedAt map[string]time.Time
-	// asked holds the kinds to ask the store for though changes come through another box.
-	asked map[string]bool
-	// answered holds when the store last answered for a kind, failing the kinds whose last call failed.
-	answered map[string]time.Time
-	failing  map[string]bool
 	// told bounds what other boxes are told.
 	told allowance
 }
@@ -115,9 +105,8 @@
 func New(cfg Config) *Follower {
 	return &Follower{
 		probes: slices.ContainsFunc(cfg.Kinds, func(k Kind) bool { return k.Probes }),
-		cfg:    cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), listed: map[string]bool{},
-		known: map[string]int64{}, whole: map[string]bool{}, held: map[string]bool{}, answered: map[string]time.Time{},
-		listedAt: map[string]time.Time{}, asked: map[string]bool{}, failing: map[string]bool{}, told: allowance{rate: cmp.Or(cfg.TellRate, defaultTellRate)},
+		cfg:    cfg, done: make(chan struct{}), ready: make(chan struct{}), store: newStoreState(cfg.Scope), kinds: map[string]*knowledge{},
+		unlisted: len(cfg.Kinds), told: allowance{rate: cmp.Or(cfg.TellRate, defaultTellRate)},
 	}
 }
 
@@ -197,18 +186,6 @@
 	}
 }
 
-// noteCall notes how a call for a kind ended. One that was given up for another's sake says nothing.
-func (f *Follower) noteCall(kind string, err error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	switch {
-	case err == nil:
-		f.answered[kind], f.failing[kind], f.asked[kind] = time.Now(), false, false
-	case !errors.Is(err, errWoken):
-		f.failing[kind] = true
-	}
-}
-
 // resume goes on with calls after another box's changes have stood in for them. What that box has told up to a revision need not be
 // listed again.
 func (f *Follower) resume(k *kindState) {
@@ -303,8 +280,8 @@
 	k.returned = nil
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.known[k.Name] = k.revision
-	f.held[k.Name] = len(k.missing) > 0
+	own := f.of(k.Name)
+	own.known, own.held = k.revision, len(k.missing) > 0
 	f.late = noteLate(f.late, k, ch, time.Now())
 }
 
@@ -330,12 +307,14 @@
 func (f *Follower) noteListed(kind string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.listedAt[kind] = time.Now()
-	if f.listed[kind] {
+	k := f.of(kind)
+	k.listedAt = time.Now()
+	if k.listed {
 		return
 	}
-	f.listed[kind] = true
-	if len(f.listed) == len(f.cfg.Kinds) {
+	k.listed = true
+	f.unlisted--
+	if f.unlisted == 0 {
 		klog.InfoS("all kinds listed", "kinds", slices.Collect(kindNames(f.cfg.Kinds)))
 		close(f.ready)
 	}
--- /dev/null
+++ b/internal/follow/knowledge.go
@@ -0,0 +1,45 @@
+package follow
+
+import (
+	"errors"
+	"time"
+)
+
+// knowledge is what a follower knows of one kind.
+type knowledge struct {
+	// known is the revision up to which the kind is known, by calls or through another box.
+	known int64
+	// listed says that the kind has been listed by calls, listedAt when it last was.
+	listed   bool
+	listedAt time.Time
+	// answered is when the store last answered for the kind, failing says that the last call for it failed.
+	answered time.Time
+	failing  bool
+	// held says that objects are kept that the store no longer has.
+	held bool
+	// whole says that another box has to tell of the kind in full, asked that the store is to be asked though changes come through one.
+	whole, asked bool
+}
+
+// of returns what is known of a kind. The caller holds the lock.
+func (f *Follower) of(kind string) *knowledge {
+	k, ok := f.kinds[kind]
+	if !ok {
+		k = &knowledge{}
+		f.kinds[kind] = k
+	}
+	return k
+}
+
+// noteCall notes how a call for a kind ended. One that was given up for another's sake says nothing.
+func (f *Follower) noteCall(kind string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.of(kind)
+	switch {
+	case err == nil:
+		k.answered, k.failing, k.asked = time.Now(), false, false
+	case !errors.Is(err, errWoken):
+		k.failing = true
+	}
+}
