First watches wait for heartbeats; one call for a map that cannot be told; ages through other boxes

Change: kinds are watched two heartbeats after their first list; the map alone is asked for; another box's word counts as an answer; calls that wait are given up when something else shows that the store is back; the map is watched every 0.4 s at most. bellgap status shows zones and what is degraded first.

Ruled out: reading lists that may be stale at a start (a tenth of the price): a box would serve by a configuration seconds old.

TestAgeAfterAnotherBoxWasHeard failed first (told 13 s).

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -45,10 +45,15 @@
 	// mapWait is how long a watch of the cell map waits, which also comes with heartbeats. It is given up early when another call
 	// fails.
 	mapWait = 6 * time.Second
+	// mapPace is the least time between two such watches: after a loss of many boxes the map changes at every heartbeat and more.
+	mapPace = 400 * time.Millisecond
 	// orderMargin is added to the gap between two owners' orders, for messages on their way.
 	orderMargin = 200 * time.Millisecond
 	// silentBeats is how many heartbeats a box may miss before callers are not sent to it.
 	silentBeats = 3
+	// firstWatchBeats is for how many heartbeats after a start a box waits for its first before it watches the store itself: a coordinator is
+	// there within one or two when all start at once.
+	firstWatchBeats = 2
 	// lastRefusal is how long before the end a leaving box takes no new request: plain ones have 1.5 s at most.
 	lastRefusal = 1700 * time.Millisecond
 	// tellShare is the part of a box's link that may pass large changes on: heartbeats have to be answered in time beside them.
@@ -121,7 +126,7 @@
 	}
 	b.follower = follow.New(follow.Config{
 		Source: cfg.Deployment.Source, Catalog: b.catalog, Kinds: followedKinds(), Grace: cfg.Settings.Platform.LapseGrace, Scope: b.metrics.Scope,
-		RelayFor: silentBeats * cfg.Settings.Timing.Beat, TellRate: tellShare * packed * bytesPerMbit * cfg.Settings.Box.LinkMbps,
+		RelayFor: silentBeats * cfg.Settings.Timing.Beat, FirstWatch: firstWatchBeats * cfg.Settings.Timing.Beat, TellRate: tellShare * packed * bytesPerMbit * cfg.Settings.Box.LinkMbps,
 	})
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
 	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Scope: b.metrics.Scope})
@@ -137,7 +142,7 @@
 		{Name: string(resource.KindRouting), Wait: routingWait, Relayed: true},
 		{Name: string(resource.KindEndpoint), Pace: endpointPace, Wait: endpointWait, Lapses: true, With: []string{string(resource.KindHolding)}, Relayed: true, Probes: true},
 		{Name: string(resource.KindAdapterVersion), Wait: versionWait, Relayed: true},
-		{Name: coordinator.MapKind, Wait: mapWait},
+		{Name: coordinator.MapKind, Pace: mapPace, Wait: mapWait},
 	}
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -1,8 +1,10 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"text/tabwriter"
@@ -20,6 +22,7 @@
 		Name: "status", Usage: "print the state of the box and of the fleet as it sees it",
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "wait", Usage: "wait up to `TIME` until the box is ready and every engine has an owner"},
+			&cli.BoolFlag{Name: "all", Usage: "list every engine, however many there are"},
 			&cli.Int64Flag{Name: "revision", Usage: "with --wait, also until the box has `REVISION` in force"},
 		},
 		Action: runStatus,
@@ -77,12 +80,13 @@
 	}
 	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
 	// The tab writer keeps errors for Flush.
-	_, _ = fmt.Fprintf(w, "box %s ready=%t revision=%d in_flight=%d cell=%s coordinator=%s frozen=%t\n",
-		st.Box, st.Ready, st.Revision, st.InFlight, st.Member.Cell, st.Member.Coordinator, st.Member.Frozen)
-	_, _ = fmt.Fprintln(w, "ENGINE\tZONE\tMODEL\tOWNER\tEPOCH")
-	for _, name := range sortedKeys(t.Engines) {
-		e := t.Engines[name]
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", name, e.Spec.Zone, e.Spec.BaseModel, e.Owner.Box, e.Epoch)
+	_, _ = fmt.Fprintf(w, "box %s ready=%t revision=%d in_flight=%d cell=%s coordinator=%s frozen=%t heard=%s ago aggregator=%s passes_on=%d\n",
+		st.Box, st.Ready, st.Revision, st.InFlight, st.Member.Cell, st.Member.Coordinator, st.Member.Frozen,
+		st.Member.SinceReply.Round(time.Millisecond), cmp.Or(st.Member.Aggregator, "none"), st.Member.PassesOn)
+	all := summarize(t, st.Member.Coordinator, st.Member.Cell)
+	all.print(w)
+	if len(t.Engines) <= longList || cmd.Bool("all") {
+		printEngines(w, t)
 	}
 	for _, e := range st.Engines {
 		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, strings.Join(e.Loaded, " "))
@@ -90,6 +94,14 @@
 	return w.Flush()
 }
 
+func printEngines(w io.Writer, t catalog.Topology) {
+	_, _ = fmt.Fprintln(w, "ENGINE\tZONE\tMODEL\tOWNER\tEPOCH")
+	for _, name := range sortedKeys(t.Engines) {
+		e := t.Engines[name]
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\n", name, e.Spec.Zone, e.Spec.BaseModel, e.Owner.Box, e.Epoch)
+	}
+}
+
 func codesCommand() *cli.Command {
 	return &cli.Command{
 		Name: "codes", Usage: "print the result codes",
--- /dev/null
+++ b/internal/cli/summary.go
@@ -0,0 +1,103 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/bellgap/bellgap/internal/aggregator"
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/coordinator"
+)
+
+const (
+	// longList is the number of engines from which the status lists them on request only.
+	longList = 40
+	// namesShown bounds the names of what is degraded.
+	namesShown = 10
+)
+
+// zoneSummary counts what there is in one availability zone.
+type zoneSummary struct {
+	boxes, silent, leaving, aggregators, engines, ownerless int
+}
+
+// summary is the fleet as one box sees it, by availability zone.
+type summary struct {
+	zones map[string]*zoneSummary
+	// silent, leaving and ownerless name what is degraded.
+	silent, leaving, ownerless []string
+}
+
+func summarize(t catalog.Topology, coordinatedBy, cell string) summary {
+	s := summary{zones: map[string]*zoneSummary{}}
+	m := coordinator.Map{Cell: cell, Coordinator: coordinatedBy}
+	for _, name := range sortedKeys(t.Boxes) {
+		m.Members = append(m.Members, t.Boxes[name])
+		s.addBox(t.Boxes[name])
+	}
+	for _, b := range m.Members {
+		if chosen := aggregator.Choose(m, b.Box, b.Zone); len(chosen) == 1 && chosen[0].Box == b.Box {
+			s.zone(b.Zone).aggregators++
+		}
+	}
+	for _, name := range sortedKeys(t.Engines) {
+		s.addEngine(name, t.Engines[name])
+	}
+	return s
+}
+
+func (s *summary) zone(name string) *zoneSummary {
+	if s.zones[name] == nil {
+		s.zones[name] = &zoneSummary{}
+	}
+	return s.zones[name]
+}
+
+func (s *summary) addBox(b coordinator.Member) {
+	z := s.zone(b.Zone)
+	z.boxes++
+	switch {
+	case b.Silent:
+		z.silent++
+		s.silent = append(s.silent, b.Box)
+	case b.Leaving:
+		z.leaving++
+		s.leaving = append(s.leaving, b.Box)
+	}
+}
+
+func (s *summary) addEngine(name string, e catalog.EngineView) {
+	z := s.zone(e.Spec.Zone)
+	z.engines++
+	if e.Owner.Box == "" {
+		z.ownerless++
+		s.ownerless = append(s.ownerless, name)
+	}
+}
+
+// print writes what is degraded first, then the zones. The tab writer that it is given keeps errors for its end.
+func (s *summary) print(w io.Writer) {
+	for _, d := range []struct {
+		what  string
+		names []string
+	}{{"silent boxes", s.silent}, {"leaving boxes", s.leaving}, {"engines without owner", s.ownerless}} {
+		if len(d.names) > 0 {
+			_, _ = fmt.Fprintf(w, "%s: %d: %s\n", d.what, len(d.names), someOf(d.names))
+		}
+	}
+	_, _ = fmt.Fprintln(w, "ZONE\tBOXES\tSILENT\tLEAVING\tAGGREGATORS\tENGINES\tNO OWNER")
+	for _, name := range sortedKeys(s.zones) {
+		z := s.zones[name]
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%d\n", name, z.boxes, z.silent, z.leaving, z.aggregators, z.engines, z.ownerless)
+	}
+}
+
+func someOf(names []string) string {
+	names = slices.Sorted(slices.Values(names))
+	if extra := len(names) - namesShown; extra > 0 {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:namesShown], " "), extra)
+	}
+	return strings.Join(names, " ")
+}
--- /dev/null
+++ b/internal/cli/summary_test.go
@@ -0,0 +1,41 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+// TestSummaryOfHundredsOfBoxes: the status of 300 boxes fits a screen, and what is degraded comes first.
+func TestSummaryOfHundredsOfBoxes(t *testing.T) {
+	c := qt.New(t)
+	fleet := catalog.Topology{Boxes: map[string]coordinator.Member{}, Engines: map[string]catalog.EngineView{}}
+	for i := range 300 {
+		box := coordinator.Member{Box: fmt.Sprintf("box-%03d", i), Zone: fmt.Sprint("zone-", i%4), Silent: i%20 == 0, Leaving: i == 7}
+		fleet.Boxes[box.Box] = box
+		name := fmt.Sprintf("engine-%03d", i)
+		fleet.Engines[name] = catalog.EngineView{Name: name, Spec: &resource.Engine{Zone: box.Zone}, Owner: box}
+	}
+	fleet.Engines["engine-000"] = catalog.EngineView{Name: "engine-000", Spec: &resource.Engine{Zone: "zone-0"}}
+	var out bytes.Buffer
+	s := summarize(fleet, "box-001", "default")
+	s.print(&out)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	c.Check(lines, qt.DeepEquals, []string{
+		"silent boxes: 15: box-000 box-020 box-040 box-060 box-080 box-100 box-120 box-140 box-160 box-180 and 5 more",
+		"leaving boxes: 1: box-007",
+		"engines without owner: 1: engine-000",
+		"ZONE\tBOXES\tSILENT\tLEAVING\tAGGREGATORS\tENGINES\tNO OWNER",
+		"zone-0\t75\t15\t0\t3\t75\t1",
+		"zone-1\t75\t0\t0\t4\t75\t0",
+		"zone-2\t75\t0\t0\t4\t75\t0",
+		"zone-3\t75\t0\t1\t4\t75\t0",
+	})
+}
--- a/internal/follow/age_test.go
+++ b/internal/follow/age_test.go
@@ -15,6 +15,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/objects"
+	"github.com/bellgap/bellgap/internal/resource"
 )
 
 // versions is a kind that seldom changes.
@@ -90,3 +91,15 @@
 		})
 	}
 }
+
+// TestAgeAfterAnotherBoxWasHeard: the pattern is a box that has had its changes through another one for long, and whose first own calls fail
+// when heartbeats end. What it tells is as old as the last word of the other box, and not as its own call ten seconds before.
+func TestAgeAfterAnotherBoxWasHeard(t *testing.T) {
+	relayed(t, func(c *qt.C, _ *store, _, to *side, beating *atomic.Bool) {
+		to.source.cutFrom.Store(string(resource.KindRouting))
+		beating.Store(false)
+		time.Sleep(9 * time.Second)
+		_, age := to.Since(to.Known())
+		c.Check(age > 5*time.Second && age < 12*time.Second, qt.IsTrue, qt.Commentf("told %s", age))
+	})
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -51,6 +51,9 @@
 	Kinds   []Kind
 	// RelayFor is how long changes taken from another box stand in for calls of this one; zero always calls.
 	RelayFor time.Duration
+	// FirstWatch is how long after its first list a kind is not watched yet. Heartbeats begin meanwhile and bring what has changed since; when
+	// all boxes start at once, each change of the cell map would wake the watch of every one of them (five calls a box).
+	FirstWatch time.Duration
 	// TellRate is how many bytes of large changes are passed on in a second, over all boxes; zero stands for defaultTellRate.
 	TellRate float64
 	// Grace is how long after an outage missing objects of kinds that lapse are kept.
@@ -158,6 +161,10 @@
 			part.Sleep(ctx, relayLook)
 			continue
 		}
+		if !relayed && time.Now().Before(k.holdUntil) {
+			part.Sleep(ctx, relayLook)
+			continue
+		}
 		f.resume(k)
 		began := time.Now()
 		err := f.step(ctx, k)
@@ -239,26 +246,44 @@
 
 func (f *Follower) list(ctx context.Context, k *kindState) error {
 	f.cfg.Scope.Counter("follow_lists").Inc(1)
+	all, err := f.pages(ctx, k)
+	if err != nil {
+		return err
+	}
+	k.know(f.cfg.Catalog.Names(k.Name))
+	f.apply(k, k.replace(time.Now(), all, f.graceUntil(k)))
+	k.listed, k.listAt = true, time.Time{}
+	if f.noteListed(k.Name) {
+		k.holdUntil = time.Now().Add(f.cfg.FirstWatch)
+	}
+	return nil
+}
+
+// pages reads the whole list of a kind. One that is to find out whether the store is back is given up when something else has shown it.
+func (f *Follower) pages(ctx context.Context, k *kindState) (objects.Changes, error) {
+	waiting, cancel := ctx, context.CancelFunc(func() {})
+	if f.store.isAway() {
+		waiting, cancel = f.store.whileThere(ctx)
+	}
+	defer cancel()
 	var all objects.Changes
 	after := ""
 	for {
-		ch, err := f.cfg.Source.List(ctx, []string{k.Name}, after)
+		ch, err := f.cfg.Source.List(waiting, []string{k.Name}, after)
+		if err != nil && waiting.Err() != nil && ctx.Err() == nil {
+			return all, errWoken
+		}
 		if err != nil {
-			return err
+			return all, err
 		}
 		if after == "" {
 			all.Revision = ch.Revision
 		}
 		all.Objects = append(all.Objects, ch.Objects...)
 		if after = ch.Next; after == "" {
-			break
+			return all, nil
 		}
 	}
-	k.know(f.cfg.Catalog.Names(k.Name))
-	f.apply(k, k.replace(time.Now(), all, f.graceUntil(k)))
-	k.listed, k.listAt = true, time.Time{}
-	f.noteListed(k.Name)
-	return nil
 }
 
 // graceUntil returns until when missing objects of a kind are kept.
@@ -308,13 +333,14 @@
 // StoreAge returns the age of what this box knows: the time since the store last answered it, or the box that tells it of changes.
 func (f *Follower) StoreAge() time.Duration { return f.store.age(time.Now()) }
 
-func (f *Follower) noteListed(kind string) {
+// noteListed notes that a kind has been listed and reports whether it was for the first time.
+func (f *Follower) noteListed(kind string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.of(kind)
 	k.listedAt = time.Now()
 	if k.listed {
-		return
+		return false
 	}
 	k.listed = true
 	f.unlisted--
@@ -322,6 +348,7 @@
 		klog.InfoS("all kinds listed", "kinds", slices.Collect(kindNames(f.cfg.Kinds)))
 		close(f.ready)
 	}
+	return true
 }
 
 func kindNames(kinds []Kind) func(yield func(string) bool) {
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -22,7 +22,9 @@
 	relist bool
 	// listAt is when the kind is to be listed anew though it is known; zero if it is not.
 	listAt time.Time
-	known  map[string]bool
+	// holdUntil is when the first watch may begin.
+	holdUntil time.Time
+	known     map[string]bool
 	// missing holds objects that were removed shortly after an outage, with the time at which that is believed.
 	missing map[string]time.Time
 	// returned holds objects that came back while they were kept as missing: other boxes may have dropped them.
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -81,6 +81,7 @@
 	}
 	began := !now.Before(f.relayed)
 	f.relayed = now.Add(f.cfg.RelayFor)
+	f.noteAnswered(now.Add(-storeAge))
 	for _, kind := range asked {
 		if k := f.of(kind); !k.asked {
 			k.asked, k.askedAt = true, now
@@ -95,6 +96,18 @@
 	}
 }
 
+// noteAnswered notes that another box's word is as good as an answer of the store at a time, for the kinds that it passes on. Without it the
+// first call of this box that failed made what it tells as old as its own call before: 41 s on a day, when the store was back already. The
+// caller holds the lock.
+func (f *Follower) noteAnswered(at time.Time) {
+	for _, k := range f.cfg.Kinds {
+		own := f.of(k.Name)
+		if k.Relayed && !own.asked && own.answered.Before(at) {
+			own.answered, own.failing = at, false
+		}
+	}
+}
+
 // noteGap asks for all of the kinds that lapse after a time without a word from the other box, unless this one has listed them itself
 // since: deletions that the other made late are repeated for lateFor only, and nothing else would tell of them.
 func (f *Follower) noteGap(now time.Time) {
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -121,6 +121,8 @@
 // regained ends an outage. The caller holds the lock.
 func (s *storeState) regained(at time.Time, through string) {
 	s.away, s.back = false, at
+	// A call that was sent while the store was away may hang for seconds yet, and its end would be taken for another outage.
+	s.wake()
 	s.scope.Counter("store_regained").Inc(1)
 	klog.InfoS("store regained", "away", at.Sub(s.since), "through", through)
 }
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -141,6 +141,9 @@
 	// history holds the maps that this coordinator published last, or those that this box passes on, mapStored the version of the newest.
 	history   coordinator.History
 	mapStored int64
+	// aggregator names the box that passed the last heartbeat on, and passesOn is the size of the last batch, for the status.
+	aggregator string
+	passesOn   int
 	// collector holds the heartbeats that this box is to pass on.
 	collector *aggregator.Collector[waiting]
 
@@ -183,7 +186,11 @@
 	Frozen bool `json:"frozen"`
 	// SinceReply is the time since the coordinator last answered.
 	SinceReply time.Duration `json:"since_reply"`
-	Leaving    bool          `json:"leaving"`
+	// Aggregator names the box that passes this one's heartbeats on, empty if they go straight to the coordinator.
+	Aggregator string `json:"aggregator,omitempty"`
+	// PassesOn is how many heartbeats were in the last batch that this box passed on.
+	PassesOn int  `json:"passes_on,omitempty"`
+	Leaving  bool `json:"leaving"`
 }
 
 // Status returns what the node shows of itself.
@@ -194,6 +201,7 @@
 	return Status{
 		Cell: n.cfg.Cell, Coordinator: n.tenure.record.Holder, Coordinates: now.Before(n.tenure.validUntil),
 		Frozen: n.frozen, SinceReply: now.Sub(n.lastReply), Leaving: n.leaving,
+		Aggregator: n.aggregator, PassesOn: n.passesOn,
 	}
 }
 
--- a/internal/member/passon.go
+++ b/internal/member/passon.go
@@ -141,6 +141,9 @@
 	}
 	n.cfg.Scope.Counter("beats_passed").Inc(int64(len(batch)))
 	n.takeNews(reply.News)
+	n.mu.Lock()
+	n.passesOn = len(batch)
+	n.mu.Unlock()
 	for i, w := range batch {
 		w.answer <- n.handOut(w.beat, reply.Answers[i], reply.News.StoreAge)
 	}
@@ -220,6 +223,7 @@
 // not asked.
 func (n *Node) send(ctx context.Context, address string, b coordinator.Beat) (coordinator.Reply, error) {
 	via, ok := n.via()
+	n.noteAggregator(via.Box)
 	if !ok {
 		return n.sendTo(ctx, address, b)
 	}
@@ -242,6 +246,16 @@
 	return r, err
 }
 
+// noteAggregator notes by which box heartbeats go now, none for straight to the coordinator.
+func (n *Node) noteAggregator(box string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.aggregator != box {
+		klog.V(1).InfoS("heartbeats go by another box", "cell", n.cfg.Cell, "was", n.aggregator, "is", box)
+		n.aggregator = box
+	}
+}
+
 // sendTo sends a heartbeat straight to a box and takes the news in.
 func (n *Node) sendTo(ctx context.Context, address string, b coordinator.Beat) (coordinator.Reply, error) {
 	r, err := n.cfg.Peers.Beat(ctx, address, b)
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -22,9 +22,6 @@
 	Take(changes []objects.KindChanges, storeAge time.Duration)
 }
 
-// askPlatform is the age of the platform's last answer as told to a box that is to ask the platform itself.
-const askPlatform = time.Minute
-
 // addNews adds to a reply what the box does not know yet. The caller holds the lock.
 func (n *Node) addNews(known map[string]int64, generation int64, news *coordinator.News) {
 	if n.cfg.Spread == nil || known == nil {
@@ -37,7 +34,7 @@
 		return
 	}
 	if !n.cfg.Spread.MayTell(d.Size()) {
-		news.StoreAge = max(news.StoreAge, askPlatform)
+		news.Changes = append(news.Changes, objects.KindChanges{Kind: coordinator.MapKind, Ask: true, Age: news.StoreAge})
 		return
 	}
 	d.Version = n.mapStored
