--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -114,9 +114,9 @@
 	}
 }
 
-// Told takes in what another box has read of the lease. One that is not newer changes nothing.
+// Told takes in what another box has read of the lease. What is not newer changes nothing, nor does a holder before the one known here.
 func (l *Lease) Told(r Record, version int64) {
-	if version > l.version {
+	if version > l.version && r.Epoch >= l.record.Epoch {
 		l.saw(objects.Object{Version: version}, r)
 	}
 }
--- /dev/null
+++ b/internal/lease/told_test.go
@@ -0,0 +1,39 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/lease"
+)
+
+// TestTold hears of a lease from other boxes in any order: the holder never goes back, and what a map names is known until it is read.
+func TestTold(t *testing.T) {
+	c := qt.New(t)
+	l := lease.New(lease.Config{Holder: "box-c", TTL: time.Second})
+	l.Told(lease.Record{Holder: "box-a", Epoch: 5}, 10)
+	c.Check(l.Record().Holder, qt.Equals, "box-a")
+	l.Named("box-b", "10.0.0.2:1", 6)
+	c.Check(l.Record(), qt.Equals, lease.Record{Holder: "box-b", Address: "10.0.0.2:1", Epoch: 6})
+	for _, test := range []struct {
+		name    string
+		record  lease.Record
+		version int64
+		holder  string
+	}{
+		{"a later write of the holder before", lease.Record{Holder: "box-a", Epoch: 5}, 12, "box-b"},
+		{"an older version", lease.Record{Holder: "box-a", Epoch: 6}, 9, "box-b"},
+		{"given up", lease.Record{Epoch: 6}, 14, ""},
+		{"the next holder", lease.Record{Holder: "box-d", Epoch: 7}, 15, "box-d"},
+	} {
+		l.Told(test.record, test.version)
+		c.Check(l.Record().Holder, qt.Equals, test.holder, qt.Commentf("%s", test.name))
+		c.Check(l.Ours(), qt.IsFalse)
+	}
+	_, known := l.FreeAt(0)
+	c.Check(known, qt.IsTrue)
+	l.Named("box-a", "10.0.0.1:1", 6)
+	c.Check(l.Record().Holder, qt.Equals, "box-d")
+}
--- a/internal/member/large_test.go
+++ b/internal/member/large_test.go
@@ -229,3 +229,29 @@
 		}
 	})
 }
+
+// TestLastHeartbeatWaitsForNobody: the pattern is a planned stop in a large cell. A box that ends has half a second to give its engines up; its
+// last heartbeat goes straight to the coordinator.
+func TestLastHeartbeatWaitsForNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newLargeCluster(t, 120)
+		defer cl.end()
+		time.Sleep(15 * time.Second)
+		var leaver *node
+		for _, n := range cl.list() {
+			if n.ownedCount() > 0 && n.name != cl.coordinator().name {
+				leaver = n
+			}
+		}
+		leaver.Leave()
+		time.Sleep(2 * time.Second)
+		cl.c.Check(leaver.lastBeat().PassOn, qt.IsTrue)
+		cl.kill(leaver.name)
+		time.Sleep(100 * time.Millisecond)
+		last := leaver.lastBeat()
+		cl.c.Check(last.PassOn, qt.IsFalse)
+		cl.c.Check(last.Released, qt.Not(qt.HasLen), 0)
+		cl.until(10*time.Second, func() bool { return cl.owned() == len(cl.engines) })
+		cl.check()
+	})
+}
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -126,6 +126,8 @@
 	chosen   chosen
 	// avoided holds until when the aggregators that did not answer are passed over, by peer address.
 	avoided map[string]time.Time
+	// ending says that the next heartbeat is the last one, which cannot wait for others.
+	ending bool
 	// unheardUntil is when, after a takeover, boxes that have not been heard are to be shown as silent.
 	unheardUntil time.Time
 
@@ -261,6 +263,7 @@
 func (n *Node) giveUp(ctx context.Context) {
 	if n.Leaving() && n.cfg.Timing.Reclaim {
 		n.releaseAll()
+		n.ending = true
 		if err := n.beat(context.WithoutCancel(ctx)); err != nil {
 			klog.InfoS("engines not given up", "cell", n.cfg.Cell, "err", err)
 		}
--- a/internal/member/passon.go
+++ b/internal/member/passon.go
@@ -288,6 +288,9 @@
 
 // via returns the aggregator that this box is to use now, if any.
 func (n *Node) via() (coordinator.Member, bool) {
+	if n.ending {
+		return coordinator.Member{}, false
+	}
 	m, version, _ := n.cfg.Catalog.Map(n.cfg.Cell)
 	if version != n.chosen.version || m.Generation != n.chosen.generation {
 		n.chosen = chosen{version, m.Generation, aggregator.Choose(m, n.cfg.Self.Box, n.cfg.Self.Zone)}
