--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -2,6 +2,7 @@
 package httpx
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -10,6 +11,8 @@
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Bounds of every listener and connection.
@@ -86,6 +89,21 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// PostOnce posts a message as JSON. The transport has nothing to send it a second time.
+func PostOnce(ctx context.Context, client *http.Client, url string, message any) (*http.Response, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, eris.Wrap(err, "httpx: encode")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, eris.Wrap(err, "httpx: request")
+	}
+	req.GetBody = nil
+	resp, err := client.Do(req)
+	return resp, eris.Wrap(err, "httpx: call")
+}
+
 // Serve serves l until ctx ends, then takes no more connections and lets answers that are being written end, for closeTime at most.
 func Serve(ctx context.Context, s *http.Server, l net.Listener) error {
 	closed := make(chan struct{})
--- a/internal/places/client.go
+++ b/internal/places/client.go
@@ -1,7 +1,6 @@
 package places
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -110,7 +109,7 @@
 	timed, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var answer Answer
-	resp, err := c.post(timed, address, pathTake, a)
+	resp, err := httpx.PostOnce(timed, c.cfg.HTTP, "http://"+address.String()+pathTake, a)
 	if err != nil {
 		if ctx.Err() == nil {
 			c.silent.Add(address, time.Now())
@@ -131,7 +130,7 @@
 func (c *Client) tell(ctx context.Context, address netip.AddrPort, all []End) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	resp, err := c.post(ctx, address, pathEnd, all)
+	resp, err := httpx.PostOnce(ctx, c.cfg.HTTP, "http://"+address.String()+pathEnd, all)
 	if err != nil {
 		c.cfg.Scope.Counter("place_ends_lost").Inc(int64(len(all)))
 		klog.V(1).InfoS("ends of places not told; they expire", "keeper", address, "ends", len(all), "err", err)
@@ -139,17 +138,3 @@
 	}
 	httpx.Drain(resp.Body)
 }
-
-func (c *Client) post(ctx context.Context, address netip.AddrPort, path string, message any) (*http.Response, error) {
-	body, err := json.Marshal(message)
-	if err != nil {
-		return nil, eris.Wrap(err, "places: encode")
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, eris.Wrap(err, "places: request")
-	}
-	req.GetBody = nil
-	resp, err := c.cfg.HTTP.Do(req)
-	return resp, eris.Wrap(err, "places: call")
-}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -147,19 +146,10 @@
 func (c *Client) call(ctx context.Context, address netip.AddrPort, a Ask) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	body, err := json.Marshal(a)
-	if err != nil {
-		return Answer{}, eris.Wrap(err, "quota: encode")
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address.String()+pathTake, bytes.NewReader(body))
-	if err != nil {
-		return Answer{}, eris.Wrap(err, "quota: request")
-	}
-	req.GetBody = nil
-	resp, err := c.cfg.HTTP.Do(req)
+	resp, err := httpx.PostOnce(ctx, c.cfg.HTTP, "http://"+address.String()+pathTake, a)
 	if err != nil {
 		c.silent.Add(address, time.Now())
-		return Answer{}, eris.Wrap(err, "quota: call")
+		return Answer{}, err
 	}
 	defer httpx.Drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
