Sight: fingerprints of requests, and whether an endpoint that broke an answer off has ended

Added: each request's line carries a fingerprint (method, host, path, query, customer, body); after an answer that the endpoint broke off the box looks whether anything listens there still, and says what it found.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -106,7 +106,7 @@
 	case ctx.Err() != nil:
 		return result.New(result.TimedOut, "%v", context.Cause(ctx))
 	default:
-		return result.New(result.AnswerLost, "%v", err)
+		return cutBy(result.AnswerLost, err)
 	}
 }
 
@@ -159,7 +159,7 @@
 func (o *output) copyWhole(resp *http.Response) *result.Error {
 	start, err := io.ReadAll(io.LimitReader(resp.Body, wholeBuffer))
 	if err != nil {
-		return result.New(result.StreamCut, "%v", err)
+		return cutBy(result.StreamCut, err)
 	}
 	o.writeHead(resp)
 	if _, err := o.w.Write(start); err != nil {
@@ -169,7 +169,7 @@
 		return nil
 	}
 	if _, err := io.Copy(o.w, resp.Body); err != nil {
-		return result.New(result.StreamCut, "%v", err)
+		return cutBy(result.StreamCut, err)
 	}
 	return nil
 }
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -71,6 +71,7 @@
 			continue
 		}
 		lastEvent, rerr = r.runOn(ctx, out, q, c, Attempt{Version: version, LastEvent: lastEvent})
+		r.noteBroken(ctx, q, destination{c.name, c.address}, rerr)
 		r.remember(ref, c.name, rerr)
 		if rerr == nil {
 			return nil
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -47,9 +47,11 @@
 		resp, rerr := r.callPlain(ctx, q, e)
 		place.End(answeredIn(sentAt, resp))
 		if rerr == nil {
-			if rerr = r.passPlain(out, resp, e, q); rerr == nil || out.started {
-				return rerr
-			}
+			rerr = r.passPlain(out, resp, e, q)
+		}
+		r.noteBroken(ctx, q, destination{e.Name, e.Spec.Address}, rerr)
+		if rerr == nil || out.started {
+			return rerr
 		}
 		last = rerr
 		if !r.elsewhere(q, rerr) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/policy"
+	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/quota"
 	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -109,6 +110,8 @@
 	// units is what was taken of the quota of charged.
 	units   float64
 	charged *customer.Customer
+	// fingerprint is what it is known by when it comes again.
+	fingerprint quarantine.Fingerprint
 	// ref is the adapter version it was for, tries what was asked of owners and endpoints, with the outcomes.
 	ref   string
 	tries []string
@@ -217,6 +220,7 @@
 	}
 	content, rerr := body.Read(w, in, bodyLimits(table.Limits(), q))
 	q.body = content
+	q.fingerprint = fingerprintOf(q)
 	return q, rerr
 }
 
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -27,6 +27,8 @@
 	RetryAfter time.Duration
 	// Elsewhere lists addresses that would take the request, best first.
 	Elsewhere []string
+	// BrokenOff says that the far side broke the connection off on which it had the request. It is known to the box alone that sent it.
+	BrokenOff bool
 }
 
 // New returns an Error with a formatted detail.
