A load that ends engines is held like a request; operators see what is held and let it pass

The wait for an order that was taken asked a dead address for the rest of 20 s, so nobody learned that the engine had ended under it. Ends of endpoints that do not say when they started are told apart by the time between them, so that one that comes back under its name counts again.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -92,8 +92,8 @@
 		Catalog: b.catalog, Scope: b.metrics.Scope, Pick: func() feed.Source { return b.source(api, peers) },
 		Lost: func(ctx context.Context) ([]objects.Object, error) { return b.lost(ctx, api, peers) },
 	})
-	records := record.New()
 	b.quarantine = newQuarantine(cfg.Settings, b.catalog, b.metrics.Scope)
+	records := record.New()
 	b.buildLoads(peers)
 	b.buildOwners()
 	b.buildNode(api, peers)
@@ -152,7 +152,7 @@
 func (b *Box) buildOwners() {
 	b.owners = owner.NewSet(owner.SetConfig{
 		Supervisor: b.root, Loads: b.loads, Scope: b.metrics.Scope,
-		Client:    b.engines,
+		Client:    quarantinedOrders{b.engines, b.quarantine},
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
 		Lookup:    b.lookupEngine,
 		Leaving:   func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
@@ -245,7 +245,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.feed.IsReady,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope,
-		Record: records,
+		Record: records, Quarantine: b.quarantine,
 	})
 	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -155,7 +155,7 @@
 		adapters = budgeted
 	}
 	b.owners = owner.NewSet(owner.SetConfig{
-		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: b.cfg.Deployment.Engines,
+		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: ordersTo(b.cfg.Deployment.Engines, b.quarantine, b.cfg.Settings.Policy.Chosen()),
 		PrefillRate: b.cfg.Settings.Routes.PrefillRate, Policy: b.cfg.Settings.Policy.Chosen(),
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
 		Lookup:    b.lookupEngine,
@@ -239,6 +239,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, Record: record.New(),
+		Quarantine: b.quarantine,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- /dev/null
+++ b/internal/cli/quarantine.go
@@ -0,0 +1,69 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bellgap/bellgap/internal/quarantine"
+)
+
+func quarantineCommand() *cli.Command {
+	return &cli.Command{
+		Name: "quarantine", Usage: "print the requests under which endpoints have ended", Action: runQuarantine,
+		Commands: []*cli.Command{{
+			Name: "release", Usage: "let requests with a FINGERPRINT pass again, on all boxes", ArgsUsage: "FINGERPRINT", Action: runRelease,
+		}},
+	}
+}
+
+func runQuarantine(ctx context.Context, cmd *cli.Command) error {
+	c, err := newOperatorClient(cmd)
+	if err != nil {
+		return err
+	}
+	var cases []quarantine.Case
+	if err := c.call(ctx, http.MethodGet, "/quarantine", nil, &cases); err != nil {
+		return err
+	}
+	if cmd.Root().String("output") == formatJSON {
+		return printJSON(cmd, cases)
+	}
+	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+	// The tab writer keeps errors for Flush.
+	_, _ = fmt.Fprintln(w, "FINGERPRINT\tENDED\tHELD SINCE\tREQUEST")
+	for _, one := range cases {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", one.Fingerprint, one.Count(), heldSince(one), one.What)
+	}
+	return w.Flush()
+}
+
+// heldSince returns when a request came to be held, or that it is not.
+func heldSince(c quarantine.Case) string {
+	if c.Since == 0 {
+		return "not held"
+	}
+	return time.UnixMilli(c.Since).UTC().Format(time.RFC3339)
+}
+
+func runRelease(ctx context.Context, cmd *cli.Command) error {
+	fingerprint := cmd.Args().First()
+	if fingerprint == "" {
+		return eris.New("name a fingerprint")
+	}
+	c, err := newOperatorClient(cmd)
+	if err != nil {
+		return err
+	}
+	var done struct{}
+	if err := c.call(ctx, http.MethodDelete, "/quarantine/"+fingerprint, nil, &done); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "%s passes again\n", fingerprint)
+	return err
+}
--- a/internal/cli/summary.go
+++ b/internal/cli/summary.go
@@ -26,8 +26,8 @@
 // summary is the fleet as one box sees it, by availability zone.
 type summary struct {
 	zones map[string]*zoneSummary
-	// silent, leaving and ownerless name what is degraded.
-	silent, leaving, ownerless []string
+	// silent, leaving and ownerless name what is degraded, held the requests that reach no endpoint.
+	silent, leaving, ownerless, held []string
 }
 
 func summarize(t catalog.Topology, coordinatedBy, cell string) summary {
@@ -45,6 +45,9 @@
 	for _, name := range sortedKeys(t.Engines) {
 		s.addEngine(name, t.Engines[name])
 	}
+	for _, h := range t.Quarantined {
+		s.held = append(s.held, h.Fingerprint.String())
+	}
 	return s
 }
 
@@ -82,7 +85,7 @@
 	for _, d := range []struct {
 		what  string
 		names []string
-	}{{"silent boxes", s.silent}, {"leaving boxes", s.leaving}, {"engines without owner", s.ownerless}} {
+	}{{"silent boxes", s.silent}, {"leaving boxes", s.leaving}, {"engines without owner", s.ownerless}, {"requests in quarantine", s.held}} {
 		if len(d.names) > 0 {
 			_, _ = fmt.Fprintf(w, "%s: %d: %s\n", d.what, len(d.names), someOf(d.names))
 		}
--- a/internal/cli/tool.go
+++ b/internal/cli/tool.go
@@ -40,7 +40,7 @@
 			},
 			&cli.StringFlag{Name: "output", Aliases: []string{"o"}, Value: formatTable, Usage: "print as `FORMAT`: table or json"},
 		},
-		Commands: []*cli.Command{applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), explainCommand(), codesCommand(), askCommand()},
+		Commands: []*cli.Command{applyCommand(), getCommand(), deleteCommand(), watchCommand(), statusCommand(), explainCommand(), quarantineCommand(), codesCommand(), askCommand()},
 	}
 	return run(cmd, args, errOut)
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -61,8 +61,12 @@
 	if err != nil {
 		return eris.Wrap(err, "engine: order")
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
+	sent := httpx.TraceSent(req)
+	resp, err := c.http.Do(sent.Request)
+	switch {
+	case err != nil && sent.Started() && ctx.Err() == nil:
+		return eris.Wrapf(ErrBrokenOff, "engine: order: %v", err)
+	case err != nil:
 		return eris.Wrap(err, "engine: order")
 	}
 	defer httpx.Drain(resp.Body)
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -44,6 +44,9 @@
 // ErrAuthorityOver ends an order whose sender has lost the right to give it; it may have been taken before.
 var ErrAuthorityOver = errors.New("engine: the authority to give the order is over")
 
+// ErrBrokenOff ends an order that the engine had taken and broke off: it may have ended.
+var ErrBrokenOff = errors.New("engine: broke an order off")
+
 // Report is what an engine says of itself; it lags.
 type Report struct {
 	// Incarnation changes when the engine restarts; it then holds no adapter.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -2,6 +2,7 @@
 package operator
 
 import (
+	"context"
 	"net/http"
 	"net/http/pprof"
 
@@ -12,6 +13,7 @@
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -30,7 +32,17 @@
 	InFlight   func() int
 	// Record answers why recent requests went as they did.
 	Record *record.Log
-	Scope  tally.Scope
+	// Quarantine knows the requests under which endpoints have ended.
+	Quarantine Quarantine
+	Scope      tally.Scope
+}
+
+// Quarantine is what operators see of requests that end endpoints, and let pass again.
+type Quarantine interface {
+	// Cases returns the requests under which endpoints have ended, those under which most did first.
+	Cases() []quarantine.Case
+	// Release lets a request pass on all boxes. It reports whether the request was known.
+	Release(ctx context.Context, f quarantine.Fingerprint) bool
 }
 
 // Operator is the operators' part of a box.
@@ -62,6 +74,8 @@
 	mux.HandleFunc("GET /status", o.handleStatus)
 	mux.HandleFunc("GET /boxes", o.handleBoxes)
 	mux.HandleFunc("GET /explain", o.handleExplain)
+	mux.HandleFunc("GET /quarantine", o.handleQuarantine)
+	mux.HandleFunc("DELETE /quarantine/{fingerprint}", o.handleRelease)
 	mux.HandleFunc("GET /resources/{kind}", o.handleList)
 	mux.HandleFunc("GET /resources/{kind}/{name}", o.handleGet)
 	mux.HandleFunc("PUT /resources/{kind}/{name}", o.handlePut)
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -77,8 +77,7 @@
 			return ok && current == epoch
 		}
 		err = r.cfg.Client.Give(ctx, r.target(), o)
-		var refused *engine.OrderRefusedError
-		if err == nil || errors.As(err, &refused) || errors.Is(err, engine.ErrAuthorityOver) || ctx.Err() != nil {
+		if err == nil || isFinal(err) || ctx.Err() != nil {
 			return err
 		}
 		r.cfg.Scope.Counter("order_retries").Inc(1)
@@ -87,6 +86,12 @@
 	return err
 }
 
+// isFinal reports whether an order is not to be given to the same engine again after a failure.
+func isFinal(err error) bool {
+	var refused *engine.OrderRefusedError
+	return errors.As(err, &refused) || errors.Is(err, engine.ErrAuthorityOver) || errors.Is(err, engine.ErrBrokenOff)
+}
+
 // poll asks the engine for reports.
 func (r *Runner) poll(ctx context.Context) error {
 	tick := time.NewTicker(reportEvery)
--- a/internal/quarantine/client.go
+++ b/internal/quarantine/client.go
@@ -129,13 +129,13 @@
 
 // Ended takes in that an endpoint ended while it had a request. It returns once the boxes that keep the case know, and once all boxes do if it
 // is the second endpoint or a later one: the caller who is told of the failure after that may come again to any box.
-func (c *Client) Ended(ctx context.Context, f Fingerprint, what, life string) {
-	known, more := c.cfg.Register.Add(time.Now(), Case{Fingerprint: f, What: what, Ended: []string{life}})
+func (c *Client) Ended(ctx context.Context, f Fingerprint, what string, e Endpoint) {
+	known, more := c.cfg.Register.Ended(time.Now(), f, what, e)
 	if !more || known.Count() == 0 {
 		return
 	}
 	c.cfg.Scope.Counter("quarantine_endpoints_ended").Inc(1)
-	klog.InfoS("endpoint ended under a request", "fingerprint", f, "request", what, "endpoint", life, "ended", known.Count())
+	klog.InfoS("endpoint ended under a request", "fingerprint", f, "request", what, "endpoint", e.Name, "ended", known.Count())
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
 	others, here := c.cfg.Fleet.Keepers(f)
--- a/internal/quarantine/client_test.go
+++ b/internal/quarantine/client_test.go
@@ -181,7 +181,8 @@
 
 // end tells a box that an endpoint ended under a request.
 func (w *fleet) end(box string, n int, life string) {
-	w.box(box).Ended(context.Background(), numbered(n), "POST h/x", life)
+	name, _, _ := strings.Cut(life, "/")
+	w.box(box).Ended(context.Background(), numbered(n), "POST h/x", quarantine.Endpoint{Name: name, Started: 1})
 }
 
 var names = []string{"a", "b", "c", "d", "e", "f", "g"}
@@ -315,7 +316,7 @@
 	w.box("g").Ran(numbered(1))
 	var group errgroup.Group
 	for i, name := range names[:3] {
-		group.Go(func() error { w.end(name, 1, fmt.Sprint("x/", i)); return nil })
+		group.Go(func() error { w.end(name, 1, fmt.Sprint("x", i)); return nil })
 	}
 	c.Assert(group.Wait(), qt.IsNil)
 	until(c, func() bool { return len(w.holders(1)) == 0 })
--- a/internal/quarantine/look.go
+++ b/internal/quarantine/look.go
@@ -25,8 +25,8 @@
 	Started int64
 }
 
-// life names one life of an endpoint: one that starts again under its name is another.
-func (e Endpoint) life() string { return e.Name + "/" + strconv.FormatInt(e.Started, 10) }
+// life names one life of an endpoint, which a number tells from others: one that starts again under its name is another.
+func (e Endpoint) life(number int64) string { return e.Name + "/" + strconv.FormatInt(number, 10) }
 
 // looked is what a look at an endpoint has shown.
 type looked string
@@ -74,7 +74,7 @@
 	c.cfg.Scope.Tagged(map[string]string{"endpoint": string(seen)}).Counter("requests_broken_off").Inc(1)
 	klog.V(1).InfoS("request broken off", "fingerprint", f, "request", what, "endpoint", e.Name, "address", e.Address, "found", seen)
 	if seen == lookedEnded {
-		c.Ended(ctx, f, what, e.life())
+		c.Ended(ctx, f, what, e)
 	}
 }
 
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -16,6 +16,9 @@
 	ranWellFor = 30 * time.Second
 	// maxCases bounds the requests that a box knows of, at some 300 bytes each; beyond it those heard of longest ago are dropped.
 	maxCases = 2048
+	// lifeApart is how far apart two ends of an endpoint that does not say when it started lie at the least. What several boxes see of one end lies
+	// within some milliseconds.
+	lifeApart = time.Second
 )
 
 // RegisterConfig configures a Register.
@@ -66,6 +69,29 @@
 	return e.Case, more
 }
 
+// Ended takes in that an endpoint ended while it had a request. It returns all that is known now, and whether that is more than before.
+func (r *Register) Ended(now time.Time, f Fingerprint, what string, e Endpoint) (known Case, more bool) {
+	return r.Add(now, Case{Fingerprint: f, What: what, Ended: []string{r.lifeOf(now, f, e)}})
+}
+
+// lifeOf names the life of an endpoint that has ended. One that does not say when it started is numbered by its ends.
+func (r *Register) lifeOf(now time.Time, f Fingerprint, e Endpoint) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.cases[f]
+	if e.Started != 0 || known == nil {
+		return e.life(e.Started)
+	}
+	number := int64(0)
+	for slices.Contains(known.Ended, e.life(number)) {
+		number++
+	}
+	if number > 0 && now.Sub(known.heard) < lifeApart {
+		number--
+	}
+	return e.life(number)
+}
+
 // Ran takes in that an endpoint has answered a request whole. It returns what is to be told, if something counted against the request.
 func (r *Register) Ran(now time.Time, f Fingerprint) (cleared Case, ok bool) {
 	r.ranWell.Add(f, now)
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -54,6 +54,38 @@
 	c.Check(held, qt.IsFalse)
 }
 
+// TestEndpointThatComesBackUnderItsName: some say when they started; the ends of the others are told apart by the time between them, so that what
+// two boxes see of one end counts once.
+func TestEndpointThatComesBackUnderItsName(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		started func(end int) int64
+	}{
+		{"says when it started", func(end int) int64 { return int64(1000 + end) }},
+		{"does not", func(int) int64 { return 0 }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			one, two := newRegister(), newRegister()
+			for end := range endpoints {
+				at := base.Add(time.Duration(end) * 1500 * time.Millisecond)
+				_, held := one.Held(at, numbered(1))
+				c.Check(held, qt.IsFalse, qt.Commentf("after %d ends", end))
+				e := quarantine.Endpoint{Name: "e", Started: test.started(end)}
+				first, _ := one.Ended(at, numbered(1), "POST h/x", e)
+				second, _ := two.Ended(at.Add(3*time.Millisecond), numbered(1), "POST h/x", e)
+				one.Add(at.Add(5*time.Millisecond), second)
+				two.Add(at.Add(5*time.Millisecond), first)
+			}
+			for _, r := range []*quarantine.Register{one, two} {
+				v, held := r.Held(base.Add(5*time.Second), numbered(1))
+				c.Check(held, qt.IsTrue)
+				c.Check(v.Ended, qt.Equals, endpoints)
+			}
+		})
+	}
+}
+
 // TestRequestThatRanWellIsNoSuspect: who was there when endpoints ended for another reason has run well elsewhere, before or since.
 func TestRequestThatRanWellIsNoSuspect(t *testing.T) {
 	for _, test := range []struct {
