--- a/internal/box/accountable.go
+++ b/internal/box/accountable.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/customer"
 	"github.com/bellgap/bellgap/internal/placement"
@@ -50,7 +51,7 @@
 // deaf reports whether this box has not heard of a coordinator for so long that another one may be accountable.
 func (a *accountable) deaf() bool {
 	limit := deafBeats * a.box.cfg.Settings.Timing.Beat
-	return a.box.node.Status().SinceReply > limit && time.Since(a.startedAt) > limit
+	return a.box.node.Status().SinceReply > limit && clock.Since(a.startedAt) > limit
 }
 
 func (a *accountable) choose(name string) (coordinator.Member, bool) {
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/feed"
@@ -344,11 +345,11 @@
 	defer limit.Stop()
 	tick := time.NewTicker(leavePoll)
 	defer tick.Stop()
-	idleSince := time.Now()
+	idleSince := clock.Now()
 	for {
 		if b.InFlight() > 0 {
-			idleSince = time.Now()
-		} else if b.node.HandedOver() || time.Since(idleSince) > 2*timing.Term {
+			idleSince = clock.Now()
+		} else if b.node.HandedOver() || clock.Since(idleSince) > 2*timing.Term {
 			return
 		}
 		select {
--- a/internal/box/leaving.go
+++ b/internal/box/leaving.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/clock"
 )
 
 const (
@@ -20,10 +22,10 @@
 // leavingFor returns how long this box has been leaving, zero if it is not.
 func (b *Routed) leavingFor() time.Duration {
 	at := b.leftAt.Load()
-	if at == 0 {
+	if at == nil {
 		return 0
 	}
-	return max(1, time.Since(time.Unix(0, at)))
+	return max(1, clock.Since(*at))
 }
 
 // idle reports whether the box may go: nothing is in flight and, as it was closed before that was looked at, nothing can be any more.
@@ -40,25 +42,25 @@
 // leave serves on for callers that do not know yet, until nothing is in flight, at most the time for leaving.
 func (b *Routed) leave(ctx context.Context) {
 	timing := b.cfg.Settings.Timing
-	b.leftAt.Store(time.Now().UnixNano())
+	began := clock.Now()
+	b.leftAt.Store(&began)
 	klog.InfoS("leaving", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight())
 	b.node.Leave()
-	began := time.Now()
 	tick := time.NewTicker(leavePoll)
 	defer tick.Stop()
 	tell := time.NewTicker(leaveTold)
 	defer tell.Stop()
-	for time.Since(began) < timing.Leave-killMargin {
-		if time.Since(began) >= timing.Linger && b.idle() {
+	for clock.Since(began) < timing.Leave-killMargin {
+		if clock.Since(began) >= timing.Linger && b.idle() {
 			break
 		}
 		select {
 		case <-tell.C:
-			klog.InfoS("still leaving", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight(), "after", time.Since(began))
+			klog.InfoS("still leaving", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight(), "after", clock.Since(began))
 		case <-tick.C:
 		case <-ctx.Done():
 			return
 		}
 	}
-	klog.InfoS("gone", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight(), "after", time.Since(began))
+	klog.InfoS("gone", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight(), "after", clock.Since(began))
 }
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -14,6 +14,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/grant"
@@ -88,8 +89,8 @@
 	listeners  listeners
 	ready      net.Listener
 	directory  net.Listener
-	// leftAt is when the box was told to leave, in Unix nanoseconds, zero before.
-	leftAt atomic.Int64
+	// leftAt is when the box was told to leave, nil before.
+	leftAt atomic.Pointer[time.Time]
 	// closed is set when the box, having nothing in flight, takes nothing more.
 	closed atomic.Bool
 	// told is what callers were last told of the fleet.
@@ -115,7 +116,7 @@
 	}
 	b.ledger, b.accountable = quota.NewLedger(quota.LedgerConfig{Bounds: quota.Bounds{
 		Window: cfg.Settings.Customers.QuotaWindow, Excess: cfg.Settings.Customers.QuotaExcess, Tolerance: cfg.Settings.Customers.QuotaTolerance,
-	}}), &accountable{box: b, startedAt: time.Now()}
+	}}), &accountable{box: b, startedAt: clock.Now()}
 	b.keeper = places.NewKeeper(mathrand.Uint64())
 	b.places = places.NewClient(places.ClientConfig{
 		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Keepers: b.accountable, Keeper: b.keeper, Scope: b.metrics.Scope,
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -17,6 +17,9 @@
 // this long awake before it knows.
 const lookEvery = 2 * time.Millisecond
 
+// grain is the least time that counts as suspended: the two clocks cannot be read at the same moment, and a thread may lose its turn between.
+const grain = 10 * time.Millisecond
+
 // skew is a clock that counts suspended time, held against the steady one.
 type skew struct {
 	// read returns how far the counting clock is ahead of the steady one, never more than it is.
@@ -68,7 +71,7 @@
 		return
 	}
 	for {
-		had, now := s.suspended.Load(), int64(ahead-s.first)
+		had, now := s.suspended.Load(), int64((ahead - s.first).Truncate(grain))
 		if now <= had || s.suspended.CompareAndSwap(had, now) {
 			return
 		}
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -165,6 +165,17 @@
 	return Heard{Age: now.Sub(m.seen), Inherited: m.inherited}
 }
 
+// StoodStill takes in that this process has stood still for some time. Whom it has not heard meanwhile it could not hear: all count as heard that much
+// later, so that nobody is shown as silent or loses engines for it.
+func (s *State) StoodStill(now time.Time, d time.Duration) {
+	for _, m := range s.members {
+		if m.seen = m.seen.Add(d); m.seen.After(now) {
+			// It has been heard since.
+			m.seen = now
+		}
+	}
+}
+
 // silent reports whether a member has missed its heartbeats. One that was silent for the coordinator before stays so until this one
 // hears from it: seen, which is the takeover for it, is when its grants were last good at the latest, not when it was last there.
 // Without this a lost box is shown to callers for another SilentAfter at each change of coordinator.
--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/objects"
 )
 
@@ -33,7 +34,7 @@
 
 // Confirmed returns the age of what is known here, for another box. It has to be asked before what is told with it.
 func (f *Follower) Confirmed() map[string]objects.Confirmation {
-	now := time.Now()
+	now := clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := map[string]objects.Confirmation{}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/part"
 )
@@ -156,7 +157,7 @@
 func (f *Follower) follow(ctx context.Context, k *kindState) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		relayed := f.isRelayed(time.Now())
+		relayed := f.isRelayed(clock.Now())
 		if relayed && !f.isAsked(k.Name) {
 			k.relayed = true
 			part.Sleep(ctx, relayLook)
@@ -166,34 +167,34 @@
 			part.Sleep(ctx, relayLook)
 			continue
 		}
-		if !relayed && time.Now().Before(k.holdUntil) {
+		if !relayed && clock.Now().Before(k.holdUntil) {
 			part.Sleep(ctx, relayLook)
 			continue
 		}
 		f.resume(k)
-		began := time.Now()
+		began := clock.Now()
 		err := f.step(ctx, k)
-		err = k.judge(time.Since(began), err)
-		pause := k.Pace - time.Since(began)
+		err = k.judge(clock.Since(began), err)
+		pause := k.Pace - clock.Since(began)
 		f.noteCall(k.Name, err)
 		switch {
 		case err == nil:
 			backoff = minBackoff
-			f.store.answered(time.Now())
+			f.store.answered(clock.Now())
 		case errors.Is(err, objects.ErrGone):
 			klog.InfoS("history gone; listing", "kind", k.Name, "revision", k.revision)
 			k.revision, k.listed = 0, false
 			pause = 0
-			f.store.answered(time.Now())
+			f.store.answered(clock.Now())
 			// What one kind missed the others may have missed too, and their watches may never hear of it.
 			f.store.wakeAll()
 		case errors.Is(err, errWoken), errors.Is(err, errCut):
 			pause = 0
 		case ctx.Err() == nil:
-			f.store.failed(time.Now(), k.Name, err)
+			f.store.failed(clock.Now(), k.Name, err)
 			f.cfg.Scope.Counter("follow_failures").Inc(1)
 			// A call that has hung for long has kept its distance from the next.
-			pause = max(minPause, backoff/2+rand.N(backoff)-time.Since(began))
+			pause = max(minPause, backoff/2+rand.N(backoff)-clock.Since(began))
 			backoff = min(2*backoff, maxBackoff)
 		}
 		if pause > 0 {
@@ -218,22 +219,22 @@
 		if len(k.With) > 0 {
 			// What goes with a kind is not relayed and has been dropped: only a list brings it back. Lists are paid for by the page, so
 			// that waits until heartbeats have been missing for longer than one of them takes to be lost.
-			k.listAt = time.Now().Add(k.Pace)
+			k.listAt = clock.Now().Add(k.Pace)
 		}
 	}
 }
 
 // step makes one call: a list until there has been one, then watches, and a list after one that was not answered.
 func (f *Follower) step(ctx context.Context, k *kindState) error {
-	if !k.listed || k.relist || k.listIsDue(time.Now()) {
+	if !k.listed || k.relist || k.listIsDue(clock.Now()) {
 		return f.list(ctx, k)
 	}
 	f.cfg.Scope.Counter("follow_watches").Inc(1)
 	wait := k.Wait
-	if k.TellWait > 0 && f.tells(time.Now()) {
+	if k.TellWait > 0 && f.tells(clock.Now()) {
 		wait = k.TellWait
 	}
-	if due, ok := k.nextExpiry(time.Now()); ok {
+	if due, ok := k.nextExpiry(clock.Now()); ok {
 		wait = min(wait, due)
 	}
 	if f.store.isAway() {
@@ -241,7 +242,7 @@
 	}
 	waiting, cancel := f.store.whileThere(ctx)
 	defer cancel()
-	began := time.Now()
+	began := clock.Now()
 	ch, err := f.cfg.Source.Watch(waiting, []string{k.Name}, k.revision, wait)
 	if err != nil && waiting.Err() != nil && ctx.Err() == nil {
 		return errWoken
@@ -249,24 +250,24 @@
 	if err != nil {
 		return err
 	}
-	f.apply(k, k.changes(time.Now(), ch, f.graceUntil(k)))
+	f.apply(k, k.changes(clock.Now(), ch, f.graceUntil(k)))
 	f.confirm(k.Name, began)
 	return nil
 }
 
 func (f *Follower) list(ctx context.Context, k *kindState) error {
 	f.cfg.Scope.Counter("follow_lists").Inc(1)
-	began := time.Now()
+	began := clock.Now()
 	all, err := f.pages(ctx, k)
 	if err != nil {
 		return err
 	}
 	k.know(f.cfg.Catalog.Names(k.Name))
-	f.apply(k, k.replace(time.Now(), all, f.graceUntil(k)))
+	f.apply(k, k.replace(clock.Now(), all, f.graceUntil(k)))
 	f.confirm(k.Name, began)
 	k.listed, k.listAt = true, time.Time{}
 	if f.noteListed(k.Name) {
-		k.holdUntil = time.Now().Add(f.cfg.FirstWatch)
+		k.holdUntil = clock.Now().Add(f.cfg.FirstWatch)
 	}
 	return nil
 }
@@ -323,7 +324,7 @@
 	defer f.mu.Unlock()
 	own := f.of(k.Name)
 	own.known, own.held = k.revision, len(k.missing) > 0
-	f.late = noteLate(f.late, k, ch, time.Now())
+	f.late = noteLate(f.late, k, ch, clock.Now())
 }
 
 // maxNamesTold bounds the names in a line.
@@ -343,14 +344,14 @@
 }
 
 // StoreAge returns the age of what this box knows: the time since the store last answered it, or the box that tells it of changes.
-func (f *Follower) StoreAge() time.Duration { return f.store.age(time.Now()) }
+func (f *Follower) StoreAge() time.Duration { return f.store.age(clock.Now()) }
 
 // noteListed notes that a kind has been listed and reports whether it was for the first time.
 func (f *Follower) noteListed(kind string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.of(kind)
-	k.listedAt = time.Now()
+	k.listedAt = clock.Now()
 	if k.listed {
 		return false
 	}
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/objects"
 )
 
@@ -46,13 +47,13 @@
 	k := f.of(kind)
 	switch {
 	case err == nil:
-		k.answered, k.failing, k.asked = time.Now(), false, false
+		k.answered, k.failing, k.asked = clock.Now(), false, false
 	case errors.Is(err, objects.ErrGone):
 		// The store answers; what it has forgotten is listed next.
-		k.answered, k.failing = time.Now(), false
+		k.answered, k.failing = clock.Now(), false
 	case !errors.Is(err, errWoken) && !errors.Is(err, errCut):
 		if !k.failing {
-			k.failing, k.failedAt = true, time.Now()
+			k.failing, k.failedAt = true, clock.Now()
 		}
 	}
 }
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/objects"
 )
 
@@ -51,7 +52,7 @@
 
 // Take takes changes from another box in. While they come and that box hears from the store, this one makes no calls.
 func (f *Follower) Take(changes []objects.KindChanges, storeAge time.Duration) {
-	f.noteGap(time.Now())
+	f.noteGap(clock.Now())
 	var asked []string
 	for _, ch := range changes {
 		if !ch.Ask {
@@ -63,7 +64,7 @@
 	if f.cfg.RelayFor == 0 || !f.IsReady() {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	f.mu.Lock()
 	if storeAge > relayAge {
 		ended := now.Before(f.relayed)
@@ -192,7 +193,7 @@
 	if !lapses || ch.Full {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.late = dropOld(f.late, now)
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -7,6 +7,8 @@
 
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/clock"
 )
 
 // storeState says since when the store has been answering this box.
@@ -93,7 +95,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
-		return time.Now()
+		return clock.Now()
 	}
 	return s.back
 }
--- a/internal/follow/tell.go
+++ b/internal/follow/tell.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/objects"
 )
 
@@ -43,7 +44,7 @@
 	defer f.mu.Unlock()
 	var out []objects.Object
 	for _, d := range f.late {
-		if d.object.Kind == kind && d.object.Version <= known && time.Since(d.at) <= lateFor {
+		if d.object.Kind == kind && d.object.Version <= known && clock.Since(d.at) <= lateFor {
 			out = append(out, d.object)
 		}
 	}
@@ -93,7 +94,7 @@
 func (f *Follower) MayTell(size int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.told.take(time.Now(), size)
+	return f.told.take(clock.Now(), size)
 }
 
 // Since returns what is known here beyond known, for another box, and the time since the store last answered. What this box has through
@@ -101,8 +102,8 @@
 // that could not be told all is to ask the store itself. One that cannot is told a little later.
 func (f *Follower) Since(known map[string]int64) ([]objects.KindChanges, time.Duration) {
 	var out, asks []objects.KindChanges
-	f.noteTells(time.Now())
-	age := f.tellAge(time.Now())
+	f.noteTells(clock.Now())
+	age := f.tellAge(clock.Now())
 	for _, k := range f.cfg.Kinds {
 		if f.MayTell(f.sizeSince(k, known[k.Name])) {
 			if ch, ok := f.kindSince(k, known[k.Name]); ok {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/quarantine"
@@ -38,13 +39,13 @@
 // place runs a job on one of the candidate engines.
 func (g *Gateway) place(ctx context.Context, j *job) (*attempt, *result.Error) {
 	g.retries.earn()
-	giveUp := time.Now().Add(handOverWait)
+	giveUp := clock.Now().Add(handOverWait)
 	for {
 		a, err := g.tryCandidates(ctx, j)
 		if err == nil || !ownerless(err) {
 			return a, err
 		}
-		now := time.Now()
+		now := clock.Now()
 		if now.After(giveUp) || !now.Add(handOverLook).Before(j.startBy) {
 			return nil, result.New(result.NoEngine, "base model %s: %s", j.baseModel, err)
 		}
@@ -84,7 +85,7 @@
 		j.told.Tried(record.Try{Engine: e.Name, Box: e.Owner.Box, Result: err.Code.String(), Detail: err.Detail})
 		mayHaveRun = mayHaveRun || err.Code.Info().Ran != result.RanNo
 		last = err.After(mayHaveRun)
-		if !tryElsewhere(err, j.repeatable) || !time.Now().Before(j.startBy) {
+		if !tryElsewhere(err, j.repeatable) || !clock.Now().Before(j.startBy) {
 			break
 		}
 		g.cfg.Scope.Tagged(map[string]string{"reason": err.Code.String()}).Counter("retries").Inc(1)
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -8,12 +8,13 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
 // handleCompletion serves POST /v1/chat/completions and /v1/completions.
 func (g *Gateway) handleCompletion(w http.ResponseWriter, r *http.Request) {
-	began := time.Now()
+	began := clock.Now()
 	requestID := g.requestID(r)
 	if rerr := g.openForNew(); rerr != nil {
 		g.fail(w, requestID, rerr)
@@ -80,8 +81,8 @@
 		g.cfg.Scope.Timer("stalled").Record(stalled)
 	}
 	j.told.ID, j.told.RunID, j.told.Adapter, j.told.Urgency = j.requestID, j.runID, j.ref.String(), j.urgency
-	j.told.Stalled, j.told.Result, j.told.Took = stalled, code, time.Since(began)
+	j.told.Stalled, j.told.Result, j.told.Took = stalled, code, clock.Since(began)
 	g.cfg.Record.Add(j.told)
 	klog.V(2).InfoS("request", "request", j.requestID, "run", j.runID, "adapter", j.ref.String(), "engine", engineName,
-		"owner", box, "result", int(code), "stalled", stalled, "took", time.Since(began))
+		"owner", box, "result", int(code), "stalled", stalled, "took", clock.Since(began))
 }
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/httpx"
@@ -69,7 +70,7 @@
 func (g *Gateway) tryHop(ctx context.Context, j *job, e catalog.EngineView) (*attempt, *result.Error) {
 	head, err := json.Marshal(hopHead{
 		Engine: e.Name, Ref: j.ref.String(), Weights: j.weights, RunID: j.runID, RequestID: j.requestID,
-		Path: j.path, Urgency: j.urgency, StartIn: time.Until(j.startBy), Last: j.last, Suspect: j.suspect,
+		Path: j.path, Urgency: j.urgency, StartIn: clock.Until(j.startBy), Last: j.last, Suspect: j.suspect,
 	})
 	if err != nil {
 		return nil, result.New(result.BadRequest, "%v", err)
@@ -117,7 +118,7 @@
 	resp, err := g.cfg.Hop.Do(req)
 	if err != nil {
 		if !watch.Stop() || !errors.Is(err, context.Canceled) {
-			g.suspects.Add(e.Owner.Box, time.Now())
+			g.suspects.Add(e.Owner.Box, clock.Now())
 		}
 		if body.read.Load() {
 			return nil, result.New(result.AnswerLost, "box %s: %v", e.Owner.Box, err)
@@ -190,7 +191,7 @@
 	}
 	return &job{
 		requestID: h.RequestID, runID: h.RunID, path: h.Path, ref: ref, weights: h.Weights,
-		urgency: h.Urgency, startBy: time.Now().Add(h.StartIn), last: h.Last, suspect: h.Suspect,
+		urgency: h.Urgency, startBy: clock.Now().Add(h.StartIn), last: h.Last, suspect: h.Suspect,
 	}, runner, nil
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/body"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -137,6 +138,6 @@
 	if wait == 0 {
 		wait = g.cfg.Limits.DefaultWait
 	}
-	j.startBy = time.Now().Add(wait)
+	j.startBy = clock.Now().Add(wait)
 	return nil
 }
--- a/internal/gateway/locate.go
+++ b/internal/gateway/locate.go
@@ -3,8 +3,8 @@
 import (
 	"net/http"
 	"slices"
-	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -72,7 +72,7 @@
 	for _, name := range append(preferred, placement.Top(key, names, 2*maxAddresses)...) {
 		b := t.Boxes[name]
 		address := b.Caller.String()
-		if b.Leaving || g.suspects.Has(name, time.Now()) || slices.Contains(addresses, address) {
+		if b.Leaving || g.suspects.Has(name, clock.Now()) || slices.Contains(addresses, address) {
 			continue
 		}
 		addresses = append(addresses, address)
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -1,9 +1,8 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/resource"
 )
@@ -14,7 +13,7 @@
 	var good, doubtful []catalog.EngineView
 	for _, name := range placement.Top(ref.String(), t.ByModel[baseModel], t.MaxEngines(baseModel)) {
 		e := t.Engines[name]
-		if e.Owner.Box != g.cfg.Box && (e.Owner.Leaving || g.suspects.Has(e.Owner.Box, time.Now())) {
+		if e.Owner.Box != g.cfg.Box && (e.Owner.Leaving || g.suspects.Has(e.Owner.Box, clock.Now())) {
 			doubtful = append(doubtful, e)
 			continue
 		}
--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/result"
@@ -63,7 +64,7 @@
 		result.New(result.NotOwner, "%s", ask.Engine).Write(w, "")
 		return
 	}
-	q, rerr := ask.Request(time.Now())
+	q, rerr := ask.Request(clock.Now())
 	if rerr != nil {
 		rerr.Write(w, "")
 		return
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/objects"
 )
 
@@ -95,7 +96,7 @@
 
 func (l *Lease) saw(o objects.Object, r Record) {
 	if o.Version != l.version || l.changedAt.IsZero() {
-		l.changedAt = time.Now()
+		l.changedAt = clock.Now()
 	}
 	l.version, l.record = o.Version, r
 	if slices.Contains(l.unsettled, r.Token) {
@@ -125,7 +126,7 @@
 // known stays the older one, so that nothing can be written before the holder has told its own or the lease has been read.
 func (l *Lease) Named(holder, address string, epoch uint64) {
 	if epoch > l.record.Epoch {
-		l.record, l.changedAt = Record{Holder: holder, Address: address, Epoch: epoch}, time.Now()
+		l.record, l.changedAt = Record{Holder: holder, Address: address, Epoch: epoch}, clock.Now()
 	}
 }
 
@@ -189,7 +190,7 @@
 	if err != nil {
 		return eris.Wrap(err, "lease: encode")
 	}
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	version, err := l.cfg.API.Put(ctx, Kind, l.cfg.Name, l.version, value)
 	if errors.Is(err, objects.ErrAnswerLost) {
 		version, err = l.settle(ctx, r.Token)
@@ -203,7 +204,7 @@
 		return err
 	}
 	l.unsettled = nil
-	l.record, l.version, l.changedAt, l.token = r, version, time.Now(), r.Token
+	l.record, l.version, l.changedAt, l.token = r, version, clock.Now(), r.Token
 	if r.Holder != "" {
 		l.validUntil = sentAt.Add(l.cfg.TTL)
 	}
--- a/internal/loads/local.go
+++ b/internal/loads/local.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/part"
 )
 
@@ -29,7 +30,7 @@
 // NewLocal returns a Local; its Serve has to run.
 func NewLocal(cfg LocalConfig) *Local {
 	return &Local{
-		queue: NewQueue(time.Now(), cfg.Budget), grants: map[uint64]chan struct{}{},
+		queue: NewQueue(clock.Now(), cfg.Budget), grants: map[uint64]chan struct{}{},
 		changed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 }
@@ -58,7 +59,7 @@
 func (l *Local) handOut() (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	for {
 		w, ok := l.queue.Next(now)
 		if !ok {
@@ -76,7 +77,7 @@
 	l.nextID++
 	id := l.nextID
 	l.grants[id] = granted
-	l.queue.Add(Waiting{ID: id, Need: n, Since: time.Now()})
+	l.queue.Add(Waiting{ID: id, Need: n, Since: clock.Now()})
 	l.mu.Unlock()
 	l.wake()
 	select {
--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/part"
 )
 
@@ -85,8 +86,8 @@
 
 // flush writes what waits, for a short time only.
 func (s *Sink) flush() {
-	end := time.Now().Add(flushTime)
-	for time.Now().Before(end) {
+	end := clock.Now().Add(flushTime)
+	for clock.Now().Before(end) {
 		select {
 		case line := <-s.lines:
 			s.write(line)
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -17,7 +18,7 @@
 func (n *Node) HandleBeat(b coordinator.Beat) (coordinator.Reply, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r, err := n.reply(time.Now(), b)
+	r, err := n.reply(clock.Now(), b)
 	if err != nil {
 		return coordinator.Reply{}, err
 	}
@@ -32,7 +33,7 @@
 	if n.state == nil {
 		return coordinator.BatchReply{}, n.notCoordinating()
 	}
-	now := time.Now()
+	now := clock.Now()
 	var out coordinator.BatchReply
 	for _, beat := range b.Beats {
 		r, err := n.reply(now, beat)
@@ -79,7 +80,7 @@
 	ctx, cancel := n.limit(ctx)
 	defer cancel()
 	if at, ok := n.turn(); ok {
-		ctx, cancel = context.WithDeadline(ctx, at)
+		ctx, cancel = context.WithTimeout(ctx, clock.Until(at))
 		defer cancel()
 	}
 	full, address := n.nextBeat()
@@ -87,13 +88,13 @@
 		return errors.New("member: no coordinator known")
 	}
 	b := n.abridge(full)
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	r, err := n.exchange(ctx, address, b)
 	n.noteStall(sentAt.Add(n.cfg.Timing.LeaseTTL / dutyShare))
 	if b.Base != 0 && isCode(err, result.UnknownBase) {
 		b = full
 		b.Sequence = n.nextSequence()
-		sentAt = time.Now()
+		sentAt = clock.Now()
 		r, err = n.exchange(ctx, address, b)
 	}
 	if err != nil {
@@ -117,7 +118,7 @@
 	n.lease.Told(unreached.Lease, unreached.Version)
 	n.setTenure(n.coordinating())
 	if n.rank() >= maxCandidates {
-		n.lastSeek = time.Now()
+		n.lastSeek = clock.Now()
 	}
 }
 
@@ -221,7 +222,7 @@
 
 // accept takes a reply in. A frozen reply changes nothing, but shows that the coordinator is there.
 func (n *Node) accept(sentAt time.Time, r coordinator.Reply) {
-	now := time.Now()
+	now := clock.Now()
 	n.mu.Lock()
 	n.lastReply, n.frozen = now, r.Frozen
 	if r.Frozen {
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -11,6 +11,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/placement"
@@ -21,7 +22,7 @@
 func (n *Node) seekLease(ctx context.Context) {
 	ctx, cancel := n.limit(ctx)
 	defer cancel()
-	n.lastSeek = time.Now()
+	n.lastSeek = clock.Now()
 	if m, _, ok := n.cfg.Catalog.Map(n.cfg.Cell); ok {
 		n.soughtFor = m.Lease
 	}
@@ -34,7 +35,7 @@
 	} else {
 		n.setTenure(nil)
 	}
-	if n.coordinating() != nil || n.Leaving() || !n.lease.Free(time.Now(), n.grace()) {
+	if n.coordinating() != nil || n.Leaving() || !n.lease.Free(clock.Now(), n.grace()) {
 		return
 	}
 	state, err := n.takeLease(ctx)
@@ -76,7 +77,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	address := n.tenure.record.Address
-	lately := time.Since(n.lastReply) < missedBeats*n.cfg.Timing.Beat
+	lately := clock.Since(n.lastReply) < missedBeats*n.cfg.Timing.Beat
 	return address, address != "" && address != n.cfg.Self.Peer.String() && lately
 }
 
@@ -106,7 +107,7 @@
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
 	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", n.lapsed, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
 	return coordinator.New(coordinator.Config{
-		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: time.Now(),
+		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: clock.Now(),
 		SilentAfter: n.cfg.Timing.SilentAfter, UnheardAfter: unheardBeats * n.cfg.Timing.Beat, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim, Lapsed: n.lapsed,
 	}, last), nil
 }
@@ -128,7 +129,7 @@
 	ctx, cancel := n.limit(ctx)
 	defer cancel()
 	var err error
-	if time.Until(n.lease.ValidUntil()) <= time.Duration(renewBelow*float64(n.cfg.Timing.LeaseTTL)) {
+	if clock.Until(n.lease.ValidUntil()) <= time.Duration(renewBelow*float64(n.cfg.Timing.LeaseTTL)) {
 		err = n.lease.Renew(ctx)
 	}
 	if errors.Is(err, objects.ErrConflict) {
@@ -149,10 +150,10 @@
 
 // readBoxes takes the platform's box list in, every few heartbeats. A list that cannot be read leaves the last one standing.
 func (n *Node) readBoxes(ctx context.Context, state *coordinator.State) {
-	if time.Since(n.lastBoxes) < boxListBeats*n.cfg.Timing.Beat {
+	if clock.Since(n.lastBoxes) < boxListBeats*n.cfg.Timing.Beat {
 		return
 	}
-	n.lastBoxes = time.Now()
+	n.lastBoxes = clock.Now()
 	boxes, err := n.cfg.API.Boxes(ctx)
 	if err != nil {
 		n.cfg.Scope.Counter("box_list_failures").Inc(1)
@@ -183,7 +184,7 @@
 	held := n.quarantined()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	state.Tick(time.Now(), engines)
+	state.Tick(clock.Now(), engines)
 	m := state.Map()
 	m.Quarantined = held
 	return m
@@ -226,12 +227,12 @@
 	n.cfg.Scope.Counter("map_writes").Inc(1)
 	if first {
 		n.lapsed = ""
-		n.unheardUntil = time.Now().Add(unheardBeats*n.cfg.Timing.Beat + time.Millisecond)
+		n.unheardUntil = clock.Now().Add(unheardBeats*n.cfg.Timing.Beat + time.Millisecond)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.logStandings(before, m, state)
-	state.Published(time.Now(), m)
+	state.Published(clock.Now(), m)
 	n.mapStored = version
 	n.history.Set(m)
 }
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -14,6 +14,7 @@
 
 	"github.com/bellgap/bellgap/internal/aggregator"
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/objects"
@@ -208,7 +209,7 @@
 func (n *Node) Status() Status {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	return Status{
 		Cell: n.cfg.Cell, Coordinator: n.tenure.record.Holder, Coordinates: now.Before(n.tenure.validUntil),
 		Frozen: n.frozen, SinceReply: now.Sub(n.lastReply), Leaving: n.leaving,
--- a/internal/member/passon.go
+++ b/internal/member/passon.go
@@ -9,6 +9,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/aggregator"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -92,7 +93,7 @@
 	if n.ended {
 		return false
 	}
-	if n.collector.Add(time.Now(), w) {
+	if n.collector.Add(clock.Now(), w) {
 		n.batches.Go(func() error {
 			time.Sleep(n.cfg.Timing.Beat / windowShare)
 			n.passBatch()
@@ -114,7 +115,7 @@
 // passBatch sends what has been collected to the coordinator and hands the replies out.
 func (n *Node) passBatch() {
 	n.mu.Lock()
-	all, fresh := n.collector.Take(time.Now())
+	all, fresh := n.collector.Take(clock.Now())
 	address, lease := n.tenure.record.Address, n.tenure.record.Epoch
 	n.mu.Unlock()
 	var batch []waiting
@@ -130,7 +131,7 @@
 	if len(batch) == 0 {
 		return
 	}
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	reply, err := n.callBatch(address, batch)
 	if err != nil {
 		n.cfg.Scope.Counter("batch_failures").Inc(1)
@@ -259,7 +260,7 @@
 
 // sendTo sends a heartbeat straight to a box and takes the news in.
 func (n *Node) sendTo(ctx context.Context, address string, b coordinator.Beat) (coordinator.Reply, error) {
-	sentAt := time.Now()
+	sentAt := clock.Now()
 	r, err := n.cfg.Peers.Beat(ctx, address, b)
 	if err == nil {
 		n.takeNews(r.News, sentAt)
@@ -273,7 +274,7 @@
 	if errors.As(err, &unreachedError{}) || isCode(err, result.NotPassedOn) {
 		beats = refusedBeats * n.cfg.Timing.Beat
 	}
-	n.avoided[via.Peer.String()] = time.Now().Add(beats)
+	n.avoided[via.Peer.String()] = clock.Now().Add(beats)
 }
 
 // sendVia sends a heartbeat through an aggregator, which may be this box.
@@ -297,7 +298,7 @@
 	if version != n.chosen.version || m.Generation != n.chosen.generation {
 		n.chosen = chosen{version, m.Generation, aggregator.Choose(m, n.cfg.Self.Box, n.cfg.Self.Zone)}
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, a := range n.chosen.aggregators {
 		if !now.Before(n.avoided[a.Peer.String()]) {
 			delete(n.avoided, a.Peer.String())
--- a/internal/member/round.go
+++ b/internal/member/round.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/part"
 )
@@ -16,7 +17,7 @@
 // is a coordinator that has not had a heartbeat of this box yet.
 func (n *Node) rest(ctx context.Context) {
 	pause := n.pause()
-	due := time.Now().Add(pause)
+	due := clock.Now().Add(pause)
 	next := time.NewTimer(pause)
 	defer next.Stop()
 	defer func() { n.noteStall(due) }()
@@ -48,9 +49,9 @@
 		pause -= n.cfg.Timing.Beat / windowShare
 	}
 	if at, ok := n.turn(); ok {
-		pause = min(pause, time.Until(at))
+		pause = min(pause, clock.Until(at))
 	}
-	if left := time.Until(n.unheardUntil); left > 0 && n.coordinating() != nil {
+	if left := clock.Until(n.unheardUntil); left > 0 && n.coordinating() != nil {
 		pause = min(pause, left)
 	}
 	return pause
@@ -85,7 +86,7 @@
 		n.cfg.Scope.Counter("beat_failures").Inc(1)
 		klog.V(1).InfoS("heartbeat failed", "cell", n.cfg.Cell, "err", err)
 	}
-	if n.seekIsDue(time.Now(), err) {
+	if n.seekIsDue(clock.Now(), err) {
 		n.seekLease(ctx)
 	}
 }
@@ -129,7 +130,7 @@
 		return time.Time{}, false
 	}
 	at, known := n.lease.FreeAt(n.grace())
-	return at, known && time.Now().Before(at)
+	return at, known && clock.Now().Before(at)
 }
 
 // supplanted reports whether the cell map names a newer coordinator than this box knows, and the lease has not been read since:
@@ -158,13 +159,16 @@
 
 // noteStall notes that this process stood still if a time to wait has ended far too late: what it reads now may be old.
 func (n *Node) noteStall(due time.Time) {
-	now := time.Now()
+	now := clock.Now()
 	if now.Sub(due) < n.cfg.Timing.Beat {
 		return
 	}
 	n.cfg.Scope.Counter("stalls").Inc(1)
-	klog.InfoS("this process stood still", "cell", n.cfg.Cell, "for", now.Sub(due))
+	klog.InfoS("this process stood still", "cell", n.cfg.Cell, "for", now.Sub(due), "suspended_in_all", clock.Suspended())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.collector.Stalled(now)
+	if n.state != nil {
+		n.state.StoodStill(now, now.Sub(due))
+	}
 }
--- a/internal/member/shown.go
+++ b/internal/member/shown.go
@@ -1,10 +1,9 @@
 package member
 
 import (
-	"time"
-
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 )
 
@@ -56,7 +55,7 @@
 }
 
 func (n *Node) logStanding(box string, was, is standing, now coordinator.Map, state *coordinator.State) {
-	heard := state.Heard(time.Now(), box)
+	heard := state.Heard(clock.Now(), box)
 	n.cfg.Scope.Tagged(map[string]string{"standing": string(is)}).Counter("box_standings").Inc(1)
 	klog.InfoS("box standing", "cell", n.cfg.Cell, "of", box, "was", was, "is", is, "age", heard.Age, "inherited", heard.Inherited,
 		"generation", now.Generation, "lease", now.Lease)
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -8,6 +8,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -18,7 +19,7 @@
 }
 
 func (r *Runner) askPermit(ctx context.Context, a AskPermit) {
-	ctx, cancel := context.WithDeadline(ctx, a.StartBy)
+	ctx, cancel := context.WithTimeout(ctx, clock.Until(a.StartBy))
 	defer cancel()
 	p, err := r.cfg.Loads.Acquire(ctx, loads.Need{Engine: r.cfg.Name, Urgency: a.Urgency, StartBy: a.StartBy, Waiters: a.Waiters})
 	if err != nil {
@@ -43,7 +44,7 @@
 
 // loadBase loads the base model of an engine that came up without it; the weight store's budget is asked first.
 func (r *Runner) loadBase(ctx context.Context) {
-	permit, err := r.cfg.BaseLoads.Acquire(ctx, loads.Need{Engine: r.cfg.Name, Urgency: resource.MaxUrgency, StartBy: time.Now()})
+	permit, err := r.cfg.BaseLoads.Acquire(ctx, loads.Need{Engine: r.cfg.Name, Urgency: resource.MaxUrgency, StartBy: clock.Now()})
 	if err == nil {
 		err = r.order(ctx, engine.Order{Action: engine.ActionLoadBase, Model: r.cfg.Engine.BaseModel})
 		permit(true)
@@ -66,14 +67,14 @@
 func (r *Runner) order(ctx context.Context, o engine.Order) error {
 	var err error
 	for range orderAttempts {
-		epoch, ok := r.cfg.Authority(time.Now())
+		epoch, ok := r.cfg.Authority(clock.Now())
 		if !ok {
 			r.cfg.Scope.Counter("orders_withheld").Inc(1)
 			return errNoAuthority
 		}
 		o.Epoch = epoch
 		o.Allowed = func() bool {
-			current, ok := r.cfg.Authority(time.Now())
+			current, ok := r.cfg.Authority(clock.Now())
 			return ok && current == epoch
 		}
 		err = r.cfg.Client.Give(ctx, r.target(), o)
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/policy"
@@ -186,7 +187,7 @@
 func (r *Runner) Acquire(ctx context.Context, q Request) (*Grant, error) {
 	id := r.nextID.Add(1)
 	reply := make(chan verdict, 1)
-	t := Ticket{ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: time.Now(), StartBy: q.StartBy, Last: q.Last, Prompt: q.Prompt, Output: q.Output, Parts: q.Parts, Accept: q.Accept, Near: q.Near, Pressed: q.Pressed}
+	t := Ticket{ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: clock.Now(), StartBy: q.StartBy, Last: q.Last, Prompt: q.Prompt, Output: q.Output, Parts: q.Parts, Accept: q.Accept, Near: q.Near, Pressed: q.Pressed}
 	select {
 	case r.events <- submitted{t, reply}:
 	case <-r.done:
@@ -257,11 +258,11 @@
 	for {
 		select {
 		case e := <-r.events:
-			actions := r.take(time.Now(), e)
+			actions := r.take(clock.Now(), e)
 			r.inFlight.Store(int64(r.state.InFlight()))
 			r.carryOut(ctx, actions)
 		case <-tick.C:
-			r.carryOut(ctx, r.state.Tick(time.Now()))
+			r.carryOut(ctx, r.state.Tick(clock.Now()))
 			r.show()
 		case <-ctx.Done():
 			for _, p := range r.permits {
@@ -371,7 +372,7 @@
 }
 
 func (r *Runner) show() {
-	_, ok := r.cfg.Authority(time.Now())
+	_, ok := r.cfg.Authority(clock.Now())
 	st := Status{Engine: r.cfg.Name, InFlight: r.state.InFlight(), Waiting: r.state.Waiting(), Loaded: r.state.LoadedNames(), Frozen: !ok}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/feed"
 	"github.com/bellgap/bellgap/internal/httpx"
@@ -96,7 +97,7 @@
 func (c *Client) AcquirePermit(ctx context.Context, address string, n loads.Need) (loads.Permit, error) {
 	wait := maxWait
 	if deadline, ok := ctx.Deadline(); ok {
-		wait = min(wait, time.Until(deadline))
+		wait = min(wait, clock.Until(deadline))
 	}
 	var given PermitGiven
 	if err := c.call(ctx, address, PathPermit, wait+callTimeout, PermitAsk{n, wait}, &given); err != nil {
--- a/internal/places/client.go
+++ b/internal/places/client.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/gather"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/recent"
@@ -78,11 +79,11 @@
 // Take asks for a place. The Place is nil if there is none, and wait is then when to come back. While nobody keeps the count every request gets one.
 func (c *Client) Take(ctx context.Context, a Ask) (p *Place, wait time.Duration) {
 	address, here, ok := c.cfg.Keepers.For(a.Endpoint)
-	if !ok || (!here && c.silent.Has(address, time.Now())) {
+	if !ok || (!here && c.silent.Has(address, clock.Now())) {
 		return uncounted(), 0
 	}
 	if here {
-		answer := c.cfg.Keeper.Take(time.Now(), a)
+		answer := c.cfg.Keeper.Take(clock.Now(), a)
 		return c.place(a, answer, c.cfg.Keeper.End)
 	}
 	answer, err := c.ask(ctx, address, a)
@@ -112,7 +113,7 @@
 	resp, err := httpx.PostOnce(timed, c.cfg.HTTP, "http://"+address.String()+pathTake, a)
 	if err != nil {
 		if ctx.Err() == nil {
-			c.silent.Add(address, time.Now())
+			c.silent.Add(address, clock.Now())
 		}
 		return answer, err
 	}
--- a/internal/places/server.go
+++ b/internal/places/server.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -35,7 +35,7 @@
 		result.New(result.BadRequest, "%v", err).Write(w, "")
 		return
 	}
-	httpx.WriteJSON(w, http.StatusOK, s.cfg.Keeper.Take(time.Now(), a))
+	httpx.WriteJSON(w, http.StatusOK, s.cfg.Keeper.Take(clock.Now(), a))
 }
 
 func (s *Server) handleEnd(w http.ResponseWriter, r *http.Request) {
--- a/internal/quarantine/client.go
+++ b/internal/quarantine/client.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/singleflight"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/gather"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/part"
@@ -96,19 +97,19 @@
 // Held reports whether a request is held.
 func (c *Client) Held(f Fingerprint) (v Verdict, held bool) {
 	c.takeMaps()
-	return c.cfg.Register.Held(time.Now(), f)
+	return c.cfg.Register.Held(clock.Now(), f)
 }
 
 // ToPublish returns what the cell map is to name, if this box publishes it.
 func (c *Client) ToPublish() []Held {
 	c.takeMaps()
-	return c.cfg.Register.ToPublish(time.Now())
+	return c.cfg.Register.ToPublish(clock.Now())
 }
 
 // Inherit takes in what a cell map names that this box is to continue.
 func (c *Client) Inherit(all []Held) {
 	for _, h := range all {
-		c.cfg.Register.Add(time.Now(), h.asCase())
+		c.cfg.Register.Add(clock.Now(), h.asCase())
 	}
 }
 
@@ -123,14 +124,14 @@
 	c.maps.Lock()
 	defer c.maps.Unlock()
 	if all, changed := c.cfg.Fleet.Published(); changed {
-		c.cfg.Register.Published(time.Now(), all)
+		c.cfg.Register.Published(clock.Now(), all)
 	}
 }
 
 // Ended takes in that an endpoint ended while it had a request. It returns once the boxes that keep the case know, and once all boxes do if it
 // is the second endpoint or a later one: the caller who is told of the failure after that may come again to any box.
 func (c *Client) Ended(ctx context.Context, f Fingerprint, what string, e Endpoint) {
-	known, more := c.cfg.Register.Ended(time.Now(), f, what, e)
+	known, more := c.cfg.Register.Ended(clock.Now(), f, what, e)
 	if !more || known.Count() == 0 {
 		return
 	}
@@ -140,7 +141,7 @@
 	defer cancel()
 	others, here := c.cfg.Fleet.Keepers(f)
 	answered := c.post(ctx, others, pathReport, []Case{known})
-	known, _ = c.cfg.Register.Add(time.Now(), known)
+	known, _ = c.cfg.Register.Add(clock.Now(), known)
 	if here || answered == 0 {
 		c.tellAll(ctx, []Case{known})
 	}
@@ -148,7 +149,7 @@
 
 // Ran takes in that an endpoint has answered a request whole: it has not ended under it.
 func (c *Client) Ran(f Fingerprint) {
-	known, ok := c.cfg.Register.Ran(time.Now(), f)
+	known, ok := c.cfg.Register.Ran(clock.Now(), f)
 	if !ok {
 		return
 	}
@@ -164,7 +165,7 @@
 // Release lets a request pass again, on all boxes. It reports whether the request was known.
 func (c *Client) Release(ctx context.Context, f Fingerprint) bool {
 	c.takeMaps()
-	known, ok := c.cfg.Register.Clear(time.Now(), f)
+	known, ok := c.cfg.Register.Clear(clock.Now(), f)
 	if !ok {
 		return false
 	}
@@ -185,7 +186,7 @@
 // take takes cases in. It returns all that is known of them, and which of them are news here.
 func (c *Client) take(told []Case) (all, news []Case) {
 	for _, one := range told {
-		known, more := c.cfg.Register.Add(time.Now(), one)
+		known, more := c.cfg.Register.Add(clock.Now(), one)
 		all = append(all, known)
 		if more {
 			news = append(news, known)
@@ -294,7 +295,7 @@
 // repair tells the coordinator of held requests that its map does not name: it was not reached when they came to be held, or is a new one.
 func (c *Client) repair(ctx context.Context) {
 	c.takeMaps()
-	c.cfg.Register.Expire(time.Now())
+	c.cfg.Register.Expire(clock.Now())
 	missing := c.cfg.Register.Unpublished()
 	if address, ok := c.cfg.Fleet.Coordinator(); ok && len(missing) > 0 {
 		c.post(ctx, []netip.AddrPort{address}, pathTell, missing)
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/customer"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/recent"
@@ -83,7 +84,7 @@
 		return nil
 	}
 	h := c.holder(who.Name)
-	ask, wait, ok := h.use(time.Now(), who.Name, units)
+	ask, wait, ok := h.use(clock.Now(), who.Name, units)
 	if ok {
 		return nil
 	}
@@ -96,14 +97,14 @@
 		return result.New(result.CallerGone, "%v", context.Cause(ctx))
 	}
 	if err == nil {
-		if h.answered(time.Now(), ask, answer) {
+		if h.answered(clock.Now(), ask, answer) {
 			return nil
 		}
 		return c.spent(who, "refused by the accountable box", answer.Wait)
 	}
 	c.cfg.Scope.Counter("quota_unanswered").Inc(1)
 	klog.V(2).InfoS("quota by this box's own share", "customer", who.Name, "err", err)
-	if wait, ok = h.unanswered(time.Now(), who.Quota, ask, c.boxes()); ok {
+	if wait, ok = h.unanswered(clock.Now(), who.Quota, ask, c.boxes()); ok {
 		return nil
 	}
 	return c.spent(who, "this box's own share is used up", wait)
@@ -136,8 +137,8 @@
 	case !ok:
 		return Answer{}, eris.New("quota: no box is accountable")
 	case here:
-		return c.cfg.Ledger.Take(time.Now(), who.Quota, a), nil
-	case c.silent.Has(address, time.Now()):
+		return c.cfg.Ledger.Take(clock.Now(), who.Quota, a), nil
+	case c.silent.Has(address, clock.Now()):
 		return Answer{}, eris.Errorf("quota: %s did not answer lately", address)
 	}
 	return c.call(ctx, address, a)
@@ -148,7 +149,7 @@
 	defer cancel()
 	resp, err := httpx.PostOnce(ctx, c.cfg.HTTP, "http://"+address.String()+pathTake, a)
 	if err != nil {
-		c.silent.Add(address, time.Now())
+		c.silent.Add(address, clock.Now())
 		return Answer{}, err
 	}
 	defer httpx.Drain(resp.Body)
--- a/internal/quota/server.go
+++ b/internal/quota/server.go
@@ -3,8 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
-	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/customer"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/result"
@@ -41,5 +41,5 @@
 		result.New(result.NotAccountable, "%s", ask.Customer).Write(w, "")
 		return
 	}
-	httpx.WriteJSON(w, http.StatusOK, s.cfg.Ledger.Take(time.Now(), who.Quota, ask))
+	httpx.WriteJSON(w, http.StatusOK, s.cfg.Ledger.Take(clock.Now(), who.Quota, ask))
 }
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/policy"
@@ -40,7 +41,7 @@
 // candidates returns the engines for an adapter version in the order in which they are asked.
 func (r *Relay) candidates(q *request, ref resource.Ref, avoid map[string]bool) []candidate {
 	t := r.cfg.Catalog.Topology()
-	now := time.Now()
+	now := clock.Now()
 	byName := map[string]candidate{}
 	var names []string
 	for _, e := range t.Endpoints[q.service] {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/policy"
@@ -57,7 +58,7 @@
 		if rerr != nil && len(avoid) > tried && ctx.Err() == nil {
 			continue
 		}
-		if rerr == nil || !ownerless(rerr) || !time.Now().Add(ownerlessLook).Before(giveUp) {
+		if rerr == nil || !ownerless(rerr) || !clock.Now().Add(ownerlessLook).Before(giveUp) {
 			return c, rerr
 		}
 		select {
@@ -117,7 +118,7 @@
 		}
 	}
 	if offers.crowded() {
-		r.crowds.Add(ref, time.Now())
+		r.crowds.Add(ref, clock.Now())
 	}
 	if best := offers.best(); best != nil {
 		got, rerr := r.takeOffer(ctx, q, best, ask)
@@ -151,7 +152,7 @@
 func (r *Relay) newOffers(q *request) offers {
 	return offers{
 		copies: r.cfg.Policy.On(policy.Copies), price: shareOf(q.route.Objective, copyShare),
-		inTime: shareOf(q.route.Objective, inTimeShare) - time.Since(q.came),
+		inTime: shareOf(q.route.Objective, inTimeShare) - clock.Since(q.came),
 	}
 }
 
@@ -176,7 +177,7 @@
 func (r *Relay) ask(q *request, ref resource.Ref) grant.Ask {
 	a := grant.Ask{
 		Urgency: urgencies - q.rank(), Hold: q.left() + holdSlack, Prompt: q.head.Prompt, Output: q.head.expectedOutput(), Parts: q.head.Parts,
-		StartIn: min(q.left(), time.Duration(startWithin*float64(q.route.Objective))-time.Since(q.came)),
+		StartIn: min(q.left(), time.Duration(startWithin*float64(q.route.Objective))-clock.Since(q.came)),
 	}
 	if !ref.IsBase() {
 		a.Ref, a.Weights = ref.String(), ref.String()
@@ -206,14 +207,14 @@
 	if c.owner.Box == "" || c.owner.Box == r.cfg.Box {
 		return nil, result.New(result.NotOwner, "%s has no owner now", c.name)
 	}
-	if r.suspects.Has(c.owner.Box, time.Now()) {
+	if r.suspects.Has(c.owner.Box, clock.Now()) {
 		return nil, result.New(result.OwnerSilent, "%s did not answer lately", c.owner.Box)
 	}
 	g, err := r.cfg.Grants.Acquire(ctx, c.owner.Peer, a)
 	if err != nil {
 		rerr := result.From(err, result.OwnerSilent)
 		if rerr.Code == result.OwnerSilent {
-			r.suspects.Add(c.owner.Box, time.Now())
+			r.suspects.Add(c.owner.Box, clock.Now())
 		}
 		return nil, rerr
 	}
@@ -221,7 +222,7 @@
 }
 
 func (r *Relay) acquireHere(ctx context.Context, runner *owner.Runner, c *candidate, a grant.Ask) (*chosen, *result.Error) {
-	q, rerr := a.Request(time.Now())
+	q, rerr := a.Request(clock.Now())
 	if rerr != nil {
 		return nil, rerr
 	}
@@ -235,7 +236,7 @@
 // withoutOwner picks an engine that is listed as holding the adapter version, for requests that no owner can be asked about:
 // sending needs no authority, and an engine that does not hold the version says so without running the request.
 func (r *Relay) withoutOwner(candidates []candidate, ref resource.Ref) *chosen {
-	now := time.Now()
+	now := clock.Now()
 	var best *candidate
 	least := 0.0
 	for i := range candidates {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -10,8 +10,8 @@
 	"net/textproto"
 	"strings"
 	"syscall"
-	"time"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -79,7 +79,7 @@
 	r.cfg.Wire.WriteAttempt(out.Header, a)
 	out.Body, out.ContentLength = unrepeatable{bytes.NewReader(q.body)}, int64(len(q.body))
 	q.arrivals++
-	q.endpoint, q.waited = to.name, time.Since(q.came)
+	q.endpoint, q.waited = to.name, clock.Since(q.came)
 	sent := httpx.TraceSent(out)
 	resp, err := r.cfg.Endpoints.Do(sent.Request)
 	if err != nil {
@@ -92,7 +92,7 @@
 		q.tried(to.name, rerr.Code.String())
 		return nil, rerr
 	}
-	q.first = time.Since(q.came)
+	q.first = clock.Since(q.came)
 	if rerr := r.checkAnswer(q, resp); rerr != nil {
 		q.tried(to.name, rerr.Code.String()+":"+rerr.Detail)
 		// Closing without reading ends the connection, so that nothing of it is taken for another answer.
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -102,7 +103,7 @@
 func (r *Relay) remember(ref resource.Ref, engine string, rerr *result.Error) {
 	switch {
 	case rerr == nil:
-		r.memory.answered(ref, engine, time.Now())
+		r.memory.answered(ref, engine, clock.Now())
 	case rerr.Code == result.NotHeld:
 		r.memory.lacks(ref, engine)
 	}
@@ -121,7 +122,7 @@
 		if rerr.Code.Info().Ran != result.RanNo {
 			q.sent++
 		}
-		r.health.end(c.name, time.Now(), isFault(rerr))
+		r.health.end(c.name, clock.Now(), isFault(rerr))
 		c.end(endOf(rerr))
 		return a.LastEvent, rerr
 	}
@@ -135,7 +136,7 @@
 		last, rerr = out.copyEvents(r.cfg.Wire, resp, a.LastEvent)
 		rerr = watch.blame(rerr)
 	}
-	r.health.end(c.name, time.Now(), resp.StatusCode >= http.StatusInternalServerError || (rerr != nil && rerr.Code == result.StreamCut))
+	r.health.end(c.name, clock.Now(), resp.StatusCode >= http.StatusInternalServerError || (rerr != nil && rerr.Code == result.StreamCut))
 	c.end(endOf(rerr))
 	return last, rerr
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -46,7 +47,7 @@
 			break
 		}
 		tried[e.Name] = true
-		sentAt := time.Now()
+		sentAt := clock.Now()
 		resp, rerr := r.callPlain(ctx, q, e)
 		place.End(answeredIn(sentAt, resp))
 		if rerr == nil {
@@ -79,7 +80,7 @@
 		if !r.cfg.Policy.On(policy.Places) {
 			return e, &places.Place{End: func(time.Duration) {}}, nil
 		}
-		ask := places.Ask{Endpoint: e.Name, Slots: e.Spec.Slots, Within: shareOf(q.route.Objective, plainShare) - time.Since(q.came), Hold: q.left()}
+		ask := places.Ask{Endpoint: e.Name, Slots: e.Spec.Slots, Within: shareOf(q.route.Objective, plainShare) - clock.Since(q.came), Hold: q.left()}
 		place, wait := r.cfg.Places.Take(ctx, ask)
 		if place != nil {
 			return e, place, nil
@@ -97,7 +98,7 @@
 	if resp == nil || resp.StatusCode >= http.StatusInternalServerError {
 		return 0
 	}
-	return time.Since(sentAt)
+	return clock.Since(sentAt)
 }
 
 // mayRepeat takes one repeat from the budget.
@@ -127,7 +128,7 @@
 		view  catalog.EndpointView
 		score float64
 	}
-	now := time.Now()
+	now := clock.Now()
 	var all []scored
 	for _, e := range r.cfg.Catalog.Topology().Endpoints[service] {
 		if e.Spec.Leaving || tried[e.Name] {
@@ -153,7 +154,7 @@
 		rerr = result.New(result.AnswerLost, "no answer within the objective")
 	}
 	if rerr != nil {
-		r.health.end(e.Name, time.Now(), isFault(rerr))
+		r.health.end(e.Name, clock.Now(), isFault(rerr))
 		if rerr.Code.Info().Ran != result.RanNo {
 			q.sent++
 		}
@@ -162,7 +163,7 @@
 	q.sent++
 	if resp.StatusCode >= http.StatusInternalServerError && q.route.Idempotent() && q.sent < q.route.Attempts {
 		_ = resp.Body.Close()
-		r.health.end(e.Name, time.Now(), true)
+		r.health.end(e.Name, clock.Now(), true)
 		return nil, result.New(result.AnswerLost, "status %d", resp.StatusCode)
 	}
 	return resp, nil
@@ -200,6 +201,6 @@
 	} else {
 		rerr = out.copyWhole(resp)
 	}
-	r.health.end(e.Name, time.Now(), failed || (rerr != nil && rerr.Code == result.StreamCut))
+	r.health.end(e.Name, clock.Now(), failed || (rerr != nil && rerr.Code == result.StreamCut))
 	return rerr
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/bellgap/bellgap/internal/body"
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/customer"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -125,7 +126,7 @@
 }
 
 // left returns what is left of the request's time.
-func (q *request) left() time.Duration { return time.Until(q.endsAt) }
+func (q *request) left() time.Duration { return clock.Until(q.endsAt) }
 
 // tried notes what was asked of an owner or an endpoint.
 func (q *request) tried(who, what string) {
@@ -164,7 +165,7 @@
 		r.refuse(w, q, rerr)
 		return
 	}
-	ctx, cancel := context.WithDeadline(in.Context(), q.endsAt)
+	ctx, cancel := context.WithTimeout(in.Context(), q.left())
 	defer cancel()
 	defer r.giveUnitsBack(q)
 	r.budgets.earn(q.service)
@@ -197,7 +198,7 @@
 
 // read finds the route of a request and takes its body in.
 func (r *Relay) read(w http.ResponseWriter, in *http.Request) (*request, *result.Error) {
-	q := &request{in: in, came: time.Now()}
+	q := &request{in: in, came: clock.Now()}
 	table := r.cfg.Catalog.Topology().Routes
 	if table == nil {
 		return q, result.New(result.NotReady, "%s has no routes yet", r.cfg.Box)
--- a/internal/relay/told.go
+++ b/internal/relay/told.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -22,7 +23,7 @@
 	scope := r.cfg.Scope.Tagged(map[string]string{"kind": string(q.route.Kind)})
 	scope.Histogram("routed_until_sent", latencies).RecordDuration(q.waited)
 	scope.Histogram("routed_until_answered", latencies).RecordDuration(q.first)
-	scope.Histogram("routed_until_done", latencies).RecordDuration(time.Since(q.came))
+	scope.Histogram("routed_until_done", latencies).RecordDuration(clock.Since(q.came))
 }
 
 func (r *Relay) count(c result.Code) {
@@ -35,7 +36,7 @@
 	leftOut := int64(0)
 	if rerr.Code == result.OK {
 		var ok bool
-		if leftOut, ok = r.sample.take(time.Now()); !ok {
+		if leftOut, ok = r.sample.take(clock.Now()); !ok {
 			return
 		}
 	}
@@ -48,5 +49,5 @@
 	}
 	klog.InfoS("request", "request", q.head.ID, "fingerprint", q.fingerprint, "result", rerr.Code.String(), "detail", rerr.Detail, "route", name, "config", version,
 		"service", q.service, "customer", q.customerName(), "adapter", q.head.Adapter, "ref", q.ref, "tries", q.tries, "endpoint", q.endpoint, "arrivals", q.arrivals,
-		"waited", q.waited, "first", q.first, "took", time.Since(q.came), "left", q.left(), "store_age", r.cfg.StoreAge(), "left_out", leftOut)
+		"waited", q.waited, "first", q.first, "took", clock.Since(q.came), "left", q.left(), "store_age", r.cfg.StoreAge(), "left_out", leftOut)
 }
