--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -104,6 +106,34 @@
 	return resp, eris.Wrap(err, "httpx: call")
 }
 
+// maxAnswer bounds the answers that AskOnce reads.
+const maxAnswer = 256 << 10
+
+// StatusError says that a call was answered with a status other than 200.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return fmt.Sprintf("httpx: status %d", e.Status) }
+
+// AskOnce posts a message as JSON, see PostOnce, and decodes the answer. An answer with another status than 200 is a *StatusError.
+func AskOnce(ctx context.Context, client *http.Client, url string, message, answer any) error {
+	resp, err := PostOnce(ctx, client, url, message)
+	if err != nil {
+		return err
+	}
+	defer Drain(resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return &StatusError{resp.StatusCode}
+	}
+	return eris.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(answer), "httpx: answer")
+}
+
+// IsUnanswered reports whether a call failed without any answer.
+func IsUnanswered(err error) bool {
+	var status *StatusError
+	return err != nil && !errors.As(err, &status)
+}
+
 // Serve serves l until ctx ends, then takes no more connections and lets answers that are being written end, for closeTime at most.
 func Serve(ctx context.Context, s *http.Server, l net.Listener) error {
 	closed := make(chan struct{})
--- a/internal/places/client.go
+++ b/internal/places/client.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
@@ -29,7 +27,6 @@
 	// endsEvery gathers the ends for one keeper into one message, endsRing bounds those that wait.
 	endsEvery = 10 * time.Millisecond
 	endsRing  = 4096
-	maxAnswer = 4 << 10
 )
 
 // Keepers says which box keeps the count of an endpoint. It is an interface at the boundary to membership.
@@ -110,21 +107,11 @@
 	timed, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var answer Answer
-	resp, err := httpx.PostOnce(timed, c.cfg.HTTP, "http://"+address.String()+pathTake, a)
-	if err != nil {
-		if ctx.Err() == nil {
-			c.silent.Add(address, clock.Now())
-		}
-		return answer, err
-	}
-	defer httpx.Drain(resp.Body)
-	if resp.StatusCode != http.StatusOK {
-		return answer, eris.Errorf("places: status %d", resp.StatusCode)
-	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&answer); err != nil {
-		return answer, eris.Wrap(err, "places: answer")
+	err := httpx.AskOnce(timed, c.cfg.HTTP, "http://"+address.String()+pathTake, a, &answer)
+	if httpx.IsUnanswered(err) && ctx.Err() == nil {
+		c.silent.Add(address, clock.Now())
 	}
-	return answer, nil
+	return answer, eris.Wrap(err, "places: call")
 }
 
 // tell tells a keeper of ends.
--- a/internal/quarantine/client.go
+++ b/internal/quarantine/client.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -256,19 +254,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp, err := httpx.PostOnce(ctx, c.cfg.HTTP, "http://"+address.String()+path, cases)
-	if err != nil {
-		return nil, err
-	}
-	defer httpx.Drain(resp.Body)
-	if resp.StatusCode != http.StatusOK {
-		return nil, eris.Errorf("quarantine: status %d", resp.StatusCode)
-	}
 	var known []Case
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxMessage)).Decode(&known); err != nil {
-		return nil, eris.Wrap(err, "quarantine: answer")
-	}
-	return known, nil
+	err := httpx.AskOnce(ctx, c.cfg.HTTP, "http://"+address.String()+path, cases, &known)
+	return known, eris.Wrap(err, "quarantine: call")
 }
 
 func (c *Client) sendCleared(ctx context.Context, to netip.AddrPort, all []Case) {
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -16,6 +16,8 @@
 	ranWellFor = 30 * time.Second
 	// maxCases bounds the requests that a box knows of, at some 300 bytes each; beyond it those heard of longest ago are dropped.
 	maxCases = 2048
+	// maxPublished bounds the requests that a cell map names, at some 200 bytes each; each has cost as many endpoints as it takes to be held.
+	maxPublished = 256
 	// lifeApart is how far apart two ends of an endpoint that does not say when it started lie at the least. What several boxes see of one end lies
 	// within some milliseconds.
 	lifeApart = time.Second
@@ -165,6 +167,9 @@
 			all = append(all, e.held())
 		}
 	}
+	// Those held latest come first, so that the bound leaves out those whose time is over first.
+	slices.SortFunc(all, func(a, b Held) int { return cmp.Compare(b.Since, a.Since) })
+	all = all[:min(len(all), maxPublished)]
 	slices.SortFunc(all, func(a, b Held) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
 	return all
 }
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -169,6 +169,10 @@
 	c.Check(len(r.Cases()) <= 2048, qt.IsTrue)
 	_, held := r.Held(base.Add(5*time.Second), numbered(0))
 	c.Check(held, qt.IsTrue)
+	for i := range 300 {
+		r.Add(base.Add(6*time.Second), ended(10000+i, "a", "b", "c"))
+	}
+	c.Check(r.ToPublish(base.Add(6*time.Second)), qt.HasLen, 256)
 	for i := range 100 {
 		r.Add(base, ended(0, fmt.Sprintf("life-%03d", i)))
 	}
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -26,7 +24,6 @@
 	askTimeout = 200 * time.Millisecond
 	// silentFor is how long a box that did not answer is not asked.
 	silentFor = 500 * time.Millisecond
-	maxAnswer = 4 << 10
 	// maxHolders bounds the customers that a box holds units of.
 	maxHolders = 8192
 	// unknownBoxes stands for the number of boxes while none is known.
@@ -147,18 +144,10 @@
 func (c *Client) call(ctx context.Context, address netip.AddrPort, a Ask) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	resp, err := httpx.PostOnce(ctx, c.cfg.HTTP, "http://"+address.String()+pathTake, a)
-	if err != nil {
-		c.silent.Add(address, clock.Now())
-		return Answer{}, err
-	}
-	defer httpx.Drain(resp.Body)
-	if resp.StatusCode != http.StatusOK {
-		return Answer{}, eris.Errorf("quota: status %d", resp.StatusCode)
-	}
 	var answer Answer
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&answer); err != nil {
-		return Answer{}, eris.Wrap(err, "quota: answer")
+	err := httpx.AskOnce(ctx, c.cfg.HTTP, "http://"+address.String()+pathTake, a, &answer)
+	if httpx.IsUnanswered(err) {
+		c.silent.Add(address, clock.Now())
 	}
-	return answer, nil
+	return answer, eris.Wrap(err, "quota: call")
 }
