Of requests that look alike one goes first, until one has run well

Cause: a request that ends what runs it may come many times at once. Thirty copies at three boxes ended all of twelve plain endpoints and four that took their places, and seven to twelve engines, within milliseconds: before the first end is known the copies are on their way to the next endpoints. Now a box sends one first; the others wait for its end, for a quarter of the objective, and go to the same endpoint then; all boxes choose the same endpoint for it, by a hash of what the request is in place of chance. Requests that differ are spread as before; one that has run well in the last 30 s waits for nothing.

--- a/internal/quarantine/client.go
+++ b/internal/quarantine/client.go
@@ -160,6 +160,9 @@
 	}
 }
 
+// RanWell reports whether a request has run well here lately.
+func (c *Client) RanWell(f Fingerprint) bool { return c.cfg.Register.RanWell(clock.Now(), f) }
+
 // Release lets a request pass again, on all boxes. It reports whether the request was known.
 func (c *Client) Release(ctx context.Context, f Fingerprint) bool {
 	c.takeMaps()
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -100,6 +100,9 @@
 	return r.Clear(now, f)
 }
 
+// RanWell reports whether an endpoint has lately answered a request whole.
+func (r *Register) RanWell(now time.Time, f Fingerprint) bool { return r.ranWell.Has(f, now) }
+
 // Clear lets a request pass. It returns what is to be told, if something counted against it.
 func (r *Register) Clear(now time.Time, f Fingerprint) (cleared Case, ok bool) {
 	r.mu.Lock()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"time"
@@ -33,38 +32,47 @@
 	last := result.New(result.NoEndpoint, "%s", q.service)
 	tried := map[string]bool{}
 	for q.maySend() {
-		if rerr := r.held(q); rerr != nil {
-			return rerr
-		}
-		if q.arrivals > 0 && !r.mayRepeat(q, last) {
-			break
-		}
-		e, place, rerr := r.placePlain(ctx, q, tried)
+		leave, rerr := r.inTurn(ctx, q)
 		if rerr != nil {
-			if q.arrivals == 0 {
-				last = rerr
-			}
-			break
-		}
-		tried[e.Name] = true
-		sentAt := clock.Now()
-		resp, rerr := r.callPlain(ctx, q, e)
-		place.End(answeredIn(sentAt, resp))
-		if rerr == nil {
-			rerr = r.passPlain(out, resp, e, q)
+			return rerr
 		}
-		r.settle(ctx, q, destination{e.Name, e.Spec.Address, e.Spec.Started}, rerr)
-		if rerr == nil || out.started {
+		again, rerr := r.tryPlain(ctx, out, q, tried, last)
+		leave()
+		if !again {
 			return rerr
 		}
 		last = rerr
-		if !r.elsewhere(q, rerr) {
-			break
-		}
 	}
 	return last
 }
 
+// tryPlain tries one endpoint, after another has failed with last. It reports whether a further one may be tried.
+func (r *Relay) tryPlain(ctx context.Context, out *output, q *request, tried map[string]bool, last *result.Error) (again bool, rerr *result.Error) {
+	if q.arrivals > 0 && !r.mayRepeat(q, last) {
+		return false, last
+	}
+	e, place, rerr := r.placePlain(ctx, q, tried)
+	if rerr != nil {
+		if q.arrivals > 0 {
+			rerr = last
+		}
+		return false, rerr
+	}
+	tried[e.Name] = true
+	r.alike.chose(q.fingerprint, e.Name)
+	sentAt := clock.Now()
+	resp, rerr := r.callPlain(ctx, q, e)
+	place.End(answeredIn(sentAt, resp))
+	if rerr == nil {
+		rerr = r.passPlain(out, resp, e, q)
+	}
+	r.settle(ctx, q, destination{e.Name, e.Spec.Address, e.Spec.Started}, rerr)
+	if rerr == nil || out.started {
+		return false, rerr
+	}
+	return r.elsewhere(q, rerr), rerr
+}
+
 // plainShare is the part of the objective within which a plain answer is to be expected; the rest is for those that take longer than most.
 const plainShare = 0.7
 
@@ -73,7 +81,7 @@
 	passed := maps.Clone(tried)
 	full := result.New(result.NoEndpoint, "%s", q.service)
 	for {
-		e, ok := r.choosePlain(q.service, passed)
+		e, ok := r.choosePlain(q, passed)
 		if !ok {
 			return e, nil, full
 		}
@@ -122,21 +130,26 @@
 	return q.route.Idempotent() && q.sent < q.route.Attempts && rerr.Code != result.CallerGone
 }
 
-// choosePlain returns the endpoint with the fewest failures and requests that has not been tried.
-func (r *Relay) choosePlain(service string, tried map[string]bool) (catalog.EndpointView, bool) {
+// choosePlain returns the endpoint at which requests are that look alike, while none of these has run well, else the one with the fewest failures and
+// requests, of those that have not been tried.
+func (r *Relay) choosePlain(q *request, tried map[string]bool) (catalog.EndpointView, bool) {
 	type scored struct {
 		view  catalog.EndpointView
 		score float64
 	}
 	now := clock.Now()
+	together := r.together(q)
 	var all []scored
-	for _, e := range r.cfg.Catalog.Topology().Endpoints[service] {
+	for _, e := range r.cfg.Catalog.Topology().Endpoints[q.service] {
 		if e.Spec.Leaving || tried[e.Name] {
 			continue
 		}
+		if e.Name == together {
+			return e, true
+		}
 		inFlight, failures := r.health.load(e.Name, now)
-		// The random part spreads equal choices.
-		all = append(all, scored{e, float64(inFlight) + failures*float64(max(1, e.Spec.Slots)) + rand.Float64()})
+		// The share spreads equal choices, and brings requests that look alike to one endpoint, from whichever box.
+		all = append(all, scored{e, float64(inFlight) + failures*float64(max(1, e.Spec.Slots)) + share(q.fingerprint, e.Name)})
 	}
 	if len(all) == 0 {
 		return catalog.EndpointView{}, false
@@ -145,6 +158,14 @@
 	return best.view, true
 }
 
+// together returns the endpoint that a request goes to as others are there that look alike and may end it, empty if there is none.
+func (r *Relay) together(q *request) string {
+	if !r.cfg.Policy.On(policy.Quarantine) || r.cfg.Quarantine.RanWell(q.fingerprint) {
+		return ""
+	}
+	return r.alike.where(q.fingerprint)
+}
+
 // callPlain sends a request to an endpoint. An answer that says the endpoint failed is an error where the request may run again.
 func (r *Relay) callPlain(ctx context.Context, q *request, e catalog.EndpointView) (*http.Response, *result.Error) {
 	r.health.begin(e.Name)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,12 +79,13 @@
 	budgets  *budgets
 	sample   *sample
 	memory   *memory
+	alike    *alike
 }
 
 // New returns a Relay.
 func New(cfg Config) *Relay {
 	return &Relay{
-		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory(),
+		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory(), alike: newAlike(),
 		suspects: recent.New[string](suspectFor), crowds: recent.New[resource.Ref](crowdedFor),
 	}
 }
