--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"net/http"
 	"slices"
@@ -47,60 +46,52 @@
 // AdapterName returns the fleet-wide name of an adapter of a base model.
 func AdapterName(model, adapter string) string { return model + "." + adapter }
 
-// modelTries is what one try at an engine leaves for the next.
-type modelTries struct {
-	// avoid holds the engines that are not asked again, lastEvent is the id of the last event passed on.
-	avoid     map[string]bool
-	lastEvent string
-}
-
 // serveModel answers a request from an engine that holds its adapter version.
 func (r *Relay) serveModel(ctx context.Context, out *output, q *request) *result.Error {
-	tries := &modelTries{avoid: map[string]bool{}, lastEvent: q.head.LastEvent}
+	avoid := map[string]bool{}
+	lastEvent := q.head.LastEvent
 	var last *result.Error
 	for q.maySend() {
-		leave, rerr := r.inTurn(ctx, q)
-		if rerr != nil {
+		if rerr := r.held(q); rerr != nil {
 			return rerr
 		}
-		again, rerr := r.tryModel(ctx, out, q, tries, last)
-		leave()
-		if !again {
-			return rerr
+		if q.arrivals > 0 && !r.mayRepeat(q, last) {
+			break
 		}
+		// Looked up each time: a newer version may have been named meanwhile.
+		ref, version := r.refOf(q)
+		q.ref = ref.String()
+		c, rerr := r.choose(ctx, q, ref, avoid)
+		if rerr != nil {
+			if last == nil {
+				last = rerr
+			}
+			break
+		}
+		if r.hasLeft(q.service, c.name) {
+			// The grant was waited for; until it came the engine may have begun to leave.
+			c.end(owner.EndWhole)
+			avoid[c.name] = true
+			continue
+		}
+		lastEvent, rerr = r.runOn(ctx, out, q, c, Attempt{Version: version, LastEvent: lastEvent})
+		r.settle(ctx, q, c.destination(), rerr)
+		r.remember(ref, c.name, rerr)
+		if rerr == nil {
+			return nil
+		}
+		avoid[c.name] = rerr.Code != result.NotHeld
 		last = rerr
+		if out.started && !q.route.Idempotent() {
+			break
+		}
+		if !r.elsewhere(q, rerr) {
+			break
+		}
 	}
 	return last
 }
 
-// tryModel tries one engine, after another has failed with last, nil before the first. It reports whether a further one may be tried.
-func (r *Relay) tryModel(ctx context.Context, out *output, q *request, tries *modelTries, last *result.Error) (again bool, rerr *result.Error) {
-	if q.arrivals > 0 && !r.mayRepeat(q, last) {
-		return false, last
-	}
-	// Looked up each time: a newer version may have been named meanwhile.
-	ref, version := r.refOf(q)
-	q.ref = ref.String()
-	c, rerr := r.choose(ctx, q, ref, tries.avoid)
-	if rerr != nil {
-		return false, cmp.Or(last, rerr)
-	}
-	if r.hasLeft(q.service, c.name) {
-		// The grant was waited for; until it came the engine may have begun to leave.
-		c.end(owner.EndWhole)
-		tries.avoid[c.name] = true
-		return true, last
-	}
-	tries.lastEvent, rerr = r.runOn(ctx, out, q, c, Attempt{Version: version, LastEvent: tries.lastEvent})
-	r.settle(ctx, q, c.destination(), rerr)
-	r.remember(ref, c.name, rerr)
-	if rerr == nil {
-		return false, nil
-	}
-	tries.avoid[c.name] = rerr.Code != result.NotHeld
-	return (!out.started || q.route.Idempotent()) && r.elsewhere(q, rerr), rerr
-}
-
 // hasLeft reports whether an endpoint is gone or gets no new work, as this box knows now.
 func (r *Relay) hasLeft(service, endpoint string) bool {
 	all := r.cfg.Catalog.Topology().Endpoints[service]
