--- a/internal/relay/alike.go
+++ b/internal/relay/alike.go
@@ -15,7 +15,7 @@
 
 // A request that ends what runs it may come many times at once, before anybody can know. So of plain requests that look alike a box sends one first, until
 // one has run well: the others wait for its end, and go to the same endpoint if that takes too long. Boxes choose the same endpoint for it. Thirty at three
-// boxes end six of twelve endpoints at most, without this ten to twelve. Streams need none of it: those for one adapter go to the same engines, and three end.
+// boxes end three or four of twelve endpoints, without this seven to twelve. Streams need none of it: those for one adapter go to the same engines.
 
 // firstShare is the part of the objective for which requests wait for the first of those that look alike.
 const firstShare = 0.25
