--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -388,3 +388,24 @@
 	c.Check(named[0].Since, qt.Equals, base.UnixMilli())
 	c.Check(named[0].What, qt.Equals, "POST h/x")
 }
+
+// BenchmarkRequest is what a request asks of the register where nothing is held: three looks, one whether it ran well, and its whole answer.
+func BenchmarkRequest(b *testing.B) {
+	for _, cases := range []int{0, 2000} {
+		b.Run(fmt.Sprint(cases), func(b *testing.B) {
+			r := newRegister()
+			for i := range cases {
+				r.Add(base, ended(i, "a"))
+			}
+			f := numbered(-1)
+			b.ReportAllocs()
+			for b.Loop() {
+				for range 3 {
+					r.Held(base, f)
+				}
+				r.RanWell(base, f)
+				r.Ran(base, f)
+			}
+		})
+	}
+}
