Quarantine: one switch, one end of a run, one name of a request; one reader of small messages

Behaviour is as before but for policy.off on the own interface. Tests: two signatures follow, no assertion changed.

--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/placement"
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/settings"
 )
@@ -92,5 +93,6 @@
 		Register: quarantine.NewRegister(quarantine.RegisterConfig{Endpoints: s.Quarantine.Endpoints, Hold: s.Quarantine.Hold}),
 		Fleet:    newFleet(fleetConfig{Catalog: c, Box: s.Box.Name, Cell: s.Box.Cell}),
 		Scope:    scope,
+		Off:      !s.Policy.Chosen().On(policy.Quarantine),
 	})
 }
--- a/internal/box/orders.go
+++ b/internal/box/orders.go
@@ -6,7 +6,6 @@
 
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
-	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/quarantine"
 )
 
@@ -19,30 +18,22 @@
 
 var _ owner.Engines = quarantinedOrders{}
 
-// ordersTo returns what gives orders to engines under a policy.
-func ordersTo(engines owner.Engines, q *quarantine.Client, p policy.Policy) owner.Engines {
-	if !p.On(policy.Quarantine) {
-		return engines
-	}
-	return quarantinedOrders{engines, q}
-}
-
 // Give implements owner.Engines.
 func (q quarantinedOrders) Give(ctx context.Context, to engine.Target, o engine.Order) error {
 	if o.Action != engine.ActionLoad {
 		return q.Engines.Give(ctx, to, o)
 	}
 	// A version is another load: one that is named later is tried anew.
-	load := quarantine.Identity{Method: string(o.Action), Path: o.Model}.Fingerprint()
-	if rerr := q.quarantine.Refusal(load); rerr != nil {
+	load := quarantine.Identity{Method: string(o.Action), Path: o.Model}.Suspect()
+	if rerr := q.quarantine.Refusal(load.Fingerprint); rerr != nil {
 		return &engine.OrderRefusedError{Type: engine.RefusalLoadFailed, Message: rerr.Error()}
 	}
 	err := q.Engines.Give(ctx, to, o)
 	switch {
 	case err == nil:
-		q.quarantine.Ran(load)
+		q.quarantine.Ran(load.Fingerprint)
 	case errors.Is(err, engine.ErrBrokenOff):
-		q.quarantine.BrokenOff(ctx, load, string(o.Action)+" "+o.Model, quarantine.Endpoint{Name: to.Name, Address: to.Address})
+		q.quarantine.BrokenOff(ctx, load, quarantine.Endpoint{Name: to.Name, Address: to.Address})
 	}
 	return err
 }
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -156,7 +156,7 @@
 		adapters = budgeted
 	}
 	b.owners = owner.NewSet(owner.SetConfig{
-		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: ordersTo(b.cfg.Deployment.Engines, b.quarantine, b.cfg.Settings.Policy.Chosen()),
+		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: quarantinedOrders{b.cfg.Deployment.Engines, b.quarantine},
 		PrefillRate: b.cfg.Settings.Routes.PrefillRate, Policy: b.cfg.Settings.Policy.Chosen(),
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
 		Lookup:    b.lookupEngine,
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -18,6 +18,7 @@
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -48,7 +49,7 @@
 	// Last says that no other engine will be tried after this one.
 	Last bool `json:"last,omitempty"`
 	// Suspect is what the request is known by when it comes again.
-	Suspect suspect `json:"suspect"`
+	Suspect quarantine.Suspect `json:"suspect"`
 }
 
 // onceBody is a body that tells whether any of it was read.
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/bellgap/bellgap/internal/body"
 	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -43,7 +44,7 @@
 	last bool
 	body []byte
 	// suspect is what the request is known by when it comes again.
-	suspect suspect
+	suspect quarantine.Suspect
 	// told is what operators can ask about the request.
 	told record.Request
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -33,7 +33,7 @@
 	body       []byte
 	repeatable bool
 	// suspect is what the request is known by when it comes again.
-	suspect suspect
+	suspect quarantine.Suspect
 }
 
 // handleService serves /services/{service}/...
@@ -68,7 +68,7 @@
 		return
 	}
 	rerr = g.passAnswer(w, resp, requestID)
-	g.settle(ctx, c.suspect, to, rerr)
+	g.cfg.Quarantine.Settle(ctx, c.suspect, to, rerr)
 	if rerr != nil {
 		// Breaking the connection shows the caller that the answer is not whole.
 		panic(http.ErrAbortHandler)
@@ -137,7 +137,7 @@
 		if rerr == nil {
 			return resp, to, nil
 		}
-		g.settle(ctx, c.suspect, to, rerr)
+		g.cfg.Quarantine.Settle(ctx, c.suspect, to, rerr)
 		mayHaveRun = mayHaveRun || rerr.Code.Info().Ran != result.RanNo
 		last = rerr.After(mayHaveRun)
 		if !tryElsewhere(rerr, c.repeatable) {
--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -1,7 +1,6 @@
 package grant
 
 import (
-	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -55,8 +54,7 @@
 
 func (s *Server) handleAcquire(w http.ResponseWriter, r *http.Request) {
 	var ask Ask
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAsk)).Decode(&ask); err != nil {
-		result.New(result.BadRequest, "%v", err).Write(w, "")
+	if !result.ReadJSON(w, r, maxAsk, &ask) {
 		return
 	}
 	runner, ok := s.cfg.Owners.Get(ask.Engine)
@@ -115,8 +113,7 @@
 
 func (s *Server) handleEnd(w http.ResponseWriter, r *http.Request) {
 	var msg ended
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAsk)).Decode(&msg); err != nil {
-		result.New(result.BadRequest, "%v", err).Write(w, "")
+	if !result.ReadJSON(w, r, maxAsk, &msg) {
 		return
 	}
 	for _, id := range msg.Read {
--- a/internal/peer/permit.go
+++ b/internal/peer/permit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -14,8 +13,7 @@
 // handlePermit waits for a permit on behalf of another box and keeps it until it is given back or runs out.
 func (h *Handler) handlePermit(w http.ResponseWriter, r *http.Request) {
 	var ask PermitAsk
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBeat)).Decode(&ask); err != nil {
-		result.New(result.BadRequest, "%v", err).Write(w, "")
+	if !result.ReadJSON(w, r, maxBeat, &ask) {
 		return
 	}
 	if !h.cfg.Schedules() {
@@ -39,8 +37,7 @@
 
 func (h *Handler) handleRelease(w http.ResponseWriter, r *http.Request) {
 	var back PermitBack
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBeat)).Decode(&back); err != nil {
-		result.New(result.BadRequest, "%v", err).Write(w, "")
+	if !result.ReadJSON(w, r, maxBeat, &back) {
 		return
 	}
 	h.release(back)
--- a/internal/places/server.go
+++ b/internal/places/server.go
@@ -1,7 +1,6 @@
 package places
 
 import (
-	"encoding/json"
 	"net/http"
 
 	"github.com/bellgap/bellgap/internal/clock"
@@ -31,8 +30,7 @@
 
 func (s *Server) handleTake(w http.ResponseWriter, r *http.Request) {
 	var a Ask
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&a); err != nil {
-		result.New(result.BadRequest, "%v", err).Write(w, "")
+	if !result.ReadJSON(w, r, maxMessage, &a) {
 		return
 	}
 	httpx.WriteJSON(w, http.StatusOK, s.cfg.Keeper.Take(clock.Now(), a))
@@ -40,8 +38,7 @@
 
 func (s *Server) handleEnd(w http.ResponseWriter, r *http.Request) {
 	var all []End
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&all); err != nil {
-		result.New(result.BadRequest, "%v", err).Write(w, "")
+	if !result.ReadJSON(w, r, maxMessage, &all) {
 		return
 	}
 	for _, e := range all {
--- a/internal/quarantine/client.go
+++ b/internal/quarantine/client.go
@@ -64,6 +64,8 @@
 	Register *Register
 	Fleet    Fleet
 	Scope    tally.Scope
+	// Off lets every request pass and counts nothing.
+	Off bool
 }
 
 // Client is this box's part in the count of endpoints that end under requests. Two boxes that a hash chooses keep each case, so that the count is one
@@ -94,6 +96,9 @@
 
 // Held reports whether a request is held.
 func (c *Client) Held(f Fingerprint) (v Verdict, held bool) {
+	if c.cfg.Off {
+		return v, false
+	}
 	c.takeMaps()
 	return c.cfg.Register.Held(clock.Now(), f)
 }
@@ -128,16 +133,16 @@
 
 // Ended takes in that an endpoint ended while it had a request. It returns once the boxes that keep the case know, and once all boxes do if it
 // is the second endpoint or a later one: the caller who is told of the failure after that may come again to any box.
-func (c *Client) Ended(ctx context.Context, f Fingerprint, what string, e Endpoint) {
-	known, more := c.cfg.Register.Ended(clock.Now(), f, what, e)
+func (c *Client) Ended(ctx context.Context, s Suspect, e Endpoint) {
+	known, more := c.cfg.Register.Ended(clock.Now(), s, e)
 	if !more || known.Count() == 0 {
 		return
 	}
 	c.cfg.Scope.Counter("quarantine_endpoints_ended").Inc(1)
-	klog.InfoS("endpoint ended under a request", "fingerprint", f, "request", what, "endpoint", e.Name, "ended", known.Count())
+	klog.InfoS("endpoint ended under a request", "fingerprint", s.Fingerprint, "request", s.What, "endpoint", e.Name, "ended", known.Count())
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
-	others, here := c.cfg.Fleet.Keepers(f)
+	others, here := c.cfg.Fleet.Keepers(s.Fingerprint)
 	answered := c.post(ctx, others, pathReport, []Case{known})
 	known, _ = c.cfg.Register.Add(clock.Now(), known)
 	if here || answered == 0 {
@@ -147,6 +152,9 @@
 
 // Ran takes in that an endpoint has answered a request whole: it has not ended under it.
 func (c *Client) Ran(f Fingerprint) {
+	if c.cfg.Off {
+		return
+	}
 	known, ok := c.cfg.Register.Ran(clock.Now(), f)
 	if !ok {
 		return
@@ -160,8 +168,10 @@
 	}
 }
 
-// RanWell reports whether a request has run well here lately.
-func (c *Client) RanWell(f Fingerprint) bool { return c.cfg.Register.RanWell(clock.Now(), f) }
+// RanWell reports whether a request has run well here lately, so that it cannot be one that ends endpoints.
+func (c *Client) RanWell(f Fingerprint) bool {
+	return c.cfg.Off || c.cfg.Register.RanWell(clock.Now(), f)
+}
 
 // Release lets a request pass again, on all boxes. It reports whether the request was known.
 func (c *Client) Release(ctx context.Context, f Fingerprint) bool {
--- a/internal/quarantine/client_test.go
+++ b/internal/quarantine/client_test.go
@@ -182,7 +182,7 @@
 // end tells a box that an endpoint ended under a request.
 func (w *fleet) end(box string, n int, life string) {
 	name, _, _ := strings.Cut(life, "/")
-	w.box(box).Ended(context.Background(), numbered(n), "POST h/x", quarantine.Endpoint{Name: name, Started: 1})
+	w.box(box).Ended(context.Background(), suspect(n), quarantine.Endpoint{Name: name, Started: 1})
 }
 
 var names = []string{"a", "b", "c", "d", "e", "f", "g"}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -6,7 +6,6 @@
 	"encoding/binary"
 	"encoding/hex"
 	"fmt"
-	"hash"
 )
 
 // fingerprintSize is the size of a fingerprint in bytes: two of a million million requests are alike with a chance of one in 10^14.
@@ -27,24 +26,41 @@
 	Body     []byte
 }
 
-// Fingerprint returns the fingerprint of requests with this identity. It costs 0.6 us and 0.75 us a kB of body.
+// Fingerprint returns the fingerprint of requests with this identity. It costs 0.4 us and 0.8 us a kB of body.
 func (i Identity) Fingerprint() Fingerprint {
-	h := sha256.New()
+	var head []byte
 	for _, part := range []string{i.Method, i.Host, i.Path, i.Query, i.Customer} {
-		writePart(h, []byte(part))
+		head = append(appendSize(head, len(part)), part...)
 	}
-	writePart(h, i.Body)
+	h := sha256.New()
+	// Writing to a hash never fails.
+	_, _ = h.Write(appendSize(head, len(i.Body)))
+	_, _ = h.Write(i.Body)
 	var f Fingerprint
 	copy(f[:], h.Sum(nil))
 	return f
 }
 
-// writePart adds one part with its length, so that no two lists of parts look alike. Writing to a hash never fails.
-func writePart(h hash.Hash, part []byte) {
-	var size [8]byte
-	binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-	_, _ = h.Write(size[:])
-	_, _ = h.Write(part)
+// appendSize adds the length of a part, so that no two lists of parts look alike.
+func appendSize(to []byte, size int) []byte { return binary.BigEndian.AppendUint64(to, uint64(size)) }
+
+// String names the requests for operators, without their query and body.
+func (i Identity) String() string {
+	text := i.Method + " " + i.Host + i.Path
+	if i.Customer != "" {
+		text += " of " + i.Customer
+	}
+	return text
+}
+
+// Suspect returns what the requests are known by.
+func (i Identity) Suspect() Suspect { return Suspect{Fingerprint: i.Fingerprint(), What: i.String()} }
+
+// Suspect is a request that may end endpoints.
+type Suspect struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// What names it for operators.
+	What string `json:"what"`
 }
 
 // String returns the fingerprint as 32 hex digits.
--- a/internal/quarantine/look.go
+++ b/internal/quarantine/look.go
@@ -67,14 +67,27 @@
 	return seen
 }
 
+// Settle takes in how a run of a request ended for the endpoint that had it; rerr is nil after a whole answer. See Ended for when it returns.
+func (c *Client) Settle(ctx context.Context, s Suspect, e Endpoint, rerr *result.Error) {
+	switch {
+	case rerr == nil:
+		c.Ran(s.Fingerprint)
+	case rerr.BrokenOff:
+		c.BrokenOff(ctx, s, e)
+	}
+}
+
 // BrokenOff takes in that an endpoint broke off the connection on which it had a request. If it has ended, that counts against the request; see Ended
 // for when it returns.
-func (c *Client) BrokenOff(ctx context.Context, f Fingerprint, what string, e Endpoint) {
+func (c *Client) BrokenOff(ctx context.Context, s Suspect, e Endpoint) {
+	if c.cfg.Off {
+		return
+	}
 	seen := c.look(ctx, e.Address)
 	c.cfg.Scope.Tagged(map[string]string{"endpoint": string(seen)}).Counter("requests_broken_off").Inc(1)
-	klog.V(1).InfoS("request broken off", "fingerprint", f, "request", what, "endpoint", e.Name, "address", e.Address, "found", seen)
+	klog.V(1).InfoS("request broken off", "fingerprint", s.Fingerprint, "request", s.What, "endpoint", e.Name, "address", e.Address, "found", seen)
 	if seen == lookedEnded {
-		c.Ended(ctx, f, what, e)
+		c.Ended(ctx, s, e)
 	}
 }
 
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -72,8 +72,8 @@
 }
 
 // Ended takes in that an endpoint ended while it had a request. It returns all that is known now, and whether that is more than before.
-func (r *Register) Ended(now time.Time, f Fingerprint, what string, e Endpoint) (known Case, more bool) {
-	return r.Add(now, Case{Fingerprint: f, What: what, Ended: []string{r.lifeOf(now, f, e)}})
+func (r *Register) Ended(now time.Time, s Suspect, e Endpoint) (known Case, more bool) {
+	return r.Add(now, Case{Fingerprint: s.Fingerprint, What: s.What, Ended: []string{r.lifeOf(now, s.Fingerprint, e)}})
 }
 
 // lifeOf names the life of an endpoint that has ended. One that does not say when it started is numbered by its ends.
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -31,6 +31,11 @@
 	return quarantine.Identity{Path: fmt.Sprint(n)}.Fingerprint()
 }
 
+// suspect returns a numbered request as it is told of.
+func suspect(n int) quarantine.Suspect {
+	return quarantine.Suspect{Fingerprint: numbered(n), What: "POST h/x"}
+}
+
 // ended returns the case of a request under which endpoints ended.
 func ended(n int, lives ...string) quarantine.Case {
 	return quarantine.Case{Fingerprint: numbered(n), What: "POST h/x", Ended: lives}
@@ -72,8 +77,8 @@
 				_, held := one.Held(at, numbered(1))
 				c.Check(held, qt.IsFalse, qt.Commentf("after %d ends", end))
 				e := quarantine.Endpoint{Name: "e", Started: test.started(end)}
-				first, _ := one.Ended(at, numbered(1), "POST h/x", e)
-				second, _ := two.Ended(at.Add(3*time.Millisecond), numbered(1), "POST h/x", e)
+				first, _ := one.Ended(at, suspect(1), e)
+				second, _ := two.Ended(at.Add(3*time.Millisecond), suspect(1), e)
 				one.Add(at.Add(5*time.Millisecond), second)
 				two.Add(at.Add(5*time.Millisecond), first)
 			}
--- a/internal/quarantine/server.go
+++ b/internal/quarantine/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"github.com/bellgap/bellgap/internal/httpx"
@@ -31,8 +30,7 @@
 // handle answers with what is known of the cases that are told.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request, take func(context.Context, []Case) []Case) {
 	var told []Case
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxMessage)).Decode(&told); err != nil {
-		result.New(result.BadRequest, "%v", err).Write(w, "")
+	if !result.ReadJSON(w, r, maxMessage, &told) {
 		return
 	}
 	httpx.WriteJSON(w, http.StatusOK, take(r.Context(), told))
--- a/internal/relay/alike.go
+++ b/internal/relay/alike.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bellgap/bellgap/internal/clock"
-	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -78,20 +77,17 @@
 // flight. What is returned ends the try.
 func (r *Relay) inTurn(ctx context.Context, q *request) (leave func(), rerr *result.Error) {
 	free := func() {}
-	if !r.cfg.Policy.On(policy.Quarantine) {
-		return free, nil
-	}
 	giveUp := clock.Now().Add(shareOf(q.route.Objective, firstShare))
 	for {
 		if rerr := r.held(q); rerr != nil {
 			return free, rerr
 		}
-		if r.cfg.Quarantine.RanWell(q.fingerprint) {
+		if r.cfg.Quarantine.RanWell(q.suspect.Fingerprint) {
 			return free, nil
 		}
-		is, mine := r.alike.enter(q.fingerprint)
+		is, mine := r.alike.enter(q.suspect.Fingerprint)
 		if mine {
-			return func() { r.alike.leave(q.fingerprint, is) }, nil
+			return func() { r.alike.leave(q.suspect.Fingerprint, is) }, nil
 		}
 		select {
 		case <-is.over:
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -59,7 +59,7 @@
 	key := ref.String()
 	if ref.IsBase() {
 		// Without an adapter any engine does; what the request is spreads the load, and brings those that look alike to the same one.
-		key = q.fingerprint.String()
+		key = q.suspect.Fingerprint.String()
 	}
 	ranked := make([]candidate, 0, len(names))
 	for _, name := range placement.Rank(key, names) {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -32,12 +32,7 @@
 	last := result.New(result.NoEndpoint, "%s", q.service)
 	tried := map[string]bool{}
 	for q.maySend() {
-		leave, rerr := r.inTurn(ctx, q)
-		if rerr != nil {
-			return rerr
-		}
 		again, rerr := r.tryPlain(ctx, out, q, tried, last)
-		leave()
 		if !again {
 			return rerr
 		}
@@ -48,6 +43,11 @@
 
 // tryPlain tries one endpoint, after another has failed with last. It reports whether a further one may be tried.
 func (r *Relay) tryPlain(ctx context.Context, out *output, q *request, tried map[string]bool, last *result.Error) (again bool, rerr *result.Error) {
+	leave, rerr := r.inTurn(ctx, q)
+	if rerr != nil {
+		return false, rerr
+	}
+	defer leave()
 	if q.arrivals > 0 && !r.mayRepeat(q, last) {
 		return false, last
 	}
@@ -59,7 +59,7 @@
 		return false, rerr
 	}
 	tried[e.Name] = true
-	r.alike.chose(q.fingerprint, e.Name)
+	r.alike.chose(q.suspect.Fingerprint, e.Name)
 	sentAt := clock.Now()
 	resp, rerr := r.callPlain(ctx, q, e)
 	place.End(answeredIn(sentAt, resp))
@@ -149,7 +149,7 @@
 		}
 		inFlight, failures := r.health.load(e.Name, now)
 		// The share spreads equal choices, and brings requests that look alike to one endpoint, from whichever box.
-		all = append(all, scored{e, float64(inFlight) + failures*float64(max(1, e.Spec.Slots)) + share(q.fingerprint, e.Name)})
+		all = append(all, scored{e, float64(inFlight) + failures*float64(max(1, e.Spec.Slots)) + share(q.suspect.Fingerprint, e.Name)})
 	}
 	if len(all) == 0 {
 		return catalog.EndpointView{}, false
@@ -160,10 +160,10 @@
 
 // together returns the endpoint that a request goes to as others are there that look alike and may end it, empty if there is none.
 func (r *Relay) together(q *request) string {
-	if !r.cfg.Policy.On(policy.Quarantine) || r.cfg.Quarantine.RanWell(q.fingerprint) {
+	if r.cfg.Quarantine.RanWell(q.suspect.Fingerprint) {
 		return ""
 	}
-	return r.alike.where(q.fingerprint)
+	return r.alike.where(q.suspect.Fingerprint)
 }
 
 // callPlain sends a request to an endpoint. An answer that says the endpoint failed is an error where the request may run again.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -114,8 +114,8 @@
 	// units is what was taken of the quota of charged.
 	units   float64
 	charged *customer.Customer
-	// fingerprint is what it is known by when it comes again.
-	fingerprint quarantine.Fingerprint
+	// suspect is what it is known by when it comes again.
+	suspect quarantine.Suspect
 	// ref is the adapter version it was for, tries what was asked of owners and endpoints, with the outcomes.
 	ref   string
 	tries []string
@@ -224,7 +224,7 @@
 	}
 	content, rerr := body.Read(w, in, bodyLimits(table.Limits(), q))
 	q.body = content
-	q.fingerprint = fingerprintOf(q)
+	q.suspect = suspectOf(q)
 	return q, rerr
 }
 
--- a/internal/relay/told.go
+++ b/internal/relay/told.go
@@ -47,7 +47,7 @@
 	if t := r.cfg.Catalog.Topology().Routes; t != nil {
 		version = t.Version()
 	}
-	klog.InfoS("request", "request", q.head.ID, "fingerprint", q.fingerprint, "result", rerr.Code.String(), "detail", rerr.Detail, "route", name, "config", version,
+	klog.InfoS("request", "request", q.head.ID, "fingerprint", q.suspect.Fingerprint, "result", rerr.Code.String(), "detail", rerr.Detail, "route", name, "config", version,
 		"service", q.service, "customer", q.customerName(), "adapter", q.head.Adapter, "ref", q.ref, "tries", q.tries, "endpoint", q.endpoint, "arrivals", q.arrivals,
 		"waited", q.waited, "first", q.first, "took", clock.Since(q.came), "left", q.left(), "store_age", r.cfg.StoreAge(), "left_out", leftOut)
 }
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -120,6 +120,15 @@
 	e.WriteStatus(w, e.Code.Info().Status, requestID)
 }
 
+// ReadJSON reads a message of so many bytes at most. It answers with BadRequest and returns false if that is not possible.
+func ReadJSON(w http.ResponseWriter, r *http.Request, most int64, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, most)).Decode(into)
+	if err != nil {
+		New(BadRequest, "%v", err).Write(w, "")
+	}
+	return err == nil
+}
+
 // WriteStatus sends e as the whole answer with a status of its own; when to come back is left to the caller.
 func (e *Error) WriteStatus(w http.ResponseWriter, status int, requestID string) {
 	i := e.Code.Info()
