--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -29,6 +29,7 @@
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/quota"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/relay"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -218,7 +219,7 @@
 		Budget:    relay.BudgetConfig{PerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxes},
 		Policy:    s.Policy.Chosen(),
 		Quotas:    quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.accountable, Ledger: b.ledger, Scope: b.metrics.Scope}),
-		Places:    b.places, Quarantine: b.quarantine,
+		Places:    b.places, Quarantine: b.quarantine, Rates: ratelimit.NewBook(ratelimit.BookConfig{Scope: b.metrics.Scope}),
 		Ages: relay.AgesConfig{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			Keys:        s.Customers.RevokedWithin, Unknown: s.Customers.InForceWithin,
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -93,7 +93,9 @@
 		return nil, rerr
 	}
 	q.first = clock.Since(q.came)
-	if rerr := r.checkAnswer(q, resp); rerr != nil {
+	rerr := r.checkAnswer(q, resp)
+	r.hearRate(to, resp, rerr == nil)
+	if rerr != nil {
 		q.tried(to.name, rerr.Code.String()+":"+rerr.Detail)
 		// Closing without reading ends the connection, so that nothing of it is taken for another answer.
 		_ = resp.Body.Close()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/quota"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -66,6 +67,8 @@
 	Ages   AgesConfig
 	// Quarantine knows which requests reach no endpoint, as others have ended under them.
 	Quarantine *quarantine.Client
+	// Rates is what endpoints say of how many requests a second they take.
+	Rates *ratelimit.Book
 }
 
 // Relay serves callers.
@@ -76,6 +79,8 @@
 	// suspects are the boxes that did not answer lately, crowds the adapter versions whose engines all had requests waiting.
 	suspects *recent.Set[string]
 	crowds   *recent.Set[resource.Ref]
+	// badRates are the endpoints that lately named rates which cannot be understood.
+	badRates *recent.Set[string]
 	budgets  *budgets
 	sample   *sample
 	memory   *memory
@@ -86,7 +91,7 @@
 func New(cfg Config) *Relay {
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory(), alike: newAlike(),
-		suspects: recent.New[string](suspectFor), crowds: recent.New[resource.Ref](crowdedFor),
+		suspects: recent.New[string](suspectFor), crowds: recent.New[resource.Ref](crowdedFor), badRates: recent.New[string](badRateTold),
 	}
 }
 
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -66,6 +66,9 @@
 	NotRun bool
 	// Elsewhere says that the request was for another instance, model or version than the one here.
 	Elsewhere bool
+	// RateNamed says that the endpoint names how many requests a second it takes from all boxes; Rate is that, as it stands.
+	RateNamed bool
+	Rate      string
 }
 
 // Wire names the headers of callers and endpoints. It is an interface at the network boundary.
