--- a/internal/box/accountable.go
+++ b/internal/box/accountable.go
@@ -9,6 +9,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/customer"
+	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/quota"
 )
@@ -17,10 +18,20 @@
 // replace a coordinator. After that another box may be accountable, and both would grant the whole quota.
 const deafBeats = 6
 
-// accountable chooses the box that is accountable for each customer's quota, and the one that counts the requests at each plain endpoint: all boxes that have the same cell map choose the same one, so
-// nothing has to be agreed or stored, and a box that comes or goes moves only the customers that are its own.
+// accountableConfig configures an accountable.
+type accountableConfig struct {
+	// Box is the name of this box, Beat the time between two of its heartbeats.
+	Box     string
+	Beat    time.Duration
+	Catalog *catalog.Catalog
+	// Membership is what this box shows of its heartbeats.
+	Membership func() member.Status
+}
+
+// accountable chooses the box that is accountable for each customer's quota, and the one that counts the requests at each plain endpoint: all boxes that
+// have the same cell map choose the same one, so nothing has to be agreed or stored, and a box that comes or goes moves only what is its own.
 type accountable struct {
-	box *Routed
+	cfg accountableConfig
 	// startedAt is when this process began: it may not have heard anything yet.
 	startedAt time.Time
 
@@ -33,29 +44,33 @@
 
 var _ quota.Accountable = (*accountable)(nil)
 
+func newAccountable(cfg accountableConfig) *accountable {
+	return &accountable{cfg: cfg, startedAt: clock.Now()}
+}
+
 // For implements quota.Accountable.
 func (a *accountable) For(name string) (address netip.AddrPort, here, ok bool) {
 	m, ok := a.choose(name)
 	if !ok {
 		return netip.AddrPort{}, false, false
 	}
-	if m.Box != a.box.cfg.Settings.Box.Name {
+	if m.Box != a.cfg.Box {
 		return m.Peer, false, true
 	}
 	return m.Peer, true, !a.deaf()
 }
 
 // Boxes implements quota.Accountable.
-func (a *accountable) Boxes() int { return len(a.box.catalog.Topology().Boxes) }
+func (a *accountable) Boxes() int { return len(a.cfg.Catalog.Topology().Boxes) }
 
 // deaf reports whether this box has not heard of a coordinator for so long that another one may be accountable.
 func (a *accountable) deaf() bool {
-	limit := deafBeats * a.box.cfg.Settings.Timing.Beat
-	return a.box.node.Status().SinceReply > limit && clock.Since(a.startedAt) > limit
+	limit := deafBeats * a.cfg.Beat
+	return a.cfg.Membership().SinceReply > limit && clock.Since(a.startedAt) > limit
 }
 
 func (a *accountable) choose(name string) (coordinator.Member, bool) {
-	t := a.box.catalog.Topology()
+	t := a.cfg.Catalog.Topology()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.of != t {
--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"errors"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -30,7 +31,9 @@
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/peer"
+	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/repair"
 	"github.com/bellgap/bellgap/internal/settings"
@@ -67,7 +70,12 @@
 	gateway   *gateway.Gateway
 	// quarantine knows which requests reach no back end.
 	quarantine *quarantine.Client
-	listeners  listeners
+	// keeper counts the calls of the services' addresses that are this box's to count, places takes places of all; rates is what engines and services
+	// say of how many requests a second they take.
+	keeper    *places.Keeper
+	places    *places.Client
+	rates     *ratelimit.Book
+	listeners listeners
 }
 
 type listeners struct {
@@ -94,6 +102,14 @@
 		Lost: func(ctx context.Context) ([]objects.Object, error) { return b.lost(ctx, api, peers) },
 	})
 	b.quarantine = newQuarantine(cfg.Settings, b.catalog, b.metrics.Scope)
+	b.rates = ratelimit.NewBook(ratelimit.BookConfig{Boxes: func() int { return len(b.catalog.Topology().Boxes) }, Scope: b.metrics.Scope})
+	b.keeper = places.NewKeeper(mathrand.Uint64())
+	b.places = places.NewClient(places.ClientConfig{
+		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
+		Keepers: newAccountable(accountableConfig{
+			Box: cfg.Settings.Box.Name, Beat: cfg.Settings.Timing.Beat, Catalog: b.catalog, Membership: func() member.Status { return b.node.Status() },
+		}),
+	})
 	records := record.New()
 	b.buildLoads(peers)
 	b.buildOwners()
@@ -155,8 +171,8 @@
 		Supervisor: b.root, Loads: b.loads, Scope: b.metrics.Scope,
 		Client:    quarantinedOrders{b.engines, b.quarantine},
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
-		Lookup:    b.lookupEngine,
-		Leaving:   func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
+		Lookup:    b.lookupEngine, Rates: b.rates,
+		Leaving: func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
 	})
 }
 
@@ -229,7 +245,7 @@
 			BodyBytes: s.Request.BodyBytes, BodyTime: s.Request.BodyTime, DefaultWait: s.Request.DefaultWait,
 			Longest: s.Request.Longest, LocateKeep: s.Request.LocateKeep,
 		},
-		Ready: b.feed.IsReady, Leaving: func() bool { return b.node.Leaving() }, Quarantine: b.quarantine,
+		Ready: b.feed.IsReady, Leaving: func() bool { return b.node.Leaving() }, Quarantine: b.quarantine, Places: b.places, Rates: b.rates,
 	})
 }
 
@@ -243,16 +259,18 @@
 	}).Register(peerMux)
 	b.gateway.RegisterPeer(peerMux)
 	quarantine.NewServer(quarantine.ServerConfig{Client: b.quarantine}).Register(peerMux)
+	places.NewServer(places.ServerConfig{Keeper: b.keeper}).Register(peerMux)
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.feed.IsReady,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope,
-		Record: records, Quarantine: b.quarantine,
+		Record: records, Quarantine: b.quarantine, Limits: b.rates.Limits,
 	})
 	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
 	b.root.Add(server{b.listeners.peer, peerMux})
 	b.root.Add(server{b.listeners.operator, op.Handler()})
 	b.root.Add(b.feed)
 	b.root.Add(b.quarantine)
+	b.root.Add(b.places)
 	b.root.Add(repair.New(repair.Config{API: api, Catalog: b.catalog, Active: b.schedules, Scope: b.metrics.Scope}))
 	b.root.Add(afterReady{b.feed.Ready(), b.node})
 }
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -14,7 +14,6 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/bellgap/bellgap/internal/catalog"
-	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/grant"
@@ -85,6 +84,8 @@
 	// keeper counts the requests at the endpoints that are this box's to count, places takes places of all.
 	keeper *places.Keeper
 	places *places.Client
+	// rates is what endpoints say of how many requests a second they take.
+	rates *ratelimit.Book
 	// quarantine knows which requests reach no endpoint.
 	quarantine *quarantine.Client
 	listeners  listeners
@@ -117,10 +118,13 @@
 	}
 	b.ledger, b.accountable = quota.NewLedger(quota.LedgerConfig{Bounds: quota.Bounds{
 		Window: cfg.Settings.Customers.QuotaWindow, Excess: cfg.Settings.Customers.QuotaExcess, Tolerance: cfg.Settings.Customers.QuotaTolerance,
-	}}), &accountable{box: b, startedAt: clock.Now()}
+	}}), newAccountable(accountableConfig{
+		Box: cfg.Settings.Box.Name, Beat: cfg.Settings.Timing.Beat, Catalog: b.catalog, Membership: func() member.Status { return b.node.Status() },
+	})
+	b.rates = ratelimit.NewBook(ratelimit.BookConfig{Boxes: b.boxes, Scope: b.metrics.Scope})
 	b.keeper = places.NewKeeper(mathrand.Uint64())
 	b.places = places.NewClient(places.ClientConfig{
-		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Keepers: b.accountable, Keeper: b.keeper, Scope: b.metrics.Scope,
+		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Keepers: b.accountable, Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
 	})
 	b.follower = follow.New(follow.Config{
 		Source: cfg.Deployment.Source, Catalog: b.catalog, Kinds: followedKinds(cfg.Settings.Customers), Grace: cfg.Settings.Platform.LapseGrace, Scope: b.metrics.Scope,
@@ -128,7 +132,7 @@
 	})
 	b.quarantine = newQuarantine(cfg.Settings, b.catalog, b.metrics.Scope)
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
-	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Scope: b.metrics.Scope})
+	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Rates: b.rates, Scope: b.metrics.Scope})
 	scheduler := b.buildOwners(peers)
 	b.buildNode(peers)
 	b.buildRelay(grants)
@@ -160,8 +164,8 @@
 		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: quarantinedOrders{b.cfg.Deployment.Engines, b.quarantine},
 		PrefillRate: b.cfg.Settings.Routes.PrefillRate, Policy: b.cfg.Settings.Policy.Chosen(),
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
-		Lookup:    b.lookupEngine,
-		Leaving:   func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
+		Lookup:    b.lookupEngine, Rates: b.rates,
+		Leaving: func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
 	})
 	return scheduler
 }
@@ -219,7 +223,7 @@
 		Budget:    relay.BudgetConfig{PerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxes},
 		Policy:    s.Policy.Chosen(),
 		Quotas:    quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.accountable, Ledger: b.ledger, Scope: b.metrics.Scope}),
-		Places:    b.places, Quarantine: b.quarantine, Rates: ratelimit.NewBook(ratelimit.BookConfig{Scope: b.metrics.Scope}),
+		Places:    b.places, Quarantine: b.quarantine, Rates: b.rates,
 		Ages: relay.AgesConfig{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			Keys:        s.Customers.RevokedWithin, Unknown: s.Customers.InForceWithin,
@@ -241,7 +245,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, Record: record.New(),
-		Quarantine: b.quarantine,
+		Quarantine: b.quarantine, Limits: b.rates.Limits,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -10,8 +10,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -107,6 +109,8 @@
 	RunID   string
 	Urgency string
 	Body    []byte
+	// Rate, if set, is called with what the head of an answer says of the requests a second that the engine takes.
+	Rate func(ratelimit.Word)
 }
 
 // Run sends a call and returns the answer once its status is known. The error is a *result.Error that says whether it ran.
@@ -124,6 +128,7 @@
 	if err != nil {
 		return nil, callError(ctx, sent.Started(), err)
 	}
+	call.hearRate(resp.Header)
 	if resp.StatusCode != http.StatusOK {
 		defer httpx.Drain(resp.Body)
 		return nil, statusError(resp)
@@ -131,6 +136,17 @@
 	return NewAnswer(resp, call.Ref, call.RunID), nil
 }
 
+// hearRate passes on what the head of an answer says of the engine's rate.
+func (c *Call) hearRate(h http.Header) {
+	w, err := ratelimit.Named(h.Values(result.HeaderRate))
+	switch {
+	case err != nil:
+		klog.ErrorS(err, "rate of an engine ignored", "engine", c.Address)
+	case c.Rate != nil:
+		c.Rate(w)
+	}
+}
+
 func callError(ctx context.Context, started bool, err error) *result.Error {
 	switch {
 	case !started:
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -72,7 +73,7 @@
 			return nil, rerr.After(mayHaveRun)
 		}
 		// Being sent on by an engine that would be slower is routing, not a retry.
-		if i > 0 && last.Code != result.TryNext && !g.retries.spend() {
+		if i > 0 && last.Code != result.TryNext && last.Code != result.RateLimited && !g.retries.spend() {
 			g.cfg.Scope.Counter("retries_over_budget").Inc(1)
 			break
 		}
@@ -96,7 +97,7 @@
 // tryElsewhere says whether another engine may be asked after err.
 func tryElsewhere(err *result.Error, repeatable bool) bool {
 	switch err.Code {
-	case result.NotOwner, result.TryNext, result.QueueFull, result.LoadFailed, result.LoadBudget, result.Leaving,
+	case result.NotOwner, result.TryNext, result.QueueFull, result.RateLimited, result.LoadFailed, result.LoadBudget, result.Leaving,
 		result.BackendRefused, result.BackendUnreachable, result.NotReady:
 		return true
 	case result.AnswerLost, result.StreamCut, result.WrongAnswer:
@@ -138,7 +139,7 @@
 
 // ask returns what the owner of an engine needs to know of the job.
 func (j *job) ask() owner.Request {
-	return owner.Request{Ref: j.ref, Weights: j.weights, Urgency: j.urgency, StartBy: j.startBy, Last: j.last}
+	return owner.Request{Ref: j.ref, Weights: j.weights, Urgency: j.urgency, StartBy: j.startBy, Last: j.last, Customer: j.cooperative, Rate: j.rate}
 }
 
 // runGranted sends the job to the engine that the grant is for.
@@ -153,6 +154,7 @@
 	}
 	answer, err := g.cfg.Engines.Run(ctx, engine.Call{
 		Address: grant.Engine.Address, Path: j.path, Ref: j.ref, RunID: j.runID, Urgency: strconv.Itoa(j.urgency), Body: j.body,
+		Rate: func(w ratelimit.Word) { g.hearRate(grant, w) },
 	})
 	if err != nil {
 		rerr := result.From(err, result.AnswerLost)
@@ -163,6 +165,14 @@
 	return &attempt{answer: answer, engine: grant.Name, box: g.cfg.Box, stalled: grant.Stalled, end: grant.Release, settle: settle}, nil
 }
 
+// hearRate takes in what an engine's answer says of its rate.
+func (g *Gateway) hearRate(grant *owner.Grant, w ratelimit.Word) {
+	w.Started = grant.Engine.Started
+	if g.cfg.Rates.Heard(clock.Now(), grant.Name, w) {
+		grant.HearRate(w)
+	}
+}
+
 // endOf says what an error means for the engine's adapter.
 func endOf(err *result.Error) owner.End {
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,9 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
@@ -48,6 +50,9 @@
 	Limits       Limits
 	// Quarantine knows which requests reach no back end, as others have ended under them.
 	Quarantine *quarantine.Client
+	// Places counts the calls of all boxes at the addresses of services, Rates is what engines and services say of how many requests a second they take.
+	Places *places.Client
+	Rates  *ratelimit.Book
 	// Record keeps what was decided, for operators.
 	Record *record.Log
 	// Ready and Leaving tell the state of this box.
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -19,6 +19,7 @@
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -50,6 +51,9 @@
 	Last bool `json:"last,omitempty"`
 	// Suspect is what the request is known by when it comes again.
 	Suspect quarantine.Suspect `json:"suspect"`
+	// Cooperative is whose request it is, Rate what the sender knows of the engine's rate.
+	Cooperative string          `json:"cooperative,omitempty"`
+	Rate        *ratelimit.Word `json:"rate,omitempty"`
 }
 
 // onceBody is a body that tells whether any of it was read.
@@ -72,6 +76,7 @@
 	head, err := json.Marshal(hopHead{
 		Engine: e.Name, Ref: j.ref.String(), Weights: j.weights, RunID: j.runID, RequestID: j.requestID,
 		Path: j.path, Urgency: j.urgency, StartIn: clock.Until(j.startBy), Last: j.last, Suspect: j.suspect,
+		Cooperative: j.cooperative, Rate: g.cfg.Rates.Word(clock.Now(), e.Name, e.Spec.Started),
 	})
 	if err != nil {
 		return nil, result.New(result.BadRequest, "%v", err)
@@ -126,6 +131,9 @@
 		}
 		return nil, result.New(result.BackendUnreachable, "box %s: %v", e.Owner.Box, err)
 	}
+	if w := grant.ToldRate(resp.Header); w != nil {
+		g.cfg.Rates.Heard(clock.Now(), e.Name, *w)
+	}
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
@@ -156,6 +164,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), g.cfg.Limits.Longest)
 	defer cancel()
 	granted, rerr := grant.AcquireAlive(ctx, w, runner, j.ask(), aliveEvery)
+	grant.TellRate(w.Header(), runner.Rate())
 	if rerr != nil {
 		rerr.Write(w, j.requestID)
 		return
@@ -193,6 +202,7 @@
 	return &job{
 		requestID: h.RequestID, runID: h.RunID, path: h.Path, ref: ref, weights: h.Weights,
 		urgency: h.Urgency, startBy: clock.Now().Add(h.StartIn), last: h.Last, suspect: h.Suspect,
+		cooperative: h.Cooperative, rate: h.Rate,
 	}, runner, nil
 }
 
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -10,6 +10,7 @@
 	"github.com/bellgap/bellgap/internal/body"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -37,9 +38,11 @@
 	weights     string
 	baseModel   string
 	cooperative string
-	urgency     int
-	startBy     time.Time
-	repeatable  bool
+	// rate is what the box that the request came from knows of the engine's rate.
+	rate       *ratelimit.Word
+	urgency    int
+	startBy    time.Time
+	repeatable bool
 	// last says that no other engine will be tried after the present one.
 	last bool
 	body []byte
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -10,9 +10,14 @@
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/placement"
+	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -26,6 +31,7 @@
 // call is one request for a plain service.
 type call struct {
 	requestID  string
+	service    string
 	runID      string
 	method     string
 	target     string
@@ -85,7 +91,7 @@
 	if r.URL.RawQuery != "" {
 		target += "?" + r.URL.RawQuery
 	}
-	c := &call{requestID: requestID, runID: g.cfg.NewID(), method: r.Method, target: target, body: content, header: http.Header{}}
+	c := &call{service: name, requestID: requestID, runID: g.cfg.NewID(), method: r.Method, target: target, body: content, header: http.Header{}}
 	for _, h := range passedOn {
 		if v := r.Header.Get(h); v != "" {
 			c.header.Set(h, v)
@@ -125,15 +131,27 @@
 	var last *result.Error
 	var to quarantine.Endpoint
 	mayHaveRun := false
-	for i, name := range placement.Top(c.runID, names, maxServiceTries) {
+	limited, tries := result.New(result.RateLimited, "%s", c.service), 0
+	for _, name := range placement.Rank(c.runID, names) {
+		if tries == maxServiceTries {
+			break
+		}
 		if rerr := g.cfg.Quarantine.Refusal(c.suspect.Fingerprint); rerr != nil {
 			return nil, to, rerr.After(mayHaveRun)
 		}
-		if i > 0 && !g.retries.spend() {
+		place, refusal := g.cfg.Places.Take(ctx, places.Ask{Endpoint: name, Slots: places.AnySlots, Hold: time.Duration(s.Timeout)})
+		if place == nil {
+			limited.RetryAfter = g.cfg.Rates.ComeBack(clock.Now(), c.service, names, refusal.Wait)
+			continue
+		}
+		if tries > 0 && !g.retries.spend() {
+			place.End(0)
 			break
 		}
+		tries++
 		to = quarantine.Endpoint{Name: name, Address: byName[name]}
 		resp, rerr := g.callOnce(ctx, c, to.Address)
+		place.End(0)
 		if rerr == nil {
 			return resp, to, nil
 		}
@@ -145,6 +163,9 @@
 		}
 		g.cfg.Scope.Tagged(map[string]string{"reason": rerr.Code.String()}).Counter("retries").Inc(1)
 	}
+	if tries == 0 {
+		last = limited
+	}
 	return nil, to, last
 }
 
@@ -163,6 +184,7 @@
 	resp, err := client.Do(sent.Request)
 	switch {
 	case err == nil:
+		g.hearServiceRate(a, resp.Header)
 		return resp, nil
 	case !sent.Started():
 		return nil, result.New(result.BackendUnreachable, "%v", err)
@@ -171,6 +193,16 @@
 	}
 }
 
+// hearServiceRate takes in what the head of a service's answer says of the calls a second that the address takes.
+func (g *Gateway) hearServiceRate(a netip.AddrPort, h http.Header) {
+	w, err := ratelimit.Named(h.Values(result.HeaderRate))
+	if err != nil {
+		klog.ErrorS(err, "rate of a service ignored", "address", a)
+		return
+	}
+	g.cfg.Rates.Heard(clock.Now(), a.String(), w)
+}
+
 // passAnswer copies a service's answer to the caller.
 func (g *Gateway) passAnswer(w http.ResponseWriter, resp *http.Response, requestID string) *result.Error {
 	defer httpx.Drain(resp.Body)
--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -15,9 +15,11 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/gather"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -37,7 +39,9 @@
 
 // ClientConfig configures a Client.
 type ClientConfig struct {
-	HTTP  *http.Client
+	HTTP *http.Client
+	// Rates is what this box knows of the engines' rates.
+	Rates *ratelimit.Book
 	Scope tally.Scope
 }
 
@@ -47,11 +51,13 @@
 	news *gather.Gatherer[netip.AddrPort, news]
 }
 
-// news is what the owner at an address is to hear of a grant: its end or, if read, that the first token has come.
+// news is what the owner at an address is to hear of a grant: its end or, if read, that the first token has come. With rate it is what an engine
+// said of its rate.
 type news struct {
 	address netip.AddrPort
 	end     end
 	read    bool
+	rate    *engineRate
 }
 
 // NewClient returns a Client.
@@ -97,9 +103,31 @@
 		return nil, result.New(result.OwnerSilent, "%v", err)
 	}
 	defer httpx.Drain(resp.Body)
+	if w := ToldRate(resp.Header); w != nil {
+		c.cfg.Rates.Heard(clock.Now(), a.Engine, *w)
+	}
 	return c.read(resp, address)
 }
 
+// ToldRate returns what an owner told of its engine's rate, nil if that is nothing.
+func ToldRate(h http.Header) *ratelimit.Word {
+	text := h.Get(headerRate)
+	if text == "" {
+		return nil
+	}
+	w := &ratelimit.Word{}
+	if err := json.Unmarshal([]byte(text), w); err != nil {
+		klog.ErrorS(err, "rate told by an owner not understood")
+		return nil
+	}
+	return w
+}
+
+// TellRate tells the owner at address what its engine said of its rate.
+func (c *Client) TellRate(address netip.AddrPort, engine string, w ratelimit.Word) {
+	c.tell(news{address: address, rate: &engineRate{engine, w}})
+}
+
 func (c *Client) read(resp *http.Response, address netip.AddrPort) (*Grant, error) {
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
 	if err != nil {
@@ -132,9 +160,12 @@
 func messageOf(all []news) ended {
 	var msg ended
 	for _, n := range all {
-		if n.read {
+		switch {
+		case n.rate != nil:
+			msg.Rates = append(msg.Rates, *n.rate)
+		case n.read:
 			msg.Read = append(msg.Read, n.end.ID)
-		} else {
+		default:
 			msg.Ends = append(msg.Ends, n.end)
 		}
 	}
--- a/internal/grant/message.go
+++ b/internal/grant/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -38,6 +39,10 @@
 	Output int  `json:"output,omitempty"`
 	// Parts are those of the prompt that other requests may share, in order.
 	Parts []owner.Part `json:"parts,omitempty"`
+	// Customer is whose request it is.
+	Customer string `json:"customer,omitempty"`
+	// Rate is what the asker knows of the requests a second that the engine takes.
+	Rate *ratelimit.Word `json:"rate,omitempty"`
 }
 
 // Request returns the owner's form of an ask.
@@ -45,6 +50,7 @@
 	q := owner.Request{
 		Weights: a.Weights, Urgency: a.Urgency, StartBy: now.Add(a.StartIn), Last: a.Last,
 		Prompt: a.Prompt, Output: a.Output, Parts: a.Parts, Accept: a.Accept, Near: a.Near, Pressed: a.Pressed,
+		Customer: a.Customer, Rate: a.Rate,
 	}
 	if a.Ref == "" {
 		return q, nil
@@ -67,8 +73,18 @@
 type ended struct {
 	Ends []end    `json:"ends"`
 	Read []uint64 `json:"read,omitempty"`
+	// Rates are what engines said in their answers of the requests a second that they take.
+	Rates []engineRate `json:"rates,omitempty"`
 }
 
+type engineRate struct {
+	Engine string         `json:"engine"`
+	Rate   ratelimit.Word `json:"rate"`
+}
+
+// headerRate carries what an owner knows of its engine's rate, as JSON, with whatever it answers.
+const headerRate = "Bellgap-Engine-Rate"
+
 type end struct {
 	ID  uint64    `json:"id"`
 	End owner.End `json:"end"`
--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -1,14 +1,18 @@
 package grant
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -68,6 +72,7 @@
 		return
 	}
 	g, rerr := AcquireAlive(r.Context(), w, runner, q, aliveEvery)
+	TellRate(w.Header(), runner.Rate())
 	if rerr != nil {
 		rerr.Write(w, "")
 		return
@@ -79,6 +84,19 @@
 	httpx.WriteJSON(w, http.StatusOK, given{ID: s.hold(g, ask.Hold), Stalled: g.Stalled})
 }
 
+// TellRate tells an asker an engine's rate, nil if there is none, so that it knows that when this box can no longer be asked.
+func TellRate(h http.Header, w *ratelimit.Word) {
+	if w == nil {
+		return
+	}
+	text, err := json.Marshal(w)
+	if err != nil {
+		klog.ErrorS(err, "rate of an engine not told")
+		return
+	}
+	h.Set(headerRate, string(text))
+}
+
 func (s *Server) hold(g *owner.Grant, limit time.Duration) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,6 +137,11 @@
 	for _, id := range msg.Read {
 		s.read(id)
 	}
+	for _, e := range msg.Rates {
+		if runner, ok := s.cfg.Owners.Get(e.Engine); ok {
+			runner.HearRate(e.Rate)
+		}
+	}
 	for _, e := range msg.Ends {
 		s.release(e.ID, e.End)
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,15 +5,18 @@
 	"context"
 	"net/http"
 	"net/http/pprof"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -34,7 +37,9 @@
 	Record *record.Log
 	// Quarantine knows the requests under which endpoints have ended.
 	Quarantine Quarantine
-	Scope      tally.Scope
+	// Limits returns the endpoints that name how many requests a second they take.
+	Limits func(now time.Time) []ratelimit.Limit
+	Scope  tally.Scope
 }
 
 // Quarantine is what operators see of requests that end endpoints, and let pass again.
@@ -63,6 +68,8 @@
 	Engines  []owner.Status `json:"engines"`
 	// Skipped counts objects that this box could not read.
 	Skipped int `json:"skipped"`
+	// Limits lists the endpoints that name how many requests a second they take, as this box knows.
+	Limits []ratelimit.Limit `json:"limits,omitempty"`
 }
 
 // Handler serves operators.
@@ -100,6 +107,7 @@
 	httpx.WriteJSON(w, http.StatusOK, Status{
 		Box: o.cfg.Box, Ready: o.cfg.Ready(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(),
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), Skipped: o.cfg.Catalog.Skipped(),
+		Limits: o.cfg.Limits(clock.Now()),
 	})
 }
 
--- a/internal/owner/action.go
+++ b/internal/owner/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -30,6 +31,13 @@
 	Near bool
 	// Pressed says that no engine asked before can start it in time.
 	Pressed bool
+	// Customer is whose request it is, Rate what the asker knows of the engine's rate.
+	Customer string
+	Rate     *ratelimit.Word
+	// Lone says that this box has no authority over the engine now: another one may count its requests.
+	Lone bool
+	// rated says that the ticket has been taken out of the engine's rate.
+	rated bool
 }
 
 // Action is what the caller of State has to do. It is sealed.
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -5,6 +5,7 @@
 
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -32,6 +33,8 @@
 
 type promptRead struct{ id uint64 }
 
+type rateHeard struct{ word ratelimit.Word }
+
 type permitGiven struct {
 	ref    resource.Ref
 	permit loads.Permit
@@ -66,6 +69,7 @@
 func (canceled) event()      {}
 func (ended) event()         {}
 func (promptRead) event()    {}
+func (rateHeard) event()     {}
 func (permitGiven) event()   {}
 func (permitDenied) event()  {}
 func (loadEnded) event()     {}
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -10,24 +10,39 @@
 
 // Submit adds a ticket.
 func (s *State) Submit(now time.Time, t Ticket) []Action {
+	s.rate.Hear(now, t.Rate)
+	if s.stopped || s.closed {
+		s.touch(now, t.Ref)
+		s.refuseClosed(t)
+		return s.flush(now)
+	}
+	if err := s.overRate(now, t); err != nil {
+		s.refuse(t, err)
+		return s.flush(now)
+	}
 	s.touch(now, t.Ref)
 	switch {
-	case s.stopped:
-		s.refuse(t, result.New(result.NotOwner, "the engine is being handed over"))
-	case s.closed:
-		s.refuse(t, result.New(result.TryNext, "the engine's box is leaving"))
 	case !t.Last && (s.tooSlow(now, t) || s.crowded(now, t)):
 		s.sendOn(now, t)
 	case len(s.waiting) >= s.cfg.MaxQueue:
-		s.refuseWorst(t)
+		s.refuseWorst(now, t)
 	case s.failing(now, t.Ref):
 		s.refuseFailing(now, t)
 	default:
-		s.enqueue(t)
+		s.enqueue(now, t)
 	}
 	return s.flush(now)
 }
 
+// refuseClosed refuses a ticket that the engine cannot take, whatever it is.
+func (s *State) refuseClosed(t Ticket) {
+	if s.stopped {
+		s.refuse(t, result.New(result.NotOwner, "the engine is being handed over"))
+		return
+	}
+	s.refuse(t, result.New(result.TryNext, "the engine's box is leaving"))
+}
+
 // crowded reports whether a ticket had better try its next engine: no slot can be freed for its adapter, or the batch is full and others wait before it.
 func (s *State) crowded(now time.Time, t Ticket) bool {
 	if !t.Ref.IsBase() && s.slots[t.Ref] == nil && s.wanted[t.Ref] == 0 && len(s.slots) >= s.cfg.Slots && s.victim(now) == nil {
@@ -46,16 +61,19 @@
 	return before >= s.cfg.Batch/crowdedShare
 }
 
-func (s *State) refuse(t Ticket, err *result.Error) { s.emit(Refuse{Ticket: t, Err: err}) }
+func (s *State) refuse(t Ticket, err *result.Error) {
+	s.unrate(t)
+	s.emit(Refuse{Ticket: t, Err: err})
+}
 
 // refuseWorst makes room for a more urgent ticket, or refuses t.
-func (s *State) refuseWorst(t Ticket) {
+func (s *State) refuseWorst(now time.Time, t Ticket) {
 	worst := len(s.waiting) - 1
 	if worst >= 0 && s.waiting[worst].Urgency < t.Urgency {
 		out := s.waiting[worst]
 		s.keep(func(w Ticket) bool { return w.ID != out.ID })
 		s.refuse(out, result.New(result.QueueFull, "more urgent work came"))
-		s.enqueue(t)
+		s.enqueue(now, t)
 		return
 	}
 	s.refuse(t, result.New(result.QueueFull, "%d requests wait", len(s.waiting)))
@@ -75,7 +93,9 @@
 }
 
 // enqueue keeps the waiting tickets ordered by urgency, then by latest useful start, then by arrival.
-func (s *State) enqueue(t Ticket) {
+func (s *State) enqueue(now time.Time, t Ticket) {
+	t.rated = s.rate.Limited()
+	s.rate.Use(now, t.Customer)
 	at, _ := slices.BinarySearchFunc(s.waiting, t, compareTickets)
 	s.waiting = slices.Insert(s.waiting, at, t)
 	s.wanted[t.Ref]++
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -48,9 +48,10 @@
 	return r.state.Lost(now, gone)
 }
 
-// wanted takes a request for an engine without its base model in: enough of them that no engine asked before could start in time begin its load.
+// wanted takes a request for an engine without its base model in: enough of them that no engine asked before could start in time begin its load. One that
+// names a rate is left without.
 func (r *Runner) wanted(now time.Time, t Ticket) []Action {
-	if !r.baseMissing || !t.Pressed || !r.demand.note(now) {
+	if !r.baseMissing || !t.Pressed || r.state.Rate(now) != nil || !r.demand.note(now) {
 		return nil
 	}
 	return r.loadMissing()
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -14,6 +14,7 @@
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/policy"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -56,7 +57,9 @@
 	Policy      policy.Policy
 	// Authority is asked right before each order.
 	Authority Authority
-	Scope     tally.Scope
+	// Rate is what this box knows of the engine's rate, nil if that is nothing.
+	Rate  *ratelimit.Word
+	Scope tally.Scope
 }
 
 // Runner carries out the decisions of one State. Its loop is the only user of the State.
@@ -69,6 +72,8 @@
 	inFlight atomic.Int64
 	stopped  atomic.Bool
 	ordering atomic.Int64
+	// rate is what the engine names, as of the last event.
+	rate atomic.Pointer[ratelimit.Word]
 
 	// The fields below belong to the loop.
 	state       *State
@@ -99,11 +104,13 @@
 	Loaded   []string `json:"loaded"`
 	// Frozen says that orders are withheld for want of authority.
 	Frozen bool `json:"frozen,omitempty"`
+	// RateRefused is how many requests were kept from the engine for the rate that it names, since it names one.
+	RateRefused int `json:"rate_refused,omitempty"`
 }
 
 // NewRunner returns a Runner; its Serve has to run.
 func NewRunner(cfg RunnerConfig) *Runner {
-	return &Runner{
+	r := &Runner{
 		cfg: cfg, events: make(chan event, eventRing), done: make(chan struct{}),
 		state: New(Config{
 			Slots: cfg.Engine.Slots, Batch: cfg.Engine.Batch, MaxQueue: cfg.MaxQueue, Pack: cfg.Pack, KVTokens: cfg.Engine.KVTokens,
@@ -112,6 +119,9 @@
 		replies: map[uint64]chan verdict{}, foreign: true, reconciler: newReconciler(), orders: &errgroup.Group{},
 		status: Status{Engine: cfg.Name},
 	}
+	r.state.rate.Born(cfg.Engine.Started)
+	r.state.HearRate(clock.Now(), cfg.Rate)
+	return r
 }
 
 // Done is closed when Serve has ended.
@@ -145,6 +155,12 @@
 	}
 }
 
+// HearRate takes in what the engine, or another box, said of its rate.
+func (r *Runner) HearRate(w ratelimit.Word) { r.post(rateHeard{w}) }
+
+// Rate returns what the engine names, nil if it names none.
+func (r *Runner) Rate() *ratelimit.Word { return r.rate.Load() }
+
 // Close sends what waits to other engines while the engine's box is leaving.
 func (r *Runner) Close(closed bool) { r.post(closing{closed}) }
 
@@ -162,8 +178,11 @@
 	Parts  []Part
 	Accept time.Duration
 	Near   bool
-	// Pressed counts for engines without their base model only.
+	// Pressed counts for engines without their base model, or that name a rate, only.
 	Pressed bool
+	// Customer and Rate are as in Ticket.
+	Customer string
+	Rate     *ratelimit.Word
 }
 
 // Grant lets one request run on the engine until it is released.
@@ -180,6 +199,9 @@
 // Read says that the first token of the answer has come.
 func (g *Grant) Read() { g.runner.post(promptRead{g.id}) }
 
+// HearRate takes in what the engine's answer says of its rate.
+func (g *Grant) HearRate(w ratelimit.Word) { g.runner.HearRate(w) }
+
 // Release ends the request. Call it once.
 func (g *Grant) Release(end End) { g.runner.post(ended{g.id, end}) }
 
@@ -187,7 +209,10 @@
 func (r *Runner) Acquire(ctx context.Context, q Request) (*Grant, error) {
 	id := r.nextID.Add(1)
 	reply := make(chan verdict, 1)
-	t := Ticket{ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: clock.Now(), StartBy: q.StartBy, Last: q.Last, Prompt: q.Prompt, Output: q.Output, Parts: q.Parts, Accept: q.Accept, Near: q.Near, Pressed: q.Pressed}
+	t := Ticket{
+		ID: id, Ref: q.Ref, Weights: q.Weights, Urgency: q.Urgency, Arrived: clock.Now(), StartBy: q.StartBy, Last: q.Last, Prompt: q.Prompt, Output: q.Output, Parts: q.Parts, Accept: q.Accept, Near: q.Near, Pressed: q.Pressed,
+		Customer: q.Customer, Rate: q.Rate,
+	}
 	select {
 	case r.events <- submitted{t, reply}:
 	case <-r.done:
@@ -260,6 +285,7 @@
 		case e := <-r.events:
 			actions := r.take(clock.Now(), e)
 			r.inFlight.Store(int64(r.state.InFlight()))
+			r.rate.Store(r.state.Rate(clock.Now()))
 			r.carryOut(ctx, actions)
 		case <-tick.C:
 			r.carryOut(ctx, r.state.Tick(clock.Now()))
@@ -276,6 +302,8 @@
 func (r *Runner) take(now time.Time, e event) []Action {
 	switch e := e.(type) {
 	case submitted:
+		_, authorized := r.cfg.Authority(now)
+		e.ticket.Lone = !authorized
 		r.replies[e.ticket.ID] = e.reply
 		return append(r.wanted(now, e.ticket), r.state.Submit(now, e.ticket)...)
 	case canceled:
@@ -287,6 +315,9 @@
 			out = append(out, r.goneNow(now, "a request found nothing listening there")...)
 		}
 		return out
+	case rateHeard:
+		r.state.HearRate(now, &e.word)
+		return nil
 	case promptRead:
 		r.state.Read(now, e.id)
 		return nil
@@ -373,7 +404,7 @@
 
 func (r *Runner) show() {
 	_, ok := r.cfg.Authority(clock.Now())
-	st := Status{Engine: r.cfg.Name, InFlight: r.state.InFlight(), Waiting: r.state.Waiting(), Loaded: r.state.LoadedNames(), Frozen: !ok}
+	st := Status{Engine: r.cfg.Name, InFlight: r.state.InFlight(), Waiting: r.state.Waiting(), Loaded: r.state.LoadedNames(), Frozen: !ok, RateRefused: r.state.rate.Refused()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.status = st
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -9,9 +9,11 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/policy"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -39,7 +41,9 @@
 	Policy      policy.Policy
 	// Authority says whether this box may give an engine orders now.
 	Authority func(engine string, now time.Time) (epoch uint64, ok bool)
-	Scope     tally.Scope
+	// Rates is what this box knows of the engines' rates.
+	Rates *ratelimit.Book
+	Scope tally.Scope
 }
 
 // Declared is what operators declare for an engine.
@@ -175,6 +179,7 @@
 		Name: name, Engine: t.engine, MaxQueue: t.maxQueue, Pack: t.pack, Client: s.cfg.Client, Loads: s.cfg.Loads, BaseLoads: s.cfg.BaseLoads, Scope: s.cfg.Scope,
 		PrefillRate: s.cfg.PrefillRate, Policy: s.cfg.Policy,
 		Authority: func(now time.Time) (uint64, bool) { return s.cfg.Authority(name, now) },
+		Rate:      s.cfg.Rates.Word(clock.Now(), name, t.engine.Started),
 	}
 	r := NewRunner(cfg)
 	o := &owned{runner: r, epoch: g.Epoch, terms: t}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/policy"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -128,6 +129,9 @@
 	tokens  int
 	reading *reading
 	lately  lately
+	// rate keeps to the requests a second that the engine names. All that is sent to it asks its owner first, so that keeping to it takes no message
+	// more, and a box needs not know the rate to be held to it.
+	rate ratelimit.Limiter
 	// unloadFrom is when the next unload may be ordered after one has failed.
 	unloadFrom time.Time
 	out        []Action
@@ -182,6 +186,7 @@
 		}
 	}
 	s.reading.restarted()
+	s.rate.Forget()
 	return s.flush(now)
 }
 
@@ -217,7 +222,13 @@
 
 // Cancel ends a ticket whose caller has gone before it was told that it may start.
 func (s *State) Cancel(now time.Time, id uint64) []Action {
-	s.keep(func(t Ticket) bool { return t.ID != id })
+	s.keep(func(t Ticket) bool {
+		if t.ID != id {
+			return true
+		}
+		s.unrate(t)
+		return false
+	})
 	return s.Done(now, id, EndWhole)
 }
 
--- a/internal/places/client.go
+++ b/internal/places/client.go
@@ -13,6 +13,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/gather"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/recent"
 )
 
@@ -41,7 +42,9 @@
 	Keepers Keepers
 	// Keeper is that of this box.
 	Keeper *Keeper
-	Scope  tally.Scope
+	// Rates is what this box knows of the endpoints' rates.
+	Rates *ratelimit.Book
+	Scope tally.Scope
 }
 
 // Client takes places for the requests of this box. Its Serve has to run.
@@ -73,33 +76,59 @@
 	End func(took time.Duration)
 }
 
-// Take asks for a place. The Place is nil if there is none, and wait is then when to come back. While nobody keeps the count every request gets one.
-func (c *Client) Take(ctx context.Context, a Ask) (p *Place, wait time.Duration) {
+// Refusal says why there is no place.
+type Refusal struct {
+	// Wait is when to come back.
+	Wait time.Duration
+	// Limited says that the endpoint's rate is used up; else it has no room.
+	Limited bool
+}
+
+// Take asks for a place. The Place is nil if there is none. While nobody keeps the count every request gets one, as far as this box's own share of the
+// endpoint's rate allows.
+func (c *Client) Take(ctx context.Context, a Ask) (*Place, Refusal) {
+	a.Rate = c.cfg.Rates.Word(clock.Now(), a.Endpoint, a.Started)
 	address, here, ok := c.cfg.Keepers.For(a.Endpoint)
 	if !ok || (!here && c.silent.Has(address, clock.Now())) {
-		return uncounted(), 0
+		return c.uncounted(a)
 	}
 	if here {
 		answer := c.cfg.Keeper.Take(clock.Now(), a)
-		return c.place(a, answer, c.cfg.Keeper.End)
+		return c.place(a, answer, func(e End) {
+			c.cfg.Keeper.Hear(clock.Now(), e.Endpoint, e.Rate)
+			c.cfg.Keeper.End(e)
+		})
 	}
 	answer, err := c.ask(ctx, address, a)
 	if err != nil {
 		c.cfg.Scope.Counter("places_unanswered").Inc(1)
 		klog.V(2).InfoS("no word on places", "endpoint", a.Endpoint, "keeper", address, "err", err)
-		return uncounted(), 0
+		return c.uncounted(a)
+	}
+	if answer.Rate != nil {
+		c.cfg.Rates.Heard(clock.Now(), a.Endpoint, *answer.Rate)
 	}
 	return c.place(a, answer, func(e End) { c.ends.Add(address, e) })
 }
 
 // uncounted returns a place that nobody counts.
-func uncounted() *Place { return &Place{End: func(time.Duration) {}} }
+func (c *Client) uncounted(a Ask) (*Place, Refusal) {
+	if wait, ok := c.cfg.Rates.TakeLone(clock.Now(), a.Endpoint, a.Started); !ok {
+		return nil, Refusal{Wait: wait, Limited: true}
+	}
+	return &Place{End: func(time.Duration) {}}, Refusal{}
+}
 
-func (c *Client) place(a Ask, answer Answer, end func(End)) (*Place, time.Duration) {
+func (c *Client) place(a Ask, answer Answer, end func(End)) (*Place, Refusal) {
 	if !answer.Granted {
-		return nil, answer.Wait
+		if answer.Limited {
+			c.cfg.Scope.Counter("rate_refused").Inc(1)
+		}
+		return nil, Refusal{Wait: answer.Wait, Limited: answer.Limited}
 	}
-	return &Place{End: func(took time.Duration) { end(End{Endpoint: a.Endpoint, ID: answer.ID, Took: took}) }}, 0
+	return &Place{End: func(took time.Duration) {
+		end(End{Endpoint: a.Endpoint, ID: answer.ID, Took: took, Rate: c.cfg.Rates.Word(clock.Now(), a.Endpoint, a.Started)})
+	}}, Refusal{}
 }
 
 // ask asks the keeper at an address. One that does not answer is not asked again for a while.
--- a/internal/places/keeper.go
+++ b/internal/places/keeper.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/turn"
 )
 
@@ -32,14 +33,26 @@
 	Within time.Duration `json:"within"`
 	// Hold is how long the request may last.
 	Hold time.Duration `json:"hold"`
+	// Urgency is higher for what goes first, Customer whose request it is.
+	Urgency  int    `json:"urgency,omitempty"`
+	Customer string `json:"customer,omitempty"`
+	// Started is the Unix millisecond of the endpoint's start as the asker knows it, Rate what it knows of the endpoint's rate.
+	Started int64           `json:"started,omitempty"`
+	Rate    *ratelimit.Word `json:"rate,omitempty"`
 }
 
+// AnySlots is for endpoints that do not say how many requests they run at once.
+const AnySlots = math.MaxInt32
+
 // Answer grants a place or says when to come back.
 type Answer struct {
 	Granted bool   `json:"granted"`
 	ID      uint64 `json:"id,omitempty"`
 	// Wait is how long to come back after, if no place was granted.
 	Wait time.Duration `json:"wait,omitempty"`
+	// Limited says that none was granted for the endpoint's rate, which Rate tells if it names one.
+	Limited bool            `json:"limited,omitempty"`
+	Rate    *ratelimit.Word `json:"rate,omitempty"`
 }
 
 // End ends a request that had a place.
@@ -48,6 +61,8 @@
 	ID       uint64 `json:"id"`
 	// Took is the time until the answer came, zero if none came that says how fast the endpoint is.
 	Took time.Duration `json:"took,omitempty"`
+	// Rate is what the asker knows by now of the endpoint's rate.
+	Rate *ratelimit.Word `json:"rate,omitempty"`
 }
 
 // Keeper counts the requests at the endpoints that are this box's to count.
@@ -64,6 +79,9 @@
 	// service is how long one request takes in a slot of its own, zero while no answer has shown it.
 	service time.Duration
 	turns   turn.Turns
+	// rate keeps to the requests a second that the endpoint names. The box that counts them hears of it with what boxes ask and end anyway: keeping to
+	// it takes no message more, and a box needs not know the rate to be held to it.
+	rate ratelimit.Limiter
 }
 
 // place is held by one request.
@@ -82,17 +100,33 @@
 func (k *Keeper) Take(now time.Time, a Ask) Answer {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	c := k.count(a.Endpoint)
+	c := k.count(now, a.Endpoint)
+	c.rate.Born(a.Started)
+	c.rate.Hear(now, a.Rate)
 	c.slots = max(1, a.Slots)
 	c.expire(now)
 	with := len(c.held) + 1
 	if with > c.slots && !c.inTime(with, a.Within) {
 		own := c.service / time.Duration(c.slots)
-		return Answer{Wait: max(c.service, c.turns.Take(now, own, maxWait))}
+		return Answer{Wait: max(c.service, c.turns.Take(now, own, maxWait)), Rate: c.rate.Word(now)}
+	}
+	if wait, ok := c.rate.Check(now, ratelimit.Ask{Urgency: a.Urgency, Customer: a.Customer}); !ok {
+		return Answer{Wait: wait, Limited: true, Rate: c.rate.Word(now)}
 	}
+	c.rate.Use(now, a.Customer)
 	k.nextID++
 	c.held[k.nextID] = place{until: now.Add(min(max(a.Hold, 0), maxHold)), with: with}
-	return Answer{Granted: true, ID: k.nextID}
+	return Answer{Granted: true, ID: k.nextID, Rate: c.rate.Word(now)}
+}
+
+// Hear takes in what an endpoint said of its rate.
+func (k *Keeper) Hear(now time.Time, endpoint string, w *ratelimit.Word) {
+	if w == nil {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.count(now, endpoint).rate.Hear(now, w)
 }
 
 // inTime reports whether the answer to one of so many requests is expected within a time.
@@ -127,11 +161,11 @@
 	c.service += time.Duration(math.Round(serviceSmoothing * float64(alone-c.service)))
 }
 
-func (k *Keeper) count(endpoint string) *count {
+func (k *Keeper) count(now time.Time, endpoint string) *count {
 	c := k.endpoints[endpoint]
 	if c == nil {
 		if len(k.endpoints) >= maxEndpoints {
-			k.forget()
+			k.forget(now)
 		}
 		c = &count{held: map[uint64]place{}}
 		k.endpoints[endpoint] = c
@@ -139,10 +173,10 @@
 	return c
 }
 
-// forget drops endpoints without requests.
-func (k *Keeper) forget() {
+// forget drops endpoints without requests that name no rate.
+func (k *Keeper) forget(now time.Time) {
 	for name, c := range k.endpoints {
-		if len(c.held) == 0 {
+		if len(c.held) == 0 && c.rate.Idle(now) {
 			delete(k.endpoints, name)
 		}
 	}
--- a/internal/places/keeper_test.go
+++ b/internal/places/keeper_test.go
@@ -76,7 +76,7 @@
 				return false
 			}
 			if r.place != nil {
-				k.End(End{"e", r.place.ID, r.ends.Sub(r.came)})
+				k.End(End{Endpoint: "e", ID: r.place.ID, Took: r.ends.Sub(r.came)})
 			}
 			if r.ends.Sub(r.came) <= objective {
 				out.inTime++
@@ -127,7 +127,7 @@
 	k := NewKeeper(0)
 	ask := Ask{Endpoint: "e", Slots: slots, Within: within, Hold: time.Minute}
 	first := k.Take(base, ask)
-	k.End(End{"e", first.ID, 60 * time.Millisecond})
+	k.End(End{Endpoint: "e", ID: first.ID, Took: 60 * time.Millisecond})
 	waits := map[time.Duration]bool{}
 	for range 100 {
 		if a := k.Take(base, ask); !a.Granted {
@@ -162,12 +162,12 @@
 			},
 			"end": func(t *rapid.T) {
 				for id := range held {
-					k.End(End{"e", id, time.Duration(rapid.IntRange(0, 500).Draw(t, "took")) * time.Millisecond})
+					k.End(End{Endpoint: "e", ID: id, Took: time.Duration(rapid.IntRange(0, 500).Draw(t, "took")) * time.Millisecond})
 					delete(held, id)
 					return
 				}
 			},
-			"end of another process": func(t *rapid.T) { k.End(End{"e", rapid.Uint64().Draw(t, "id"), time.Second}) },
+			"end of another process": func(t *rapid.T) { k.End(End{Endpoint: "e", ID: rapid.Uint64().Draw(t, "id"), Took: time.Second}) },
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "ms")) * time.Millisecond)
 				for id, until := range held {
--- a/internal/places/server.go
+++ b/internal/places/server.go
@@ -42,6 +42,7 @@
 		return
 	}
 	for _, e := range all {
+		s.cfg.Keeper.Hear(clock.Now(), e.Endpoint, e.Rate)
 		s.cfg.Keeper.End(e)
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -2,13 +2,17 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/turn"
 )
 
 const (
@@ -18,6 +22,12 @@
 	maxWords = 4096
 	// toldEvery is the least time between two lines on a rate that moves, for each endpoint.
 	toldEvery = 5 * time.Second
+	// maxWait is for how far ahead refused requests are told when to come back in turn: callers wait 10 to 25 s for an answer.
+	maxWait = 15 * time.Second
+	// mostLines is how many lines a second tell of rates: all endpoints of a large fleet may name one at once.
+	mostLines = 20
+	// maxServices bounds the services whose refused requests are told apart.
+	maxServices = 1024
 )
 
 // heard is a word with when it was said, by this box's clock.
@@ -43,10 +53,12 @@
 
 // BookConfig configures a Book.
 type BookConfig struct {
+	// Boxes returns how many boxes there are.
+	Boxes func() int
 	Scope tally.Scope
 }
 
-// Book is what one box knows of the rates that endpoints name.
+// Book is what one box knows of the rates that endpoints name. A nil Book knows nothing.
 type Book struct {
 	cfg BookConfig
 	// count is how many words there are: with none, as on most days, a look costs no lock.
@@ -54,22 +66,31 @@
 
 	mu    sync.Mutex
 	words map[string]*entry
+	// lines counts those of the present second, leftOut those that were one too many since the last.
+	second         time.Time
+	lines, leftOut int
+	// turns tell those who were refused when to come back, by service.
+	turns map[string]*turn.Turns
 }
 
 // entry is what is known of one endpoint.
 type entry struct {
 	heard
-	// since is when it first named a rate, logged when that was last logged.
+	// since is when it first named a rate, logged when another one was last logged.
 	since, logged time.Time
+	// lone is this box's own share of the rate, for when nobody can be asked.
+	lone Limiter
 }
 
 // NewBook returns an empty Book.
-func NewBook(cfg BookConfig) *Book { return &Book{cfg: cfg, words: map[string]*entry{}} }
+func NewBook(cfg BookConfig) *Book {
+	return &Book{cfg: cfg, words: map[string]*entry{}, turns: map[string]*turn.Turns{}}
+}
 
 // Heard takes in what an endpoint, or another box, said of it. It reports whether the box that counts the endpoint's requests has to know: that is so
 // for rates, and while a box may still go by one that is over.
 func (b *Book) Heard(now time.Time, endpoint string, w Word) bool {
-	if !w.Limited && b.count.Load() == 0 {
+	if b == nil || (!w.Limited && b.count.Load() == 0) {
 		return false
 	}
 	b.mu.Lock()
@@ -78,8 +99,7 @@
 	if e == nil && !w.Limited {
 		return false
 	}
-	h := heard{Word: w, at: now.Add(-w.Age)}
-	h.Age = 0
+	h := w.heard(now)
 	if e == nil {
 		e = b.add(endpoint)
 	} else if !h.newer(e.heard) {
@@ -97,16 +117,30 @@
 	case h.Limited && (!e.Limited || h.Started > e.Started):
 		e.since, e.logged = h.at, now
 		b.cfg.Scope.Counter("rates_named").Inc(1)
-		klog.InfoS("endpoint names a rate", "endpoint", endpoint, "rate", h.Rate, "age", now.Sub(h.at))
+		b.log(now, "endpoint names a rate", "endpoint", endpoint, "rate", h.Rate, "age", now.Sub(h.at))
 	case !h.Limited && e.Limited:
 		b.cfg.Scope.Counter("rates_lifted").Inc(1)
-		klog.InfoS("endpoint names no rate any more", "endpoint", endpoint, "rate", e.Rate, "for", now.Sub(e.since), "age", now.Sub(h.at))
+		b.log(now, "endpoint names no rate any more", "endpoint", endpoint, "rate", e.Rate, "for", now.Sub(e.since), "age", now.Sub(h.at))
 	case h.Limited && h.Rate != e.Rate && now.Sub(e.logged) >= toldEvery:
 		e.logged = now
-		klog.InfoS("endpoint names another rate", "endpoint", endpoint, "rate", h.Rate, "before", e.Rate, "age", now.Sub(h.at))
+		b.log(now, "endpoint names another rate", "endpoint", endpoint, "rate", h.Rate, "before", e.Rate, "age", now.Sub(h.at))
 	}
 }
 
+// log writes a line, as long as there are not too many.
+func (b *Book) log(now time.Time, line string, values ...any) {
+	if now.Sub(b.second) >= time.Second {
+		b.second, b.lines = now, 0
+	}
+	if b.lines >= mostLines {
+		b.leftOut++
+		return
+	}
+	b.lines++
+	klog.InfoS(line, append(values, "left_out", b.leftOut)...)
+	b.leftOut = 0
+}
+
 // add makes an entry, and room for it.
 func (b *Book) add(endpoint string) *entry {
 	if len(b.words) >= maxWords {
@@ -136,7 +170,7 @@
 
 // Word returns what is known of an endpoint's present life, nil if that is nothing. A start of zero stands for any.
 func (b *Book) Word(now time.Time, endpoint string, started int64) *Word {
-	if b.count.Load() == 0 {
+	if b == nil || b.count.Load() == 0 {
 		return nil
 	}
 	b.mu.Lock()
@@ -149,6 +183,57 @@
 	return &w
 }
 
+// TakeLone takes a request out of this box's own share of an endpoint's rate, while the box that counts cannot be asked. Without a rate there is no
+// bound. The wait is when to come back if none is left.
+func (b *Book) TakeLone(now time.Time, endpoint string, started int64) (wait time.Duration, ok bool) {
+	word := b.Word(now, endpoint, started)
+	if word == nil || !word.Limited {
+		return 0, true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.words[endpoint]
+	if e == nil {
+		return 0, true
+	}
+	e.lone.Hear(now, word)
+	if wait, ok = e.lone.Check(now, Ask{Lone: loneShare / float64(max(1, b.cfg.Boxes()))}); ok {
+		e.lone.Use(now, "")
+	}
+	b.cfg.Scope.Tagged(map[string]string{"sent": strconv.FormatBool(ok)}).Counter("rate_own_share").Inc(1)
+	return wait, ok
+}
+
+// ComeBack returns when a request is to come back that none of a service's endpoints may take for their rates, not before soonest. Each box spreads its
+// own over its part of what the endpoints take, so that together as many come back as are taken, and no box has to be asked.
+func (b *Book) ComeBack(now time.Time, service string, endpoints []string, soonest time.Duration) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sum := 0.0
+	for _, name := range endpoints {
+		if e := b.words[name]; e != nil && e.Limited {
+			sum += max(e.Rate, 1/slowest.Seconds())
+		}
+	}
+	t := b.turns[service]
+	if t == nil {
+		if len(b.turns) >= maxServices {
+			clear(b.turns)
+		}
+		t = &turn.Turns{}
+		b.turns[service] = t
+	}
+	own := maxWait
+	if sum > 0 {
+		own = seconds(float64(max(1, b.cfg.Boxes())) / sum)
+	}
+	if wait := t.Take(now, own, maxWait); wait+own < maxWait {
+		return max(soonest, time.Millisecond) + wait
+	}
+	// All that can be taken in that time is promised. Of those who come at one moment not all are to return at one.
+	return maxWait + rand.N(maxWait)
+}
+
 // Limit is what operators see of an endpoint that names a rate.
 type Limit struct {
 	Endpoint string `json:"endpoint"`
--- a/internal/ratelimit/word.go
+++ b/internal/ratelimit/word.go
@@ -22,6 +22,25 @@
 	Age time.Duration `json:"age,omitempty"`
 }
 
+// heard returns a word as of now on this box's clock.
+func (w Word) heard(now time.Time) heard {
+	h := heard{Word: w, at: now.Add(-w.Age)}
+	h.Age = 0
+	return h
+}
+
+// Named reads the rate that the values of a header name; without values that is none. One that cannot be read is an error.
+func Named(values []string) (Word, error) {
+	if len(values) == 0 {
+		return Word{}, nil
+	}
+	rate, err := Parse(values[0])
+	if err != nil {
+		return Word{}, err
+	}
+	return Word{Limited: true, Rate: rate}, nil
+}
+
 // Parse reads a rate in requests a second. One that is no number, or negative or infinite, is none.
 func Parse(text string) (float64, error) {
 	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -36,6 +36,8 @@
 	// doubtful says that requests failed there lately, near that it is in this box's zone.
 	doubtful bool
 	near     bool
+	// usedUp says that the engine's rate leaves nothing for the request.
+	usedUp bool
 }
 
 // candidates returns the engines for an adapter version in the order in which they are asked.
@@ -49,6 +51,10 @@
 		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model {
 			continue
 		}
+		if r.rateUsedUp(q, e.Name) {
+			q.limited.add(0)
+			continue
+		}
 		_, failures := r.health.load(e.Name, now)
 		byName[e.Name] = candidate{
 			name: e.Name, address: e.Spec.Address, started: e.Spec.Started, owner: view.Owner, doubtful: failures >= avoidFrom && r.cfg.Policy.On(policy.Health),
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		if rerr == nil || !ownerless(rerr) || !clock.Now().Add(ownerlessLook).Before(giveUp) {
-			return c, rerr
+			return c, r.spreadReturn(q, rerr)
 		}
 		select {
 		case <-time.After(ownerlessLook):
@@ -82,7 +82,7 @@
 // cannotTake reports whether an owner said that its engine cannot take a request that it would have taken a moment before.
 func cannotTake(rerr *result.Error) bool {
 	switch rerr.Code {
-	case result.LoadFailed, result.TryNext, result.QueueFull:
+	case result.LoadFailed, result.TryNext, result.QueueFull, result.RateLimited:
 		return true
 	default:
 		return false
@@ -98,9 +98,10 @@
 	ask.Accept, ask.Near = shareOf(q.route.Objective, acceptShare), r.cfg.Policy.On(policy.Copies)
 	offers := r.newOffers(q)
 	last := result.New(result.NoEngine, "%s of %s", q.head.Model, q.service)
+	asked := 0
 	for i := range candidates {
 		wider := offers.crowded() && r.cfg.Policy.On(policy.Crowds)
-		if i >= maxCandidates && !wider {
+		if asked >= maxCandidates && !wider {
 			break
 		}
 		c := &candidates[i]
@@ -112,6 +113,17 @@
 		if rerr.Code == result.CallerGone || rerr.Code == result.TimedOut {
 			return nil, rerr
 		}
+		if rerr.Code == result.RateLimited {
+			// One that is left out for its rate is not one of the first few.
+			c.usedUp, avoid[c.name] = true, true
+			q.limited.add(rerr.RetryAfter)
+			if c.holds || ask.Pressed {
+				// Else it may have been refused for an adapter that would have to be brought, which says nothing of other requests.
+				r.noteUsedUp(q, c.name)
+			}
+			continue
+		}
+		asked++
 		last = rerr
 		if sentOn(rerr) && rerr.RetryAfter > 0 {
 			offers.add(c, rerr, r.placeWeight(q)*time.Duration(min(i, maxCandidates)))
@@ -127,13 +139,13 @@
 		}
 		return got, rerr
 	}
-	if !r.cfg.Policy.On(policy.Ownerless) {
-		return nil, last
-	}
 	if got := r.withoutOwner(candidates, ref); got != nil {
 		q.tried(got.name, "without owner")
 		return got, nil
 	}
+	if asked == 0 && q.limited.count > 0 {
+		last = result.New(result.RateLimited, "%s of %s", q.head.Model, q.service)
+	}
 	return nil, last
 }
 
@@ -176,7 +188,7 @@
 
 func (r *Relay) ask(q *request, ref resource.Ref) grant.Ask {
 	a := grant.Ask{
-		Urgency: urgencies - q.rank(), Hold: q.left() + holdSlack, Prompt: q.head.Prompt, Output: q.head.expectedOutput(), Parts: q.head.Parts,
+		Urgency: q.urgency(), Customer: q.customerName(), Hold: q.left() + holdSlack, Prompt: q.head.Prompt, Output: q.head.expectedOutput(), Parts: q.head.Parts,
 		StartIn: min(q.left(), time.Duration(startWithin*float64(q.route.Objective))-clock.Since(q.came)),
 	}
 	if !ref.IsBase() {
@@ -200,7 +212,7 @@
 }
 
 func (r *Relay) askOwner(ctx context.Context, c *candidate, a grant.Ask) (*chosen, *result.Error) {
-	a.Engine = c.name
+	a.Engine, a.Rate = c.name, r.cfg.Rates.Word(clock.Now(), c.name, c.started)
 	if runner, ok := r.cfg.Owners.Get(c.name); ok {
 		return r.acquireHere(ctx, runner, c, a)
 	}
@@ -236,12 +248,15 @@
 // withoutOwner picks an engine that is listed as holding the adapter version, for requests that no owner can be asked about:
 // sending needs no authority, and an engine that does not hold the version says so without running the request.
 func (r *Relay) withoutOwner(candidates []candidate, ref resource.Ref) *chosen {
+	if !r.cfg.Policy.On(policy.Ownerless) {
+		return nil
+	}
 	now := clock.Now()
 	var best *candidate
 	least := 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		if !c.holds && !ref.IsBase() {
+		if c.usedUp || (!c.holds && !ref.IsBase()) {
 			continue
 		}
 		inFlight, failures := r.health.load(c.name, now)
@@ -252,6 +267,10 @@
 	if best == nil {
 		return nil
 	}
+	if _, ok := r.cfg.Rates.TakeLone(now, best.name, best.started); !ok {
+		best.usedUp = true
+		return r.withoutOwner(candidates, ref)
+	}
 	r.cfg.Scope.Counter("sent_without_owner").Inc(1)
 	return &chosen{name: best.name, address: best.address, started: best.started, read: func() {}, end: func(owner.End) {}}
 }
--- a/internal/relay/identify.go
+++ b/internal/relay/identify.go
@@ -87,6 +87,9 @@
 // rank returns the rank of the request: its customer's if that has one, else the route's.
 func (q *request) rank() int { return q.customer.Rank(q.route.Priority) }
 
+// urgency returns the rank as owners and keepers count, higher first.
+func (q *request) urgency() int { return urgencies - q.rank() }
+
 // takeUnits takes what the request counts from its customer's quota.
 func (r *Relay) takeUnits(q *request) *result.Error {
 	if q.customer == nil {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -79,28 +79,55 @@
 // placePlain chooses an endpoint with room for one more request. If there is none the error says when to come back.
 func (r *Relay) placePlain(ctx context.Context, q *request, tried map[string]bool) (catalog.EndpointView, *places.Place, *result.Error) {
 	passed := maps.Clone(tried)
-	full := result.New(result.NoEndpoint, "%s", q.service)
+	var full shortest
+	q.limited = shortest{}
 	for {
 		e, ok := r.choosePlain(q, passed)
 		if !ok {
-			return e, nil, full
+			return e, nil, r.noPlace(q, full)
 		}
-		if !r.cfg.Policy.On(policy.Places) {
-			return e, &places.Place{End: func(time.Duration) {}}, nil
+		passed[e.Name] = true
+		if r.rateUsedUp(q, e.Name) {
+			q.limited.add(0)
+			continue
 		}
-		ask := places.Ask{Endpoint: e.Name, Slots: e.Spec.Slots, Within: shareOf(q.route.Objective, plainShare) - clock.Since(q.came), Hold: q.left()}
-		place, wait := r.cfg.Places.Take(ctx, ask)
-		if place != nil {
+		place, refusal := r.cfg.Places.Take(ctx, r.askPlace(q, e))
+		switch {
+		case place != nil:
 			return e, place, nil
+		case refusal.Limited:
+			q.tried(e.Name, result.RateLimited.String())
+			q.limited.add(refusal.Wait)
+			r.noteUsedUp(q, e.Name)
+		default:
+			q.tried(e.Name, "full")
+			full.add(refusal.Wait)
 		}
-		q.tried(e.Name, "full")
-		passed[e.Name] = true
-		if full.RetryAfter == 0 || wait < full.RetryAfter {
-			full.RetryAfter = wait
-		}
 	}
 }
 
+// askPlace returns what is asked of the box that counts the requests at an endpoint.
+func (r *Relay) askPlace(q *request, e catalog.EndpointView) places.Ask {
+	a := places.Ask{
+		Endpoint: e.Name, Started: e.Spec.Started, Slots: e.Spec.Slots, Within: shareOf(q.route.Objective, plainShare) - clock.Since(q.came), Hold: q.left(),
+		Urgency: q.urgency(), Customer: q.customerName(),
+	}
+	if !r.cfg.Policy.On(policy.Places) {
+		a.Slots = places.AnySlots
+	}
+	return a
+}
+
+// noPlace refuses a request for which no endpoint has a place.
+func (r *Relay) noPlace(q *request, full shortest) *result.Error {
+	if full.count == 0 && q.limited.count > 0 {
+		return r.spreadReturn(q, result.New(result.RateLimited, "%s", q.service))
+	}
+	rerr := result.New(result.NoEndpoint, "%s", q.service)
+	rerr.RetryAfter = full.wait
+	return rerr
+}
+
 // answeredIn returns the time until an answer came that shows how fast the endpoint is, else zero.
 func answeredIn(sentAt time.Time, resp *http.Response) time.Duration {
 	if resp == nil || resp.StatusCode >= http.StatusInternalServerError {
--- a/internal/relay/rates.go
+++ b/internal/relay/rates.go
@@ -8,6 +8,7 @@
 
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/ratelimit"
+	"github.com/bellgap/bellgap/internal/result"
 )
 
 // badRateTold is the least time between two lines on rates of an endpoint that cannot be understood.
@@ -16,19 +17,75 @@
 // hearRate takes in what the head of an answer says of its endpoint's rate. A rate is believed whatever the answer is; that there is none any more
 // only if it is sound, as what stands in for an answer may lack any header.
 func (r *Relay) hearRate(to destination, resp *http.Response, sound bool) {
+	now := clock.Now()
 	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
-	word := ratelimit.Word{Started: to.started}
-	if head.RateNamed {
-		rate, err := ratelimit.Parse(head.Rate)
-		if err != nil {
-			r.tellBadRate(to.name, err)
-			return
-		}
-		word.Limited, word.Rate = true, rate
-	}
-	if word.Limited || sound {
-		r.cfg.Rates.Heard(clock.Now(), to.name, word)
+	if head.RateErr != nil {
+		r.tellBadRate(to.name, head.RateErr)
+		return
 	}
+	word := head.Rate
+	word.Started = to.started
+	if (word.Limited || sound) && r.cfg.Rates.Heard(now, to.name, word) {
+		r.tellOwner(to.name, word)
+	}
+}
+
+// tellOwner tells an engine's owner at once what the engine said: the end of a stream may be seconds away. Who counts the requests at a plain endpoint
+// hears it with the end of this one.
+func (r *Relay) tellOwner(engine string, w ratelimit.Word) {
+	if runner, ok := r.cfg.Owners.Get(engine); ok {
+		runner.HearRate(w)
+		return
+	}
+	if e, ok := r.cfg.Catalog.Topology().Engines[engine]; ok && e.Owner.Box != "" && e.Owner.Box != r.cfg.Box {
+		r.cfg.Grants.TellRate(e.Owner.Peer, engine, w)
+	}
+}
+
+// usedUp names an endpoint whose rate left nothing for requests of an urgency.
+type usedUp struct {
+	endpoint string
+	urgency  int
+}
+
+// usedUpFor is for how long an endpoint is not asked again for requests of the same urgency: callers by the hundred would otherwise have every box ask
+// for each of them. What becomes free meanwhile is saved up.
+const usedUpFor = 100 * time.Millisecond
+
+// rateUsedUp reports whether an endpoint's rate lately left nothing for requests like this one.
+func (r *Relay) rateUsedUp(q *request, endpoint string) bool {
+	return r.usedUp.Has(usedUp{endpoint, q.urgency()}, clock.Now())
+}
+
+// noteUsedUp notes that an endpoint's rate left nothing for a request.
+func (r *Relay) noteUsedUp(q *request, endpoint string) {
+	r.usedUp.Add(usedUp{endpoint, q.urgency()}, clock.Now())
+}
+
+// shortest counts refusals and keeps the shortest wait that they told.
+type shortest struct {
+	count int
+	wait  time.Duration
+}
+
+func (s *shortest) add(wait time.Duration) {
+	if s.count == 0 || wait < s.wait {
+		s.wait = wait
+	}
+	s.count++
+}
+
+// spreadReturn says when a request is to come back that no endpoint may take for its rate. Other failures stay as they are.
+func (r *Relay) spreadReturn(q *request, rerr *result.Error) *result.Error {
+	if rerr == nil || rerr.Code != result.RateLimited {
+		return rerr
+	}
+	var names []string
+	for _, e := range r.cfg.Catalog.Topology().Endpoints[q.service] {
+		names = append(names, e.Name)
+	}
+	rerr.RetryAfter = r.cfg.Rates.ComeBack(clock.Now(), q.service, names, q.limited.wait)
+	return rerr
 }
 
 // tellBadRate logs a rate that cannot be understood, once in a while for each endpoint.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,17 +81,19 @@
 	crowds   *recent.Set[resource.Ref]
 	// badRates are the endpoints that lately named rates which cannot be understood.
 	badRates *recent.Set[string]
-	budgets  *budgets
-	sample   *sample
-	memory   *memory
-	alike    *alike
+	// usedUp are the endpoints whose rates left nothing lately for requests of an urgency.
+	usedUp  *recent.Set[usedUp]
+	budgets *budgets
+	sample  *sample
+	memory  *memory
+	alike   *alike
 }
 
 // New returns a Relay.
 func New(cfg Config) *Relay {
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory(), alike: newAlike(),
-		suspects: recent.New[string](suspectFor), crowds: recent.New[resource.Ref](crowdedFor), badRates: recent.New[string](badRateTold),
+		suspects: recent.New[string](suspectFor), crowds: recent.New[resource.Ref](crowdedFor), badRates: recent.New[string](badRateTold), usedUp: recent.New[usedUp](usedUpFor),
 	}
 }
 
@@ -113,6 +115,8 @@
 	arrivals int
 	// unreached counts the endpoints that it did not arrive at, as none listened there.
 	unreached int
+	// limited counts the endpoints that were left out for their rates.
+	limited shortest
 	// customer is whose request it is, nil where callers need no key; digest is that of the key.
 	customer *customer.Customer
 	digest   customer.Digest
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 )
 
 // Head is what the headers of a request say, whatever their names.
@@ -66,9 +67,9 @@
 	NotRun bool
 	// Elsewhere says that the request was for another instance, model or version than the one here.
 	Elsewhere bool
-	// RateNamed says that the endpoint names how many requests a second it takes from all boxes; Rate is that, as it stands.
-	RateNamed bool
-	Rate      string
+	// Rate is what the endpoint says of how many requests a second it takes; RateErr says that it cannot be understood.
+	Rate    ratelimit.Word
+	RateErr error
 }
 
 // Wire names the headers of callers and endpoints. It is an interface at the network boundary.
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -17,6 +17,8 @@
 	HeaderEngine  = "Bellgap-Engine"
 	HeaderBox     = "Bellgap-Box"
 	HeaderRequest = "X-Request-Id"
+	// HeaderRate is how many requests a second an engine or a service takes from all boxes together; bellgap's own interface uses it.
+	HeaderRate = "Bellgap-Rate-Limit"
 )
 
 // Error is a result other than OK.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -38,6 +38,7 @@
 	ConfigOld      Code = 3010
 	QuotaSpent     Code = 3011
 	Quarantined    Code = 3012
+	RateLimited    Code = 3013
 
 	BackendUnreachable Code = 4001
 	AnswerLost         Code = 4002
@@ -131,6 +132,7 @@
 	{ConfigOld, "config_old", http.StatusServiceUnavailable, RanNo, time.Second, "this box has not heard lately whether its configuration still holds"},
 	{QuotaSpent, "quota_spent", http.StatusTooManyRequests, RanNo, time.Second, "the customer's quota is used up"},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, RanNo, time.Minute, "endpoints ended under this request; it is held and reaches no more of them"},
+	{RateLimited, "rate_limited", http.StatusServiceUnavailable, RanNo, time.Second, "the endpoints that could take the request have said how many a second they take, and get as many"},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, RanNo, time.Second, "this box has no configuration yet"},
 
 	{BackendUnreachable, "backend_unreachable", http.StatusBadGateway, RanNo, time.Second, "the back end could not be reached"},
