--- a/internal/cli/fake.go
+++ b/internal/cli/fake.go
@@ -30,7 +30,7 @@
 			{Name: "platform", Usage: "object API and box list", Flags: append(platformFlags(), listen...), Action: runFakePlatform},
 			{Name: "engine", Usage: "model engine", Flags: append(engineFlags(), listen...), Action: runFakeEngine},
 			{Name: "store", Usage: "weight store", Flags: append(storeFlags(), listen...), Action: runFakeStore},
-			{Name: "service", Usage: "plain service", Flags: append([]cli.Flag{&cli.StringFlag{Name: "name", Value: "service"}}, listen...), Action: runFakeService},
+			{Name: "service", Usage: "plain service", Flags: append([]cli.Flag{&cli.StringFlag{Name: "name", Value: "service"}, rateFlag()}, listen...), Action: runFakeService},
 		},
 	}
 	return run(cmd, args, errOut)
@@ -43,6 +43,10 @@
 	}
 }
 
+func rateFlag() cli.Flag {
+	return &cli.StringFlag{Name: "rate", Usage: "name `N` in all answers as the requests a second taken from all boxes"}
+}
+
 func engineFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "name", Value: "engine"},
@@ -52,6 +56,7 @@
 		&cli.DurationFlag{Name: "step", Value: 20 * time.Millisecond, Usage: "time of a step"},
 		&cli.DurationFlag{Name: "report-lag", Value: time.Second, Usage: "age of reports"},
 		&cli.BoolFlag{Name: "unchecked", Usage: "take orders of any epoch"},
+		rateFlag(),
 	}
 }
 
@@ -79,7 +84,9 @@
 	if store := cmd.String("store"); store != "" {
 		cfg.Fetch = fetchFrom(store)
 	}
-	return serveFake(ctx, cmd, fakeengine.New(cfg).Handler())
+	e := fakeengine.New(cfg)
+	e.SetFaults(fakeengine.Faults{Rate: cmd.String("rate")})
+	return serveFake(ctx, cmd, e.Handler())
 }
 
 // fetchFrom returns the engine's way to get weights from the store.
@@ -109,7 +116,9 @@
 }
 
 func runFakeService(ctx context.Context, cmd *cli.Command) error {
-	return serveFake(ctx, cmd, fakeservice.New(cmd.String("name")).Handler())
+	s := fakeservice.New(cmd.String("name"))
+	s.SetFaults(fakeservice.Faults{Rate: cmd.String("rate")})
+	return serveFake(ctx, cmd, s.Handler())
 }
 
 func serveFake(ctx context.Context, cmd *cli.Command, h http.Handler) error {
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -84,12 +84,13 @@
 		st.Box, st.Ready, st.Revision, st.InFlight, st.Member.Cell, st.Member.Coordinator, st.Member.Frozen,
 		st.Member.SinceReply.Round(time.Millisecond), cmp.Or(st.Member.Aggregator, "none"), st.Member.PassesOn)
 	all := summarize(t, st.Member.Coordinator, st.Member.Cell)
+	all.addLimits(st.Limits)
 	all.print(w)
 	if len(t.Engines) <= longList || cmd.Bool("all") {
 		printEngines(w, t)
 	}
 	for _, e := range st.Engines {
-		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, strings.Join(e.Loaded, " "))
+		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\trate_refused=%d\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, e.RateRefused, strings.Join(e.Loaded, " "))
 	}
 	return w.Flush()
 }
--- a/internal/cli/summary.go
+++ b/internal/cli/summary.go
@@ -5,10 +5,12 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/bellgap/bellgap/internal/aggregator"
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 )
 
 const (
@@ -28,6 +30,8 @@
 	zones map[string]*zoneSummary
 	// silent, leaving and ownerless name what is degraded, held the requests that reach no endpoint.
 	silent, leaving, ownerless, held []string
+	// limited names the endpoints that take so many requests a second.
+	limited []string
 }
 
 func summarize(t catalog.Topology, coordinatedBy, cell string) summary {
@@ -51,6 +55,13 @@
 	return s
 }
 
+// addLimits adds the endpoints that name rates, with what they name and for how long.
+func (s *summary) addLimits(all []ratelimit.Limit) {
+	for _, l := range all {
+		s.limited = append(s.limited, fmt.Sprintf("%s %.3g/s for %s", l.Endpoint, l.Rate, l.For.Round(time.Second)))
+	}
+}
+
 func (s *summary) zone(name string) *zoneSummary {
 	if s.zones[name] == nil {
 		s.zones[name] = &zoneSummary{}
@@ -85,7 +96,7 @@
 	for _, d := range []struct {
 		what  string
 		names []string
-	}{{"silent boxes", s.silent}, {"leaving boxes", s.leaving}, {"engines without owner", s.ownerless}, {"requests in quarantine", s.held}} {
+	}{{"silent boxes", s.silent}, {"leaving boxes", s.leaving}, {"engines without owner", s.ownerless}, {"requests in quarantine", s.held}, {"endpoints that name rates", s.limited}} {
 		if len(d.names) > 0 {
 			_, _ = fmt.Fprintf(w, "%s: %d: %s\n", d.what, len(d.names), someOf(d.names))
 		}
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -25,6 +25,8 @@
 	CutStreams int `json:"cut_streams"`
 	// WrongAnswers answers this many requests in the name of another adapter.
 	WrongAnswers int `json:"wrong_answers"`
+	// Rate, if set, is named in all answers as the requests a second that the engine takes from all boxes.
+	Rate string `json:"rate"`
 }
 
 // Config configures an Engine.
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -80,6 +80,9 @@
 }
 
 func (e *Engine) handleRun(w http.ResponseWriter, r *http.Request) {
+	if rate := e.rate(); rate != "" {
+		w.Header().Set(result.HeaderRate, rate)
+	}
 	var q request
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
 		refuse(w, refused{engine.RefusalBadRequest, err.Error()})
@@ -104,6 +107,13 @@
 	a.end()
 }
 
+// rate returns what the engine names, empty if it names none.
+func (e *Engine) rate() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults.Rate
+}
+
 func refuse(w http.ResponseWriter, err error) {
 	var r refused
 	if !errors.As(err, &r) {
--- a/internal/fakeservice/service.go
+++ b/internal/fakeservice/service.go
@@ -17,6 +17,8 @@
 	BreakAfterRun int
 	// Refuse answers this many calls with 503 before running them.
 	Refuse int
+	// Rate, if set, is named in all answers as the calls a second that the service takes from all boxes.
+	Rate string
 }
 
 // Reply is what the service answers.
@@ -60,6 +62,9 @@
 }
 
 func (s *Service) handle(w http.ResponseWriter, r *http.Request) {
+	if rate := s.rate(); rate != "" {
+		w.Header().Set(result.HeaderRate, rate)
+	}
 	if s.refuses() {
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
@@ -75,6 +80,13 @@
 	httpx.WriteJSON(w, http.StatusOK, Reply{Service: s.name, RequestID: id, Bytes: n})
 }
 
+// rate returns what the service names, empty if it names none.
+func (s *Service) rate() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Rate
+}
+
 func (s *Service) refuses() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,6 +15,9 @@
 	"github.com/bellgap/bellgap/internal/result"
 )
 
+// maxFurther bounds the engines that are asked in place of those that are left out for their rates.
+const maxFurther = 8
+
 // localTries is how often a request is offered to the same engine when it turns out not to hold the adapter.
 const localTries = 2
 
@@ -68,7 +71,9 @@
 	last := result.New(result.NoEngine, "base model %s", j.baseModel)
 	mayHaveRun := false
 	candidates := g.candidates(j.ref, j.baseModel)
-	for i, e := range candidates {
+	var limited []string
+	for i := 0; i < len(candidates); i++ {
+		e := candidates[i]
 		if rerr := g.cfg.Quarantine.Refusal(j.suspect.Fingerprint); rerr != nil {
 			return nil, rerr.After(mayHaveRun)
 		}
@@ -86,11 +91,21 @@
 		j.told.Tried(record.Try{Engine: e.Name, Box: e.Owner.Box, Result: err.Code.String(), Detail: err.Detail})
 		mayHaveRun = mayHaveRun || err.Code.Info().Ran != result.RanNo
 		last = err.After(mayHaveRun)
+		if err.Code == result.RateLimited {
+			// One that is left out for its rate is not one of the few that are asked.
+			limited = append(limited, e.Name)
+			if more, ok := g.next(j.ref, j.baseModel, len(candidates)); ok && len(limited) <= maxFurther {
+				candidates = append(candidates, more)
+			}
+		}
 		if !tryElsewhere(err, j.repeatable) || !clock.Now().Before(j.startBy) {
 			break
 		}
 		g.cfg.Scope.Tagged(map[string]string{"reason": err.Code.String()}).Counter("retries").Inc(1)
 	}
+	if last.Code == result.RateLimited {
+		last.RetryAfter = g.cfg.Rates.ComeBack(clock.Now(), j.baseModel, limited, last.RetryAfter)
+	}
 	return nil, last
 }
 
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -21,3 +21,13 @@
 	}
 	return append(good, doubtful...)
 }
+
+// next returns the engine that comes after the first n in the order for an adapter version.
+func (g *Gateway) next(ref resource.Ref, baseModel string, n int) (catalog.EngineView, bool) {
+	t := g.cfg.Catalog.Topology()
+	names := placement.Top(ref.String(), t.ByModel[baseModel], n+1)
+	if len(names) <= n {
+		return catalog.EngineView{}, false
+	}
+	return t.Engines[names[n]], true
+}
