--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -38,7 +38,7 @@
 
 // newer reports whether a word goes before another one: that of a later life, else the one said later.
 func (h heard) newer(than heard) bool {
-	if h.Started != than.Started && h.Started != 0 && than.Started != 0 {
+	if h.Started != than.Started {
 		return h.Started > than.Started
 	}
 	return h.at.After(than.at)
@@ -168,7 +168,7 @@
 	b.count.Store(int64(len(b.words)))
 }
 
-// Word returns what is known of an endpoint's present life, nil if that is nothing. A start of zero stands for any.
+// Word returns what is known of an endpoint's present life, nil if that is nothing. What was heard before its start was known is void.
 func (b *Book) Word(now time.Time, endpoint string, started int64) *Word {
 	if b == nil || b.count.Load() == 0 {
 		return nil
@@ -176,7 +176,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.words[endpoint]
-	if e == nil || (e.Started != 0 && e.Started < started) {
+	if e == nil || e.Started < started {
 		return nil
 	}
 	w := e.told(now)
@@ -212,7 +212,7 @@
 	sum := 0.0
 	for _, name := range endpoints {
 		if e := b.words[name]; e != nil && e.Limited {
-			sum += max(e.Rate, 1/slowest.Seconds())
+			sum += e.effective()
 		}
 	}
 	t := b.turns[service]
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -12,8 +12,9 @@
 	// it saves up for burstFor. In four seconds an endpoint then gets four times its rate and four, or 4.25 times.
 	burstLeast = 4
 	burstFor   = 250 * time.Millisecond
-	// slowest is the time between two requests at the most: an endpoint says nothing while it gets nothing, so one that names zero, or next to it, is
-	// asked again as often as this.
+	// An endpoint says nothing while it gets nothing, so what is believed of it is asked again: by requests at the rate that it names, by one every askZero
+	// if that is zero, and by one every slowest at the least.
+	askZero = 5 * time.Second
 	slowest = 30 * time.Second
 	// urgentFor is for how long after an urgent request those that are less urgent leave something free for the next. It costs no part of the rate; with 2 s
 	// nearly half of the urgent requests found nothing where one came every 2.5 s.
@@ -62,7 +63,7 @@
 		return
 	}
 	h := w.heard(now)
-	if (h.Started != 0 && h.Started < l.born) || !h.newer(l.said) {
+	if h.Started < l.born || !h.newer(l.said) {
 		return
 	}
 	if l.said.Limited && l.said.Started == h.Started {
@@ -161,7 +162,7 @@
 
 // rate returns the requests a second that may go.
 func (l *Limiter) rate() float64 {
-	rate := max(l.said.Rate, 1/slowest.Seconds())
+	rate := l.said.effective()
 	if l.lone > 0 {
 		rate *= l.lone
 	}
--- a/internal/ratelimit/word.go
+++ b/internal/ratelimit/word.go
@@ -22,6 +22,14 @@
 	Age time.Duration `json:"age,omitempty"`
 }
 
+// effective returns the requests a second that are sent.
+func (w Word) effective() float64 {
+	if w.Rate == 0 {
+		return 1 / askZero.Seconds()
+	}
+	return max(w.Rate, 1/slowest.Seconds())
+}
+
 // heard returns a word as of now on this box's clock.
 func (w Word) heard(now time.Time) heard {
 	h := heard{Word: w, at: now.Add(-w.Age)}
