--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -96,7 +96,9 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSmallBody)).Decode(&r); err != nil {
 		return r, eris.Wrap(err, "engine: report")
 	}
-	r.Rate = readRate(from.Name, resp.Header)
+	if r.Rate, err = ratelimit.Named(resp.Header.Values(result.HeaderRate)); err != nil {
+		klog.V(1).InfoS("rate with a report ignored", "engine", from.Name, "err", err)
+	}
 	return r, nil
 }
 
@@ -110,8 +112,8 @@
 	RunID   string
 	Urgency string
 	Body    []byte
-	// Rate, if set, is called with what the head of an answer says of the requests a second that the engine takes.
-	Rate func(ratelimit.Word)
+	// Rate, if set, is called with what the head of an answer says of the requests a second that the engine takes, or why that cannot be understood.
+	Rate func(ratelimit.Word, error)
 }
 
 // Run sends a call and returns the answer once its status is known. The error is a *result.Error that says whether it ran.
@@ -140,17 +142,8 @@
 // hearRate passes on what the head of an answer says of the engine's rate.
 func (c *Call) hearRate(h http.Header) {
 	if c.Rate != nil {
-		c.Rate(readRate(c.Address.String(), h))
-	}
-}
-
-// readRate reads the rate that an engine names; one that cannot be understood is none.
-func readRate(engine string, h http.Header) ratelimit.Word {
-	w, err := ratelimit.Named(h.Values(result.HeaderRate))
-	if err != nil {
-		klog.ErrorS(err, "rate of an engine ignored", "engine", engine)
+		c.Rate(ratelimit.Named(h.Values(result.HeaderRate)))
 	}
-	return w
 }
 
 func callError(ctx context.Context, started bool, err error) *result.Error {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,7 +169,7 @@
 	}
 	answer, err := g.cfg.Engines.Run(ctx, engine.Call{
 		Address: grant.Engine.Address, Path: j.path, Ref: j.ref, RunID: j.runID, Urgency: strconv.Itoa(j.urgency), Body: j.body,
-		Rate: func(w ratelimit.Word) { g.hearRate(grant, w) },
+		Rate: func(w ratelimit.Word, err error) { g.hearRate(grant, w, err) },
 	})
 	if err != nil {
 		rerr := result.From(err, result.AnswerLost)
@@ -181,7 +181,11 @@
 }
 
 // hearRate takes in what an engine's answer says of its rate.
-func (g *Gateway) hearRate(grant *owner.Grant, w ratelimit.Word) {
+func (g *Gateway) hearRate(grant *owner.Grant, w ratelimit.Word, err error) {
+	if err != nil {
+		g.cfg.Rates.Ignored(clock.Now(), grant.Name, err)
+		return
+	}
 	w.Started = grant.Engine.Started
 	if g.cfg.Rates.Heard(clock.Now(), grant.Name, w) {
 		grant.HearRate(w)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -10,8 +10,6 @@
 	"strings"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/placement"
@@ -197,7 +195,7 @@
 func (g *Gateway) hearServiceRate(a netip.AddrPort, h http.Header) {
 	w, err := ratelimit.Named(h.Values(result.HeaderRate))
 	if err != nil {
-		klog.ErrorS(err, "rate of a service ignored", "address", a)
+		g.cfg.Rates.Ignored(clock.Now(), a.String(), err)
 		return
 	}
 	g.cfg.Rates.Heard(clock.Now(), a.String(), w)
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -283,9 +283,10 @@
 	for {
 		select {
 		case e := <-r.events:
-			actions := r.take(clock.Now(), e)
+			now := clock.Now()
+			actions := r.take(now, e)
 			r.inFlight.Store(int64(r.state.InFlight()))
-			r.rate.Store(r.state.Rate(clock.Now()))
+			r.rate.Store(r.state.Rate(now))
 			r.carryOut(ctx, actions)
 		case <-tick.C:
 			r.carryOut(ctx, r.state.Tick(clock.Now()))
@@ -302,8 +303,7 @@
 func (r *Runner) take(now time.Time, e event) []Action {
 	switch e := e.(type) {
 	case submitted:
-		_, authorized := r.cfg.Authority(now)
-		e.ticket.Lone = !authorized
+		e.ticket.Lone = r.lone(now)
 		r.replies[e.ticket.ID] = e.reply
 		return append(r.wanted(now, e.ticket), r.state.Submit(now, e.ticket)...)
 	case canceled:
@@ -358,6 +358,15 @@
 	}
 }
 
+// lone reports whether another box may count the requests of an engine that names a rate, too.
+func (r *Runner) lone(now time.Time) bool {
+	if !r.state.rate.Limited() {
+		return false
+	}
+	_, authorized := r.cfg.Authority(now)
+	return !authorized
+}
+
 func (r *Runner) carryOut(ctx context.Context, actions []Action) {
 	for _, a := range actions {
 		switch a := a.(type) {
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/turn"
 )
 
@@ -24,6 +25,8 @@
 	toldEvery = 5 * time.Second
 	// maxWait is for how far ahead refused requests are told when to come back in turn: callers wait 10 to 25 s for an answer.
 	maxWait = 15 * time.Second
+	// ignoredEvery is the least time between two lines on rates of an endpoint that cannot be understood.
+	ignoredEvery = 10 * time.Second
 	// mostLines is how many lines a second tell of rates: all endpoints of a large fleet may name one at once.
 	mostLines = 20
 	// sumEvery is how often the rates of a service's endpoints are summed up: there may be thousands, and as many refused requests a second.
@@ -63,6 +66,8 @@
 // Book is what one box knows of the rates that endpoints name. A nil Book knows nothing.
 type Book struct {
 	cfg BookConfig
+	// ignored are the endpoints that lately named rates which cannot be understood.
+	ignored *recent.Set[string]
 	// count is how many words there are: with none, as on most days, a look costs no lock.
 	count atomic.Int64
 
@@ -94,7 +99,7 @@
 
 // NewBook returns an empty Book.
 func NewBook(cfg BookConfig) *Book {
-	return &Book{cfg: cfg, words: map[string]*entry{}, returns: map[string]*returns{}}
+	return &Book{cfg: cfg, ignored: recent.New[string](ignoredEvery), words: map[string]*entry{}, returns: map[string]*returns{}}
 }
 
 // Any reports whether anything is known of any endpoint.
@@ -124,6 +129,16 @@
 	return true
 }
 
+// Ignored takes in that an endpoint named a rate that cannot be understood. What was known of it stands.
+func (b *Book) Ignored(now time.Time, endpoint string, err error) {
+	b.cfg.Scope.Counter("rates_ignored").Inc(1)
+	if b.ignored.Has(endpoint, now) {
+		return
+	}
+	b.ignored.Add(endpoint, now)
+	klog.ErrorS(err, "rate of an endpoint ignored", "endpoint", endpoint)
+}
+
 // tell logs what has changed.
 func (b *Book) tell(now time.Time, endpoint string, e *entry, h heard) {
 	switch {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -55,7 +55,7 @@
 	for {
 		tried := len(avoid)
 		c, rerr := r.chooseNow(ctx, q, ref, avoid)
-		if rerr != nil && len(avoid) > tried && ctx.Err() == nil {
+		if rerr != nil && len(avoid) > tried && q.limitedAsks < maxAsked && ctx.Err() == nil {
 			continue
 		}
 		if rerr == nil || !ownerless(rerr) || !clock.Now().Add(ownerlessLook).Before(giveUp) {
@@ -117,6 +117,7 @@
 			// One that is left out for its rate is not one of the first few.
 			c.usedUp, avoid[c.name] = true, true
 			q.limited.add(rerr.RetryAfter)
+			q.limitedAsks++
 			if c.holds || ask.Pressed {
 				// Else it may have been refused for an adapter that would have to be brought, which says nothing of other requests.
 				r.noteUsedUp(q, c.name)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -93,8 +93,9 @@
 		return nil, rerr
 	}
 	q.first = clock.Since(q.came)
-	rerr := r.checkAnswer(q, resp)
-	r.hearRate(to, resp, rerr == nil)
+	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
+	rerr := checkAnswer(q, resp.StatusCode, head)
+	r.hearRate(to, head, rerr == nil)
 	if rerr != nil {
 		q.tried(to.name, rerr.Code.String()+":"+rerr.Detail)
 		// Closing without reading ends the connection, so that nothing of it is taken for another answer.
@@ -119,19 +120,18 @@
 }
 
 // checkAnswer returns an error if an answer is a refusal or is not the endpoint's answer to this request.
-func (r *Relay) checkAnswer(q *request, resp *http.Response) *result.Error {
-	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
+func checkAnswer(q *request, status int, head AnswerHead) *result.Error {
 	switch {
 	case head.Elsewhere:
-		return result.New(result.NotHeld, "status %d", resp.StatusCode)
+		return result.New(result.NotHeld, "status %d", status)
 	case head.NotRun:
-		return result.New(result.BackendRefused, "status %d", resp.StatusCode)
-	case promises(resp.StatusCode) && !head.Sealed:
-		return result.New(result.AnswerLost, "status %d without word on whether it ran", resp.StatusCode)
+		return result.New(result.BackendRefused, "status %d", status)
+	case promises(status) && !head.Sealed:
+		return result.New(result.AnswerLost, "status %d without word on whether it ran", status)
 	case head.ID != q.head.ID:
 		return result.New(result.WrongAnswer, "asked as %q, answered as %q", q.head.ID, head.ID)
-	case !head.Sealed && resp.StatusCode < http.StatusMultipleChoices:
-		return result.New(result.WrongAnswer, "status %d without a signature", resp.StatusCode)
+	case !head.Sealed && status < http.StatusMultipleChoices:
+		return result.New(result.WrongAnswer, "status %d without a signature", status)
 	}
 	return nil
 }
--- a/internal/relay/rates.go
+++ b/internal/relay/rates.go
@@ -1,25 +1,18 @@
 package relay
 
 import (
-	"net/http"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
-// badRateTold is the least time between two lines on rates of an endpoint that cannot be understood.
-const badRateTold = 10 * time.Second
-
 // hearRate takes in what the head of an answer says of its endpoint's rate. A rate is believed whatever the answer is; that there is none any more
 // only if it is sound, as what stands in for an answer may lack any header.
-func (r *Relay) hearRate(to destination, resp *http.Response, sound bool) {
-	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
+func (r *Relay) hearRate(to destination, head AnswerHead, sound bool) {
 	if head.RateErr != nil {
-		r.tellBadRate(to.name, head.RateErr)
+		r.cfg.Rates.Ignored(clock.Now(), to.name, head.RateErr)
 		return
 	}
 	word := head.Rate
@@ -94,12 +87,3 @@
 	}
 	return names
 }
-
-// tellBadRate logs a rate that cannot be understood, once in a while for each endpoint.
-func (r *Relay) tellBadRate(endpoint string, err error) {
-	r.cfg.Scope.Counter("rates_ignored").Inc(1)
-	if now := clock.Now(); !r.badRates.Has(endpoint, now) {
-		r.badRates.Add(endpoint, now)
-		klog.ErrorS(err, "rate of an endpoint ignored", "endpoint", endpoint)
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,8 +79,6 @@
 	// suspects are the boxes that did not answer lately, crowds the adapter versions whose engines all had requests waiting.
 	suspects *recent.Set[string]
 	crowds   *recent.Set[resource.Ref]
-	// badRates are the endpoints that lately named rates which cannot be understood.
-	badRates *recent.Set[string]
 	// usedUp are the endpoints whose rates left nothing lately for requests of an urgency.
 	usedUp  *recent.Set[usedUp]
 	budgets *budgets
@@ -93,7 +91,7 @@
 func New(cfg Config) *Relay {
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sample: &sample{}, memory: newMemory(), alike: newAlike(),
-		suspects: recent.New[string](suspectFor), crowds: recent.New[resource.Ref](crowdedFor), badRates: recent.New[string](badRateTold), usedUp: recent.New[usedUp](usedUpFor),
+		suspects: recent.New[string](suspectFor), crowds: recent.New[resource.Ref](crowdedFor), usedUp: recent.New[usedUp](usedUpFor),
 	}
 }
 
@@ -115,8 +113,9 @@
 	arrivals int
 	// unreached counts the endpoints that it did not arrive at, as none listened there.
 	unreached int
-	// limited counts the endpoints that were left out for their rates.
-	limited shortest
+	// limited counts the endpoints that were left out for their rates, limitedAsks those of them that were asked.
+	limited     shortest
+	limitedAsks int
 	// customer is whose request it is, nil where callers need no key; digest is that of the key.
 	customer *customer.Customer
 	digest   customer.Digest
