--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -13,6 +13,8 @@
 // report corrects the state: a new incarnation is empty, the first report shows what is loaded, later ones correct what steadily differs.
 func (r *Runner) report(now time.Time, rep engine.Report) []Action {
 	if rep.Rate.Limited {
+		// As with answers: a life that is not known yet would go before all that they say of this one.
+		rep.Rate.Started = r.cfg.Engine.Started
 		r.state.HearRate(now, &rep.Rate)
 	}
 	var out []Action
