Rates: a box counts each refused request once towards what comes back, and drops words once a second

Cause: found at reading: a request whose best offer was refused for its rate at the last moment was told that no engine has an owner; a service's refused addresses each took a turn; words that are over were looked for with each answer.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -129,7 +130,7 @@
 	var last *result.Error
 	var to quarantine.Endpoint
 	mayHaveRun := false
-	limited, tries := result.New(result.RateLimited, "%s", c.service), 0
+	tries, soonest := 0, time.Duration(math.MaxInt64)
 	for _, name := range placement.Rank(c.runID, names) {
 		if tries == maxServiceTries {
 			break
@@ -139,7 +140,7 @@
 		}
 		place, refusal := g.cfg.Places.Take(ctx, places.Ask{Endpoint: name, Slots: places.AnySlots, Hold: time.Duration(s.Timeout)})
 		if place == nil {
-			limited.RetryAfter = g.cfg.Rates.ComeBack(clock.Now(), c.service, func() []string { return names }, refusal.Wait)
+			soonest = min(soonest, refusal.Wait)
 			continue
 		}
 		if tries > 0 && !g.retries.spend() {
@@ -162,7 +163,8 @@
 		g.cfg.Scope.Tagged(map[string]string{"reason": rerr.Code.String()}).Counter("retries").Inc(1)
 	}
 	if tries == 0 {
-		last = limited
+		last = result.New(result.RateLimited, "%s", c.service)
+		last.RetryAfter = g.cfg.Rates.ComeBack(clock.Now(), c.service, func() []string { return names }, soonest)
 	}
 	return nil, to, last
 }
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -73,6 +73,8 @@
 
 	mu    sync.Mutex
 	words map[string]*entry
+	// forgot is when words that are over were last dropped.
+	forgot time.Time
 	// lines counts those of the present second, leftOut those that were one too many since the last.
 	second         time.Time
 	lines, leftOut int
@@ -125,12 +127,17 @@
 	}
 	b.tell(now, endpoint, e, h)
 	e.heard = h
-	b.forget(now)
+	if now.Sub(b.forgot) >= time.Second {
+		b.forget(now)
+	}
 	return true
 }
 
 // Ignored takes in that an endpoint named a rate that cannot be understood. What was known of it stands.
 func (b *Book) Ignored(now time.Time, endpoint string, err error) {
+	if b == nil {
+		return
+	}
 	b.cfg.Scope.Counter("rates_ignored").Inc(1)
 	if b.ignored.Has(endpoint, now) {
 		return
@@ -188,6 +195,7 @@
 
 // forget drops rates that were lifted some time ago.
 func (b *Book) forget(now time.Time) {
+	b.forgot = now
 	for name, e := range b.words {
 		if !e.Limited && now.Sub(e.at) >= liftedFor {
 			delete(b.words, name)
@@ -253,7 +261,7 @@
 		own = seconds(float64(max(1, b.cfg.Boxes())) / r.sum)
 	}
 	if wait := r.turns.Take(now, own, maxWait); wait+own < maxWait {
-		return max(soonest, time.Millisecond) + wait
+		return max(min(soonest, maxWait), time.Millisecond) + wait
 	}
 	// All that can be taken in that time is promised. Of those who come at one moment not all are to return at one.
 	return maxWait + rand.N(maxWait)
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -116,8 +116,7 @@
 		if rerr.Code == result.RateLimited {
 			// One that is left out for its rate is not one of the first few.
 			c.usedUp, avoid[c.name] = true, true
-			q.limited.add(rerr.RetryAfter)
-			q.limitedAsks++
+			q.leftOut(rerr)
 			if c.holds || ask.Pressed {
 				// Else it may have been refused for an adapter that would have to be brought, which says nothing of other requests.
 				r.noteUsedUp(q, c.name)
@@ -138,6 +137,9 @@
 		if rerr != nil && cannotTake(rerr) {
 			avoid[best.candidate.name] = true
 		}
+		if rerr != nil && rerr.Code == result.RateLimited {
+			q.leftOut(rerr)
+		}
 		return got, rerr
 	}
 	if got := r.withoutOwner(candidates, ref); got != nil {
--- a/internal/relay/rates.go
+++ b/internal/relay/rates.go
@@ -70,6 +70,12 @@
 	s.count++
 }
 
+// leftOut counts an endpoint that was asked and has nothing left.
+func (q *request) leftOut(rerr *result.Error) {
+	q.limited.add(rerr.RetryAfter)
+	q.limitedAsks++
+}
+
 // spreadReturn says when a request is to come back that no endpoint may take for its rate. Other failures stay as they are.
 func (r *Relay) spreadReturn(q *request, rerr *result.Error) *result.Error {
 	if rerr == nil || rerr.Code != result.RateLimited {
