Rates: the comment of needed says what it does

Checked: build, linter, vet and the package's tests with the race detector; nothing but the comment changes.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -185,7 +185,7 @@
 	l.shares.asked(now, a.Customer)
 }
 
-// needed returns how many requests have to be free for one to go: all that is saved up for those that others go before.
+// needed returns how many requests have to be free for one to go: all that is saved up for one that is dear, all but one where others go before.
 func (l *Limiter) needed(now time.Time, a Ask) float64 {
 	switch {
 	case a.Dear:
