Sight: lines and counters for what endpoints say of leaving and rest; nothing is decided by it

The logs could not tell its hypotheses apart: a refusal that asks for rest is logged like any other, an answer that says the endpoint leaves like any other answer. Now a box tells when it first hears the one or the other, of which endpoint, and each request that it sends to such an endpoint after that, with how long before the word was heard and how long the request had waited. Words in answers that are not the endpoint's own are told apart. Lines are bounded by one type, taken out of the rates' book. Ruled out: nothing yet.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -21,6 +21,7 @@
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/metric"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -86,6 +87,8 @@
 	places *places.Client
 	// rates is what endpoints say of how many requests a second they take.
 	rates *ratelimit.Book
+	// notices is what else they have said of themselves.
+	notices *notice.Board
 	// quarantine knows which requests reach no endpoint.
 	quarantine *quarantine.Client
 	listeners  listeners
@@ -122,6 +125,7 @@
 		Box: cfg.Settings.Box.Name, Beat: cfg.Settings.Timing.Beat, Catalog: b.catalog, Membership: func() member.Status { return b.node.Status() },
 	})
 	b.rates = ratelimit.NewBook(ratelimit.BookConfig{Boxes: b.boxes, Scope: b.metrics.Scope})
+	b.notices = notice.NewBoard(notice.BoardConfig{Rates: b.rates, Scope: b.metrics.Scope})
 	b.keeper = places.NewKeeper(mathrand.Uint64())
 	b.places = places.NewClient(places.ClientConfig{
 		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Keepers: b.accountable, Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
@@ -223,7 +227,7 @@
 		Budget:    relay.BudgetConfig{PerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxes},
 		Policy:    s.Policy.Chosen(),
 		Quotas:    quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.accountable, Ledger: b.ledger, Scope: b.metrics.Scope}),
-		Places:    b.places, Quarantine: b.quarantine, Rates: b.rates,
+		Places:    b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices,
 		Ages: relay.AgesConfig{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			Keys:        s.Customers.RevokedWithin, Unknown: s.Customers.InForceWithin,
--- /dev/null
+++ b/internal/logline/limit_test.go
@@ -0,0 +1,20 @@
+package logline
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestLimit(t *testing.T) {
+	c := qt.New(t)
+	l := Limit{Most: 3}
+	now := time.Unix(1000, 0)
+	for range 5 {
+		l.Info(now, "line")
+	}
+	c.Check(l.leftOut, qt.Equals, 2)
+	l.Info(now.Add(time.Second), "line")
+	c.Check(l.leftOut, qt.Equals, 0, qt.Commentf("the next line has told of them"))
+}
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/logline"
 	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/turn"
 )
@@ -75,9 +76,8 @@
 	words map[string]*entry
 	// forgot is when words that are over were last dropped.
 	forgot time.Time
-	// lines counts those of the present second, leftOut those that were one too many since the last.
-	second         time.Time
-	lines, leftOut int
+	// lines tells what has changed.
+	lines logline.Limit
 	// returns tell those who were refused when to come back, by service.
 	returns map[string]*returns
 }
@@ -101,7 +101,7 @@
 
 // NewBook returns an empty Book.
 func NewBook(cfg BookConfig) *Book {
-	return &Book{cfg: cfg, ignored: recent.New[string](ignoredEvery), words: map[string]*entry{}, returns: map[string]*returns{}}
+	return &Book{cfg: cfg, ignored: recent.New[string](ignoredEvery), words: map[string]*entry{}, returns: map[string]*returns{}, lines: logline.Limit{Most: mostLines}}
 }
 
 // Any reports whether anything is known of any endpoint.
@@ -152,30 +152,16 @@
 	case h.Limited && (!e.Limited || h.Started > e.Started):
 		e.since, e.logged = h.at, now
 		b.cfg.Scope.Counter("rates_named").Inc(1)
-		b.log(now, "endpoint names a rate", "endpoint", endpoint, "rate", h.Rate, "age", now.Sub(h.at))
+		b.lines.Info(now, "endpoint names a rate", "endpoint", endpoint, "rate", h.Rate, "age", now.Sub(h.at))
 	case !h.Limited && e.Limited:
 		b.cfg.Scope.Counter("rates_lifted").Inc(1)
-		b.log(now, "endpoint names no rate any more", "endpoint", endpoint, "rate", e.Rate, "for", now.Sub(e.since), "age", now.Sub(h.at))
+		b.lines.Info(now, "endpoint names no rate any more", "endpoint", endpoint, "rate", e.Rate, "for", now.Sub(e.since), "age", now.Sub(h.at))
 	case h.Limited && h.Rate != e.Rate && now.Sub(e.logged) >= toldEvery:
 		e.logged = now
-		b.log(now, "endpoint names another rate", "endpoint", endpoint, "rate", h.Rate, "before", e.Rate, "age", now.Sub(h.at))
+		b.lines.Info(now, "endpoint names another rate", "endpoint", endpoint, "rate", h.Rate, "before", e.Rate, "age", now.Sub(h.at))
 	}
 }
 
-// log writes a line, as long as there are not too many.
-func (b *Book) log(now time.Time, line string, values ...any) {
-	if now.Sub(b.second) >= time.Second {
-		b.second, b.lines = now, 0
-	}
-	if b.lines >= mostLines {
-		b.leftOut++
-		return
-	}
-	b.lines++
-	klog.InfoS(line, append(values, "left_out", b.leftOut)...)
-	b.leftOut = 0
-}
-
 // add makes an entry, and room for it.
 func (b *Book) add(endpoint string) *entry {
 	if len(b.words) >= maxWords {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -78,6 +78,7 @@
 	a.Keyed, a.Customer = r.cfg.Catalog.Topology().Routes.Keyed(), q.customerName()
 	r.cfg.Wire.WriteAttempt(out.Header, a)
 	out.Body, out.ContentLength = unrepeatable{bytes.NewReader(q.body)}, int64(len(q.body))
+	r.tellSent(q, to)
 	q.arrivals++
 	q.endpoint, q.waited = to.name, clock.Since(q.came)
 	sent := httpx.TraceSent(out)
@@ -96,6 +97,7 @@
 	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
 	rerr := checkAnswer(q, resp.StatusCode, head)
 	r.hearRate(to, head, rerr == nil)
+	r.hear(q, to, head)
 	if rerr != nil {
 		q.tried(to.name, rerr.Code.String()+":"+rerr.Detail)
 		// Closing without reading ends the connection, so that nothing of it is taken for another answer.
--- a/internal/relay/rates.go
+++ b/internal/relay/rates.go
@@ -11,11 +11,11 @@
 // hearRate takes in what the head of an answer says of its endpoint's rate. A rate is believed whatever the answer is; that there is none any more
 // only if it is sound, as what stands in for an answer may lack any header.
 func (r *Relay) hearRate(to destination, head AnswerHead, sound bool) {
-	if head.RateErr != nil {
-		r.cfg.Rates.Ignored(clock.Now(), to.name, head.RateErr)
+	if head.Notice.RateErr != nil {
+		r.cfg.Rates.Ignored(clock.Now(), to.name, head.Notice.RateErr)
 		return
 	}
-	word := head.Rate
+	word := head.Notice.Rate
 	if !word.Limited && (!sound || !r.cfg.Rates.Any()) {
 		return
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/customer"
 	"github.com/bellgap/bellgap/internal/grant"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/policy"
@@ -69,6 +70,8 @@
 	Quarantine *quarantine.Client
 	// Rates is what endpoints say of how many requests a second they take.
 	Rates *ratelimit.Book
+	// Notices is what else they have said of themselves.
+	Notices *notice.Board
 }
 
 // Relay serves callers.
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/owner"
-	"github.com/bellgap/bellgap/internal/ratelimit"
 )
 
 // Head is what the headers of a request say, whatever their names.
@@ -67,9 +67,10 @@
 	NotRun bool
 	// Elsewhere says that the request was for another instance, model or version than the one here.
 	Elsewhere bool
-	// Rate is what the endpoint says of how many requests a second it takes; RateErr says that it cannot be understood.
-	Rate    ratelimit.Word
-	RateErr error
+	// Instance is the id of the endpoint that answered, empty if it does not say.
+	Instance string
+	// Notice is what the endpoint says of itself.
+	Notice notice.Word
 }
 
 // Wire names the headers of callers and endpoints. It is an interface at the network boundary.
