An endpoint that says it leaves gets nothing more in that life, from any box

Callers saw streams and answers come late, or break off, from endpoints that had said in their answers that they leave: boxes that had passed such an answer on sent requests there for up to 5.9 s, until the store had taken the endpoint's entry. Cause: the word stands in the head of an answer, which was passed on and not looked at; nothing of it came to where the next request is decided. Ruled out: that requests chosen before the word were at fault (none of 513), that discovery took the word back (nothing had it to take). Mended: a board (internal/notice) keeps what endpoints say of themselves, by life. The fleet's view shows an endpoint as leaving by its own word as by discovery's, so that choices, owners and their orders follow without a second rule; each send asks once more. An owner closes its engine at once. A new start under the same id is another life.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -14,6 +14,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/grant"
@@ -87,8 +88,9 @@
 	places *places.Client
 	// rates is what endpoints say of how many requests a second they take.
 	rates *ratelimit.Book
-	// notices is what else they have said of themselves.
+	// notices is what else they have said of themselves, teller tells other boxes.
 	notices *notice.Board
+	teller  *notice.Client
 	// quarantine knows which requests reach no endpoint.
 	quarantine *quarantine.Client
 	listeners  listeners
@@ -125,7 +127,7 @@
 		Box: cfg.Settings.Box.Name, Beat: cfg.Settings.Timing.Beat, Catalog: b.catalog, Membership: func() member.Status { return b.node.Status() },
 	})
 	b.rates = ratelimit.NewBook(ratelimit.BookConfig{Boxes: b.boxes, Scope: b.metrics.Scope})
-	b.notices = notice.NewBoard(notice.BoardConfig{Rates: b.rates, Scope: b.metrics.Scope})
+	b.buildNotices()
 	b.keeper = places.NewKeeper(mathrand.Uint64())
 	b.places = places.NewClient(places.ClientConfig{
 		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Keepers: b.accountable, Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
@@ -144,6 +146,23 @@
 	return b, nil
 }
 
+// buildNotices builds what is known of endpoints by their own word. The fleet's view has it at once; owners learn it, and other boxes are told.
+func (b *Routed) buildNotices() {
+	b.notices = notice.NewBoard(notice.BoardConfig{Scope: b.metrics.Scope, Leaves: func(e notice.Endpoint, heard bool) {
+		b.catalog.Refresh()
+		if runner, ok := b.owners.Get(e.Name); ok {
+			runner.HearLeft()
+		}
+		if heard {
+			b.teller.Leaves(e)
+		}
+	}})
+	b.catalog.Overlay(func(endpoint string, started int64) bool {
+		return b.notices.Leaves(clock.Now(), notice.Endpoint{Name: endpoint, Started: started})
+	})
+	b.teller = newTeller(tellerConfig{Board: b.notices, Catalog: b.catalog, Box: b.cfg.Settings.Box.Name, Scope: b.metrics.Scope})
+}
+
 // buildOwners builds the engines of this box. The weight store's budget limits base models; one box of the region schedules it.
 func (b *Routed) buildOwners(peers *peer.Client) *loads.Local {
 	scheduler := loads.NewLocal(loads.LocalConfig{Budget: b.loadBudget})
@@ -168,7 +187,7 @@
 		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: quarantinedOrders{b.cfg.Deployment.Engines, b.quarantine},
 		PrefillRate: b.cfg.Settings.Routes.PrefillRate, Policy: b.cfg.Settings.Policy.Chosen(),
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
-		Lookup:    b.lookupEngine, Rates: b.rates,
+		Lookup:    b.lookupEngine, Rates: b.rates, Notices: b.notices,
 		Leaving: func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
 	})
 	return scheduler
@@ -243,6 +262,7 @@
 		Schedules: func() bool { return b.scheduler().Box == b.cfg.Settings.Box.Name },
 	}).Register(peerMux)
 	grant.NewServer(grant.ServerConfig{Owners: b.owners, Rates: b.rates}).Register(peerMux)
+	notice.NewServer(notice.ServerConfig{Board: b.notices}).Register(peerMux)
 	quarantine.NewServer(quarantine.ServerConfig{Client: b.quarantine}).Register(peerMux)
 	places.NewServer(places.ServerConfig{Keeper: b.keeper, Rates: b.rates}).Register(peerMux)
 	quota.NewServer(quota.ServerConfig{Ledger: b.ledger, Accountable: b.accountable, Customer: b.customer}).Register(peerMux)
@@ -259,6 +279,7 @@
 	b.root.Add(b.follower)
 	b.root.Add(grants)
 	b.root.Add(b.places)
+	b.root.Add(b.teller)
 	b.root.Add(b.quarantine)
 	b.root.Add(afterReady{b.follower.Ready(), b.node})
 }
@@ -278,10 +299,10 @@
 // InFlight returns the requests in flight through this box.
 func (b *Routed) InFlight() int { return b.relay.InFlight() }
 
-// Ready reports whether this box takes requests: it knows routes and endpoints and is not leaving.
+// Ready reports whether this box takes requests: it knows routes and endpoints, and which of these leave, and is not leaving.
 func (b *Routed) Ready() bool {
 	t := b.catalog.Topology()
-	return b.follower.IsReady() && t.Routes != nil && len(t.Endpoints) > 0 && b.leavingFor() == 0
+	return b.follower.IsReady() && t.Routes != nil && len(t.Endpoints) > 0 && b.leavingFor() == 0 && b.teller.CaughtUp()
 }
 
 // Run serves until ctx ends, then leaves.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -70,6 +70,8 @@
 	recentFrom int64
 	// topology is computed when asked for and dropped when a kind it is made of changes.
 	topology *Topology
+	// leaves, if set, reports whether an endpoint has said itself, in the life that began then, that it leaves.
+	leaves func(endpoint string, started int64) bool
 	// routes is made of routing, which is the routing configuration in force.
 	routes  *route.Table
 	routing *resource.Routing
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -80,6 +80,31 @@
 	return c.topology
 }
 
+// Overlay sets what tells which endpoints have said themselves that they leave. What they say is newer than what discovery has of it, and final for the
+// life that began at started.
+func (c *Catalog) Overlay(leaves func(endpoint string, started int64) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaves, c.topology = leaves, nil
+}
+
+// Refresh makes the routing view anew, as endpoints have said something.
+func (c *Catalog) Refresh() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.topology = nil
+}
+
+// withLeaving returns an endpoint as leaving if it has said so.
+func (c *Catalog) withLeaving(name string, e *resource.Endpoint) *resource.Endpoint {
+	if e.Leaving || c.leaves == nil || !c.leaves(name, e.Started) {
+		return e
+	}
+	left := *e
+	left.Leaving = true
+	return &left
+}
+
 func (c *Catalog) computeTopology() *Topology {
 	t := &Topology{
 		Engines: map[string]EngineView{}, ByModel: map[string][]string{},
@@ -98,7 +123,7 @@
 	}
 	for _, it := range c.resources(resource.KindEndpoint, "") {
 		if e, ok := it.Resource.Spec.(*resource.Endpoint); ok {
-			t.addEndpoint(it.Resource.Name, e, c.holds(it.Resource.Name), owners[it.Resource.Name])
+			t.addEndpoint(it.Resource.Name, c.withLeaving(it.Resource.Name, e), c.holds(it.Resource.Name), owners[it.Resource.Name])
 		}
 	}
 	for _, it := range c.resources(resource.KindServing, "") {
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -69,6 +69,8 @@
 	Filled int64 `json:"filled"`
 	// Rate is what the engine names with the report as the requests a second that it takes; that it names none with a report says nothing.
 	Rate ratelimit.Word `json:"-"`
+	// Leaving says that the engine leaves.
+	Leaving bool `json:"-"`
 	// TakenAt is when the report was true, on the engine's clock.
 	TakenAt time.Time `json:"taken_at"`
 }
--- a/internal/notice/board.go
+++ b/internal/notice/board.go
@@ -1,6 +1,8 @@
 package notice
 
 import (
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,34 +11,48 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/logline"
-	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/recent"
 )
 
 const (
 	// maxEndpoints bounds the endpoints of each kind that a Board remembers, at some 150 bytes each; beyond it what was heard first is dropped.
-	maxEndpoints = 4096
+	maxEndpoints = 2048
 	// mostLines is how many lines a second tell of what endpoints say: all of a large fleet may say something at once.
 	mostLines = 20
 	// ignoredEvery is the least time between two lines on words of an endpoint that cannot be understood.
 	ignoredEvery = 10 * time.Second
+	// keepLeft is how long it is remembered that an endpoint leaves: they end within a minute, but their entries may outlast them while the store is away.
+	keepLeft = time.Hour
+	// keepReused is how long it is where the next life cannot be told from this one: then one request finds out.
+	keepReused = 30 * time.Second
 )
 
 // Endpoint is one life of an endpoint.
 type Endpoint struct {
 	Name string
-	// Started is the Unix millisecond of its start, zero if it does not say.
+	// Started is the Unix millisecond of its start, zero if it does not say: then a later life has another name, unless Reused is set.
 	Started int64
+	// Reused says that nothing tells its lives apart.
+	Reused bool
+}
+
+// Left is that an endpoint said it leaves, as boxes tell each other.
+type Left struct {
+	Endpoint string `json:"endpoint"`
+	Started  int64  `json:"started,omitempty"`
+	Reused   bool   `json:"reused,omitempty"`
+	// Age is how long ago it was first heard.
+	Age time.Duration `json:"age"`
 }
 
 // BoardConfig configures a Board.
 type BoardConfig struct {
-	// Rates keeps what endpoints say of how many requests a second they take.
-	Rates *ratelimit.Book
 	Scope tally.Scope
+	// Leaves, if set, is called once it is known of a life of an endpoint that it leaves. Heard says that the endpoint told this box itself.
+	Leaves func(e Endpoint, heard bool)
 }
 
-// Board is what one box has heard endpoints say of themselves. A nil Board knows nothing.
+// Board is what one box knows endpoints to have said of themselves. A nil Board knows nothing.
 type Board struct {
 	cfg BoardConfig
 	// ignored are the endpoints that lately said what cannot be understood.
@@ -51,12 +67,22 @@
 	rests map[string]resting
 }
 
-// leaving is that an endpoint leaves.
+// leaving is that an endpoint leaves. It is final: nothing that discovery or a later answer says takes it back, only another life is not bound by it.
 type leaving struct {
 	started int64
+	reused  bool
 	at      time.Time
 }
 
+// over reports whether this is to be forgotten.
+func (l leaving) over(now time.Time) bool {
+	keep := keepLeft
+	if l.reused {
+		keep = keepReused
+	}
+	return now.Sub(l.at) >= keep
+}
+
 // resting is that an endpoint wants nothing for a time.
 type resting struct {
 	started int64
@@ -81,18 +107,31 @@
 	if w.Closing {
 		b.cfg.Scope.Counter("answers_closing").Inc(1)
 	}
-	if !w.Leaving && w.Rest == 0 {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if w.Leaving {
-		b.hearLeaving(now, e)
+	if w.Leaving && b.hearLeaving(e, leaving{e.Started, e.Reused, now}, now) {
+		b.leaves(e, true)
 	}
 	if w.Rest > 0 {
 		b.hearRest(now, e, w.Rest)
 	}
-	b.count.Store(int64(len(b.left) + len(b.rests)))
+}
+
+// Told takes in what another box knows.
+func (b *Board) Told(now time.Time, all []Left) {
+	if b == nil {
+		return
+	}
+	for _, l := range all {
+		e := Endpoint{l.Endpoint, l.Started, l.Reused}
+		if b.hearLeaving(e, leaving{l.Started, l.Reused, now.Add(-max(0, l.Age))}, now) {
+			b.leaves(e, false)
+		}
+	}
+}
+
+func (b *Board) leaves(e Endpoint, heard bool) {
+	if b.cfg.Leaves != nil {
+		b.cfg.Leaves(e, heard)
+	}
 }
 
 // ignore tells of what cannot be understood. What was known of the endpoint stands.
@@ -108,17 +147,32 @@
 	klog.ErrorS(err, "word of an endpoint ignored", "endpoint", e.Name)
 }
 
-func (b *Board) hearLeaving(now time.Time, e Endpoint) {
-	if had, ok := b.left[e.Name]; ok && had.started >= e.Started {
-		return
+// hearLeaving takes in that an endpoint leaves. It reports whether that is news.
+func (b *Board) hearLeaving(e Endpoint, l leaving, now time.Time) bool {
+	if l.over(now) {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	had, ok := b.left[e.Name]
+	// Where lives are not told apart, each word may be that of another one: it is counted from anew now and then.
+	again := l.reused && l.at.Sub(had.at) > keepReused/2
+	if ok && !had.over(now) && had.started >= l.started && !again {
+		return false
+	}
+	if !ok {
+		makeRoom(b.left, func(l leaving) time.Time { return l.at })
 	}
-	makeRoom(b.left, func(l leaving) time.Time { return l.at })
-	b.left[e.Name] = leaving{e.Started, now}
+	b.left[e.Name] = l
+	b.counted()
 	b.cfg.Scope.Counter("endpoints_leaving").Inc(1)
-	b.lines.Info(now, "endpoint says that it leaves", "endpoint", e.Name, "started", e.Started)
+	b.lines.Info(now, "endpoint says that it leaves", "endpoint", e.Name, "started", e.Started, "age", now.Sub(l.at))
+	return true
 }
 
 func (b *Board) hearRest(now time.Time, e Endpoint, rest time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	had, ok := b.rests[e.Name]
 	until := now.Add(rest)
 	if ok && (had.started > e.Started || (had.started == e.Started && !until.After(had.until))) {
@@ -128,10 +182,13 @@
 		makeRoom(b.rests, func(r resting) time.Time { return r.until })
 	}
 	b.rests[e.Name] = resting{e.Started, now, until}
+	b.counted()
 	b.cfg.Scope.Counter("rests_asked").Inc(1)
 	b.lines.Info(now, "endpoint asks for rest", "endpoint", e.Name, "rest", rest)
 }
 
+func (b *Board) counted() { b.count.Store(int64(len(b.left) + len(b.rests))) }
+
 // makeRoom drops the oldest entry of a full map.
 func makeRoom[T any](all map[string]T, at func(T) time.Time) {
 	if len(all) < maxEndpoints {
@@ -146,18 +203,58 @@
 	delete(all, oldest)
 }
 
-// Said returns how long ago an endpoint said that it leaves, and for how long it still wants nothing; zero if it said no such thing.
-func (b *Board) Said(now time.Time, e Endpoint) (left, rest time.Duration) {
-	if b == nil || b.count.Load() == 0 {
-		return 0, 0
+// any reports whether anything is known of any endpoint.
+func (b *Board) any() bool { return b != nil && b.count.Load() > 0 }
+
+// Leaves reports whether an endpoint has said in its present life that it leaves.
+func (b *Board) Leaves(now time.Time, e Endpoint) bool {
+	if !b.any() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l, ok := b.left[e.Name]
+	return ok && l.started >= e.Started && !l.over(now)
+}
+
+// Rest returns for how long an endpoint still wants nothing from this box.
+func (b *Board) Rest(now time.Time, e Endpoint) time.Duration {
+	if !b.any() {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.rests[e.Name]
+	if !ok || r.started < e.Started {
+		return 0
 	}
+	return max(0, r.until.Sub(now))
+}
+
+// Left returns the endpoints that leave, by name.
+func (b *Board) Left(now time.Time) []Left {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if l, ok := b.left[e.Name]; ok && l.started >= e.Started {
-		left = max(1, now.Sub(l.at))
+	b.forget(now)
+	var all []Left
+	for name, l := range b.left {
+		all = append(all, Left{name, l.started, l.reused, now.Sub(l.at)})
 	}
-	if r, ok := b.rests[e.Name]; ok && r.started >= e.Started {
-		rest = max(0, r.until.Sub(now))
+	slices.SortFunc(all, func(x, y Left) int { return strings.Compare(x.Endpoint, y.Endpoint) })
+	return all
+}
+
+// forget drops what is over.
+func (b *Board) forget(now time.Time) {
+	for name, l := range b.left {
+		if l.over(now) {
+			delete(b.left, name)
+		}
+	}
+	for name, r := range b.rests {
+		if !now.Before(r.until) {
+			delete(b.rests, name)
+		}
 	}
-	return left, rest
+	b.counted()
 }
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -65,6 +65,9 @@
 
 type closing struct{ closed bool }
 
+// leftHeard says that the engine has said it leaves.
+type leftHeard struct{}
+
 func (submitted) event()     {}
 func (canceled) event()      {}
 func (ended) event()         {}
@@ -80,3 +83,4 @@
 func (settled) event()       {}
 func (stopping) event()      {}
 func (closing) event()       {}
+func (leftHeard) event()     {}
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -18,15 +18,21 @@
 		r.state.HearRate(now, &rep.Rate)
 	}
 	var out []Action
+	if rep.Leaving && !r.left {
+		r.left = true
+		out = r.close(now)
+	}
 	if r.gone {
 		r.gone = false
-		out = r.close(now)
+		out = append(out, r.close(now)...)
 	}
 	if r.incarnation == rep.Incarnation {
 		return append(out, r.reconcile(now, rep)...)
 	}
 	if r.incarnation != "" {
 		klog.InfoS("engine restarted", "engine", r.cfg.Name)
+		r.left = rep.Leaving
+		out = append(out, r.close(now)...)
 		r.cfg.Scope.Counter("engine_restarts").Inc(1)
 		out = append(out, r.state.Restarted(now)...)
 	}
@@ -73,7 +79,7 @@
 
 // close sends what waits to other engines while this one can take nothing.
 func (r *Runner) close(now time.Time) []Action {
-	return r.state.Close(now, r.leaving || r.baseMissing || r.gone)
+	return r.state.Close(now, r.leaving || r.left || r.baseMissing || r.gone)
 }
 
 // noteGone closes the state when the engine has refused an order as not there: its entry in discovery lapses seconds later, and
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -58,7 +58,9 @@
 	// Authority is asked right before each order.
 	Authority Authority
 	// Rate is what this box knows of the engine's rate, nil if that is nothing.
-	Rate  *ratelimit.Word
+	Rate *ratelimit.Word
+	// Left says that the engine has said it leaves.
+	Left  bool
 	Scope tally.Scope
 }
 
@@ -83,13 +85,14 @@
 	foreign     bool
 	reconciler  *reconciler
 	orders      *errgroup.Group
-	// baseMissing says that the engine lacks its base model, leaving that its box is leaving, gone that it has refused an order as
-	// not there and no report has come since; each closes the state.
+	// baseMissing says that the engine lacks its base model, leaving that its box is leaving, left that it has said in this life that it leaves
+	// itself, gone that it has refused an order as not there and no report has come since; each closes the state.
 	baseMissing bool
 	// baseLoading says that the base model is being loaded, demand counts the requests for it.
 	baseLoading bool
 	demand      baseDemand
 	leaving     bool
+	left        bool
 	gone        bool
 
 	mu     sync.Mutex
@@ -117,7 +120,11 @@
 			PrefillRate: cfg.PrefillRate, FinishesFirst: cfg.Engine.FinishesFirst, AwaitReport: cfg.Engine.FinishesFirst, Policy: cfg.Policy,
 		}),
 		replies: map[uint64]chan verdict{}, foreign: true, reconciler: newReconciler(), orders: &errgroup.Group{},
-		status: Status{Engine: cfg.Name},
+		status: Status{Engine: cfg.Name}, left: cfg.Left,
+	}
+	if r.left {
+		// Nothing waits yet, so that there is nothing to do.
+		_ = r.close(clock.Now())
 	}
 	r.state.rate.Born(cfg.Engine.Started)
 	r.state.HearRate(clock.Now(), cfg.Rate)
@@ -161,6 +168,9 @@
 // Rate returns what the engine names, nil if it names none.
 func (r *Runner) Rate() *ratelimit.Word { return r.rate.Load() }
 
+// HearLeft takes in that the engine has said it leaves: it gets no more orders and requests until it starts again.
+func (r *Runner) HearLeft() { r.post(leftHeard{}) }
+
 // Close sends what waits to other engines while the engine's box is leaving.
 func (r *Runner) Close(closed bool) { r.post(closing{closed}) }
 
@@ -345,6 +355,9 @@
 	case closing:
 		r.leaving = e.closed
 		return r.close(now)
+	case leftHeard:
+		r.left = true
+		return r.close(now)
 	case baseLoadEnded:
 		r.ordering.Add(-1)
 		r.baseLoading = false
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -12,6 +12,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -41,9 +42,10 @@
 	Policy      policy.Policy
 	// Authority says whether this box may give an engine orders now.
 	Authority func(engine string, now time.Time) (epoch uint64, ok bool)
-	// Rates is what this box knows of the engines' rates.
-	Rates *ratelimit.Book
-	Scope tally.Scope
+	// Rates is what this box knows of the engines' rates, Notices what else they have said of themselves.
+	Rates   *ratelimit.Book
+	Notices *notice.Board
+	Scope   tally.Scope
 }
 
 // Declared is what operators declare for an engine.
@@ -180,6 +182,7 @@
 		PrefillRate: s.cfg.PrefillRate, Policy: s.cfg.Policy,
 		Authority: func(now time.Time) (uint64, bool) { return s.cfg.Authority(name, now) },
 		Rate:      s.cfg.Rates.Word(clock.Now(), name, t.engine.Started),
+		Left:      s.cfg.Notices.Leaves(clock.Now(), notice.Endpoint{Name: name, Started: t.engine.Started}),
 	}
 	r := NewRunner(cfg)
 	o := &owned{runner: r, epoch: g.Epoch, terms: t}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -59,6 +59,10 @@
 	if rerr := r.held(q); rerr != nil {
 		return nil, rerr
 	}
+	if rerr := r.unwanted(to); rerr != nil {
+		q.tried(to.name, rerr.Code.String())
+		return nil, rerr
+	}
 	out, err := http.NewRequestWithContext(ctx, q.in.Method, "http://"+to.address.String(), nil)
 	if err != nil {
 		return nil, result.New(result.BadRequest, "%v", err)
@@ -78,7 +82,6 @@
 	a.Keyed, a.Customer = r.cfg.Catalog.Topology().Routes.Keyed(), q.customerName()
 	r.cfg.Wire.WriteAttempt(out.Header, a)
 	out.Body, out.ContentLength = unrepeatable{bytes.NewReader(q.body)}, int64(len(q.body))
-	r.tellSent(q, to)
 	q.arrivals++
 	q.endpoint, q.waited = to.name, clock.Since(q.came)
 	sent := httpx.TraceSent(out)
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -1,12 +1,20 @@
 package relay
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/notice"
+	"github.com/bellgap/bellgap/internal/result"
 )
 
+// allLeaveRetry is when callers may come back, at the soonest, that found all endpoints leaving: those that replace them are in discovery a second or two
+// after they have started. They come back spread over as long again.
+const allLeaveRetry = time.Second
+
 // life returns the life of the endpoint that a request is sent to.
 func (d destination) life() notice.Endpoint { return notice.Endpoint{Name: d.name, Started: d.started} }
 
@@ -32,12 +40,30 @@
 	r.cfg.Notices.Heard(clock.Now(), to.life(), w)
 }
 
-// tellSent tells of a request that is sent to an endpoint which has said that it wants none.
-func (r *Relay) tellSent(q *request, to destination) {
-	left, rest := r.cfg.Notices.Said(clock.Now(), to.life())
-	if left == 0 && rest == 0 {
-		return
+// unwanted returns why a request may not be sent to an endpoint by what that has said of itself, nil if it may. It is asked again right before each send:
+// what was chosen, or let in by an owner or a keeper, may have waited meanwhile.
+func (r *Relay) unwanted(to destination) *result.Error {
+	if !r.cfg.Notices.Leaves(clock.Now(), to.life()) {
+		return nil
 	}
-	r.cfg.Scope.Counter("sent_unwanted").Inc(1)
-	klog.V(1).InfoS("request sent to an endpoint that wants none", "request", q.head.ID, "endpoint", to.name, "said_ago", left, "rest_left", rest, "waited", clock.Since(q.came), "arrivals", q.arrivals)
+	r.cfg.Scope.Counter("kept_from_leaving").Inc(1)
+	return result.New(result.EndpointLeaving, "%s", to.name)
+}
+
+// allLeave reports whether a service has endpoints, all of which leave, by their own word or by discovery's.
+func (r *Relay) allLeave(service string) bool {
+	all := r.cfg.Catalog.Topology().Endpoints[service]
+	for _, e := range all {
+		if !e.Spec.Leaving {
+			return false
+		}
+	}
+	return len(all) > 0
+}
+
+// allLeaving refuses a request that only endpoints could take which leave: what ends at any moment is given no new work, and nothing is there to wait for.
+func allLeaving(service string) *result.Error {
+	rerr := result.New(result.EndpointLeaving, "%s", service)
+	rerr.RetryAfter = allLeaveRetry + rand.N(allLeaveRetry)
+	return rerr
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -120,6 +120,9 @@
 
 // noPlace refuses a request for which no endpoint has a place.
 func (r *Relay) noPlace(q *request, full shortest) *result.Error {
+	if r.allLeave(q.service) {
+		return allLeaving(q.service)
+	}
 	if full.count == 0 && q.limited.count > 0 {
 		return r.spreadReturn(q, result.New(result.RateLimited, "%s", q.service))
 	}
@@ -232,7 +235,7 @@
 // isFault reports whether a failure speaks against the endpoint.
 func isFault(rerr *result.Error) bool {
 	switch rerr.Code {
-	case result.CallerGone, result.NotHeld, result.Quarantined:
+	case result.CallerGone, result.NotHeld, result.Quarantined, result.EndpointLeaving:
 		return false
 	default:
 		return true
