What an engine says with its reports is heard: that it leaves, in the head or as its state

Callers saw the first request to an idle engine that leaves run there, and end with it. Cause: reports were read for what the engine holds and for its rate; the head's other words and the report's own state were passed over. Why it holds: the owner asks each second whatever else it does; its word goes the way of words heard with answers. A report of a former life, and 421, say nothing.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -43,6 +43,9 @@
 	HTTP *http.Client
 }
 
+// headers are those by which engines and services speak of themselves.
+var headers = notice.Headers{Rate: result.HeaderRate, Leaving: result.HeaderLeaving}
+
 // Client speaks to engines.
 type Client struct {
 	http *http.Client
@@ -96,9 +99,7 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSmallBody)).Decode(&r); err != nil {
 		return r, eris.Wrap(err, "engine: report")
 	}
-	if r.Rate, err = ratelimit.Named(resp.Header.Values(result.HeaderRate)); err != nil {
-		klog.V(1).InfoS("rate with a report ignored", "engine", from.Name, "err", err)
-	}
+	r.Notice = headers.Read(resp.StatusCode, resp.Header)
 	return r, nil
 }
 
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/bellgap/bellgap/internal/ratelimit"
+	"github.com/bellgap/bellgap/internal/notice"
 )
 
 // Action is what an order asks for.
@@ -67,10 +67,8 @@
 	// Steps counts engine steps and Filled the sequences in them, since the start.
 	Steps  int64 `json:"steps"`
 	Filled int64 `json:"filled"`
-	// Rate is what the engine names with the report as the requests a second that it takes; that it names none with a report says nothing.
-	Rate ratelimit.Word `json:"-"`
-	// Leaving says that the engine leaves.
-	Leaving bool `json:"-"`
+	// Notice is what the engine says of itself with the report, also with one that is refused; what it does not say says nothing.
+	Notice notice.Word `json:"-"`
 	// TakenAt is when the report was true, on the engine's clock.
 	TakenAt time.Time `json:"taken_at"`
 }
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -11,6 +11,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -99,6 +100,7 @@
 	defer tick.Stop()
 	for {
 		rep, err := r.cfg.Client.Report(ctx, r.target())
+		r.cfg.Notices.Heard(clock.Now(), notice.Endpoint{Name: r.cfg.Name, Started: r.cfg.Engine.Started}, rep.Notice)
 		if err != nil {
 			r.cfg.Scope.Counter("report_failures").Inc(1)
 			if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -12,13 +12,13 @@
 
 // report corrects the state: a new incarnation is empty, the first report shows what is loaded, later ones correct what steadily differs.
 func (r *Runner) report(now time.Time, rep engine.Report) []Action {
-	if rep.Rate.Limited {
+	if rate := rep.Notice.Rate; rate.Limited {
 		// As with answers: a life that is not known yet would go before all that they say of this one.
-		rep.Rate.Started = r.cfg.Engine.Started
-		r.state.HearRate(now, &rep.Rate)
+		rate.Started = r.cfg.Engine.Started
+		r.state.HearRate(now, &rate)
 	}
 	var out []Action
-	if rep.Leaving && !r.left {
+	if rep.Notice.Leaving && !r.left {
 		r.left = true
 		out = r.close(now)
 	}
@@ -31,7 +31,7 @@
 	}
 	if r.incarnation != "" {
 		klog.InfoS("engine restarted", "engine", r.cfg.Name)
-		r.left = rep.Leaving
+		r.left = rep.Notice.Leaving
 		out = append(out, r.close(now)...)
 		r.cfg.Scope.Counter("engine_restarts").Inc(1)
 		out = append(out, r.state.Restarted(now)...)
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -13,6 +13,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/loads"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -60,8 +61,10 @@
 	// Rate is what this box knows of the engine's rate, nil if that is nothing.
 	Rate *ratelimit.Word
 	// Left says that the engine has said it leaves.
-	Left  bool
-	Scope tally.Scope
+	Left bool
+	// Notices hears what the engine says of itself with its reports; nil where its owner alone has to know.
+	Notices *notice.Board
+	Scope   tally.Scope
 }
 
 // Runner carries out the decisions of one State. Its loop is the only user of the State.
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -183,6 +183,7 @@
 		Authority: func(now time.Time) (uint64, bool) { return s.cfg.Authority(name, now) },
 		Rate:      s.cfg.Rates.Word(clock.Now(), name, t.engine.Started),
 		Left:      s.cfg.Notices.Leaves(clock.Now(), notice.Endpoint{Name: name, Started: t.engine.Started}),
+		Notices:   s.cfg.Notices,
 	}
 	r := NewRunner(cfg)
 	o := &owned{runner: r, epoch: g.Epoch, terms: t}
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -19,6 +19,8 @@
 	HeaderRequest = "X-Request-Id"
 	// HeaderRate is how many requests a second an engine or a service takes from all boxes together; bellgap's own interface uses it.
 	HeaderRate = "Bellgap-Rate-Limit"
+	// HeaderLeaving is "1" where an engine or a service leaves: it gets no new work.
+	HeaderLeaving = "Bellgap-Leaving"
 )
 
 // Error is a result other than OK.
