A rest that an endpoint asks a box for is kept for all of its time

Callers saw refusals after vain arrivals, and late answers: endpoints that had turned a box's request away and named how long they want nothing got more of its requests. Cause: the time stands in the refusal's head, which nobody read; a refusal was a failure like others, whose weight halves every 2 s. Mended: the board that knows who leaves knows rests too, for this box alone as it was this box that was asked. Choices of engines and plain endpoints pass such an endpoint over, each send asks once more, whatever let the request in. Of several rests the latest end counts; a new life was not asked. After it one request at a time goes there until one is answered, or for a second without an answer. What nobody may take is refused at once as 3014, with a time to come back that is the shortest rest left and up to a second more, also where a first endpoint has just turned the request away. Why it holds: nothing is sent but through the one place that asks, and asking counts the one request that may go after a rest.

--- a/internal/notice/board.go
+++ b/internal/notice/board.go
@@ -23,6 +23,11 @@
 	ignoredEvery = 10 * time.Second
 	// keepLeft is how long it is remembered that an endpoint leaves: they end within a minute, but their entries may outlast them while the store is away.
 	keepLeft = time.Hour
+	// trialTime is how long a request to an endpoint whose rest is over may be without an answer before another one is sent: requests by the dozen have
+	// waited for that moment, and the first tells whether it takes more.
+	trialTime = time.Second
+	// keepTrial is how long after its rest an endpoint gets one request at a time, if none goes there: it says nothing while it gets nothing.
+	keepTrial = 30 * time.Second
 	// keepReused is how long it is where the next life cannot be told from this one: then one request finds out.
 	keepReused = 30 * time.Second
 )
@@ -83,13 +88,25 @@
 	return now.Sub(l.at) >= keep
 }
 
-// resting is that an endpoint wants nothing for a time.
+// resting is that an endpoint wants nothing from this box for a time. After that it is on trial: it gets one request at a time until one is answered.
 type resting struct {
 	started int64
-	at      time.Time
 	until   time.Time
+	// trial is until when a request that was sent after the rest is waited for.
+	trial time.Time
+}
+
+// wait returns how long nothing more is to be sent.
+func (r resting) wait(now time.Time) time.Duration {
+	if now.Before(r.until) {
+		return r.until.Sub(now)
+	}
+	return max(0, r.trial.Sub(now))
 }
 
+// over reports whether this is to be forgotten.
+func (r resting) over(now time.Time) bool { return now.Sub(r.until) >= keepTrial }
+
 // NewBoard returns an empty Board.
 func NewBoard(cfg BoardConfig) *Board {
 	return &Board{
@@ -110,8 +127,21 @@
 	if w.Leaving && b.hearLeaving(e, leaving{e.Started, e.Reused, now}, now) {
 		b.leaves(e, true)
 	}
-	if w.Rest > 0 {
+	switch {
+	case w.Rest > 0:
 		b.hearRest(now, e, w.Rest)
+	case b.any():
+		b.hearAnswer(now, e)
+	}
+}
+
+// hearAnswer takes in that an endpoint has answered without asking for rest: if its rest is over, so is its trial.
+func (b *Board) hearAnswer(now time.Time, e Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r, ok := b.rests[e.Name]; ok && !now.Before(r.until) && r.started <= e.Started {
+		delete(b.rests, e.Name)
+		b.counted()
 	}
 }
 
@@ -181,7 +211,7 @@
 	if !ok {
 		makeRoom(b.rests, func(r resting) time.Time { return r.until })
 	}
-	b.rests[e.Name] = resting{e.Started, now, until}
+	b.rests[e.Name] = resting{started: e.Started, until: until}
 	b.counted()
 	b.cfg.Scope.Counter("rests_asked").Inc(1)
 	b.lines.Info(now, "endpoint asks for rest", "endpoint", e.Name, "rest", rest)
@@ -217,7 +247,7 @@
 	return ok && l.started >= e.Started && !l.over(now)
 }
 
-// Rest returns for how long an endpoint still wants nothing from this box.
+// Rest returns for how long an endpoint is to get nothing more from this box: the rest that it has asked for, then what an answer is waited for.
 func (b *Board) Rest(now time.Time, e Endpoint) time.Duration {
 	if !b.any() {
 		return 0
@@ -228,7 +258,46 @@
 	if !ok || r.started < e.Started {
 		return 0
 	}
-	return max(0, r.until.Sub(now))
+	return r.wait(now)
+}
+
+// Enter asks whether a request may be sent to an endpoint now, and counts it as sent if so; else the wait is as Rest tells it.
+func (b *Board) Enter(now time.Time, e Endpoint) (wait time.Duration, ok bool) {
+	if !b.any() {
+		return 0, true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, rests := b.rests[e.Name]
+	if !rests || r.started < e.Started {
+		return 0, true
+	}
+	if wait = r.wait(now); wait > 0 {
+		return wait, false
+	}
+	r.trial = now.Add(trialTime)
+	b.rests[e.Name] = r
+	return 0, true
+}
+
+// Resting is an endpoint that wants nothing from this box, for a time.
+type Resting struct {
+	Endpoint string `json:"endpoint"`
+	// Left is how much of that time is left; none is left of one that is on trial.
+	Left time.Duration `json:"left"`
+}
+
+// Rests returns the endpoints that have asked this box for rest, by name.
+func (b *Board) Rests(now time.Time) []Resting {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.forget(now)
+	var all []Resting
+	for name, r := range b.rests {
+		all = append(all, Resting{name, max(0, r.until.Sub(now))})
+	}
+	slices.SortFunc(all, func(x, y Resting) int { return strings.Compare(x.Endpoint, y.Endpoint) })
+	return all
 }
 
 // Left returns the endpoints that leave, by name.
@@ -252,7 +321,7 @@
 		}
 	}
 	for name, r := range b.rests {
-		if !now.Before(r.until) {
+		if r.over(now) {
 			delete(b.rests, name)
 		}
 	}
--- a/internal/notice/board_test.go
+++ b/internal/notice/board_test.go
@@ -99,3 +99,47 @@
 		board.Heard(base, e, Word{})
 	}
 }
+
+func TestRestIsKeptForAllOfItsTime(t *testing.T) {
+	c := qt.New(t)
+	b := newBoard()
+	e := Endpoint{Name: "e", Started: 5}
+	at := func(s float64) time.Time { return base.Add(time.Duration(s * float64(time.Second))) }
+	b.Heard(base, e, Word{Rest: 3 * time.Second})
+	c.Check(b.Rest(at(1), e), qt.Equals, 2*time.Second)
+	b.Heard(at(1), e, Word{Rest: time.Second})
+	c.Check(b.Rest(at(1), e), qt.Equals, 2*time.Second, qt.Commentf("the latest end counts"))
+	b.Heard(at(1.5), e, Word{})
+	c.Check(b.Rest(at(1.5), e), qt.Equals, 1500*time.Millisecond, qt.Commentf("an answer to an earlier request ends no rest"))
+	b.Heard(at(2), e, Word{Rest: 1500 * time.Millisecond})
+	c.Check(b.Rest(at(2), e), qt.Equals, 1500*time.Millisecond, qt.Commentf("the latest end counts"))
+	wait, ok := b.Enter(at(3), e)
+	c.Check(ok, qt.IsFalse)
+	c.Check(wait, qt.Equals, 500*time.Millisecond)
+	c.Check(b.Rest(at(3), Endpoint{Name: "e", Started: 6}), qt.Equals, time.Duration(0), qt.Commentf("another life was not asked"))
+	c.Check(b.Rests(at(3)), qt.DeepEquals, []Resting{{"e", 500 * time.Millisecond}})
+}
+
+func TestAfterARestRequestsComeOneByOne(t *testing.T) {
+	c := qt.New(t)
+	b := newBoard()
+	e := Endpoint{Name: "e"}
+	enter := func(after time.Duration) bool {
+		_, ok := b.Enter(base.Add(after), e)
+		return ok
+	}
+	c.Check(enter(0), qt.IsTrue)
+	b.Heard(base, e, Word{Rest: time.Second})
+	c.Check(enter(time.Second), qt.IsTrue)
+	c.Check(enter(1100*time.Millisecond), qt.IsFalse, qt.Commentf("the first has no answer yet"))
+	c.Check(b.Rest(base.Add(1100*time.Millisecond), e), qt.Equals, trialTime-100*time.Millisecond)
+	c.Check(enter(time.Second+trialTime), qt.IsTrue, qt.Commentf("it is waited for no longer"))
+	b.Heard(base.Add(2100*time.Millisecond), e, Word{Rest: time.Second})
+	c.Check(enter(3*time.Second), qt.IsFalse, qt.Commentf("it asks for rest again"))
+	c.Check(enter(3200*time.Millisecond), qt.IsTrue)
+	b.Heard(base.Add(3300*time.Millisecond), e, Word{})
+	c.Check(enter(3300*time.Millisecond), qt.IsTrue)
+	c.Check(enter(3300*time.Millisecond), qt.IsTrue, qt.Commentf("it takes requests"))
+	b.Heard(base, e, Word{Rest: time.Second})
+	c.Check(b.Rests(base.Add(time.Second+keepTrial)), qt.HasLen, 0, qt.Commentf("forgotten"))
+}
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -48,7 +48,7 @@
 	var names []string
 	for _, e := range t.Endpoints[q.service] {
 		view, declared := t.Engines[e.Name]
-		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model {
+		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model || r.rests(e) {
 			continue
 		}
 		if r.rateUsedUp(q, e.Name) {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -94,8 +94,10 @@
 // More than the first few are only asked while all that have it near are too busy to start the request in time.
 func (r *Relay) chooseNow(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosen, *result.Error) {
 	candidates := r.candidates(q, ref, avoid)
-	if len(candidates) == 0 && r.allLeave(q.service) {
-		return nil, allLeaving(q.service)
+	if len(candidates) == 0 {
+		if rerr := r.nobodyWants(q); rerr != nil {
+			return nil, rerr
+		}
 	}
 	ask := r.ask(q, ref)
 	ask.Accept, ask.Near = shareOf(q.route.Objective, acceptShare), r.cfg.Policy.On(policy.Copies)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -48,6 +48,11 @@
 
 // serveModel answers a request from an engine that holds its adapter version.
 func (r *Relay) serveModel(ctx context.Context, out *output, q *request) *result.Error {
+	return r.notBeforeRest(q, r.tryEngines(ctx, out, q))
+}
+
+// tryEngines sends a request to one engine after the other until one has answered it.
+func (r *Relay) tryEngines(ctx context.Context, out *output, q *request) *result.Error {
 	avoid := map[string]bool{}
 	lastEvent := q.head.LastEvent
 	var last *result.Error
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -34,11 +34,11 @@
 	for q.maySend() {
 		again, rerr := r.tryPlain(ctx, out, q, tried, last)
 		if !again {
-			return rerr
+			return r.notBeforeRest(q, rerr)
 		}
 		last = rerr
 	}
-	return last
+	return r.notBeforeRest(q, last)
 }
 
 // tryPlain tries one endpoint, after another has failed with last. It reports whether a further one may be tried.
@@ -120,8 +120,8 @@
 
 // noPlace refuses a request for which no endpoint has a place.
 func (r *Relay) noPlace(q *request, full shortest) *result.Error {
-	if r.allLeave(q.service) {
-		return allLeaving(q.service)
+	if rerr := r.nobodyWants(q); rerr != nil {
+		return rerr
 	}
 	if full.count == 0 && q.limited.count > 0 {
 		return r.spreadReturn(q, result.New(result.RateLimited, "%s", q.service))
@@ -171,7 +171,7 @@
 	together := r.together(q)
 	var all []scored
 	for _, e := range r.cfg.Catalog.Topology().Endpoints[q.service] {
-		if e.Spec.Leaving || tried[e.Name] {
+		if e.Spec.Leaving || tried[e.Name] || r.rests(e) {
 			continue
 		}
 		if e.Name == together {
@@ -235,7 +235,7 @@
 // isFault reports whether a failure speaks against the endpoint.
 func isFault(rerr *result.Error) bool {
 	switch rerr.Code {
-	case result.CallerGone, result.NotHeld, result.Quarantined, result.EndpointLeaving:
+	case result.CallerGone, result.NotHeld, result.Quarantined, result.EndpointLeaving, result.EndpointResting:
 		return false
 	default:
 		return true
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -39,7 +39,8 @@
 	QuotaSpent     Code = 3011
 	Quarantined    Code = 3012
 	RateLimited    Code = 3013
-	// EndpointLeaving is the code next to that of endpoints that rest.
+
+	EndpointResting Code = 3014
 	EndpointLeaving Code = 3015
 
 	BackendUnreachable Code = 4001
@@ -135,6 +136,7 @@
 	{QuotaSpent, "quota_spent", http.StatusTooManyRequests, RanNo, time.Second, "the customer's quota is used up"},
 	{Quarantined, "quarantined", http.StatusServiceUnavailable, RanNo, time.Minute, "endpoints ended under this request; it is held and reaches no more of them"},
 	{RateLimited, "rate_limited", http.StatusServiceUnavailable, RanNo, time.Second, "the endpoints that could take the request have said how many a second they take, and get as many"},
+	{EndpointResting, "endpoint_resting", http.StatusServiceUnavailable, RanNo, time.Second, "the endpoints that could take the request have turned requests of this box away and asked it for rest"},
 	{EndpointLeaving, "endpoint_leaving", http.StatusServiceUnavailable, RanNo, time.Second, "the endpoints that could take the request have said that they leave"},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, RanNo, time.Second, "this box has no configuration yet"},
 
