--- a/internal/box/quarantine_test.go
+++ b/internal/box/quarantine_test.go
@@ -55,9 +55,12 @@
 		r.Body = io.NopCloser(bytes.NewReader(content))
 		e.handler.ServeHTTP(w, r)
 	})
+	if !e.address.IsValid() {
+		// Requests come from the start on, and end it.
+		e.address = netip.MustParseAddrPort(l.Addr().String())
+	}
 	s.Start()
 	e.c.Cleanup(s.CloseClientConnections)
-	e.address = netip.MustParseAddrPort(l.Addr().String())
 }
 
 // end ends the process, which comes back after a while.
