Engines and services of the own interface say that they leave, and ask for rest

Callers of bellgap's own interface saw what those on routes did: engines and addresses of services that end, or turn requests away, had no way to say so that was heard. Cause: the same class; the interface had no such words but Retry-After, which nobody read. Mended: Bellgap-Leaving and Retry-After, on all answers and reports. An engine's owner is the one box that sends there, so that it closes the engine by its word until that starts anew, and keeps its rests. Addresses of services are called by all boxes: the word that one leaves is told to all, and asked again after 30 s, as nothing tells the lives of an address apart; a rest binds the box that was told. An engine's refusal has a type of its own (busy). A service's Retry-After is passed on to callers. Why it holds: it is the board that routes use, asked before a choice and once more before each send.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -27,6 +27,7 @@
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/metric"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -72,9 +73,12 @@
 	quarantine *quarantine.Client
 	// keeper counts the calls of the services' addresses that are this box's to count, places takes places of all; rates is what engines and services
 	// say of how many requests a second they take.
-	keeper    *places.Keeper
-	places    *places.Client
-	rates     *ratelimit.Book
+	keeper *places.Keeper
+	places *places.Client
+	rates  *ratelimit.Book
+	// notices is what else they have said of themselves, teller tells other boxes.
+	notices   *notice.Board
+	teller    *notice.Client
 	listeners listeners
 }
 
@@ -103,6 +107,12 @@
 	})
 	b.quarantine = newQuarantine(cfg.Settings, b.catalog, b.metrics.Scope)
 	b.rates = ratelimit.NewBook(ratelimit.BookConfig{Boxes: func() int { return len(b.catalog.Topology().Boxes) }, Scope: b.metrics.Scope})
+	b.notices = notice.NewBoard(notice.BoardConfig{Scope: b.metrics.Scope, Leaves: func(e notice.Endpoint, heard bool) {
+		if heard {
+			b.teller.Leaves(e)
+		}
+	}})
+	b.teller = newTeller(tellerConfig{Board: b.notices, Catalog: b.catalog, Box: cfg.Settings.Box.Name, Scope: b.metrics.Scope})
 	b.keeper = places.NewKeeper(mathrand.Uint64())
 	b.places = places.NewClient(places.ClientConfig{
 		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
@@ -245,7 +255,7 @@
 			BodyBytes: s.Request.BodyBytes, BodyTime: s.Request.BodyTime, DefaultWait: s.Request.DefaultWait,
 			Longest: s.Request.Longest, LocateKeep: s.Request.LocateKeep,
 		},
-		Ready: b.feed.IsReady, Leaving: func() bool { return b.node.Leaving() }, Quarantine: b.quarantine, Places: b.places, Rates: b.rates,
+		Ready: b.feed.IsReady, Leaving: func() bool { return b.node.Leaving() }, Quarantine: b.quarantine, Places: b.places, Rates: b.rates, Notices: b.notices,
 	})
 }
 
@@ -258,6 +268,7 @@
 		Catalog: b.catalog, Beat: b.node.Receive, Batch: b.node.HandleBatch, Permits: b.scheduler, Schedules: b.schedules, NewID: rand.Text,
 	}).Register(peerMux)
 	b.gateway.RegisterPeer(peerMux)
+	notice.NewServer(notice.ServerConfig{Board: b.notices}).Register(peerMux)
 	quarantine.NewServer(quarantine.ServerConfig{Client: b.quarantine}).Register(peerMux)
 	places.NewServer(places.ServerConfig{Keeper: b.keeper, Rates: b.rates}).Register(peerMux)
 	op := operator.New(operator.Config{
@@ -271,6 +282,7 @@
 	b.root.Add(b.feed)
 	b.root.Add(b.quarantine)
 	b.root.Add(b.places)
+	b.root.Add(b.teller)
 	b.root.Add(repair.New(repair.Config{API: api, Catalog: b.catalog, Active: b.schedules, Scope: b.metrics.Scope}))
 	b.root.Add(afterReady{b.feed.Ready(), b.node})
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -90,7 +90,7 @@
 		printEngines(w, t)
 	}
 	for _, e := range st.Engines {
-		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\trate_refused=%d\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, e.RateRefused, strings.Join(e.Loaded, " "))
+		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\tleft=%t\trate_refused=%d\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, e.Left, e.RateRefused, strings.Join(e.Loaded, " "))
 	}
 	return w.Flush()
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,7 +13,6 @@
 
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/notice"
-	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -43,8 +42,8 @@
 	HTTP *http.Client
 }
 
-// headers are those by which engines and services speak of themselves.
-var headers = notice.Headers{Rate: result.HeaderRate, Leaving: result.HeaderLeaving}
+// Headers are those by which engines and services speak of themselves on bellgap's own interface.
+var Headers = notice.Headers{Rate: result.HeaderRate, Leaving: result.HeaderLeaving}
 
 // Client speaks to engines.
 type Client struct {
@@ -99,7 +98,7 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxSmallBody)).Decode(&r); err != nil {
 		return r, eris.Wrap(err, "engine: report")
 	}
-	r.Notice = headers.Read(resp.StatusCode, resp.Header)
+	r.Notice = Headers.Read(resp.StatusCode, resp.Header)
 	return r, nil
 }
 
@@ -113,8 +112,8 @@
 	RunID   string
 	Urgency string
 	Body    []byte
-	// Rate, if set, is called with what the head of an answer says of the requests a second that the engine takes, or why that cannot be understood.
-	Rate func(ratelimit.Word, error)
+	// Notice, if set, is called with what the head of an answer says of the engine.
+	Notice func(notice.Word)
 }
 
 // Run sends a call and returns the answer once its status is known. The error is a *result.Error that says whether it ran.
@@ -132,21 +131,17 @@
 	if err != nil {
 		return nil, callError(ctx, sent.Started(), err)
 	}
-	call.hearRate(resp.Header)
+	word := Headers.Read(resp.StatusCode, resp.Header)
+	if call.Notice != nil {
+		call.Notice(word)
+	}
 	if resp.StatusCode != http.StatusOK {
 		defer httpx.Drain(resp.Body)
-		return nil, statusError(resp)
+		return nil, statusError(resp, word)
 	}
 	return NewAnswer(resp, call.Ref, call.RunID), nil
 }
 
-// hearRate passes on what the head of an answer says of the engine's rate.
-func (c *Call) hearRate(h http.Header) {
-	if c.Rate != nil {
-		c.Rate(ratelimit.Named(h.Values(result.HeaderRate)))
-	}
-}
-
 func callError(ctx context.Context, started bool, err error) *result.Error {
 	switch {
 	case !started:
@@ -159,11 +154,15 @@
 }
 
 // statusError reads an answer other than 200: a refusal of a known type did not run, anything else may have.
-func statusError(resp *http.Response) *result.Error {
+func statusError(resp *http.Response, word notice.Word) *result.Error {
 	r := refusal(resp.Body)
 	switch r.Error.Type {
 	case RefusalNotLoaded, RefusalNoSlot:
 		return result.New(result.BackendRefused, "%s: %s", r.Error.Type, r.Error.Message)
+	case RefusalBusy:
+		rerr := result.New(result.EndpointResting, "%s", r.Error.Message)
+		rerr.RetryAfter = word.Rest
+		return rerr
 	case RefusalBadRequest:
 		return result.New(result.BadRequest, "%s", r.Error.Message)
 	default:
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -87,7 +87,9 @@
 	RefusalStaleEpoch = "stale_epoch"
 	RefusalLoadFailed = "load_failed"
 	// RefusalNotThere says that what the order is for is not at the engine, or that the engine is another one by now.
-	RefusalNotThere   = "not_there"
-	RefusalNoSlot     = "no_slot"
+	RefusalNotThere = "not_there"
+	RefusalNoSlot   = "no_slot"
+	// RefusalBusy says that the engine turns requests away; the head of the answer may say for how long.
+	RefusalBusy       = "busy"
 	RefusalBadRequest = "bad_request"
 )
--- a/internal/fakeengine/engine.go
+++ b/internal/fakeengine/engine.go
@@ -27,6 +27,10 @@
 	WrongAnswers int `json:"wrong_answers"`
 	// Rate, if set, is named in all answers as the requests a second that the engine takes from all boxes.
 	Rate string `json:"rate"`
+	// Leaving says in all answers that the engine leaves, until it starts again.
+	Leaving bool `json:"leaving"`
+	// Rest, if set, turns all requests away and names as many seconds of rest.
+	Rest string `json:"rest"`
 }
 
 // Config configures an Engine.
@@ -97,6 +101,7 @@
 	e.loaded, e.loading = map[string]int{}, map[string]bool{}
 	e.batch = make(chan struct{}, e.cfg.Batch)
 	e.epoch = 0
+	e.faults.Leaving = false
 }
 
 // SetFaults replaces the faults.
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -50,7 +50,11 @@
 	mux.HandleFunc("POST /v1/chat/completions", e.handleRun)
 	mux.HandleFunc("POST /v1/completions", e.handleRun)
 	mux.HandleFunc("POST /orders", e.handleOrder)
-	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) { httpx.WriteJSON(w, http.StatusOK, e.Report()) })
+	mux.HandleFunc("GET /report", func(w http.ResponseWriter, _ *http.Request) {
+		// A rest is for requests: reports and orders are no work of the kind that it turns away.
+		_ = e.say(w.Header())
+		httpx.WriteJSON(w, http.StatusOK, e.Report())
+	})
 	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { httpx.WriteJSON(w, http.StatusOK, e.History()) })
 	mux.HandleFunc("POST /restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
 	mux.HandleFunc("POST /faults", e.handleFaults)
@@ -80,8 +84,10 @@
 }
 
 func (e *Engine) handleRun(w http.ResponseWriter, r *http.Request) {
-	if rate := e.rate(); rate != "" {
-		w.Header().Set(result.HeaderRate, rate)
+	if rest := e.say(w.Header()); rest != "" {
+		w.Header().Set("Retry-After", rest)
+		refuseWith(w, http.StatusServiceUnavailable, refused{engine.RefusalBusy, "the engine rests"})
+		return
 	}
 	var q request
 	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
@@ -107,21 +113,29 @@
 	a.end()
 }
 
-// rate returns what the engine names, empty if it names none.
-func (e *Engine) rate() string {
+// say says in the head of an answer what the engine says of itself. It returns the seconds of rest to ask for, empty if requests are taken.
+func (e *Engine) say(h http.Header) string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.faults.Rate
+	if e.faults.Rate != "" {
+		h.Set(result.HeaderRate, e.faults.Rate)
+	}
+	if e.faults.Leaving {
+		h.Set(result.HeaderLeaving, "1")
+	}
+	return e.faults.Rest
 }
 
-func refuse(w http.ResponseWriter, err error) {
+func refuse(w http.ResponseWriter, err error) { refuseWith(w, http.StatusConflict, err) }
+
+func refuseWith(w http.ResponseWriter, status int, err error) {
 	var r refused
 	if !errors.As(err, &r) {
 		panic(http.ErrAbortHandler)
 	}
 	var body engine.Refusal
 	body.Error.Type, body.Error.Message = r.kind, r.text
-	httpx.WriteJSON(w, http.StatusConflict, body)
+	httpx.WriteJSON(w, status, body)
 }
 
 // answerWriter writes one answer, as a stream or whole.
--- a/internal/fakeservice/service.go
+++ b/internal/fakeservice/service.go
@@ -19,6 +19,10 @@
 	Refuse int
 	// Rate, if set, is named in all answers as the calls a second that the service takes from all boxes.
 	Rate string
+	// Leaving says in all answers that the service leaves.
+	Leaving bool
+	// Rest, if set, turns all calls away and names as many seconds of rest.
+	Rest string
 }
 
 // Reply is what the service answers.
@@ -62,8 +66,10 @@
 }
 
 func (s *Service) handle(w http.ResponseWriter, r *http.Request) {
-	if rate := s.rate(); rate != "" {
-		w.Header().Set(result.HeaderRate, rate)
+	if rest := s.say(w.Header()); rest != "" {
+		w.Header().Set("Retry-After", rest)
+		http.Error(w, "resting", http.StatusServiceUnavailable)
+		return
 	}
 	if s.refuses() {
 		http.Error(w, "busy", http.StatusServiceUnavailable)
@@ -80,11 +86,17 @@
 	httpx.WriteJSON(w, http.StatusOK, Reply{Service: s.name, RequestID: id, Bytes: n})
 }
 
-// rate returns what the service names, empty if it names none.
-func (s *Service) rate() string {
+// say says in the head of an answer what the service says of itself. It returns the seconds of rest to ask for, empty if calls are taken.
+func (s *Service) say(h http.Header) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults.Rate
+	if s.faults.Rate != "" {
+		h.Set(result.HeaderRate, s.faults.Rate)
+	}
+	if s.faults.Leaving {
+		h.Set(result.HeaderLeaving, "1")
+	}
+	return s.faults.Rest
 }
 
 func (s *Service) refuses() bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -8,9 +8,9 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/quarantine"
-	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -72,13 +72,14 @@
 	mayHaveRun := false
 	candidates := g.candidates(j.ref, j.baseModel)
 	var limited []string
+	var sum wanted
 	for i := 0; i < len(candidates); i++ {
 		e := candidates[i]
 		if rerr := g.cfg.Quarantine.Refusal(j.suspect.Fingerprint); rerr != nil {
 			return nil, rerr.After(mayHaveRun)
 		}
 		// Being sent on by an engine that would be slower is routing, not a retry.
-		if i > 0 && last.Code != result.TryNext && last.Code != result.RateLimited && !g.retries.spend() {
+		if i > 0 && last.Code != result.TryNext && !leftOut(last) && !g.retries.spend() {
 			g.cfg.Scope.Counter("retries_over_budget").Inc(1)
 			break
 		}
@@ -91,10 +92,13 @@
 		j.told.Tried(record.Try{Engine: e.Name, Box: e.Owner.Box, Result: err.Code.String(), Detail: err.Detail})
 		mayHaveRun = mayHaveRun || err.Code.Info().Ran != result.RanNo
 		last = err.After(mayHaveRun)
+		sum.add(err)
 		if err.Code == result.RateLimited {
-			// One that is left out for its rate is not one of the few that are asked.
 			limited = append(limited, e.Name)
-			if more, ok := g.next(j.ref, j.baseModel, len(candidates)); ok && len(limited) <= maxFurther {
+		}
+		if leftOut(err) {
+			// One that is left out for what it says of itself is not one of the few that are asked.
+			if more, ok := g.next(j.ref, j.baseModel, len(candidates)); ok && sum.leftOut <= maxFurther {
 				candidates = append(candidates, more)
 			}
 		}
@@ -106,13 +110,13 @@
 	if last.Code == result.RateLimited {
 		last.RetryAfter = g.cfg.Rates.ComeBack(clock.Now(), j.baseModel, func() []string { return limited }, last.RetryAfter)
 	}
-	return nil, last
+	return nil, sum.last(last)
 }
 
 // tryElsewhere says whether another engine may be asked after err.
 func tryElsewhere(err *result.Error, repeatable bool) bool {
 	switch err.Code {
-	case result.NotOwner, result.TryNext, result.QueueFull, result.RateLimited, result.LoadFailed, result.LoadBudget, result.Leaving,
+	case result.NotOwner, result.TryNext, result.QueueFull, result.RateLimited, result.EndpointResting, result.EndpointLeaving, result.LoadFailed, result.LoadBudget, result.Leaving,
 		result.BackendRefused, result.BackendUnreachable, result.NotReady:
 		return true
 	case result.AnswerLost, result.StreamCut, result.WrongAnswer:
@@ -124,7 +128,7 @@
 
 func (g *Gateway) try(ctx context.Context, j *job, e catalog.EngineView) (*attempt, *result.Error) {
 	if r, ok := g.cfg.Owners.Get(e.Name); ok {
-		return g.tryLocal(ctx, j, r)
+		return g.tryLocal(ctx, j, e.Name, r)
 	}
 	if e.Owner.Box == g.cfg.Box {
 		return nil, result.New(result.NotOwner, "%s is being handed over", e.Name)
@@ -133,7 +137,10 @@
 }
 
 // tryLocal runs the job on an engine that this box owns.
-func (g *Gateway) tryLocal(ctx context.Context, j *job, r *owner.Runner) (*attempt, *result.Error) {
+func (g *Gateway) tryLocal(ctx context.Context, j *job, engine string, r *owner.Runner) (*attempt, *result.Error) {
+	if rerr := g.restOf(engine); rerr != nil {
+		return nil, rerr
+	}
 	var last *result.Error
 	for range localTries {
 		grant, err := r.Acquire(ctx, j.ask())
@@ -164,12 +171,16 @@
 		grant.Release(owner.EndWhole)
 		return nil, rerr
 	}
+	if rerr := g.unwanted(grant); rerr != nil {
+		grant.Release(owner.EndWhole)
+		return nil, rerr
+	}
 	settle := func(rerr *result.Error) {
 		g.cfg.Quarantine.Settle(ctx, j.suspect, quarantine.Endpoint{Name: grant.Name, Address: grant.Engine.Address, Started: grant.Engine.Started}, rerr)
 	}
 	answer, err := g.cfg.Engines.Run(ctx, engine.Call{
 		Address: grant.Engine.Address, Path: j.path, Ref: j.ref, RunID: j.runID, Urgency: strconv.Itoa(j.urgency), Body: j.body,
-		Rate: func(w ratelimit.Word, err error) { g.hearRate(grant, w, err) },
+		Notice: func(w notice.Word) { g.hear(grant, w) },
 	})
 	if err != nil {
 		rerr := result.From(err, result.AnswerLost)
@@ -180,18 +191,6 @@
 	return &attempt{answer: answer, engine: grant.Name, box: g.cfg.Box, stalled: grant.Stalled, end: grant.Release, settle: settle}, nil
 }
 
-// hearRate takes in what an engine's answer says of its rate.
-func (g *Gateway) hearRate(grant *owner.Grant, w ratelimit.Word, err error) {
-	if err != nil {
-		g.cfg.Rates.Ignored(clock.Now(), grant.Name, err)
-		return
-	}
-	w.Started = grant.Engine.Started
-	if g.cfg.Rates.Heard(clock.Now(), grant.Name, w) {
-		grant.HearRate(w)
-	}
-}
-
 // endOf says what an error means for the engine's adapter.
 func endOf(err *result.Error) owner.End {
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/quarantine"
@@ -53,6 +54,8 @@
 	// Places counts the calls of all boxes at the addresses of services, Rates is what engines and services say of how many requests a second they take.
 	Places *places.Client
 	Rates  *ratelimit.Book
+	// Notices is what else they have said of themselves.
+	Notices *notice.Board
 	// Record keeps what was decided, for operators.
 	Record *record.Log
 	// Ready and Leaving tell the state of this box.
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -163,6 +163,10 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), g.cfg.Limits.Longest)
 	defer cancel()
+	if rerr := g.restOf(runner.Name()); rerr != nil {
+		rerr.Write(w, j.requestID)
+		return
+	}
 	granted, rerr := grant.AcquireAlive(ctx, w, runner, j.ask(), aliveEvery)
 	grant.TellRate(w.Header(), runner.Rate())
 	if rerr != nil {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -16,7 +16,6 @@
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/quarantine"
-	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -131,6 +130,7 @@
 	var to quarantine.Endpoint
 	mayHaveRun := false
 	tries, soonest := 0, time.Duration(math.MaxInt64)
+	var sum wanted
 	for _, name := range placement.Rank(c.runID, names) {
 		if tries == maxServiceTries {
 			break
@@ -138,15 +138,25 @@
 		if rerr := g.cfg.Quarantine.Refusal(c.suspect.Fingerprint); rerr != nil {
 			return nil, to, rerr.After(mayHaveRun)
 		}
+		if rerr := g.unwantedAt(name); rerr != nil {
+			sum.add(rerr)
+			continue
+		}
 		place, refusal := g.cfg.Places.Take(ctx, places.Ask{Endpoint: name, Slots: places.AnySlots, Hold: time.Duration(s.Timeout)})
 		if place == nil {
 			soonest = min(soonest, refusal.Wait)
+			sum.add(result.New(result.RateLimited, "%s", name))
 			continue
 		}
 		if tries > 0 && !g.retries.spend() {
 			place.End(0)
 			break
 		}
+		if rerr := g.enterAddress(name); rerr != nil {
+			place.End(0)
+			sum.add(rerr)
+			continue
+		}
 		tries++
 		to = quarantine.Endpoint{Name: name, Address: byName[name]}
 		resp, rerr := g.callOnce(ctx, c, to.Address)
@@ -162,10 +172,13 @@
 		}
 		g.cfg.Scope.Tagged(map[string]string{"reason": rerr.Code.String()}).Counter("retries").Inc(1)
 	}
-	if tries == 0 {
+	if tries == 0 && soonest < math.MaxInt64 {
 		last = result.New(result.RateLimited, "%s", c.service)
 		last.RetryAfter = g.cfg.Rates.ComeBack(clock.Now(), c.service, func() []string { return names }, soonest)
 	}
+	if tries == 0 {
+		last = sum.last(last)
+	}
 	return nil, to, last
 }
 
@@ -184,7 +197,7 @@
 	resp, err := client.Do(sent.Request)
 	switch {
 	case err == nil:
-		g.hearServiceRate(a, resp.Header)
+		g.hearService(a, resp)
 		return resp, nil
 	case !sent.Started():
 		return nil, result.New(result.BackendUnreachable, "%v", err)
@@ -193,16 +206,6 @@
 	}
 }
 
-// hearServiceRate takes in what the head of a service's answer says of the calls a second that the address takes.
-func (g *Gateway) hearServiceRate(a netip.AddrPort, h http.Header) {
-	w, err := ratelimit.Named(h.Values(result.HeaderRate))
-	if err != nil {
-		g.cfg.Rates.Ignored(clock.Now(), a.String(), err)
-		return
-	}
-	g.cfg.Rates.Heard(clock.Now(), a.String(), w)
-}
-
 // passAnswer copies a service's answer to the caller.
 func (g *Gateway) passAnswer(w http.ResponseWriter, resp *http.Response, requestID string) *result.Error {
 	defer httpx.Drain(resp.Body)
@@ -211,6 +214,9 @@
 	h.Set(result.HeaderRequest, requestID)
 	h.Set(result.HeaderBox, g.cfg.Box)
 	h.Set(result.HeaderCode, strconv.Itoa(int(result.OK)))
+	if rest := resp.Header.Get(headerRetryAfter); rest != "" {
+		h.Set(headerRetryAfter, rest)
+	}
 	if resp.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -77,8 +77,9 @@
 	inFlight atomic.Int64
 	stopped  atomic.Bool
 	ordering atomic.Int64
-	// rate is what the engine names, as of the last event.
-	rate atomic.Pointer[ratelimit.Word]
+	// rate is what the engine names, hasLeft whether it has said that it leaves, as of the last event.
+	rate    atomic.Pointer[ratelimit.Word]
+	hasLeft atomic.Bool
 
 	// The fields below belong to the loop.
 	state       *State
@@ -110,6 +111,8 @@
 	Loaded   []string `json:"loaded"`
 	// Frozen says that orders are withheld for want of authority.
 	Frozen bool `json:"frozen,omitempty"`
+	// Left says that the engine has said it leaves.
+	Left bool `json:"left,omitempty"`
 	// RateRefused is how many requests were kept from the engine for the rate that it names, since it names one.
 	RateRefused int `json:"rate_refused,omitempty"`
 }
@@ -134,6 +137,9 @@
 	return r
 }
 
+// Name returns the engine's name.
+func (r *Runner) Name() string { return r.cfg.Name }
+
 // Done is closed when Serve has ended.
 func (r *Runner) Done() <-chan struct{} { return r.done }
 
@@ -174,6 +180,9 @@
 // HearLeft takes in that the engine has said it leaves: it gets no more orders and requests until it starts again.
 func (r *Runner) HearLeft() { r.post(leftHeard{}) }
 
+// Left reports whether the engine has said that it leaves.
+func (r *Runner) Left() bool { return r.hasLeft.Load() }
+
 // Close sends what waits to other engines while the engine's box is leaving.
 func (r *Runner) Close(closed bool) { r.post(closing{closed}) }
 
@@ -215,6 +224,12 @@
 // HearRate takes in what the engine's answer says of its rate.
 func (g *Grant) HearRate(w ratelimit.Word) { g.runner.HearRate(w) }
 
+// HearLeft takes in that the engine's answer says it leaves.
+func (g *Grant) HearLeft() { g.runner.HearLeft() }
+
+// Left reports whether the engine has said meanwhile that it leaves.
+func (g *Grant) Left() bool { return g.runner.Left() }
+
 // Release ends the request. Call it once.
 func (g *Grant) Release(end End) { g.runner.post(ended{g.id, end}) }
 
@@ -300,6 +315,7 @@
 			actions := r.take(now, e)
 			r.inFlight.Store(int64(r.state.InFlight()))
 			r.rate.Store(r.state.Rate(now))
+			r.hasLeft.Store(r.left)
 			r.carryOut(ctx, actions)
 		case <-tick.C:
 			r.carryOut(ctx, r.state.Tick(clock.Now()))
@@ -316,6 +332,11 @@
 func (r *Runner) take(now time.Time, e event) []Action {
 	switch e := e.(type) {
 	case submitted:
+		if r.left {
+			// Said for itself: what waits for another owner or engine would look for as long here in vain.
+			e.reply <- verdict{err: result.New(result.EndpointLeaving, "%s", r.cfg.Name)}
+			return nil
+		}
 		e.ticket.Lone = r.lone(now)
 		r.replies[e.ticket.ID] = e.reply
 		return append(r.wanted(now, e.ticket), r.state.Submit(now, e.ticket)...)
@@ -429,7 +450,7 @@
 
 func (r *Runner) show() {
 	_, ok := r.cfg.Authority(clock.Now())
-	st := Status{Engine: r.cfg.Name, InFlight: r.state.InFlight(), Waiting: r.state.Waiting(), Loaded: r.state.LoadedNames(), Frozen: !ok, RateRefused: r.state.rate.Refused()}
+	st := Status{Engine: r.cfg.Name, InFlight: r.state.InFlight(), Waiting: r.state.Waiting(), Loaded: r.state.LoadedNames(), Frozen: !ok, Left: r.left, RateRefused: r.state.rate.Refused()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.status = st
