Only an endpoint's own answer names its rate

Found by going through whose word an answer is: a rate in a surplus answer, in 421 of whoever listens at a reused address, or of what stands in between was taken for the endpoint's, and zero kept all requests but one in 5 s away until it answered one without. Cause: rates were heard before it was known whose answer it is. Mended: one place hears the head of an answer and asks first whether it is the endpoint's own; rates, leaving and rest alike.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -99,8 +99,7 @@
 	q.first = clock.Since(q.came)
 	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
 	rerr := checkAnswer(q, resp.StatusCode, head)
-	r.hearRate(to, head, rerr == nil)
-	r.hear(q, to, head)
+	r.hear(q, to, head, rerr == nil)
 	if rerr != nil {
 		q.tried(to.name, rerr.Code.String()+":"+rerr.Detail)
 		// Closing without reading ends the connection, so that nothing of it is taken for another answer.
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -32,16 +32,18 @@
 }
 
 // hear takes in what the head of an answer says of its endpoint.
-func (r *Relay) hear(q *request, to destination, head AnswerHead) {
+func (r *Relay) hear(q *request, to destination, head AnswerHead, sound bool) {
 	w := head.Notice
-	if !isOwn(q, to, head) {
-		if w.Leaving || w.Rest > 0 {
-			r.cfg.Scope.Counter("notices_of_others").Inc(1)
-			klog.InfoS("word of an answer that is not the endpoint's", "endpoint", to.name, "asked_as", q.head.ID, "answered_as", head.ID, "instance", head.Instance, "leaving", w.Leaving, "rest", w.Rest)
-		}
+	if isOwn(q, to, head) {
+		r.hearRate(to, w, sound)
+		r.cfg.Notices.Heard(clock.Now(), to.life(), w)
 		return
 	}
-	r.cfg.Notices.Heard(clock.Now(), to.life(), w)
+	if w.Leaving || w.Rest > 0 || w.Rate.Limited {
+		r.cfg.Scope.Counter("notices_of_others").Inc(1)
+		klog.V(1).InfoS("word of an answer that is not the endpoint's", "endpoint", to.name, "asked_as", q.head.ID, "answered_as", head.ID, "instance", head.Instance,
+			"leaving", w.Leaving, "rest", w.Rest, "rate", w.Rate.Rate)
+	}
 }
 
 // unwanted returns why a request may not be sent to an endpoint by what that has said of itself, nil if it may. It is asked again right before each send:
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -2,8 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/notice"
+	"github.com/bellgap/bellgap/internal/ratelimit"
 )
 
 // TestWhoseWord: an endpoint is left alone for good for what it says; so nothing else is taken for its word.
@@ -30,3 +36,17 @@
 		})
 	}
 }
+
+// TestWordOfOthersChangesNothing: whatever an answer says that is not the endpoint's own, of its rate as of the rest.
+func TestWordOfOthersChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	rates := ratelimit.NewBook(ratelimit.BookConfig{Boxes: func() int { return 1 }, Scope: tally.NoopScope})
+	board := notice.NewBoard(notice.BoardConfig{Scope: tally.NoopScope})
+	r := New(Config{Rates: rates, Notices: board, Scope: tally.NoopScope})
+	word := notice.Word{Rate: ratelimit.Word{Limited: true}, Leaving: true, Rest: time.Minute}
+	r.hear(&request{head: Head{ID: "r1"}}, destination{name: "i-1"}, AnswerHead{ID: "r0", Notice: word}, false)
+	r.hear(&request{head: Head{ID: "r1"}}, destination{name: "i-1"}, AnswerHead{ID: "r1", Elsewhere: true, Notice: word}, false)
+	c.Check(rates.Limits(clock.Now()), qt.HasLen, 0)
+	c.Check(board.Left(clock.Now()), qt.HasLen, 0)
+	c.Check(board.Rests(clock.Now()), qt.HasLen, 0)
+}
--- a/internal/relay/rates.go
+++ b/internal/relay/rates.go
@@ -4,24 +4,23 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
-// hearRate takes in what the head of an answer says of its endpoint's rate. A rate is believed whatever the answer is; that there is none any more
-// only if it is sound, as what stands in for an answer may lack any header.
-func (r *Relay) hearRate(to destination, head AnswerHead, sound bool) {
-	if head.Notice.RateErr != nil {
-		r.cfg.Rates.Ignored(clock.Now(), to.name, head.Notice.RateErr)
+// hearRate takes in what an endpoint says of its rate. That there is none any more is believed of a sound answer alone, as others may lack any header.
+func (r *Relay) hearRate(to destination, w notice.Word, sound bool) {
+	if w.RateErr != nil {
+		r.cfg.Rates.Ignored(clock.Now(), to.name, w.RateErr)
 		return
 	}
-	word := head.Notice.Rate
-	if !word.Limited && (!sound || !r.cfg.Rates.Any()) {
+	if !w.Rate.Limited && (!sound || !r.cfg.Rates.Any()) {
 		return
 	}
-	word.Started = to.started
-	if r.cfg.Rates.Heard(clock.Now(), to.name, word) {
-		r.tellOwner(to.name, word)
+	w.Rate.Started = to.started
+	if r.cfg.Rates.Heard(clock.Now(), to.name, w.Rate) {
+		r.tellOwner(to.name, w.Rate)
 	}
 }
 
