--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -274,7 +274,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.feed.IsReady,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope,
-		Record: records, Quarantine: b.quarantine, Limits: b.rates.Limits,
+		Record: records, Quarantine: b.quarantine, Limits: b.rates.Limits, Notices: b.notices,
 	})
 	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- a/internal/cli/fake.go
+++ b/internal/cli/fake.go
@@ -30,7 +30,7 @@
 			{Name: "platform", Usage: "object API and box list", Flags: append(platformFlags(), listen...), Action: runFakePlatform},
 			{Name: "engine", Usage: "model engine", Flags: append(engineFlags(), listen...), Action: runFakeEngine},
 			{Name: "store", Usage: "weight store", Flags: append(storeFlags(), listen...), Action: runFakeStore},
-			{Name: "service", Usage: "plain service", Flags: append([]cli.Flag{&cli.StringFlag{Name: "name", Value: "service"}, rateFlag()}, listen...), Action: runFakeService},
+			{Name: "service", Usage: "plain service", Flags: append(append([]cli.Flag{&cli.StringFlag{Name: "name", Value: "service"}}, noticeFlags()...), listen...), Action: runFakeService},
 		},
 	}
 	return run(cmd, args, errOut)
@@ -43,12 +43,17 @@
 	}
 }
 
-func rateFlag() cli.Flag {
-	return &cli.StringFlag{Name: "rate", Usage: "name `N` in all answers as the requests a second taken from all boxes"}
+// noticeFlags are for what a stand-in says of itself.
+func noticeFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "rate", Usage: "name `N` in all answers as the requests a second taken from all boxes"},
+		&cli.BoolFlag{Name: "leaving", Usage: "say in all answers that it leaves"},
+		&cli.StringFlag{Name: "rest", Usage: "turn all requests away and ask for `SECONDS` of rest"},
+	}
 }
 
 func engineFlags() []cli.Flag {
-	return []cli.Flag{
+	return append([]cli.Flag{
 		&cli.StringFlag{Name: "name", Value: "engine"},
 		&cli.StringFlag{Name: "store", Usage: "fetch weights from the store at `ADDRESS`"},
 		&cli.IntFlag{Name: "slots", Value: 8, Usage: "adapters held at once"},
@@ -56,8 +61,7 @@
 		&cli.DurationFlag{Name: "step", Value: 20 * time.Millisecond, Usage: "time of a step"},
 		&cli.DurationFlag{Name: "report-lag", Value: time.Second, Usage: "age of reports"},
 		&cli.BoolFlag{Name: "unchecked", Usage: "take orders of any epoch"},
-		rateFlag(),
-	}
+	}, noticeFlags()...)
 }
 
 func storeFlags() []cli.Flag {
@@ -85,7 +89,7 @@
 		cfg.Fetch = fetchFrom(store)
 	}
 	e := fakeengine.New(cfg)
-	e.SetFaults(fakeengine.Faults{Rate: cmd.String("rate")})
+	e.SetFaults(fakeengine.Faults{Rate: cmd.String("rate"), Leaving: cmd.Bool("leaving"), Rest: cmd.String("rest")})
 	return serveFake(ctx, cmd, e.Handler())
 }
 
@@ -117,7 +121,7 @@
 
 func runFakeService(ctx context.Context, cmd *cli.Command) error {
 	s := fakeservice.New(cmd.String("name"))
-	s.SetFaults(fakeservice.Faults{Rate: cmd.String("rate")})
+	s.SetFaults(fakeservice.Faults{Rate: cmd.String("rate"), Leaving: cmd.Bool("leaving"), Rest: cmd.String("rest")})
 	return serveFake(ctx, cmd, s.Handler())
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -85,6 +85,7 @@
 		st.Member.SinceReply.Round(time.Millisecond), cmp.Or(st.Member.Aggregator, "none"), st.Member.PassesOn)
 	all := summarize(t, st.Member.Coordinator, st.Member.Cell)
 	all.addLimits(st.Limits)
+	all.addNotices(st.Left, st.Rests)
 	all.print(w)
 	if len(t.Engines) <= longList || cmd.Bool("all") {
 		printEngines(w, t)
--- a/internal/cli/summary.go
+++ b/internal/cli/summary.go
@@ -10,6 +10,7 @@
 	"github.com/bellgap/bellgap/internal/aggregator"
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 )
 
@@ -30,8 +31,8 @@
 	zones map[string]*zoneSummary
 	// silent, leaving and ownerless name what is degraded, held the requests that reach no endpoint.
 	silent, leaving, ownerless, held []string
-	// limited names the endpoints that take so many requests a second.
-	limited []string
+	// limited names the endpoints that take so many requests a second, left those that have said they leave, resting those that this box lets rest.
+	limited, left, resting []string
 }
 
 func summarize(t catalog.Topology, coordinatedBy, cell string) summary {
@@ -62,6 +63,16 @@
 	}
 }
 
+// addNotices adds the endpoints that have said they leave, with how long ago, and those that have asked for rest, with what is left of it.
+func (s *summary) addNotices(left []notice.Left, rests []notice.Resting) {
+	for _, l := range left {
+		s.left = append(s.left, fmt.Sprintf("%s %s ago", l.Endpoint, l.Age.Round(time.Second)))
+	}
+	for _, r := range rests {
+		s.resting = append(s.resting, fmt.Sprintf("%s for %s", r.Endpoint, r.Left.Round(time.Second/10)))
+	}
+}
+
 func (s *summary) zone(name string) *zoneSummary {
 	if s.zones[name] == nil {
 		s.zones[name] = &zoneSummary{}
@@ -96,7 +107,8 @@
 	for _, d := range []struct {
 		what  string
 		names []string
-	}{{"silent boxes", s.silent}, {"leaving boxes", s.leaving}, {"engines without owner", s.ownerless}, {"requests in quarantine", s.held}, {"endpoints that name rates", s.limited}} {
+	}{{"silent boxes", s.silent}, {"leaving boxes", s.leaving}, {"engines without owner", s.ownerless}, {"requests in quarantine", s.held}, {"endpoints that name rates", s.limited},
+		{"endpoints that leave", s.left}, {"endpoints that rest", s.resting}} {
 		if len(d.names) > 0 {
 			_, _ = fmt.Fprintf(w, "%s: %d: %s\n", d.what, len(d.names), someOf(d.names))
 		}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/member"
+	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/quarantine"
@@ -39,7 +40,9 @@
 	Quarantine Quarantine
 	// Limits returns the endpoints that name how many requests a second they take.
 	Limits func(now time.Time) []ratelimit.Limit
-	Scope  tally.Scope
+	// Notices is what else endpoints have said of themselves.
+	Notices *notice.Board
+	Scope   tally.Scope
 }
 
 // Quarantine is what operators see of requests that end endpoints, and let pass again.
@@ -70,6 +73,9 @@
 	Skipped int `json:"skipped"`
 	// Limits lists the endpoints that name how many requests a second they take, as this box knows.
 	Limits []ratelimit.Limit `json:"limits,omitempty"`
+	// Left lists the endpoints that have said they leave, Rests those that have asked this box for rest.
+	Left  []notice.Left    `json:"left,omitempty"`
+	Rests []notice.Resting `json:"rests,omitempty"`
 }
 
 // Handler serves operators.
@@ -107,7 +113,7 @@
 	httpx.WriteJSON(w, http.StatusOK, Status{
 		Box: o.cfg.Box, Ready: o.cfg.Ready(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(),
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), Skipped: o.cfg.Catalog.Skipped(),
-		Limits: o.cfg.Limits(clock.Now()),
+		Limits: o.cfg.Limits(clock.Now()), Left: o.cfg.Notices.Left(clock.Now()), Rests: o.cfg.Notices.Rests(clock.Now()),
 	})
 }
 
