--- a/internal/cli/summary.go
+++ b/internal/cli/summary.go
@@ -107,8 +107,15 @@
 	for _, d := range []struct {
 		what  string
 		names []string
-	}{{"silent boxes", s.silent}, {"leaving boxes", s.leaving}, {"engines without owner", s.ownerless}, {"requests in quarantine", s.held}, {"endpoints that name rates", s.limited},
-		{"endpoints that leave", s.left}, {"endpoints that rest", s.resting}} {
+	}{
+		{"silent boxes", s.silent},
+		{"leaving boxes", s.leaving},
+		{"engines without owner", s.ownerless},
+		{"requests in quarantine", s.held},
+		{"endpoints that name rates", s.limited},
+		{"endpoints that leave", s.left},
+		{"endpoints that rest", s.resting},
+	} {
 		if len(d.names) > 0 {
 			_, _ = fmt.Fprintf(w, "%s: %d: %s\n", d.what, len(d.names), someOf(d.names))
 		}
