A box that starts reads the cell maps, not the fleet's view, to find whom to compare with

Cause, by reading: until a cell map is known a starting box looked every 20 ms which others there are, by the fleet's view; that is made anew after each change, milliseconds where thousands of endpoints come in. Mended: the maps alone are read. A look at what an endpoint said reads the clock only if anything is known of any (77 ns for each endpoint looked at).

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -158,7 +158,7 @@
 		}
 	}})
 	b.catalog.Overlay(func(endpoint string, started int64) bool {
-		return b.notices.Leaves(clock.Now(), notice.Endpoint{Name: endpoint, Started: started})
+		return b.notices.Any() && b.notices.Leaves(clock.Now(), notice.Endpoint{Name: endpoint, Started: started})
 	})
 	b.teller = newTeller(tellerConfig{Board: b.notices, Catalog: b.catalog, Box: b.cfg.Settings.Box.Name, Scope: b.metrics.Scope})
 }
--- a/internal/box/teller.go
+++ b/internal/box/teller.go
@@ -2,10 +2,12 @@
 
 import (
 	"net/http"
+	"net/netip"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/notice"
 )
@@ -23,6 +25,21 @@
 func newTeller(cfg tellerConfig) *notice.Client {
 	return notice.NewClient(notice.ClientConfig{
 		HTTP: &http.Client{Transport: httpx.NewOnceTransport()}, Board: cfg.Board, Scope: cfg.Scope,
-		Others: newFleet(fleetConfig{Catalog: cfg.Catalog, Box: cfg.Box}).Others,
+		Others: func() []netip.AddrPort { return othersOf(cfg.Catalog, cfg.Box) },
 	})
 }
+
+// othersOf returns the boxes in the cell maps that are not silent, but for one. It reads the maps and not the fleet's view, which is made anew after each
+// change: a box that starts asks this fifty times a second while thousands of endpoints become known.
+func othersOf(c *catalog.Catalog, box string) []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, cell := range c.Names(coordinator.MapKind) {
+		m, _, _ := c.Map(cell)
+		for _, b := range m.Members {
+			if b.Box != box && !b.Silent {
+				all = append(all, b.Peer)
+			}
+		}
+	}
+	return all
+}
--- a/internal/notice/board.go
+++ b/internal/notice/board.go
@@ -130,7 +130,7 @@
 	switch {
 	case w.Rest > 0:
 		b.hearRest(now, e, w.Rest)
-	case b.any():
+	case b.Any():
 		b.hearAnswer(now, e)
 	}
 }
@@ -233,12 +233,12 @@
 	delete(all, oldest)
 }
 
-// any reports whether anything is known of any endpoint.
-func (b *Board) any() bool { return b != nil && b.count.Load() > 0 }
+// Any reports whether anything is known of any endpoint. Who looks at many asks this first, as reading the clock for each costs more.
+func (b *Board) Any() bool { return b != nil && b.count.Load() > 0 }
 
 // Leaves reports whether an endpoint has said in its present life that it leaves.
 func (b *Board) Leaves(now time.Time, e Endpoint) bool {
-	if !b.any() {
+	if !b.Any() {
 		return false
 	}
 	b.mu.Lock()
@@ -249,7 +249,7 @@
 
 // Rest returns for how long an endpoint is to get nothing more from this box: the rest that it has asked for, then what an answer is waited for.
 func (b *Board) Rest(now time.Time, e Endpoint) time.Duration {
-	if !b.any() {
+	if !b.Any() {
 		return 0
 	}
 	b.mu.Lock()
@@ -263,7 +263,7 @@
 
 // Enter asks whether a request may be sent to an endpoint now, and counts it as sent if so; else the wait is as Rest tells it.
 func (b *Board) Enter(now time.Time, e Endpoint) (wait time.Duration, ok bool) {
-	if !b.any() {
+	if !b.Any() {
 		return 0, true
 	}
 	b.mu.Lock()
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -67,7 +67,7 @@
 // rests reports whether an endpoint is to get nothing from this box now. It was not asked of other boxes: they go on sending there, and a request that came
 // here is not handed to them, as that would be the same load by another way.
 func (r *Relay) rests(e catalog.EndpointView) bool {
-	return r.cfg.Notices.Rest(clock.Now(), notice.Endpoint{Name: e.Name, Started: e.Spec.Started}) > 0
+	return r.cfg.Notices.Any() && r.cfg.Notices.Rest(clock.Now(), notice.Endpoint{Name: e.Name, Started: e.Spec.Started}) > 0
 }
 
 // nobodyWants refuses a request if all endpoints that could take it leave, or rest; nil if there is another one.
