--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -112,15 +112,25 @@
 	return c.skipped
 }
 
-// Apply takes changes since an earlier revision. Objects that are not newer than what is held are passed over.
-func (c *Catalog) Apply(ch objects.Changes) {
+// Apply takes changes since an earlier revision. Objects that are not newer than what is held are passed over; it returns how many are older.
+func (c *Catalog) Apply(ch objects.Changes) (older int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range ch.Objects {
+		if c.isOlder(o) {
+			older++
+		}
 		c.apply(o)
 	}
 	c.remember(ch)
 	c.advance(ch.Revision, len(ch.Objects) > 0)
+	return older
+}
+
+// isOlder reports whether a later version of an object is held, or its deletion.
+func (c *Catalog) isOlder(o objects.Object) bool {
+	k := key{o.Kind, o.Name}
+	return o.Version < max(c.entries[k.kind][k.name].version, c.deleted[k].version)
 }
 
 // remember keeps changes for boxes that ask next. Changes are only kept in the order of their versions.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -314,7 +314,7 @@
 	if len(ch.Objects) > 0 {
 		changed, gone := told(ch.Objects)
 		klog.V(1).InfoS("objects changed", "kind", k.Name, "revision", ch.Revision, "changed", changed, "gone", gone)
-		f.cfg.Catalog.Apply(ch)
+		f.notePassedOver(k.Name, ch.Revision, f.cfg.Catalog.Apply(ch))
 	}
 	for _, name := range k.returned {
 		f.cfg.Catalog.Touch(k.Name, name)
@@ -327,6 +327,15 @@
 	f.late = noteLate(f.late, k, ch, clock.Now())
 }
 
+// notePassedOver tells of objects that were not taken in since a later version of them is held.
+func (f *Follower) notePassedOver(kind string, revision int64, older int) {
+	if older == 0 {
+		return
+	}
+	f.cfg.Scope.Counter("objects_passed_over").Inc(int64(older))
+	klog.V(1).InfoS("objects passed over", "kind", kind, "revision", revision, "older", older)
+}
+
 // maxNamesTold bounds the names in a line.
 const maxNamesTold = 8
 
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -171,13 +171,15 @@
 // take takes the changes of one kind in.
 func (f *Follower) take(ch objects.KindChanges) {
 	all := f.news(ch)
-	if ch.Revision < f.revision(ch.Kind) {
+	if known := f.revision(ch.Kind); ch.Revision < known {
+		f.cfg.Scope.Counter("told_passed_over").Inc(1)
+		klog.V(1).InfoS("told changes passed over", "kind", ch.Kind, "revision", ch.Revision, "known", known, "objects", len(ch.Objects))
 		return
 	}
 	if len(all) > 0 {
 		changed, gone := told(all)
 		klog.V(1).InfoS("objects changed", "kind", ch.Kind, "revision", ch.Revision, "changed", changed, "gone", gone, "through", "coordinator")
-		f.cfg.Catalog.Apply(objects.Changes{Objects: all, Revision: ch.Revision})
+		f.notePassedOver(ch.Kind, ch.Revision, f.cfg.Catalog.Apply(objects.Changes{Objects: all, Revision: ch.Revision}))
 	}
 	f.noteTold(ch)
 	f.mu.Lock()
