--- a/internal/box/force_test.go
+++ b/internal/box/force_test.go
@@ -45,7 +45,7 @@
 type faultyStore struct {
 	mu       sync.Mutex
 	rng      *rand.Rand
-	revision int64
+	revision objects.Position
 	routing  int64
 	entries  int64
 	fault    fault
@@ -58,9 +58,9 @@
 	defer s.mu.Unlock()
 	s.revision++
 	if routing {
-		s.routing = s.revision
+		s.routing = int64(s.revision)
 	} else {
-		s.entries = s.revision
+		s.entries = int64(s.revision)
 	}
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -90,7 +90,7 @@
 }
 
 // newer returns a kind's object if it has changed since a revision.
-func (s *faultyStore) newer(kind string, from int64) (objects.Changes, bool) {
+func (s *faultyStore) newer(kind string, from objects.Position) (objects.Changes, bool) {
 	ch := objects.Changes{Revision: s.revision}
 	at := s.entries
 	var spec resource.Spec = &resource.Endpoint{Service: "s", Slots: 1}
@@ -105,8 +105,8 @@
 	if err != nil {
 		panic(err)
 	}
-	ch.Objects = []objects.Object{{Kind: kind, Name: catalog.RoutingName, Version: at, Value: value}}
-	return ch, at > from
+	ch.Objects = []objects.Object{{Kind: kind, Name: catalog.RoutingName, Version: objects.Position(at), Value: value}}
+	return ch, objects.Position(at) > from
 }
 
 // List implements follow.Source.
@@ -123,7 +123,7 @@
 }
 
 // Watch implements follow.Source.
-func (s *faultyStore) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s *faultyStore) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
 	defer cancel()
 	if err := s.meet(ctx); err != nil {
--- a/internal/box/kinds.go
+++ b/internal/box/kinds.go
@@ -38,6 +38,6 @@
 		{Name: string(resource.KindRouting), Wait: routingWait, TellWait: s.RevokedWithin / revocationWatches, Relayed: true, Confirmed: true},
 		{Name: string(resource.KindEndpoint), Pace: endpointPace, Wait: endpointWait, Lapses: true, With: []string{string(resource.KindHolding)}, Relayed: true, Probes: true},
 		{Name: string(resource.KindAdapterVersion), Wait: versionWait, Relayed: true},
-		{Name: coordinator.MapKind, Pace: mapPace, Wait: mapWait},
+		{Name: coordinator.MapKind, Pace: mapPace, Wait: mapWait, Ours: true},
 	}
 }
--- a/internal/catalog/bench_test.go
+++ b/internal/catalog/bench_test.go
@@ -13,13 +13,13 @@
 
 // declared returns n adapters with one version each, as the platform lists them.
 func declared(n int) objects.Changes {
-	ch := objects.Changes{Revision: int64(2*n + 1)}
+	ch := objects.Changes{Revision: objects.Position(2*n + 1)}
 	add := func(name string, kind resource.Kind, spec resource.Spec) {
 		value, err := json.Marshal(resource.Resource{Kind: kind, Name: name, Spec: spec})
 		if err != nil {
 			panic(err)
 		}
-		ch.Objects = append(ch.Objects, objects.Object{Kind: string(kind), Name: name, Version: int64(len(ch.Objects) + 1), Value: value})
+		ch.Objects = append(ch.Objects, objects.Object{Kind: string(kind), Name: name, Version: objects.Position(len(ch.Objects) + 1), Value: value})
 	}
 	for i := range n {
 		name := fmt.Sprintf("adapter-%05d", i)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -31,24 +31,28 @@
 
 type entry struct {
 	// version is that of the platform; zero if the platform does not have this generation, as after a restore from an older copy.
-	version    int64
+	version    objects.Position
 	generation int64
 	// changed is the version with which the value last changed; later ones only repeated it.
-	changed int64
+	changed objects.Position
 	// listing is the number of the last list that held the object.
 	listing int64
 	// size is about how many bytes the object takes in a message.
 	size int
+	// ahead says that the store, restored from an older copy, last had an older form of the object, which others may hold.
+	ahead bool
 	// value is a resource.Spec or a *coordinator.Map.
 	value any
 }
 
 // tombstone remembers a deletion.
 type tombstone struct {
-	version    int64
+	version    objects.Position
 	generation int64
 	// returned says that the platform holds the object again, as after a restore.
 	returned bool
+	// withheld is the object as the store has it again, while its kind is withheld; nil if it has not.
+	withheld *objects.Object
 }
 
 // Catalog is safe for use by many goroutines.
@@ -59,15 +63,17 @@
 	versions map[string][]string
 	deleted  map[key]tombstone
 	// floor is the newest deletion no longer remembered.
-	floor    int64
-	revision int64
+	floor    objects.Position
+	revision objects.Position
 	// listings counts the lists begun.
 	listings int64
 	changed  chan struct{}
 	skipped  int
+	// withholding holds the kinds of which deleted objects do not come back with a copy of the store.
+	withholding map[string]bool
 	// recent holds the last changes in order, complete after recentFrom, so that boxes that are nearly up to date cost little.
 	recent     []objects.Object
-	recentFrom int64
+	recentFrom objects.Position
 	// topology is computed when asked for and dropped when a kind it is made of changes.
 	topology *Topology
 	// leaves, if set, reports whether an endpoint has said itself, in the life that began then, that it leaves.
@@ -79,7 +85,7 @@
 
 // New returns an empty Catalog.
 func New() *Catalog {
-	return &Catalog{entries: map[string]map[string]entry{}, versions: map[string][]string{}, deleted: map[key]tombstone{}, changed: make(chan struct{})}
+	return &Catalog{entries: map[string]map[string]entry{}, versions: map[string][]string{}, deleted: map[key]tombstone{}, withholding: map[string]bool{}, changed: make(chan struct{})}
 }
 
 // WatchedKinds lists the object kinds that a catalog holds.
@@ -91,8 +97,8 @@
 	return kinds
 }
 
-// Revision returns the store-wide revision up to which the catalog is complete.
-func (c *Catalog) Revision() int64 {
+// Revision returns the position in the store's history up to which the catalog is complete.
+func (c *Catalog) Revision() objects.Position {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	return c.revision
@@ -117,22 +123,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, o := range ch.Objects {
-		if c.isOlder(o) {
+		if c.apply(o) {
 			older++
 		}
-		c.apply(o)
 	}
 	c.remember(ch)
 	c.advance(ch.Revision, len(ch.Objects) > 0)
 	return older
 }
 
-// isOlder reports whether a later version of an object is held, or its deletion.
-func (c *Catalog) isOlder(o objects.Object) bool {
-	k := key{o.Kind, o.Name}
-	return o.Version < max(c.entries[k.kind][k.name].version, c.deleted[k].version)
-}
-
 // remember keeps changes for boxes that ask next. Changes are only kept in the order of their versions.
 func (c *Catalog) remember(ch objects.Changes) {
 	fresh := slices.Clone(ch.Objects)
@@ -145,7 +144,7 @@
 	}
 }
 
-func (c *Catalog) advance(revision int64, changed bool) {
+func (c *Catalog) advance(revision objects.Position, changed bool) {
 	c.revision = max(c.revision, revision)
 	if changed {
 		close(c.changed)
@@ -153,42 +152,109 @@
 	}
 }
 
-// apply takes one object in. Generations decide what is newer; of one generation, the platform's later version.
-func (c *Catalog) apply(o objects.Object) {
+// apply takes one object in and reports whether what is held is newer. Generations decide what is; of one generation, the platform's later version.
+func (c *Catalog) apply(o objects.Object) (older bool) {
 	k := key{unique.Make(o.Kind).Value(), o.Name}
 	have, known := c.entries[k.kind][k.name]
 	if known && have.listing != c.listings {
 		have.listing = c.listings
 		c.entries[k.kind][k.name] = have
 	}
-	if (known && o.Version <= have.version) || o.Version <= c.deleted[k].version {
-		return
+	if last := max(have.version, c.deleted[k].version); o.Version <= last {
+		return o.Version < last
 	}
 	if o.Deleted {
 		c.remove(k, o.Version)
-		return
+		return false
 	}
 	v, generation, err := decode(o)
 	if err != nil {
 		// An object this box cannot read keeps its last readable form.
 		c.skipped++
-		return
+		return false
 	}
 	if t, ok := c.deleted[k]; ok && generation <= t.generation {
 		t.returned = true
 		c.deleted[k] = t
-		return
+		return true
 	}
 	if known && generation < have.generation {
-		return
+		have.ahead = true
+		c.entries[k.kind][k.name] = have
+		return true
+	}
+	if c.withhold(k, o) {
+		return true
 	}
 	delete(c.deleted, k)
+	ahead := stillLeaving(have.value, v)
 	if known && reflect.DeepEqual(have.value, v) {
-		have.version, have.generation, have.listing = o.Version, generation, c.listings
+		if have.ahead && !ahead {
+			have.changed = o.Version
+		}
+		have.version, have.generation, have.listing, have.ahead = o.Version, generation, c.listings, ahead
 		c.entries[k.kind][k.name] = have
-		return
+		return false
+	}
+	c.add(k, entry{version: o.Version, changed: o.Version, generation: generation, listing: c.listings, size: sizeOf(o), value: v, ahead: ahead})
+	return false
+}
+
+// stillLeaving keeps an endpoint leaving that was known to leave in the same life, and reports whether its new entry says otherwise: leaving is final, and
+// a copy of the store may be older than the word.
+func stillLeaving(had, now any) bool {
+	before, ok := had.(*resource.Endpoint)
+	if !ok || !before.Leaving {
+		return false
+	}
+	after, ok := now.(*resource.Endpoint)
+	if !ok || after.Leaving || after.Started != before.Started || after.Address != before.Address {
+		return false
+	}
+	after.Leaving = true
+	return true
+}
+
+// withhold keeps an object that was deleted in an earlier era apart while its kind is withheld, and reports whether it does. A copy of the store has objects
+// again that have gone since; one that is written again in the new era has a later version and is taken in.
+func (c *Catalog) withhold(k key, o objects.Object) bool {
+	t, gone := c.deleted[k]
+	if !gone || !c.withholding[k.kind] || t.version.Era() == o.Version.Era() || t.isWritten(o) {
+		return false
+	}
+	t.withheld = &o
+	c.deleted[k] = t
+	return true
+}
+
+// isWritten reports whether an object that is withheld has been written since.
+func (t tombstone) isWritten(o objects.Object) bool {
+	return t.withheld != nil && t.withheld.Version.Era() == o.Version.Era() && t.withheld.Version < o.Version
+}
+
+// Withhold begins to withhold objects of a kind that were deleted in an earlier era and are there again.
+func (c *Catalog) Withhold(kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.withholding[kind] = true
+}
+
+// Admit ends what Withhold began, takes in what is still there and returns it.
+func (c *Catalog) Admit(kind string) []objects.Object {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.withholding, kind)
+	var all []objects.Object
+	for k, t := range c.deleted {
+		if k.kind == kind && t.withheld != nil {
+			all = append(all, *t.withheld)
+		}
+	}
+	for _, o := range all {
+		c.apply(o)
 	}
-	c.add(k, entry{version: o.Version, changed: o.Version, generation: generation, listing: c.listings, size: sizeOf(o), value: v})
+	c.advance(c.revision, len(all) > 0)
+	return all
 }
 
 // Touch counts an object as changed with its present version though it is as before: others may have dropped it meanwhile.
@@ -227,7 +293,7 @@
 	}
 }
 
-func (c *Catalog) remove(k key, version int64) {
+func (c *Catalog) remove(k key, version objects.Position) {
 	generation := max(c.entries[k.kind][k.name].generation, c.deleted[k].generation)
 	delete(c.entries[k.kind], k.name)
 	c.touched(k.kind)
@@ -245,7 +311,7 @@
 
 // forgetDeletions drops the older half; sources that ask from before then have to list.
 func (c *Catalog) forgetDeletions() {
-	all := make([]int64, 0, len(c.deleted))
+	all := make([]objects.Position, 0, len(c.deleted))
 	for _, t := range c.deleted {
 		all = append(all, t.version)
 	}
@@ -285,15 +351,15 @@
 }
 
 // Since returns what changed after revision from, or objects.ErrGone if that is no longer known.
-func (c *Catalog) Since(from int64) (objects.Changes, error) {
+func (c *Catalog) Since(from objects.Position) (objects.Changes, error) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	if from < c.floor || from > c.revision {
+	if from < c.floor || from > c.revision || from.Era() != c.revision.Era() {
 		return objects.Changes{}, objects.ErrGone
 	}
 	ch := objects.Changes{Revision: c.revision}
 	if from >= c.recentFrom {
-		after, _ := slices.BinarySearchFunc(c.recent, from+1, func(o objects.Object, v int64) int { return cmp.Compare(o.Version, v) })
+		after, _ := slices.BinarySearchFunc(c.recent, from+1, func(o objects.Object, v objects.Position) int { return cmp.Compare(o.Version, v) })
 		ch.Objects = slices.Clone(c.recent[after:])
 		return ch, nil
 	}
--- a/internal/catalog/listing.go
+++ b/internal/catalog/listing.go
@@ -10,18 +10,18 @@
 // Listing takes a full list in, page by page, so that a list of any length costs the memory of a page.
 type Listing struct {
 	catalog  *Catalog
-	revision int64
-	// Behind says that the list is older than what the catalog was complete to: a stale read or a platform restored from an
+	revision objects.Position
+	// Behind says that the list is older than what the catalog was complete to, or of a later era: a stale read or a platform restored from an
 	// older copy. Nothing is dropped or taken back then; Unstored says what the platform lost.
 	Behind bool
 }
 
 // BeginList starts a list that is complete up to revision.
-func (c *Catalog) BeginList(revision int64) *Listing {
+func (c *Catalog) BeginList(revision objects.Position) *Listing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.listings++
-	l := &Listing{catalog: c, revision: revision, Behind: revision < c.revision}
+	l := &Listing{catalog: c, revision: revision, Behind: revision < c.revision || c.revision != 0 && revision.Era() > c.revision.Era()}
 	if l.Behind {
 		c.forgetVersions()
 	}
@@ -142,7 +142,7 @@
 
 // KindSince returns the objects of a kind whose values changed after revision from, deletions included, and whether that is all
 // that changed: deletions that are no longer remembered make it a full list instead.
-func (c *Catalog) KindSince(kind string, from int64) (changed []objects.Object, complete bool) {
+func (c *Catalog) KindSince(kind string, from objects.Position) (changed []objects.Object, complete bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	complete = from > 0 && from >= c.floor
@@ -165,7 +165,7 @@
 func sizeOf(o objects.Object) int { return objectFrame + len(o.Kind) + len(o.Name) + len(o.Value) }
 
 // KindSize returns about how many bytes what KindSince returns takes in a message, without encoding it.
-func (c *Catalog) KindSize(kind string, from int64) int {
+func (c *Catalog) KindSize(kind string, from objects.Position) int {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	complete, size := from > 0 && from >= c.floor, 0
--- a/internal/catalog/lookup.go
+++ b/internal/catalog/lookup.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 )
 
@@ -78,7 +79,7 @@
 }
 
 // Map returns the map of a cell and its object version.
-func (c *Catalog) Map(cell string) (coordinator.Map, int64, bool) {
+func (c *Catalog) Map(cell string) (coordinator.Map, objects.Position, bool) {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
 	e := c.entries[coordinator.MapKind][cell]
@@ -92,7 +93,7 @@
 // Item is one held resource.
 type Item struct {
 	Resource resource.Resource `json:"resource"`
-	Version  int64             `json:"version"`
+	Version  objects.Position  `json:"version"`
 }
 
 // Resource returns one held resource.
--- a/internal/catalog/size_test.go
+++ b/internal/catalog/size_test.go
@@ -18,22 +18,22 @@
 	c := qt.New(t)
 	kind := string(resource.KindEndpoint)
 	cat := catalog.New()
-	for i := range int64(100) {
+	for i := range objects.Position(100) {
 		name := fmt.Sprint("endpoint-", i)
-		value, err := json.Marshal(resource.Resource{Kind: resource.KindEndpoint, Name: name, Generation: i + 1, Spec: &resource.Endpoint{
+		value, err := json.Marshal(resource.Resource{Kind: resource.KindEndpoint, Name: name, Generation: int64(i + 1), Spec: &resource.Endpoint{
 			Service: "summaries", Zone: "a", Slots: 8, Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
 		}})
 		c.Assert(err, qt.IsNil)
 		cat.Apply(objects.Changes{Revision: i + 1, Objects: []objects.Object{{Kind: kind, Name: name, Version: i + 1, Value: value}}})
 	}
-	for i := range int64(10) {
+	for i := range objects.Position(10) {
 		cat.Apply(objects.Changes{Revision: 101 + i, Objects: []objects.Object{
 			{Kind: kind, Name: fmt.Sprint("endpoint-", i), Version: 101 + i, Deleted: true},
 		}})
 	}
 	for _, test := range []struct {
 		name string
-		from int64
+		from objects.Position
 		none bool
 	}{
 		{name: "all", from: 0},
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -39,7 +40,7 @@
 	until := time.Now().Add(cmd.Duration("wait"))
 	for {
 		st, t, err := readStatus(ctx, c)
-		if err == nil && (cmd.Duration("wait") == 0 || settled(st, t, cmd.Int64("revision"))) {
+		if err == nil && (cmd.Duration("wait") == 0 || settled(st, t, objects.Position(cmd.Int64("revision")))) {
 			return printStatus(cmd, st, t)
 		}
 		if !time.Now().Before(until) {
@@ -62,7 +63,7 @@
 	return st, t, err
 }
 
-func settled(st operator.Status, t catalog.Topology, revision int64) bool {
+func settled(st operator.Status, t catalog.Topology, revision objects.Position) bool {
 	for _, e := range t.Engines {
 		if e.Owner.Box == "" {
 			return false
--- a/internal/coordinator/batch.go
+++ b/internal/coordinator/batch.go
@@ -15,10 +15,10 @@
 // changes once and tells them itself.
 type Batch struct {
 	// Box is the one that passes on.
-	Box           string           `json:"box"`
-	Beats         []Beat           `json:"beats"`
-	Known         map[string]int64 `json:"known,omitempty"`
-	MapGeneration int64            `json:"map_generation,omitempty"`
+	Box           string                      `json:"box"`
+	Beats         []Beat                      `json:"beats"`
+	Known         map[string]objects.Position `json:"known,omitempty"`
+	MapGeneration int64                       `json:"map_generation,omitempty"`
 }
 
 // Answer is what a coordinator says to one heartbeat of a batch.
--- a/internal/coordinator/delta.go
+++ b/internal/coordinator/delta.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // Delta is what changed between two published maps of a cell. It is small where the maps are large. Lists that are short stand in Head whole.
@@ -16,7 +18,7 @@
 	Owners      []Ownership `json:"owners,omitempty"`
 	OwnersGone  []string    `json:"owners_gone,omitempty"`
 	// Version is that of the stored object.
-	Version int64 `json:"version"`
+	Version objects.Position `json:"version"`
 }
 
 // Diff returns the delta from one map to a newer one; from the zero map it is the whole newer map.
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bellgap/bellgap/internal/lease"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/quarantine"
 )
 
@@ -81,8 +82,8 @@
 	Owned []Ownership `json:"owned,omitempty"`
 	// Known names the revisions up to which this box knows the kinds that it follows, MapGeneration the cell map that it has;
 	// a box that takes no changes with its heartbeats names neither.
-	Known         map[string]int64 `json:"known,omitempty"`
-	MapGeneration int64            `json:"map_generation,omitempty"`
+	Known         map[string]objects.Position `json:"known,omitempty"`
+	MapGeneration int64                       `json:"map_generation,omitempty"`
 	// Sequence numbers the heartbeats of a process from 1 on. One that overtakes another, which a box in between may have held up, makes the
 	// other count for nothing. Zero is not numbered.
 	Sequence uint64 `json:"sequence,omitempty"`
@@ -109,9 +110,9 @@
 	// Release lists owned engines to hand over.
 	Release []string `json:"release,omitempty"`
 	// LeaseVersion is the version of the lease object; seeing it in a reply is as good as reading the lease.
-	LeaseVersion int64 `json:"lease_version"`
+	LeaseVersion objects.Position `json:"lease_version"`
 	// Revision is the configuration revision that the coordinator has.
-	Revision int64 `json:"revision"`
+	Revision objects.Position `json:"revision"`
 	// Same says that the grants are those of which Beat.GrantsSum is the checksum, and are left out.
 	Same bool `json:"same,omitempty"`
 	// Unreached is set by an aggregator that could not reach the coordinator: nothing but the news holds then.
@@ -121,6 +122,6 @@
 
 // Unreached says what an aggregator knows of the coordinator's lease, so that its boxes need not read it one by one.
 type Unreached struct {
-	Lease   lease.Record `json:"lease"`
-	Version int64        `json:"version"`
+	Lease   lease.Record     `json:"lease"`
+	Version objects.Position `json:"version"`
 }
--- a/internal/fakeplatform/handler.go
+++ b/internal/fakeplatform/handler.go
@@ -43,7 +43,7 @@
 func (s *Store) handleWatch(w http.ResponseWriter, r *http.Request) {
 	from, _ := strconv.ParseInt(r.FormValue("from"), 10, 64)
 	wait, _ := time.ParseDuration(r.FormValue("wait"))
-	c, err := s.Watch(r.Context(), kindsOf(r), from, wait)
+	c, err := s.Watch(r.Context(), kindsOf(r), objects.Position(from), wait)
 	answer(w, c, err)
 }
 
@@ -54,13 +54,13 @@
 		return
 	}
 	expect, _ := strconv.ParseInt(r.FormValue("expect"), 10, 64)
-	v, err := s.Put(r.Context(), r.PathValue("kind"), r.PathValue("name"), expect, b)
+	v, err := s.Put(r.Context(), r.PathValue("kind"), r.PathValue("name"), objects.Position(expect), b)
 	answer(w, objects.Object{Version: v}, err)
 }
 
 func (s *Store) handleDelete(w http.ResponseWriter, r *http.Request) {
 	expect, _ := strconv.ParseInt(r.FormValue("expect"), 10, 64)
-	err := s.Delete(r.Context(), r.PathValue("kind"), r.PathValue("name"), expect)
+	err := s.Delete(r.Context(), r.PathValue("kind"), r.PathValue("name"), objects.Position(expect))
 	answer(w, struct{}{}, err)
 }
 
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -41,8 +41,8 @@
 	mu       sync.Mutex
 	objects  map[key]objects.Object
 	history  []objects.Object
-	dropped  int64
-	revision int64
+	dropped  objects.Position
+	revision objects.Position
 	changed  chan struct{}
 	boxes    []objects.Box
 	faults   Faults
@@ -161,7 +161,7 @@
 func (s *Store) Authoritative() bool { return true }
 
 // Watch implements objects.API.
-func (s *Store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s *Store) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	if err := s.enter(ctx, false); err != nil {
 		return objects.Changes{}, err
 	}
@@ -188,7 +188,7 @@
 	}
 }
 
-func (s *Store) since(kinds []string, from int64) (objects.Changes, error) {
+func (s *Store) since(kinds []string, from objects.Position) (objects.Changes, error) {
 	if from < s.dropped || from > s.revision {
 		return objects.Changes{}, objects.ErrGone
 	}
@@ -202,17 +202,17 @@
 }
 
 // Put implements objects.API.
-func (s *Store) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
+func (s *Store) Put(ctx context.Context, kind, name string, expect objects.Position, value json.RawMessage) (objects.Position, error) {
 	return s.write(ctx, objects.Object{Kind: kind, Name: name, Value: value}, expect)
 }
 
 // Delete implements objects.API.
-func (s *Store) Delete(ctx context.Context, kind, name string, expect int64) error {
+func (s *Store) Delete(ctx context.Context, kind, name string, expect objects.Position) error {
 	_, err := s.write(ctx, objects.Object{Kind: kind, Name: name, Deleted: true}, expect)
 	return err
 }
 
-func (s *Store) write(ctx context.Context, o objects.Object, expect int64) (int64, error) {
+func (s *Store) write(ctx context.Context, o objects.Object, expect objects.Position) (objects.Position, error) {
 	if err := s.enter(ctx, true); err != nil {
 		return 0, err
 	}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -27,7 +27,7 @@
 // Source gives changes: the platform or another box.
 type Source interface {
 	List(ctx context.Context, kinds []string, after string) (objects.Changes, error)
-	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error)
+	Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error)
 	// Authoritative reports whether a list that is behind means that the platform was restored; a box may just be late.
 	Authoritative() bool
 }
--- a/internal/follow/age_test.go
+++ b/internal/follow/age_test.go
@@ -37,7 +37,7 @@
 	return objects.Changes{Revision: 7}, nil
 }
 
-func (s *endingSource) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s *endingSource) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	var err error
 	if kinds[0] == versions && (s.failing || !s.ended.Load()) {
 		err = s.err
@@ -83,7 +83,7 @@
 				var group errgroup.Group
 				group.Go(func() error { return f.Serve(ctx) })
 				time.Sleep(test.after + 400*time.Millisecond)
-				_, age := f.Since(map[string]int64{versions: 7})
+				_, age := f.Since(map[string]objects.Position{versions: 7})
 				c.Check(age > enough, qt.Equals, test.old, qt.Commentf("told %s", age))
 				cancel()
 				c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
--- a/internal/follow/calls_test.go
+++ b/internal/follow/calls_test.go
@@ -35,7 +35,7 @@
 }
 
 // Watch implements follow.Source.
-func (s *tallied) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s *tallied) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	s.mu.Lock()
 	s.all[kinds[0]]++
 	s.mu.Unlock()
--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -53,7 +53,7 @@
 	defer f.mu.Unlock()
 	for kind, c := range told {
 		// A box that lacks what the teller knows, as it was too large to be passed on, has to ask the store.
-		if own := f.of(kind); c.Age >= 0 && own.known >= c.Revision {
+		if own := f.of(kind); c.Age >= 0 && own.known >= c.Revision && own.known.Era() == c.Revision.Era() {
 			own.confirmAt(askedAt.Add(-c.Age))
 		}
 	}
--- a/internal/follow/confirm_test.go
+++ b/internal/follow/confirm_test.go
@@ -106,7 +106,7 @@
 	c := qt.New(t)
 	f := follow.New(follow.Config{Catalog: catalog.New(), Scope: tally.NoopScope, Kinds: confirmedKinds()})
 	now := time.Now()
-	told := func(revision int64) map[string]objects.Confirmation {
+	told := func(revision objects.Position) map[string]objects.Confirmation {
 		return map[string]objects.Confirmation{routingKind: {Revision: revision, Age: time.Second}}
 	}
 	f.Take([]objects.KindChanges{{Kind: routingKind, Revision: 5}}, 0)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -23,7 +23,7 @@
 // Source lists and watches objects of one kind at a time. It is an interface at the network boundary.
 type Source interface {
 	List(ctx context.Context, kinds []string, after string) (objects.Changes, error)
-	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error)
+	Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error)
 }
 
 // Kind says how one kind of objects is followed.
@@ -44,6 +44,8 @@
 	Confirmed bool
 	// TellWait is how long a watch waits on a box that tells others, if not zero: their word is as old as its last watch, and more.
 	TellWait time.Duration
+	// Ours says that the objects of the kind are this fleet's own: those that an older copy of the store lacks stay in force until others take their place.
+	Ours bool
 	// Probes says that while the store is lost, calls for this kind alone find out whether it is back: each call is paid for, also
 	// one that fails. Without such a kind all go on calling.
 	Probes bool
@@ -106,8 +108,8 @@
 	// relayed is until when another box's changes stand in for calls, takenAt when one last told anything.
 	relayed time.Time
 	takenAt time.Time
-	// late holds the deletions that were taken in later than the store made them.
-	late []lateDeletion
+	// late holds the changes that were taken in later than the store made them.
+	late []lateChange
 	// told bounds what other boxes are told, toldAt is when one last was.
 	told   allowance
 	toldAt time.Time
@@ -157,6 +159,7 @@
 func (f *Follower) follow(ctx context.Context, k *kindState) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
+		f.admit(k.Name, clock.Now())
 		relayed := f.isRelayed(clock.Now())
 		if relayed && !f.isAsked(k.Name) {
 			k.relayed = true
@@ -262,8 +265,9 @@
 	if err != nil {
 		return err
 	}
+	f.cross(k.Name, all.Revision)
 	k.know(f.cfg.Catalog.Names(k.Name))
-	f.apply(k, k.replace(clock.Now(), all, f.graceUntil(k)))
+	f.apply(k, k.replace(clock.Now(), all, f.keepUntil(k)))
 	f.confirm(k.Name, began)
 	k.listed, k.listAt = true, time.Time{}
 	if f.noteListed(k.Name) {
@@ -292,6 +296,10 @@
 		if after == "" {
 			all.Revision = ch.Revision
 		}
+		if ch.Revision.Era() != all.Revision.Era() {
+			// The pages are of two copies.
+			return all, objects.ErrGone
+		}
 		all.Objects = append(all.Objects, ch.Objects...)
 		if after = ch.Next; after == "" {
 			return all, nil
@@ -328,7 +336,7 @@
 }
 
 // notePassedOver tells of objects that were not taken in since a later version of them is held.
-func (f *Follower) notePassedOver(kind string, revision int64, older int) {
+func (f *Follower) notePassedOver(kind string, revision objects.Position, older int) {
 	if older == 0 {
 		return
 	}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -29,11 +29,11 @@
 // store is a source with a history that can be forgotten, watches that can be deaf, and outages.
 type store struct {
 	mu       sync.Mutex
-	revision int64
+	revision objects.Position
 	objects  map[string]map[string]objects.Object
 	history  []objects.Object
 	// floor is the revision before which the history is gone.
-	floor int64
+	floor objects.Position
 	// deaf watches wait their time and hear nothing.
 	deaf bool
 	down bool
@@ -51,7 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	value, err := json.Marshal(resource.Resource{Kind: kind, Name: name, Generation: s.revision, Spec: spec})
+	value, err := json.Marshal(resource.Resource{Kind: kind, Name: name, Generation: int64(s.revision), Spec: spec})
 	c.Assert(err, qt.IsNil)
 	s.write(objects.Object{Kind: string(kind), Name: name, Version: s.revision, Value: value})
 }
@@ -98,7 +98,7 @@
 }
 
 // Watch implements follow.Source.
-func (s *store) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s *store) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	timeout := time.After(wait)
 	s.mu.Lock()
 	hangs := s.hangs
@@ -128,7 +128,7 @@
 	}
 }
 
-func (s *store) since(kind string, from int64) (objects.Changes, error) {
+func (s *store) since(kind string, from objects.Position) (objects.Changes, error) {
 	if s.down {
 		return objects.Changes{}, objects.ErrUnavailable
 	}
@@ -237,7 +237,7 @@
 }
 
 // newest returns the store's revision.
-func (s *store) newest() int64 {
+func (s *store) newest() objects.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.revision
@@ -262,10 +262,10 @@
 		s.set(func(s *store) { s.hangs, s.down = 2500*time.Millisecond, true })
 		time.Sleep(70 * time.Second)
 		for range 20 {
-			s.put(c, resource.KindRouting, catalog.RoutingName, routing(s.newest()+1))
+			s.put(c, resource.KindRouting, catalog.RoutingName, routing(int64(s.newest()+1)))
 			s.set(func(s *store) { s.hangs, s.down = 0, false })
 			time.Sleep(2700 * time.Millisecond)
-			c.Check(version(cat), qt.Equals, s.newest())
+			c.Check(version(cat), qt.Equals, int64(s.newest()))
 			s.set(func(s *store) { s.hangs, s.down = 2500*time.Millisecond, true })
 			time.Sleep(70 * time.Second)
 		}
--- a/internal/follow/kind.go
+++ b/internal/follow/kind.go
@@ -11,7 +11,7 @@
 type kindState struct {
 	Kind
 	// revision is that up to which the kind is known once it has been listed.
-	revision int64
+	revision objects.Position
 	listed   bool
 	// relayed says that changes have come through another box since the last call.
 	relayed bool
@@ -75,7 +75,7 @@
 		listed[o.Name] = true
 	}
 	for name := range k.known {
-		if !listed[name] {
+		if !listed[name] && !k.Ours {
 			out.Objects = append(out.Objects, objects.Object{Kind: k.Name, Name: name, Version: list.Revision, Deleted: true})
 		}
 	}
@@ -128,7 +128,7 @@
 }
 
 // remove adds the deletion of an object and of what goes with it.
-func (k *kindState) remove(changed []objects.Object, name string, version int64) []objects.Object {
+func (k *kindState) remove(changed []objects.Object, name string, version objects.Position) []objects.Object {
 	for _, kind := range append([]string{k.Name}, k.With...) {
 		changed = append(changed, objects.Object{Kind: kind, Name: name, Version: version, Deleted: true})
 	}
--- a/internal/follow/narrow_test.go
+++ b/internal/follow/narrow_test.go
@@ -74,7 +74,7 @@
 }
 
 // Watch implements follow.Source.
-func (s linked) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s linked) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	if err := s.pass(ctx); err != nil {
 		return objects.Changes{}, err
 	}
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -31,11 +31,15 @@
 
 // Known returns the revisions up to which the kinds are known, for another box that is to tell what lies beyond. Kinds that are
 // needed whole are left out.
-func (f *Follower) Known() map[string]int64 {
+func (f *Follower) Known() map[string]objects.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	known := map[string]int64{}
+	now := clock.Now()
+	known := map[string]objects.Position{}
 	for name, k := range f.kinds {
+		if !k.wholeAt.IsZero() && !now.Before(k.wholeAt) {
+			k.whole, k.wholeAt = true, time.Time{}
+		}
 		if k.known > 0 && !k.whole {
 			known[name] = k.known
 		}
@@ -44,7 +48,7 @@
 }
 
 // revision returns the one up to which a kind is known.
-func (f *Follower) revision(kind string) int64 {
+func (f *Follower) revision(kind string) objects.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.of(kind).known
@@ -146,8 +150,8 @@
 }
 
 // news returns what of another box's changes is new here: without deletions of what is gone already, which are told more than once,
-// and with those that a full list implies.
-func (f *Follower) news(ch objects.KindChanges) []objects.Object {
+// and with those that a full list implies, unless objects that it lacks are kept.
+func (f *Follower) news(ch objects.KindChanges, keep bool) []objects.Object {
 	held := map[string]bool{}
 	for _, name := range f.cfg.Catalog.Names(ch.Kind) {
 		held[name] = true
@@ -161,7 +165,7 @@
 		}
 	}
 	for name := range held {
-		if ch.Full && !listed[name] {
+		if ch.Full && !keep && !listed[name] {
 			all = append(all, objects.Object{Kind: ch.Kind, Name: name, Version: ch.Revision, Deleted: true})
 		}
 	}
@@ -170,7 +174,8 @@
 
 // take takes the changes of one kind in.
 func (f *Follower) take(ch objects.KindChanges) {
-	all := f.news(ch)
+	crossed := f.cross(ch.Kind, ch.Revision)
+	all := f.news(ch, crossed)
 	if known := f.revision(ch.Kind); ch.Revision < known {
 		f.cfg.Scope.Counter("told_passed_over").Inc(1)
 		klog.V(1).InfoS("told changes passed over", "kind", ch.Kind, "revision", ch.Revision, "known", known, "objects", len(ch.Objects))
@@ -186,6 +191,9 @@
 	defer f.mu.Unlock()
 	k := f.of(ch.Kind)
 	k.known, k.whole = max(k.known, ch.Revision), k.whole && !ch.Full
+	if crossed && ch.Full {
+		k.wholeAt = clock.Now().Add(f.cfg.Grace)
+	}
 }
 
 // noteTold makes this box pass on what its revision does not show, so that a box that it tells hears what it would from the other itself:
@@ -200,14 +208,14 @@
 	defer f.mu.Unlock()
 	f.late = dropOld(f.late, now)
 	for _, o := range ch.Objects {
-		same := func(d lateDeletion) bool {
+		same := func(d lateChange) bool {
 			return d.object.Name == o.Name && d.object.Kind == o.Kind && d.object.Version == o.Version
 		}
 		switch {
 		case !o.Deleted:
 			f.cfg.Catalog.Touch(ch.Kind, o.Name)
 		case !slices.ContainsFunc(f.late, same):
-			f.late = append(f.late, lateDeletion{o, now})
+			f.late = append(f.late, lateChange{o, now})
 		}
 	}
 }
--- a/internal/follow/relay_test.go
+++ b/internal/follow/relay_test.go
@@ -48,7 +48,7 @@
 }
 
 // Watch implements follow.Source. A cut path says nothing until the caller gives up.
-func (s *counted) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s *counted) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	s.calls.Add(1)
 	ch, err := s.store.Watch(ctx, kinds, from, wait)
 	if s.isCut(kinds[0]) {
--- a/internal/follow/tell.go
+++ b/internal/follow/tell.go
@@ -8,38 +8,38 @@
 	"github.com/bellgap/bellgap/internal/objects"
 )
 
-// lateFor is how long a late deletion is passed on: several heartbeats, and longer than another box goes without one before it asks
+// lateFor is how long a late change is passed on: several heartbeats, and longer than another box goes without one before it asks
 // the store itself.
 const lateFor = 3 * time.Second
 
-// lateDeletion is a deletion of a kind that lapses. One that was held back for a while after an outage comes when other boxes know
+// lateChange is a deletion of a kind that lapses, or an object of a kind that was withheld. One that was held back for a while comes when other boxes know
 // the store's revision already, so that nothing else would tell them; the others are told once more than needed.
-type lateDeletion struct {
+type lateChange struct {
 	object objects.Object
 	at     time.Time
 }
 
-// dropOld drops the deletions that all boxes have been told of.
-func dropOld(late []lateDeletion, now time.Time) []lateDeletion {
-	return slices.DeleteFunc(late, func(d lateDeletion) bool { return now.Sub(d.at) > lateFor })
+// dropOld drops the changes that all boxes have been told of.
+func dropOld(late []lateChange, now time.Time) []lateChange {
+	return slices.DeleteFunc(late, func(d lateChange) bool { return now.Sub(d.at) > lateFor })
 }
 
 // noteLate adds the deletions of a kind that lapses.
-func noteLate(late []lateDeletion, k *kindState, ch objects.Changes, now time.Time) []lateDeletion {
+func noteLate(late []lateChange, k *kindState, ch objects.Changes, now time.Time) []lateChange {
 	late = dropOld(late, now)
 	if !k.Lapses {
 		return late
 	}
 	for _, o := range ch.Objects {
 		if o.Deleted && o.Kind == k.Name {
-			late = append(late, lateDeletion{o, now})
+			late = append(late, lateChange{o, now})
 		}
 	}
 	return late
 }
 
-// lateOf returns the late deletions of a kind that a box may not have been told of, which knows the kind up to a revision.
-func (f *Follower) lateOf(kind string, known int64) []objects.Object {
+// lateOf returns the late changes of a kind that a box may not have been told of, which knows the kind up to a revision.
+func (f *Follower) lateOf(kind string, known objects.Position) []objects.Object {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []objects.Object
@@ -100,7 +100,7 @@
 // Since returns what is known here beyond known, for another box, and the time since the store last answered. What this box has through
 // another one itself is passed on with the age that it has there. No more is passed on in a second than a link carries with ease: a box
 // that could not be told all is to ask the store itself. One that cannot is told a little later.
-func (f *Follower) Since(known map[string]int64) ([]objects.KindChanges, time.Duration) {
+func (f *Follower) Since(known map[string]objects.Position) ([]objects.KindChanges, time.Duration) {
 	var out, asks []objects.KindChanges
 	f.noteTells(clock.Now())
 	age := f.tellAge(clock.Now())
@@ -157,15 +157,23 @@
 }
 
 // sizeSince returns about how large what kindSince returns is.
-func (f *Follower) sizeSince(k Kind, known int64) int {
+func (f *Follower) sizeSince(k Kind, known objects.Position) int {
 	if !k.Relayed || f.revision(k.Name) <= known {
 		return 0
 	}
-	return f.cfg.Catalog.KindSize(k.Name, known)
+	return f.cfg.Catalog.KindSize(k.Name, f.tellFrom(k.Name, known))
+}
+
+// tellFrom returns the position from which on another box is told of a kind that it knows up to a position: zero for all of it.
+func (f *Follower) tellFrom(kind string, known objects.Position) objects.Position {
+	if f.spans(kind, known) {
+		return known
+	}
+	return 0
 }
 
 // kindSince returns what is known of a kind beyond a revision.
-func (f *Follower) kindSince(k Kind, known int64) (objects.KindChanges, bool) {
+func (f *Follower) kindSince(k Kind, known objects.Position) (objects.KindChanges, bool) {
 	own := f.revision(k.Name)
 	if !k.Relayed || own == 0 {
 		return objects.KindChanges{}, false
@@ -174,6 +182,6 @@
 	if own <= known {
 		return objects.KindChanges{Kind: k.Name, Revision: known, Objects: late}, len(late) > 0
 	}
-	changed, complete := f.cfg.Catalog.KindSince(k.Name, known)
+	changed, complete := f.cfg.Catalog.KindSince(k.Name, f.tellFrom(k.Name, known))
 	return objects.KindChanges{Kind: k.Name, Revision: own, Full: !complete, Objects: append(changed, late...)}, true
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -49,7 +49,7 @@
 type Lease struct {
 	cfg     Config
 	record  Record
-	version int64
+	version objects.Position
 	// changedAt is when the present version was first seen.
 	changedAt time.Time
 	// token is that of our own last write that took effect.
@@ -105,18 +105,18 @@
 }
 
 // Version returns the version of the lease object as last read or written.
-func (l *Lease) Version() int64 { return l.version }
+func (l *Lease) Version() objects.Position { return l.version }
 
 // Observe notes at now that the holder of an epoch itself named version as the newest. That is as good as having read the lease, as long
 // as it is the holder of the record; without it the wait for a free lease would only begin at the first heartbeat that is not answered.
-func (l *Lease) Observe(now time.Time, epoch uint64, version int64) {
+func (l *Lease) Observe(now time.Time, epoch uint64, version objects.Position) {
 	if epoch == l.record.Epoch && version >= l.version {
 		l.version, l.changedAt = version, now
 	}
 }
 
 // Told takes in what another box has read of the lease. What is not newer changes nothing, nor does a holder before the one known here.
-func (l *Lease) Told(r Record, version int64) {
+func (l *Lease) Told(r Record, version objects.Position) {
 	if version > l.version && r.Epoch >= l.record.Epoch {
 		l.saw(objects.Object{Version: version}, r)
 	}
@@ -223,7 +223,7 @@
 }
 
 // settle reads the lease back and says whether the write with token took effect.
-func (l *Lease) settle(ctx context.Context, token string) (int64, error) {
+func (l *Lease) settle(ctx context.Context, token string) (objects.Position, error) {
 	o, err := l.cfg.API.Get(ctx, Kind, l.cfg.Name)
 	if err != nil {
 		return 0, err
--- a/internal/lease/told_test.go
+++ b/internal/lease/told_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bellgap/bellgap/internal/lease"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // TestTold hears of a lease from other boxes in any order: the holder never goes back, and what a map names is known until it is read.
@@ -20,7 +21,7 @@
 	for _, test := range []struct {
 		name    string
 		record  lease.Record
-		version int64
+		version objects.Position
 		holder  string
 	}{
 		{"a later write of the holder before", lease.Record{Holder: "box-a", Epoch: 5}, 12, "box-b"},
--- a/internal/lease/unsettled_test.go
+++ b/internal/lease/unsettled_test.go
@@ -19,7 +19,7 @@
 	lost bool
 }
 
-func (s *slowStore) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
+func (s *slowStore) Put(ctx context.Context, kind, name string, expect objects.Position, value json.RawMessage) (objects.Position, error) {
 	v, err := s.API.Put(ctx, kind, name, expect, value)
 	if s.lost && err == nil {
 		return 0, objects.ErrAnswerLost
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -355,7 +355,7 @@
 
 func (s source) Authoritative() bool { return false }
 
-func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s source) Watch(ctx context.Context, _ []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	timeout := time.After(wait)
 	for {
 		to, err := s.reach()
@@ -475,14 +475,14 @@
 
 func (n *node) Authoritative() bool { return true }
 
-func (n *node) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (n *node) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	if n.platformCut() {
 		return objects.Changes{}, objects.ErrUnavailable
 	}
 	return n.cluster.platform.Watch(ctx, kinds, from, wait)
 }
 
-func (n *node) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
+func (n *node) Put(ctx context.Context, kind, name string, expect objects.Position, value json.RawMessage) (objects.Position, error) {
 	if n.platformCut() {
 		return 0, objects.ErrUnavailable
 	}
@@ -495,7 +495,7 @@
 	return v, err
 }
 
-func (n *node) Delete(ctx context.Context, kind, name string, expect int64) error {
+func (n *node) Delete(ctx context.Context, kind, name string, expect objects.Position) error {
 	return n.cluster.platform.Delete(ctx, kind, name, expect)
 }
 
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -112,7 +112,7 @@
 	}, last), nil
 }
 
-func readMap(ctx context.Context, api objects.API, cell string) (coordinator.Map, int64, error) {
+func readMap(ctx context.Context, api objects.API, cell string) (coordinator.Map, objects.Position, error) {
 	var m coordinator.Map
 	o, err := api.Get(ctx, coordinator.MapKind, cell)
 	if errors.Is(err, objects.ErrNotFound) {
@@ -221,7 +221,7 @@
 }
 
 // stored takes in that a map of this coordinator is stored: the newest, or an earlier one that was thought lost.
-func (n *Node) stored(state *coordinator.State, m coordinator.Map, version int64) {
+func (n *Node) stored(state *coordinator.State, m coordinator.Map, version objects.Position) {
 	before, first := n.published, n.published.Lease != m.Lease
 	n.mapVersion, n.published = version, m
 	n.cfg.Scope.Counter("map_writes").Inc(1)
@@ -240,7 +240,7 @@
 // settleMap reads the map back when it is not known whether a write took effect, or when the stored map is not the one that was expected.
 // One of this coordinator's own, written before and thought lost, is as good as published: only another coordinator's ends this one's,
 // as giving up means to forget who is there.
-func (n *Node) settleMap(ctx context.Context) (coordinator.Map, int64, error) {
+func (n *Node) settleMap(ctx context.Context) (coordinator.Map, objects.Position, error) {
 	m, version, err := readMap(ctx, n.cfg.API, n.cfg.Cell)
 	if err != nil {
 		return m, 0, err
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -117,7 +117,7 @@
 
 	// The fields below belong to the loop of Serve.
 	lease      *lease.Lease
-	mapVersion int64
+	mapVersion objects.Position
 	published  coordinator.Map
 	lastSeek   time.Time
 	lastBoxes  time.Time
@@ -152,7 +152,7 @@
 	lastReply time.Time
 	// history holds the maps that this coordinator published last, or those that this box passes on, mapStored the version of the newest.
 	history   coordinator.History
-	mapStored int64
+	mapStored objects.Position
 	// aggregator names the box that passed the last heartbeat on, and passesOn is the size of the last batch, for the status.
 	aggregator string
 	passesOn   int
@@ -167,7 +167,7 @@
 // tenure is the part of the lease that others than the loop read.
 type tenure struct {
 	record     lease.Record
-	version    int64
+	version    objects.Position
 	validUntil time.Time
 }
 
--- a/internal/member/passon.go
+++ b/internal/member/passon.go
@@ -11,6 +11,7 @@
 	"github.com/bellgap/bellgap/internal/aggregator"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -50,8 +51,9 @@
 
 // chosen is the aggregators that this box may use by one cell map.
 type chosen struct {
-	version, generation int64
-	aggregators         []coordinator.Member
+	version     objects.Position
+	generation  int64
+	aggregators []coordinator.Member
 }
 
 // Receive answers the heartbeat of a box, or passes it on if the box asks for that.
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -13,9 +13,9 @@
 // Spread is what a box passes on with heartbeats, so that the platform's load does not grow with the boxes.
 type Spread interface {
 	// Known returns the revisions up to which this box knows the kinds that it follows.
-	Known() map[string]int64
+	Known() map[string]objects.Position
 	// Since returns what this box knows beyond known, and the time since the store last answered it.
-	Since(known map[string]int64) ([]objects.KindChanges, time.Duration)
+	Since(known map[string]objects.Position) ([]objects.KindChanges, time.Duration)
 	// MayTell reports whether something of so many bytes may be told another box now. One that was not told is to ask the platform.
 	MayTell(size int) bool
 	// Take takes changes from the coordinator in.
@@ -26,7 +26,7 @@
 }
 
 // addNews adds to a reply what the box does not know yet. The caller holds the lock.
-func (n *Node) addNews(known map[string]int64, generation int64, news *coordinator.News) {
+func (n *Node) addNews(known map[string]objects.Position, generation int64, news *coordinator.News) {
 	if n.cfg.Spread == nil || known == nil {
 		return
 	}
--- a/internal/member/spread_test.go
+++ b/internal/member/spread_test.go
@@ -16,9 +16,11 @@
 // spread passes no changes on; what it may tell is set.
 type spread struct{ refuse atomic.Bool }
 
-func (s *spread) Known() map[string]int64 { return map[string]int64{} }
+func (s *spread) Known() map[string]objects.Position { return map[string]objects.Position{} }
 
-func (s *spread) Since(map[string]int64) ([]objects.KindChanges, time.Duration) { return nil, 0 }
+func (s *spread) Since(map[string]objects.Position) ([]objects.KindChanges, time.Duration) {
+	return nil, 0
+}
 
 func (s *spread) MayTell(size int) bool { return size < 1000 || !s.refuse.Load() }
 
@@ -60,7 +62,7 @@
 		} {
 			s.refuse.Store(test.refuse)
 			reply, err := teller.HandleBeat(coordinator.Beat{
-				Member: coordinator.Member{Box: "box-000", Zone: zone, Incarnation: "other"}, Known: map[string]int64{}, MapGeneration: test.has,
+				Member: coordinator.Member{Box: "box-000", Zone: zone, Incarnation: "other"}, Known: map[string]objects.Position{}, MapGeneration: test.has,
 			})
 			comment := qt.Commentf("%s", test.name)
 			cl.c.Assert(err, qt.IsNil, comment)
--- a/internal/member/unanswered_test.go
+++ b/internal/member/unanswered_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/objects"
 )
 
 // TestUnansweredWritesDoNotEndACoordinator: while the store is slow, a coordinator's writes take effect and it does not hear of it, nor
@@ -73,7 +74,7 @@
 					cl.c.Assert(err, qt.IsNil)
 					cl.c.Assert(json.Unmarshal(o.Value, &stored), qt.IsNil)
 					r, err := n.HandleBeat(coordinator.Beat{
-						Member: coordinator.Member{Box: "box-001", Zone: zone, Incarnation: "x"}, Known: map[string]int64{}, MapGeneration: stored.Generation,
+						Member: coordinator.Member{Box: "box-001", Zone: zone, Incarnation: "x"}, Known: map[string]objects.Position{}, MapGeneration: stored.Generation,
 					})
 					cl.c.Assert(err, qt.IsNil)
 					cl.c.Check(r.Map, qt.IsNil)
--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -62,23 +62,23 @@
 func (c *Client) Authoritative() bool { return true }
 
 // Watch implements API.
-func (c *Client) Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (Changes, error) {
-	q := url.Values{"kinds": {strings.Join(kinds, ",")}, "from": {strconv.FormatInt(from, 10)}, "wait": {wait.String()}}
+func (c *Client) Watch(ctx context.Context, kinds []string, from Position, wait time.Duration) (Changes, error) {
+	q := url.Values{"kinds": {strings.Join(kinds, ",")}, "from": {formatPosition(from)}, "wait": {wait.String()}}
 	var ch Changes
 	err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, wait, &ch)
 	return ch, err
 }
 
 // Put implements API.
-func (c *Client) Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error) {
+func (c *Client) Put(ctx context.Context, kind, name string, expect Position, value json.RawMessage) (Position, error) {
 	var o Object
-	err := c.call(ctx, http.MethodPut, objectPath(kind, name)+"?expect="+strconv.FormatInt(expect, 10), value, 0, &o)
+	err := c.call(ctx, http.MethodPut, objectPath(kind, name)+"?expect="+formatPosition(expect), value, 0, &o)
 	return o.Version, err
 }
 
 // Delete implements API.
-func (c *Client) Delete(ctx context.Context, kind, name string, expect int64) error {
-	return c.call(ctx, http.MethodDelete, objectPath(kind, name)+"?expect="+strconv.FormatInt(expect, 10), nil, 0, nil)
+func (c *Client) Delete(ctx context.Context, kind, name string, expect Position) error {
+	return c.call(ctx, http.MethodDelete, objectPath(kind, name)+"?expect="+formatPosition(expect), nil, 0, nil)
 }
 
 // Boxes implements API.
@@ -88,6 +88,9 @@
 	return boxes, err
 }
 
+// formatPosition writes a position as JSON does.
+func formatPosition(p Position) string { return strconv.FormatInt(int64(p), 10) }
+
 func objectPath(kind, name string) string {
 	return "/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
 }
--- a/internal/objects/objects.go
+++ b/internal/objects/objects.go
@@ -30,8 +30,8 @@
 type Object struct {
 	Kind string `json:"kind"`
 	Name string `json:"name"`
-	// Version is the store-wide revision of the object's last write.
-	Version int64           `json:"version"`
+	// Version is the position of the object's last write.
+	Version Position        `json:"version"`
 	Value   json.RawMessage `json:"value,omitempty"`
 	// Deleted marks a deletion in a list of changes.
 	Deleted bool `json:"deleted,omitempty"`
@@ -40,8 +40,8 @@
 // Changes is a part of the store's history.
 type Changes struct {
 	Objects []Object `json:"objects"`
-	// Revision is the store-wide revision up to which Objects is complete.
-	Revision int64 `json:"revision"`
+	// Revision is the position up to which Objects is complete.
+	Revision Position `json:"revision"`
 	// Next asks List for the next page; empty on the last one. Only the first page's Revision holds for the whole list.
 	Next string `json:"next,omitempty"`
 }
@@ -50,7 +50,7 @@
 type KindChanges struct {
 	Kind string `json:"kind"`
 	// Revision is that up to which the sender knows the kind.
-	Revision int64 `json:"revision"`
+	Revision Position `json:"revision"`
 	// Full says that Objects are all there are of the kind.
 	Full    bool     `json:"full,omitempty"`
 	Objects []Object `json:"objects,omitempty"`
@@ -61,7 +61,7 @@
 // Confirmation says how old a box's word on a whole kind is, as one box tells another.
 type Confirmation struct {
 	// Revision is that up to which the sender knows the kind.
-	Revision int64 `json:"revision"`
+	Revision Position `json:"revision"`
 	// Age is the time since all that the store had acknowledged of the kind was known at Revision, when the message was made. It is counted
 	// from before the question, so it may be too great and is never too small.
 	Age time.Duration `json:"age"`
@@ -84,16 +84,16 @@
 
 // API is what bellgap uses of the platform. Client implements it.
 type API interface {
-	// Get returns one object or ErrNotFound.
+	// Get returns one object, or ErrNotFound with an object whose Version names the era that lacks it.
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// List returns a page of the objects of the kinds, the first one after "".
 	List(ctx context.Context, kinds []string, after string) (Changes, error)
-	// Watch waits up to wait for changes of the kinds after revision from, and returns them or none; ErrGone asks for a List.
-	Watch(ctx context.Context, kinds []string, from int64, wait time.Duration) (Changes, error)
-	// Put writes the value if the object's version is expect (0: it does not exist) and returns the new version.
-	Put(ctx context.Context, kind, name string, expect int64, value json.RawMessage) (int64, error)
+	// Watch waits up to wait for changes of the kinds after from, and returns them or none; ErrGone asks for a List, also where from is of an earlier era.
+	Watch(ctx context.Context, kinds []string, from Position, wait time.Duration) (Changes, error)
+	// Put writes the value if the object's version is expect (without a revision: it does not exist) and returns the new version.
+	Put(ctx context.Context, kind, name string, expect Position, value json.RawMessage) (Position, error)
 	// Delete removes the object if its version is expect.
-	Delete(ctx context.Context, kind, name string, expect int64) error
+	Delete(ctx context.Context, kind, name string, expect Position) error
 	// Boxes returns the box list.
 	Boxes(ctx context.Context) ([]Box, error)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -63,12 +63,12 @@
 
 // Status is what GET /status answers.
 type Status struct {
-	Box      string         `json:"box"`
-	Ready    bool           `json:"ready"`
-	Revision int64          `json:"revision"`
-	InFlight int            `json:"in_flight"`
-	Member   member.Status  `json:"member"`
-	Engines  []owner.Status `json:"engines"`
+	Box      string           `json:"box"`
+	Ready    bool             `json:"ready"`
+	Revision objects.Position `json:"revision"`
+	InFlight int              `json:"in_flight"`
+	Member   member.Status    `json:"member"`
+	Engines  []owner.Status   `json:"engines"`
 	// Skipped counts objects that this box could not read.
 	Skipped int `json:"skipped"`
 	// Limits lists the endpoints that name how many requests a second they take, as this box knows.
--- a/internal/operator/resources.go
+++ b/internal/operator/resources.go
@@ -29,8 +29,8 @@
 // Written is the answer to a write.
 type Written struct {
 	Outcome Outcome `json:"outcome"`
-	// Version is the store-wide revision of the write; it is in force where the status shows at least this revision.
-	Version int64 `json:"version"`
+	// Version is the position of the write; it is in force where the status shows at least this revision.
+	Version objects.Position `json:"version"`
 }
 
 func (o *Operator) handleList(w http.ResponseWriter, r *http.Request) {
@@ -93,7 +93,7 @@
 // anyVersion is the expectation of a write that takes whatever is there.
 const anyVersion = -1
 
-func expected(r *http.Request) (int64, *result.Error) {
+func expected(r *http.Request) (objects.Position, *result.Error) {
 	text := r.FormValue("expect")
 	if text == "" {
 		return anyVersion, nil
@@ -102,15 +102,20 @@
 	if err != nil || v < 0 {
 		return 0, result.New(result.BadRequest, "expect %q is not a version", text)
 	}
-	return v, nil
+	return objects.Position(v), nil
 }
 
-func (o *Operator) put(ctx context.Context, res resource.Resource, expect int64, dryRun bool) (Written, *result.Error) {
+// isExpected reports whether an object is as a write expects it to be.
+func isExpected(expect objects.Position, have objects.Object) bool {
+	return expect == anyVersion || expect == have.Version || expect == 0 && !have.Version.Exists()
+}
+
+func (o *Operator) put(ctx context.Context, res resource.Resource, expect objects.Position, dryRun bool) (Written, *result.Error) {
 	have, err := o.cfg.API.Get(ctx, string(res.Kind), res.Name)
 	if err != nil && !errors.Is(err, objects.ErrNotFound) {
 		return Written{}, platformError(err)
 	}
-	if expect != anyVersion && expect != have.Version {
+	if !isExpected(expect, have) {
 		return Written{}, result.New(result.Conflict, "version is %d, not %d", have.Version, expect)
 	}
 	generation := max(catalog.GenerationOf(have), o.cfg.Catalog.Generation(string(res.Kind), res.Name))
@@ -124,7 +129,7 @@
 		return Written{}, result.New(result.InvalidResource, "%v", err)
 	}
 	outcome := Changed
-	if have.Version == 0 {
+	if !have.Version.Exists() {
 		outcome = Created
 	}
 	if dryRun {
@@ -142,7 +147,7 @@
 
 // settle reads back after a lost answer. Only a value that is ours and newer shows that the write took effect;
 // an unchanged version shows that it has not yet, which it still may.
-func (o *Operator) settle(ctx context.Context, res resource.Resource, before int64, value []byte) (int64, error) {
+func (o *Operator) settle(ctx context.Context, res resource.Resource, before objects.Position, value []byte) (objects.Position, error) {
 	now, err := o.cfg.API.Get(ctx, string(res.Kind), res.Name)
 	if err != nil || now.Version == before {
 		return 0, objects.ErrAnswerLost
@@ -169,7 +174,7 @@
 		o.fail(w, platformError(err))
 		return
 	}
-	if expect != anyVersion && expect != have.Version {
+	if !isExpected(expect, have) {
 		o.fail(w, result.New(result.Conflict, "version is %d, not %d", have.Version, expect))
 		return
 	}
@@ -189,7 +194,7 @@
 	}
 	enc := json.NewEncoder(w)
 	rc := http.NewResponseController(w)
-	seen := map[string]int64{}
+	seen := map[string]objects.Position{}
 	for {
 		changed := o.cfg.Catalog.Changed()
 		if writeNewer(enc, o.cfg.Catalog.Resources(kind, r.FormValue("prefix")), seen) != nil || rc.Flush() != nil {
@@ -203,7 +208,7 @@
 	}
 }
 
-func writeNewer(enc *json.Encoder, items []catalog.Item, seen map[string]int64) error {
+func writeNewer(enc *json.Encoder, items []catalog.Item, seen map[string]objects.Position) error {
 	for _, it := range items {
 		if seen[it.Resource.Name] == it.Version {
 			continue
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -131,9 +131,9 @@
 func (s source) Authoritative() bool { return false }
 
 // Watch implements feed.Source.
-func (s source) Watch(ctx context.Context, _ []string, from int64, wait time.Duration) (objects.Changes, error) {
+func (s source) Watch(ctx context.Context, _ []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
 	var ch objects.Changes
-	path := PathChanges + "?from=" + strconv.FormatInt(from, 10) + "&wait=" + wait.String()
+	path := PathChanges + "?from=" + strconv.FormatInt(int64(from), 10) + "&wait=" + wait.String()
 	err := s.client.call(ctx, s.address, path, wait+callTimeout, struct{}{}, &ch)
 	return ch, err
 }
--- a/internal/peer/handler.go
+++ b/internal/peer/handler.go
@@ -112,12 +112,12 @@
 	defer timeout.Stop()
 	for {
 		changed := h.cfg.Catalog.Changed()
-		ch, err := h.cfg.Catalog.Since(from)
+		ch, err := h.cfg.Catalog.Since(objects.Position(from))
 		if errors.Is(err, objects.ErrGone) {
 			http.Error(w, err.Error(), http.StatusGone)
 			return
 		}
-		if ch.Revision > from {
+		if ch.Revision > objects.Position(from) {
 			httpx.WriteJSON(w, http.StatusOK, ch)
 			return
 		}
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -50,9 +50,9 @@
 }
 
 // put stores an object of the fleet in a catalog.
-func put(c *qt.C, cat *catalog.Catalog, version int64, kind, name string, value any) {
+func put(c *qt.C, cat *catalog.Catalog, version objects.Position, kind, name string, value any) {
 	if spec, ok := value.(resource.Spec); ok {
-		value = resource.Resource{Kind: resource.Kind(kind), Name: name, Generation: version, Spec: spec}
+		value = resource.Resource{Kind: resource.Kind(kind), Name: name, Generation: int64(version), Spec: spec}
 	}
 	raw, err := json.Marshal(value)
 	c.Assert(err, qt.IsNil)
