No epoch is given twice after the store has lost its last writes

A coordinator that took the lease after a restore read the epochs of the copy and gave them out again: two boxes could hold one engine under one epoch, or an engine's epoch could fall, and endpoints that check no epochs would have taken orders of both.

Cause: epochs of the lease, of engines and generations of the cell map grew from what was stored, and the copy stores less than was given.

Change: the high bits of a lease's epoch are the store's era, and engines' epochs and the map's generations of an era start above all of the one before. A lease that stands in a copy is nobody's: its holder takes it again under a new epoch. A coordinator that finds a map of an earlier era believes the boxes and not the map: they say what they own, with those grants that have run out set apart. It publishes nothing for two heartbeats, until which the last map stays in force; an engine that nobody claims waits until any grant of before has run out, the lease of a coordinator that has not heard of the restore included, unless its box comes as a new process. Boxes of the older map are shown as silent until heard, as they may be long gone.

The fence numbers of engines that kept their owner stay as they are.

--- a/internal/coordinator/assign.go
+++ b/internal/coordinator/assign.go
@@ -24,7 +24,7 @@
 			continue
 		}
 		if now.Before(s.heldUntil[name]) {
-			if h := s.heldFor[name]; s.cfg.Reclaim && slices.Contains(live, h.box) && s.members[h.box].Incarnation != h.released {
+			if h := s.heldFor[name]; s.cfg.Reclaim && !s.Collecting(now) && slices.Contains(live, h.box) && s.members[h.box].Incarnation != h.released {
 				s.own(o, h.box)
 				load[h.box]++
 			}
--- a/internal/coordinator/batch.go
+++ b/internal/coordinator/batch.go
@@ -65,9 +65,11 @@
 	Released []Release
 	Draining []string
 	Owned    []Ownership
+	Lapsed   []string
 }
 
 // Equal reports whether both say the same.
 func (h Holdings) Equal(o Holdings) bool {
-	return h.Member == o.Member && slices.Equal(h.Released, o.Released) && slices.Equal(h.Draining, o.Draining) && slices.Equal(h.Owned, o.Owned)
+	return h.Member == o.Member && slices.Equal(h.Released, o.Released) && slices.Equal(h.Draining, o.Draining) && slices.Equal(h.Owned, o.Owned) &&
+		slices.Equal(h.Lapsed, o.Lapsed)
 }
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -80,6 +80,8 @@
 	Draining []string `json:"draining,omitempty"`
 	// Owned lists what this box holds, for a new coordinator.
 	Owned []Ownership `json:"owned,omitempty"`
+	// Lapsed lists engines whose grants to this box have run out and have not been renewed or replaced.
+	Lapsed []string `json:"lapsed,omitempty"`
 	// Known names the revisions up to which this box knows the kinds that it follows, MapGeneration the cell map that it has;
 	// a box that takes no changes with its heartbeats names neither.
 	Known         map[string]objects.Position `json:"known,omitempty"`
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -35,6 +36,11 @@
 	Started time.Time
 	// Lapsed names the box whose lease ran out, empty if it was given up or is this box's own.
 	Lapsed string
+	// Restored says that the store has come back from an older copy since the last map was written, or may have lost it. What the map says of engines and
+	// boxes may be out of date then: boxes say themselves what they own, and an engine that nobody claims is held until all grants of before have run out,
+	// those of a coordinator that has not heard of it included, whose lease lasts LeaseTTL.
+	Restored bool
+	LeaseTTL time.Duration
 }
 
 type member struct {
@@ -49,6 +55,8 @@
 	sequence, base uint64
 	// busy lists the engines that the box owns, as far as it knows, or still has requests in flight on.
 	busy []string
+	// owned is what the box said it owns.
+	owned []Ownership
 }
 
 // holder is the box that an engine is held for. If it gave the engine up itself, released names the process that did: only the
@@ -89,14 +97,19 @@
 func New(cfg Config, last Map) *State {
 	s := &State{
 		cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{},
-		heldUntil: map[string]time.Time{}, heldFor: map[string]holder{}, leaving: last.Leaving, epoch: last.Epoch,
+		heldUntil: map[string]time.Time{}, heldFor: map[string]holder{}, leaving: last.Leaving,
+		epoch: max(last.Epoch, lease.FirstEpoch(lease.EraOf(cfg.Lease))),
 	}
 	for _, m := range last.Members {
-		// A box that let its lease run out has said nothing for that long.
-		m.Silent = m.Silent || m.Box == cfg.Lapsed
+		// A box that let its lease run out has said nothing for that long, and one of an older map may be long gone.
+		m.Silent = m.Silent || m.Box == cfg.Lapsed || cfg.Restored
 		s.members[m.Box] = &member{Member: m, seen: cfg.Started, inherited: true}
 	}
 	for _, o := range last.Owners {
+		if cfg.Restored {
+			s.await(o)
+			continue
+		}
 		s.adopt(o)
 		if o.Owner == "" {
 			s.heldUntil[o.Engine] = cfg.Started.Add(cfg.Term + cfg.OrderGap)
@@ -105,6 +118,27 @@
 	return s
 }
 
+// await holds an engine of an older map until a box claims it. If its box of then comes as a new process, or with a grant that has run out, it may have it
+// back once all others have had the time to claim it.
+func (s *State) await(o Ownership) {
+	s.epoch = max(s.epoch, o.Epoch)
+	s.owners[o.Engine] = &Ownership{Engine: o.Engine}
+	s.heldUntil[o.Engine] = s.unclaimedUntil()
+	if m := s.members[o.Owner]; m != nil {
+		s.heldFor[o.Engine] = holder{o.Owner, m.Incarnation}
+	}
+}
+
+// unclaimedUntil returns until when a grant of before may hold that no box has told of.
+func (s *State) unclaimedUntil() time.Time {
+	return s.cfg.Started.Add(s.cfg.LeaseTTL + s.cfg.Term + s.cfg.OrderGap)
+}
+
+// Collecting reports whether boxes are still to say what they own before the first map is published.
+func (s *State) Collecting(now time.Time) bool {
+	return s.cfg.Restored && !s.hasPublished && now.Before(s.cfg.Started.Add(s.cfg.UnheardAfter))
+}
+
 func (s *State) adopt(o Ownership) {
 	s.epoch = max(s.epoch, o.Epoch)
 	if have, ok := s.owners[o.Engine]; ok && have.Epoch >= o.Epoch {
@@ -139,12 +173,19 @@
 	if m != nil && !again {
 		s.returned(now, m)
 	}
-	busy := slices.Clone(b.Draining)
+	busy := slices.Concat(b.Draining, b.Lapsed)
 	for _, o := range b.Owned {
 		busy = append(busy, o.Engine)
 		s.adopt(o)
 	}
-	s.members[b.Member.Box] = &member{Member: b.Member, seen: now, released: b.Released, busy: busy, sequence: b.Sequence, base: b.Sequence}
+	for _, engine := range b.Lapsed {
+		if s.cfg.Restored && s.heldFor[engine].box == b.Member.Box {
+			s.heldFor[engine] = holder{box: b.Member.Box}
+		}
+	}
+	s.members[b.Member.Box] = &member{
+		Member: b.Member, seen: now, released: b.Released, busy: busy, owned: b.Owned, sequence: b.Sequence, base: b.Sequence,
+	}
 	return nil
 }
 
@@ -242,6 +283,9 @@
 		s.zones[e.Name] = e.Zone
 		if s.owners[e.Name] == nil {
 			s.owners[e.Name] = &Ownership{Engine: e.Name}
+			if s.cfg.Restored {
+				s.heldUntil[e.Name] = s.unclaimedUntil()
+			}
 		}
 	}
 	for _, o := range s.owners {
@@ -329,9 +373,21 @@
 		}
 	}
 	r.Release = s.release(now, m, r.Grants)
+	r.Frozen = r.Frozen || s.awaitsPublishing(m, r.Grants)
 	return r
 }
 
+// awaitsPublishing reports whether a box owns an engine by its own word that the published map does not give it yet: a reply would take it away.
+func (s *State) awaitsPublishing(m *member, grants []Ownership) bool {
+	if !s.cfg.Restored {
+		return false
+	}
+	return slices.ContainsFunc(m.owned, func(o Ownership) bool {
+		meant := s.owners[o.Engine]
+		return meant != nil && meant.Owner == m.Box && meant.Epoch == o.Epoch && !slices.ContainsFunc(grants, func(g Ownership) bool { return g.Engine == o.Engine })
+	})
+}
+
 // Map returns the map to publish, in a fixed order.
 func (s *State) Map() Map {
 	mp := Map{Cell: s.cfg.Cell, Region: s.cfg.Region, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Epoch: s.epoch, Leaving: s.leaving}
--- a/internal/fakeplatform/store.go
+++ b/internal/fakeplatform/store.go
@@ -101,7 +101,17 @@
 }
 
 // Rewind puts an older copy back and begins the next era.
-func (s *Store) Rewind(c objects.Changes) { s.Restore(c) }
+func (s *Store) Rewind(c objects.Changes) {
+	s.mu.Lock()
+	era := s.revision.Era() + 1
+	s.mu.Unlock()
+	next := objects.Changes{Revision: objects.At(era, c.Revision.Revision())}
+	for _, o := range c.Objects {
+		o.Version = objects.At(era, o.Version.Revision())
+		next.Objects = append(next.Objects, o)
+	}
+	s.Restore(next)
+}
 
 // Get implements objects.API.
 func (s *Store) Get(ctx context.Context, kind, name string) (objects.Object, error) {
@@ -112,7 +122,7 @@
 	defer s.mu.Unlock()
 	o, ok := s.objects[key{kind, name}]
 	if !ok {
-		return o, objects.ErrNotFound
+		return objects.Object{Version: objects.At(s.revision.Era(), 0)}, objects.ErrNotFound
 	}
 	return o, nil
 }
@@ -219,7 +229,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := key{o.Kind, o.Name}
-	if s.objects[k].Version != expect {
+	if have := s.objects[k].Version; have != expect && (have.Exists() || expect.Exists()) {
 		return 0, objects.ErrConflict
 	}
 	s.revision++
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -23,12 +23,21 @@
 	Holder string `json:"holder"`
 	// Address is the holder's peer address.
 	Address string `json:"address"`
-	// Epoch grows by one with each change of holder.
+	// Epoch grows with each change of holder. Its high bits are the store's era, so that none is given out again after the store has lost the last ones.
 	Epoch uint64 `json:"epoch"`
 	// Token tells one write from another, to settle a lost answer.
 	Token string `json:"token"`
 }
 
+// epochShift is where the era begins in an epoch.
+const epochShift = 32
+
+// FirstEpoch returns the number below the first epoch of an era.
+func FirstEpoch(era int64) uint64 { return uint64(era) << epochShift }
+
+// EraOf returns the era of the store in which an epoch was taken.
+func EraOf(epoch uint64) int64 { return int64(epoch >> epochShift) }
+
 // Config configures a Lease.
 type Config struct {
 	API objects.API
@@ -80,7 +89,7 @@
 func (l *Lease) Refresh(ctx context.Context) error {
 	o, err := l.cfg.API.Get(ctx, Kind, l.cfg.Name)
 	if errors.Is(err, objects.ErrNotFound) {
-		l.saw(objects.Object{}, Record{})
+		l.saw(o, Record{})
 		return nil
 	}
 	if err != nil {
@@ -152,11 +161,14 @@
 
 // Take writes this box as the holder with the next epoch. Only call it when Free or when this box is the recorded holder.
 func (l *Lease) Take(ctx context.Context) error {
-	return l.write(ctx, Record{Holder: l.cfg.Holder, Address: l.cfg.Address, Epoch: l.record.Epoch + 1})
+	return l.write(ctx, Record{Holder: l.cfg.Holder, Address: l.cfg.Address, Epoch: max(l.record.Epoch, FirstEpoch(l.version.Era())) + 1})
 }
 
-// Ours reports whether the lease, as last read or written, is as this box wrote it.
-func (l *Lease) Ours() bool { return l.token != "" && l.record.Token == l.token }
+// Ours reports whether the lease, as last read or written, is as this box wrote it. One that stands in a copy of the store does not count: another box may
+// have held it since the copy was made.
+func (l *Lease) Ours() bool {
+	return l.token != "" && l.record.Token == l.token && EraOf(l.record.Epoch) == l.version.Era()
+}
 
 // Renew extends the tenure of this box. It is a conflict if another box has written since, even if this box has read that.
 func (l *Lease) Renew(ctx context.Context) error {
@@ -232,7 +244,7 @@
 	if err := json.Unmarshal(o.Value, &r); err != nil {
 		return 0, eris.Wrapf(err, "lease: %s", l.cfg.Name)
 	}
-	if r.Token != token {
+	if r.Token != token || o.Version.Era() != l.version.Era() {
 		return 0, objects.ErrConflict
 	}
 	return o.Version, nil
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -169,6 +169,7 @@
 
 func (n *Node) nextBeat() (coordinator.Beat, string) {
 	released, draining := n.cfg.Holder.Released()
+	now := clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	self := n.cfg.Self
@@ -185,8 +186,13 @@
 		if g.released {
 			b.Released = append(b.Released, coordinator.Release{Engine: name, Epoch: g.Epoch})
 		}
-		b.Owned = append(b.Owned, g.Ownership)
+		if now.Before(g.until) {
+			b.Owned = append(b.Owned, g.Ownership)
+		} else {
+			b.Lapsed = append(b.Lapsed, name)
+		}
 	}
+	slices.Sort(b.Lapsed)
 	slices.SortFunc(b.Released, func(x, y coordinator.Release) int { return strings.Compare(x.Engine, y.Engine) })
 	slices.SortFunc(b.Owned, func(x, y coordinator.Ownership) int { return strings.Compare(x.Engine, y.Engine) })
 	return b, n.tenure.record.Address
@@ -200,7 +206,7 @@
 }
 
 func holdingsOf(b coordinator.Beat) coordinator.Holdings {
-	return coordinator.Holdings{Member: b.Member, Released: b.Released, Draining: b.Draining, Owned: b.Owned}
+	return coordinator.Holdings{Member: b.Member, Released: b.Released, Draining: b.Draining, Owned: b.Owned, Lapsed: b.Lapsed}
 }
 
 func (n *Node) nextSequence() uint64 {
@@ -216,7 +222,7 @@
 	b := full
 	b.Base = n.basis.sequence
 	b.Member = coordinator.Member{Box: full.Member.Box, Incarnation: full.Member.Incarnation}
-	b.Released, b.Draining, b.Owned = nil, nil, nil
+	b.Released, b.Draining, b.Owned, b.Lapsed = nil, nil, nil, nil
 	return b
 }
 
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -13,6 +13,7 @@
 
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/quarantine"
@@ -98,17 +99,22 @@
 	if n.cfg.Quarantine != nil {
 		n.cfg.Quarantine.Inherit(last.Quarantined)
 	}
+	epoch := n.lease.Record().Epoch
+	_, _, known := n.cfg.Catalog.Map(n.cfg.Cell)
+	restored := lease.EraOf(last.Lease) < lease.EraOf(epoch) && (version.Exists() || known)
 	n.mu.Lock()
 	n.history.Reset()
-	n.history.Set(last)
+	if !restored {
+		n.history.Set(last)
+	}
 	n.mapStored = version
 	n.mu.Unlock()
-	epoch := n.lease.Record().Epoch
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
-	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", n.lapsed, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
+	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", n.lapsed, "restored", restored, "generation", last.Generation, "members", len(last.Members), "engines", len(last.Owners))
 	return coordinator.New(coordinator.Config{
 		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: clock.Now(),
 		SilentAfter: n.cfg.Timing.SilentAfter, UnheardAfter: unheardBeats * n.cfg.Timing.Beat, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim, Lapsed: n.lapsed,
+		Restored: restored, LeaseTTL: n.cfg.Timing.LeaseTTL,
 	}, last), nil
 }
 
@@ -116,7 +122,7 @@
 	var m coordinator.Map
 	o, err := api.Get(ctx, coordinator.MapKind, cell)
 	if errors.Is(err, objects.ErrNotFound) {
-		return m, 0, nil
+		return m, o.Version, nil
 	}
 	if err != nil {
 		return m, 0, err
@@ -193,10 +199,12 @@
 // publish writes the map if it differs from the stored one. Writing conditionally on the last map keeps out a coordinator that was replaced.
 func (n *Node) publish(ctx context.Context, state *coordinator.State) error {
 	m := n.nextMap(state)
-	if sameMap(m, n.published) {
+	if state.Collecting(clock.Now()) || sameMap(m, n.published) {
 		return nil
 	}
-	m.Generation = max(n.published.Generation, n.cfg.Catalog.Generation(coordinator.MapKind, n.cfg.Cell)) + 1
+	// In a new era of the store the generations of before may have been lost with it.
+	first := int64(objects.At(lease.EraOf(m.Lease), 0))
+	m.Generation = max(first, n.published.Generation, n.cfg.Catalog.Generation(coordinator.MapKind, n.cfg.Cell)) + 1
 	value, err := json.Marshal(m)
 	if err != nil {
 		return err
