--- a/internal/member/rewind_test.go
+++ b/internal/member/rewind_test.go
@@ -12,8 +12,8 @@
 // TestAuthorityThroughALostTail guards against engines that two boxes may give orders, or epochs that are given twice, after the store has come back from
 // a copy that lacks the last takeovers.
 func TestAuthorityThroughALostTail(t *testing.T) {
-	for _, lost := range []time.Duration{time.Second, 4 * time.Second, 8 * time.Second, 13 * time.Second} {
-		for _, then := range []time.Duration{0, 700 * time.Millisecond, 3 * time.Second} {
+	for lost := 500 * time.Millisecond; lost <= 14*time.Second; lost += 900 * time.Millisecond {
+		for _, then := range []time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second, 9 * time.Second} {
 			t.Run(fmt.Sprint(lost, "-then-", then), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					cl := newTimedCluster(t, 5, 12, 0, routedTiming())
