Show the store's era: status, metrics, positions as era and revision

Operators saw nothing of a restore of the store. The test of a restored platform plays one with eras as well.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -269,7 +269,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, Ready: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, Record: record.New(),
-		Quarantine: b.quarantine, Limits: b.rates.Limits, Notices: b.notices,
+		Quarantine: b.quarantine, Limits: b.rates.Limits, Notices: b.notices, Restored: b.follower.Restored,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -239,6 +239,19 @@
 	c.withholding[kind] = true
 }
 
+// Withheld returns how many objects are withheld.
+func (c *Catalog) Withheld() int {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	n := 0
+	for k, t := range c.deleted {
+		if t.withheld != nil && c.withholding[k.kind] {
+			n++
+		}
+	}
+	return n
+}
+
 // Admit ends what Withhold began, takes in what is still there and returns it.
 func (c *Catalog) Admit(kind string) []objects.Object {
 	c.mu.Lock()
--- a/internal/cli/resources.go
+++ b/internal/cli/resources.go
@@ -65,7 +65,7 @@
 	if dryRun {
 		suffix = " (dry run)"
 	}
-	_, err = fmt.Fprintf(out, "%s/%s %s at version %d%s\n", strings.ToLower(string(r.Kind)), r.Name, done.Outcome, done.Version, suffix)
+	_, err = fmt.Fprintf(out, "%s/%s %s at version %s%s\n", strings.ToLower(string(r.Kind)), r.Name, done.Outcome, done.Version, suffix)
 	return err
 }
 
@@ -161,7 +161,7 @@
 		if err != nil {
 			return err
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\n", it.Resource.Name, it.Version, spec)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", it.Resource.Name, it.Version, spec)
 	}
 	return w.Flush()
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -24,7 +24,7 @@
 		Flags: []cli.Flag{
 			&cli.DurationFlag{Name: "wait", Usage: "wait up to `TIME` until the box is ready and every engine has an owner"},
 			&cli.BoolFlag{Name: "all", Usage: "list every engine, however many there are"},
-			&cli.Int64Flag{Name: "revision", Usage: "with --wait, also until the box has `REVISION` in force"},
+			&cli.StringFlag{Name: "revision", Value: "0", Usage: "with --wait, also until the box has `REVISION` in force, as apply prints it"},
 		},
 		Action: runStatus,
 	}
@@ -37,10 +37,14 @@
 	if err != nil {
 		return err
 	}
+	revision, err := objects.ParsePosition(cmd.String("revision"))
+	if err != nil {
+		return result.New(result.BadRequest, "%v", err)
+	}
 	until := time.Now().Add(cmd.Duration("wait"))
 	for {
 		st, t, err := readStatus(ctx, c)
-		if err == nil && (cmd.Duration("wait") == 0 || settled(st, t, objects.Position(cmd.Int64("revision")))) {
+		if err == nil && (cmd.Duration("wait") == 0 || settled(st, t, revision)) {
 			return printStatus(cmd, st, t)
 		}
 		if !time.Now().Before(until) {
@@ -81,9 +85,13 @@
 	}
 	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
 	// The tab writer keeps errors for Flush.
-	_, _ = fmt.Fprintf(w, "box %s ready=%t revision=%d in_flight=%d cell=%s coordinator=%s frozen=%t heard=%s ago aggregator=%s passes_on=%d\n",
+	_, _ = fmt.Fprintf(w, "box %s ready=%t revision=%s in_flight=%d cell=%s coordinator=%s frozen=%t heard=%s ago aggregator=%s passes_on=%d\n",
 		st.Box, st.Ready, st.Revision, st.InFlight, st.Member.Cell, st.Member.Coordinator, st.Member.Frozen,
 		st.Member.SinceReply.Round(time.Millisecond), cmp.Or(st.Member.Aggregator, "none"), st.Member.PassesOn)
+	if r := st.Restored; r != nil {
+		_, _ = fmt.Fprintf(w, "store came back from an older copy: era %d, %s ago; kept %d objects that it lacks, withheld %d that had gone\n",
+			r.Era, r.Ago.Round(time.Second), r.Kept, r.Withheld)
+	}
 	all := summarize(t, st.Member.Coordinator, st.Member.Cell)
 	all.addLimits(st.Limits)
 	all.addNotices(st.Left, st.Rests)
--- a/internal/follow/era.go
+++ b/internal/follow/era.go
@@ -16,6 +16,32 @@
 // withholdTime is how long after the store has come back an object that had gone is not believed to be there: entries that nobody writes lapse within it.
 const withholdTime = 5 * time.Second
 
+// Restored is what a box shows of the last time that the store came back from an older copy.
+type Restored struct {
+	// Era is the one that began then, zero if this box has seen none begin; Ago is how long ago it heard of that.
+	Era int64         `json:"era"`
+	Ago time.Duration `json:"ago"`
+	// Kept counts the objects that are in force though the store lacks them, Withheld those that it has again and that are not in force.
+	Kept     int `json:"kept"`
+	Withheld int `json:"withheld"`
+}
+
+// Restored returns what is to be shown of the last restore of the store.
+func (f *Follower) Restored() Restored {
+	withheld := f.cfg.Catalog.Withheld()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.restored
+	if r.Era == 0 {
+		return r
+	}
+	r.Ago, r.Withheld = clock.Since(f.restoredAt), withheld
+	for _, k := range f.kinds {
+		r.Kept += k.kept
+	}
+	return r
+}
+
 // cross begins a new era of a kind if revision is of one. The caller takes in what it has heard after that.
 func (f *Follower) cross(kind string, revision objects.Position) (crossed bool) {
 	now := clock.Now()
@@ -25,6 +51,9 @@
 	crossed = known > 0 && revision.Era() > known.Era()
 	if crossed {
 		k.bridge, k.crossedAt = known, now
+		if revision.Era() > f.restored.Era {
+			f.restored, f.restoredAt = Restored{Era: revision.Era()}, now
+		}
 	}
 	f.mu.Unlock()
 	if !crossed {
@@ -32,6 +61,7 @@
 	}
 	f.cfg.Catalog.Withhold(kind)
 	f.cfg.Scope.Counter("store_eras_crossed").Inc(1)
+	f.cfg.Scope.Gauge("store_era").Update(float64(revision.Era()))
 	klog.InfoS("store era", "kind", kind, "was", known.Era(), "is", revision.Era(), "known", known, "revision", revision)
 	return true
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -108,6 +108,9 @@
 	// relayed is until when another box's changes stand in for calls, takenAt when one last told anything.
 	relayed time.Time
 	takenAt time.Time
+	// restored is the last restore of the store that was heard of, restoredAt when.
+	restored   Restored
+	restoredAt time.Time
 	// late holds the changes that were taken in later than the store made them.
 	late []lateChange
 	// told bounds what other boxes are told, toldAt is when one last was.
@@ -331,7 +334,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	own := f.of(k.Name)
-	own.known, own.held = k.revision, len(k.missing) > 0
+	own.known, own.kept = k.revision, len(k.missing)
 	f.late = noteLate(f.late, k, ch, clock.Now())
 }
 
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -25,8 +25,8 @@
 	failing  bool
 	// failedAt is when the first call failed since one was answered.
 	failedAt time.Time
-	// held says that objects are kept that the store no longer has.
-	held bool
+	// kept counts the objects that are kept though the store no longer has them.
+	kept int
 	// whole says that another box has to tell of the kind in full, asked that the store is to be asked though changes come through one.
 	whole, asked bool
 	// askedAt is when that began.
--- a/internal/follow/relay.go
+++ b/internal/follow/relay.go
@@ -13,7 +13,7 @@
 // A box that has its changes through another one knows what that one knows, but for entries of kinds that lapse: after an outage of the
 // store either box may keep what the other has dropped. To make up for that the box that tells repeats its late deletions
 // (late) and tells again what came back while it kept it (kindState.returned). The box that is told asks for the whole of a kind (whole) if
-// it keeps something itself that the store no longer has (held), or has heard nothing for a while and not listed the kind since (noteGap).
+// it keeps something itself that the store no longer has (kept), or has heard nothing for a while and not listed the kind since (noteGap).
 
 // isRelayed reports whether changes come through another box.
 func (f *Follower) isRelayed(now time.Time) bool {
@@ -132,7 +132,7 @@
 	defer f.mu.Unlock()
 	for _, k := range f.cfg.Kinds {
 		own := f.of(k.Name)
-		own.whole = own.whole || own.held
+		own.whole = own.whole || own.kept > 0
 	}
 }
 
--- a/internal/objects/position.go
+++ b/internal/objects/position.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 // eraShift is where the era begins in a Position: an era has room for 2^40 revisions, and JSON numbers are exact for 8,191 eras.
@@ -32,3 +35,20 @@
 	}
 	return fmt.Sprintf("%d/%d", p.Era(), p.Revision())
 }
+
+// ParsePosition reads what String writes.
+func ParsePosition(text string) (Position, error) {
+	before, after, found := strings.Cut(text, "/")
+	if !found {
+		before, after = "0", text
+	}
+	era, err := strconv.ParseUint(before, 10, 63-eraShift)
+	if err != nil {
+		return 0, eris.Wrapf(err, "objects: position %q", text)
+	}
+	revision, err := strconv.ParseUint(after, 10, eraShift)
+	if err != nil {
+		return 0, eris.Wrapf(err, "objects: position %q", text)
+	}
+	return At(int64(era), int64(revision)), nil
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/notice"
@@ -42,7 +43,9 @@
 	Limits func(now time.Time) []ratelimit.Limit
 	// Notices is what else endpoints have said of themselves.
 	Notices *notice.Board
-	Scope   tally.Scope
+	// Restored returns what is known of the store's last restore; nil on boxes that follow no kinds of their own.
+	Restored func() follow.Restored
+	Scope    tally.Scope
 }
 
 // Quarantine is what operators see of requests that end endpoints, and let pass again.
@@ -76,6 +79,8 @@
 	// Left lists the endpoints that have said they leave, Rests those that have asked this box for rest.
 	Left  []notice.Left    `json:"left,omitempty"`
 	Rests []notice.Resting `json:"rests,omitempty"`
+	// Restored tells of the last time that the store came back from an older copy, if it has.
+	Restored *follow.Restored `json:"restored,omitempty"`
 }
 
 // Handler serves operators.
@@ -113,10 +118,20 @@
 	httpx.WriteJSON(w, http.StatusOK, Status{
 		Box: o.cfg.Box, Ready: o.cfg.Ready(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(),
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), Skipped: o.cfg.Catalog.Skipped(),
-		Limits: o.cfg.Limits(clock.Now()), Left: o.cfg.Notices.Left(clock.Now()), Rests: o.cfg.Notices.Rests(clock.Now()),
+		Limits: o.cfg.Limits(clock.Now()), Left: o.cfg.Notices.Left(clock.Now()), Rests: o.cfg.Notices.Rests(clock.Now()), Restored: o.restored(),
 	})
 }
 
+func (o *Operator) restored() *follow.Restored {
+	if o.cfg.Restored == nil {
+		return nil
+	}
+	if r := o.cfg.Restored(); r.Era > 0 {
+		return &r
+	}
+	return nil
+}
+
 // handleBoxes shows the zone maps as this box knows them.
 func (o *Operator) handleBoxes(w http.ResponseWriter, _ *http.Request) {
 	httpx.WriteJSON(w, http.StatusOK, o.cfg.Catalog.Topology())
--- a/internal/operator/resources.go
+++ b/internal/operator/resources.go
@@ -116,7 +116,7 @@
 		return Written{}, platformError(err)
 	}
 	if !isExpected(expect, have) {
-		return Written{}, result.New(result.Conflict, "version is %d, not %d", have.Version, expect)
+		return Written{}, result.New(result.Conflict, "version is %s, not %s", have.Version, expect)
 	}
 	generation := max(catalog.GenerationOf(have), o.cfg.Catalog.Generation(string(res.Kind), res.Name))
 	res.Generation = generation
@@ -175,7 +175,7 @@
 		return
 	}
 	if !isExpected(expect, have) {
-		o.fail(w, result.New(result.Conflict, "version is %d, not %d", have.Version, expect))
+		o.fail(w, result.New(result.Conflict, "version is %s, not %s", have.Version, expect))
 		return
 	}
 	if err := o.cfg.API.Delete(r.Context(), string(kind), have.Name, have.Version); err != nil {
--- a/internal/repair/repair_test.go
+++ b/internal/repair/repair_test.go
@@ -107,7 +107,20 @@
 	})
 }
 
+// TestRestoredPlatformTakesNothingBack guards against changes that a platform restored from an older copy takes back, with eras and without.
 func TestRestoredPlatformTakesNothingBack(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		restore func(*fakeplatform.Store, objects.Changes)
+	}{
+		{"revisions-go-back", (*fakeplatform.Store).Restore},
+		{"new-era", (*fakeplatform.Store).Rewind},
+	} {
+		t.Run(test.name, func(t *testing.T) { checkRestored(t, test.restore) })
+	}
+}
+
+func checkRestored(t *testing.T, restore func(*fakeplatform.Store, objects.Changes)) {
 	inBubble(t, 3, func(r *rig) {
 		r.c.Assert(r.put(r.boxes[0], 1, ""), qt.Equals, result.OK)
 		_, err := r.platform.Put(r.ctx, "Priority", "old", 0, []byte(`{"kind":"Priority","name":"old","spec":{"urgency":1}}`))
@@ -122,7 +135,7 @@
 		r.c.Assert(err, qt.IsNil)
 		r.c.Assert(r.platform.Delete(r.ctx, "Priority", "old", old.Version), qt.IsNil)
 		r.run(3 * time.Second)
-		r.platform.Restore(backup)
+		restore(r.platform, backup)
 		r.run(100 * time.Millisecond)
 		fresh := r.addBox()
 		p, ok := fresh.catalog.Priority("gate")
