--- a/internal/member/rewind_test.go
+++ b/internal/member/rewind_test.go
@@ -38,3 +38,43 @@
 		}
 	}
 }
+
+// TestLargeCellThroughALostTail guards against boxes behind aggregators that lose their engines, or are hidden from callers, when the store comes back from an
+// older copy and nothing else has happened.
+func TestLargeCellThroughALostTail(t *testing.T) {
+	for _, lost := range []time.Duration{300 * time.Millisecond, 1700 * time.Millisecond, 4 * time.Second} {
+		t.Run(lost.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newTimedCluster(t, 30, 60, 4*time.Millisecond, routedTiming())
+				defer cl.end()
+				cl.until(40*time.Second, func() bool { return cl.owned() == len(cl.engines) })
+				cl.run(12 * time.Second)
+				owners := cl.owners()
+				older := cl.platform.Snapshot()
+				cl.run(lost)
+				cl.platform.Rewind(older)
+				for range 120 {
+					cl.run(100 * time.Millisecond)
+					cl.c.Check(cl.owned(), qt.Equals, len(cl.engines))
+				}
+				cl.c.Check(cl.owners(), qt.DeepEquals, owners)
+				_, hidden := cl.watchNamed(nil, 2*time.Second)
+				cl.c.Check(hidden, qt.Equals, 0)
+				cl.check()
+			})
+		})
+	}
+}
+
+// owners returns which box may give each engine orders.
+func (cl *cluster) owners() map[string]string {
+	now, all := time.Now(), map[string]string{}
+	for _, e := range cl.engines {
+		for _, n := range cl.list() {
+			if _, ok := n.Authority(e, now); ok {
+				all[e] = n.name
+			}
+		}
+	}
+	return all
+}
