--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -118,7 +118,7 @@
 	return s
 }
 
-// await holds an engine of an older map until a box claims it. If its box of then comes as a new process, or with a grant that has run out, it may have it
+// await holds an engine of an older map until a box claims it. If its owner in that map comes as a new process, or with a grant that has run out, it may have it
 // back once all others have had the time to claim it.
 func (s *State) await(o Ownership) {
 	s.epoch = max(s.epoch, o.Epoch)
--- a/internal/follow/era.go
+++ b/internal/follow/era.go
@@ -50,7 +50,7 @@
 	known := k.known
 	crossed = known > 0 && revision.Era() > known.Era()
 	if crossed {
-		k.bridge, k.crossedAt = known, now
+		k.crossedFrom, k.crossedAt = known, now
 		if revision.Era() > f.restored.Era {
 			f.restored, f.restoredAt = Restored{Era: revision.Era()}, now
 		}
@@ -111,5 +111,5 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.of(kind)
-	return from.Era() == k.known.Era() || from == k.bridge
+	return from.Era() == k.known.Era() || from == k.crossedFrom
 }
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -12,9 +12,9 @@
 type knowledge struct {
 	// known is the revision up to which the kind is known, by calls or through another box.
 	known objects.Position
-	// bridge is the position up to which the kind was known when it crossed over to the present era, crossedAt when it did, zero once that is long ago.
-	bridge    objects.Position
-	crossedAt time.Time
+	// crossedFrom is the position up to which the kind was known when it crossed over to the present era, crossedAt when it did, zero once that is long ago.
+	crossedFrom objects.Position
+	crossedAt   time.Time
 	// wholeAt is when another box has to tell of the kind in full, zero if it need not.
 	wholeAt time.Time
 	// listed says that the kind has been listed by calls, listedAt when it last was.
