--- /dev/null
+++ b/internal/demand/row.go
@@ -0,0 +1,27 @@
+// Package demand counts what callers ask for and what they get, by service, urgency and customer, over all boxes.
+package demand
+
+// Row is what one box was asked for and has served since its last report.
+type Row struct {
+	Service  string `json:"service"`
+	Urgency  int    `json:"urgency"`
+	Customer string `json:"customer,omitempty"`
+	// Asked and Served count requests, AskedTokens and ServedTokens their prompt and output tokens.
+	Asked        int `json:"asked"`
+	Served       int `json:"served,omitempty"`
+	AskedTokens  int `json:"asked_tokens,omitempty"`
+	ServedTokens int `json:"served_tokens,omitempty"`
+}
+
+// Share is what the fleet serves of what is asked for by one kind of request or one customer of a service.
+type Share struct {
+	Service string `json:"service"`
+	// Customer names the customer that the share is of. If it is empty, the share is of the requests of Urgency.
+	Customer string `json:"customer,omitempty"`
+	Urgency  int    `json:"urgency,omitempty"`
+	// Asked is the number of requests per second, Served the fraction of them that was served.
+	Asked  float64 `json:"asked"`
+	Served float64 `json:"served"`
+	// Admit is the fraction of the customer's requests to admit, 1 without a limit.
+	Admit float64 `json:"admit"`
+}
