Scarce engines: a setting, and the names of the mechanisms that depend on it

Cause: what is built for engines with few adapter slots must leave deployments with more slots as they are. Nothing reads the marks yet.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -123,6 +123,7 @@
 	if b.directoryListener, err = net.Listen("tcp", l.Directory.String()); err != nil {
 		return nil, eris.Wrap(err, "box: listen")
 	}
+	b.catalog.SetScarceSlots(cfg.Settings.Capacity.ScarceSlots)
 	b.ledger, b.locator = quota.NewLedger(quota.LedgerConfig{Bounds: quota.Bounds{
 		Window: cfg.Settings.Customers.QuotaWindow, Excess: cfg.Settings.Customers.QuotaExcess, Tolerance: cfg.Settings.Customers.QuotaTolerance,
 	}}), newLocator(locatorConfig{
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -83,6 +83,8 @@
 	topology *Topology
 	// isLeaving, if set, reports whether the endpoint itself has announced that it is leaving, in the incarnation that began at started.
 	isLeaving func(endpoint string, started int64) bool
+	// scarceSlots is the largest number of adapter slots with which the engines of a service are scarce.
+	scarceSlots int
 	// routes is the table built from routing, the routing configuration in force.
 	routes  *route.Table
 	routing *resource.Routing
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -51,6 +51,8 @@
 	// Quarantined lists the requests that, according to the cell maps, must not reach any endpoint.
 	Quarantined  []quarantine.Held
 	leavingBoxes map[string]bool
+	// scarceSlots is the largest number of adapter slots with which the engines of a service are scarce.
+	scarceSlots int
 }
 
 // defaultMaxEngines is how many engines are tried for one request if the base model has no serving configuration.
@@ -64,6 +66,22 @@
 	return defaultMaxEngines
 }
 
+// IsScarce reports whether the engines of a service have so few adapter slots that they are scheduled as scarce.
+func (t *Topology) IsScarce(service string) bool {
+	if t.Routes == nil {
+		return false
+	}
+	s, ok := t.Routes.Service(service)
+	return ok && s.Engine != nil && s.Engine.AdapterSlots > 0 && s.Engine.AdapterSlots <= t.scarceSlots
+}
+
+// SetScarceSlots sets the largest number of adapter slots with which the engines of a service are scarce. Zero means that none are.
+func (c *Catalog) SetScarceSlots(slots int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.scarceSlots, c.topology = slots, nil
+}
+
 // Topology returns the routing view of the current state. It computes the view if a change has invalidated it.
 func (c *Catalog) Topology() *Topology {
 	c.mu.RLock()
@@ -109,7 +127,7 @@
 	t := &Topology{
 		Engines: map[string]EngineView{}, ByModel: map[string][]string{},
 		Boxes: map[string]coordinator.Member{}, Serving: map[string]*resource.Serving{}, Endpoints: map[string][]EndpointView{},
-		Routes: c.routeTable(),
+		Routes: c.routeTable(), scarceSlots: c.scarceSlots,
 	}
 	owners := map[string]coordinator.Ownership{}
 	t.leavingBoxes, t.Schedulers = map[string]bool{}, map[string]coordinator.Member{}
@@ -186,6 +204,7 @@
 	t.addEngine(name, &resource.Engine{
 		Address: e.Address, Zone: e.Zone, BaseModel: model, Slots: s.Engine.SlotsFor(model) - spareSlots, Batch: s.Engine.Batch,
 		Service: e.Service, DrainsBeforeUnload: true, KVTokens: int(kvFillLimit * float64(s.Engine.KVTokens)), Started: e.Started,
+		Scarce: t.IsScarce(e.Service),
 	}, o)
 	if e.Leaving {
 		t.markLeaving(name)
--- a/internal/engineload/report.go
+++ b/internal/engineload/report.go
@@ -23,6 +23,8 @@
 	SlotWait time.Duration `json:"slot_wait,omitempty"`
 	// LoadTime is the expected time to load one more adapter, including the loads that wait ahead of it.
 	LoadTime time.Duration `json:"load_time,omitempty"`
+	// EventGap is the recent longest pause between two events of the engine's streams, zero if nothing has been observed.
+	EventGap time.Duration `json:"gap,omitempty"`
 }
 
 // Sent is a report in a message between boxes.
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -50,12 +50,31 @@
 	BaseOnDemand Mechanism = "base_on_demand"
 	// Quarantine refuses a request after the configured number of endpoints have crashed while they ran it.
 	Quarantine Mechanism = "quarantine"
+	// AllSlots uses every adapter slot of a scarce engine, instead of keeping one for a load whose order got no answer.
+	AllSlots Mechanism = "all_slots"
+	// ShortLinger lets the adapter of a run that broke off be evicted soon, on engines that finish runs before they unload.
+	ShortLinger Mechanism = "short_linger"
+	// LoadPacing limits the concurrent adapter loads of a scarce engine by how long its loads take.
+	LoadPacing Mechanism = "load_pacing"
+	// EngineLoads chooses among scarce engines by the loads that their owners report.
+	EngineLoads Mechanism = "engine_loads"
+	// SpeedWeight assigns adapters to scarce engines in proportion to the rate at which the engines process prompts.
+	SpeedWeight Mechanism = "speed_weight"
+	// ResumeFirst cancels a stalled stream only after another engine has granted its continuation.
+	ResumeFirst Mechanism = "resume_first"
+	// GapAdmission limits what a scarce engine takes so that the pauses between events of its streams stay within their objective.
+	GapAdmission Mechanism = "gap_admission"
+	// UrgencyShares limits less urgent requests for scarce engines while more urgent ones are served less often.
+	UrgencyShares Mechanism = "urgency_shares"
+	// CustomerShares limits customers above their fair share of scarce engines during a shortage.
+	CustomerShares Mechanism = "customer_shares"
 )
 
 // Mechanisms returns all mechanisms.
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		CopyLimit, CrowdDetection, PreferenceOrder, Admission, PrefixReuse, ReadRate, LoadTime, SlotWait, FastReload, UseRate, FailureAvoidance, OwnZoneFirst, SendWithoutOwner, StallDetection, ConcurrencyLimit, BaseOnDemand, Quarantine,
+		AllSlots, ShortLinger, LoadPacing, EngineLoads, SpeedWeight, ResumeFirst, GapAdmission, UrgencyShares, CustomerShares,
 	}
 }
 
--- a/internal/resource/routing.go
+++ b/internal/resource/routing.go
@@ -67,6 +67,8 @@
 	// Timeout is the longest time that a box keeps a request. Objective is the target time for the answer.
 	Timeout   Duration `json:"timeout"`
 	Objective Duration `json:"objective"`
+	// GapObjective is the longest pause between two events of a stream that is answered in time, zero if there is no objective.
+	GapObjective Duration `json:"gap_objective,omitempty"`
 	// Attempts is the maximum number of endpoints that one request may be sent to.
 	Attempts int `json:"attempts"`
 	// Priority is the rank of the route's requests; 0 is the highest.
--- a/internal/resource/specs.go
+++ b/internal/resource/specs.go
@@ -136,6 +136,8 @@
 	KVTokens int `json:"kv_tokens,omitempty"`
 	// Started is the start time in Unix milliseconds, zero if unknown.
 	Started int64 `json:"started,omitempty"`
+	// Scarce is set if the engine has so few adapter slots that it is scheduled as scarce.
+	Scarce bool `json:"-"`
 }
 
 // Check implements Spec.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,6 +32,7 @@
 
 	Customers  Customers  `toml:"customers"`
 	Quarantine Quarantine `toml:"quarantine"`
+	Capacity   Capacity   `toml:"capacity"`
 }
 
 // Box identifies the box and its place in the fleet.
@@ -153,6 +154,12 @@
 	Hold      time.Duration `toml:"hold"`
 }
 
+// Capacity selects the engines that are scheduled as scarce.
+type Capacity struct {
+	// ScarceSlots is the largest number of adapter slots with which the engines of a service count as scarce. Zero: none do.
+	ScarceSlots int `toml:"scarce_slots"`
+}
+
 // Policy selects the decision mechanisms that are active.
 type Policy struct {
 	// Off lists the mechanisms that are disabled, in order to measure their benefit.
@@ -349,6 +356,10 @@
 			"quarantine.hold", "How long such a request is held, and how long an endpoint that ended counts.", d.Quarantine.Hold.String(),
 			func(s *Settings) string { return checkRange(s.Quarantine.Hold, time.Second, 24*time.Hour) },
 		},
+		{
+			"capacity.scarce_slots", "Engines with at most this many adapter slots are scarce: see [scarce capacity](design/scarce-capacity.md). Zero: none are.", fmt.Sprint(d.Capacity.ScarceSlots),
+			func(s *Settings) string { return checkRange(s.Capacity.ScarceSlots, 0, resource.MaxSlots) },
+		},
 		{
 			"timing.linger", "How long a leaving box serves callers that do not know yet.", d.Timing.Linger.String(),
 			func(s *Settings) string { return checkRange(s.Timing.Linger, 0, s.Timing.Leave) },
