Streams: a stalled stream is cut only when another engine has granted its continuation

Cause: the box cancelled a stream after 1 s without an event and only then looked for another engine. The latest useful start was 1.5 objectives after the receipt of the request, which had passed by then, so that nearly every continuation was refused and the caller lost its answer. A leaving box did this too.

The owner gets the gap objective with the request, and the longest gap with the end of the grant. A retry that was charged but not sent is refunded.

--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -148,10 +148,12 @@
 	if err := json.Unmarshal(b, &answer); err != nil {
 		return nil, result.New(result.OwnerSilent, "%v", err)
 	}
+	var gap time.Duration
 	return &Grant{
+		RecordGap:        func(longest time.Duration) { gap = longest },
 		Stalled:          answer.Stalled,
 		ReportFirstToken: func() { c.queueUpdate(grantUpdate{address: address, end: grantEnd{ID: answer.ID}, firstToken: true}) },
-		End:              func(e owner.End) { c.queueUpdate(grantUpdate{address: address, end: grantEnd{answer.ID, e}}) },
+		End:              func(e owner.End) { c.queueUpdate(grantUpdate{address: address, end: grantEnd{answer.ID, e, gap}}) },
 	}, nil
 }
 
--- a/internal/grant/message.go
+++ b/internal/grant/message.go
@@ -39,6 +39,8 @@
 	Output int  `json:"output,omitempty"`
 	// Parts are the parts of the prompt that other requests may share, in order.
 	Parts []owner.PromptPart `json:"parts,omitempty"`
+	// GapObjective is the longest pause between two events that keeps the stream in time, zero if there is no objective.
+	GapObjective time.Duration `json:"gap_objective,omitempty"`
 	// Customer sent the request.
 	Customer string `json:"customer,omitempty"`
 	// Rate is the engine's rate limit as the requesting box knows it.
@@ -50,7 +52,7 @@
 	q := owner.Request{
 		Weights: r.Weights, Urgency: r.Urgency, StartBy: now.Add(r.StartIn), Last: r.Last,
 		Prompt: r.Prompt, Output: r.Output, Parts: r.Parts, MaxWait: r.MaxWait, LocalOnly: r.LocalOnly, OthersTooSlow: r.OthersTooSlow,
-		Customer: r.Customer, Rate: r.Rate,
+		Customer: r.Customer, Rate: r.Rate, GapObjective: r.GapObjective,
 	}
 	if r.Ref == "" {
 		return q, nil
@@ -92,6 +94,8 @@
 type grantEnd struct {
 	ID  uint64    `json:"id"`
 	End owner.End `json:"end"`
+	// Gap is the longest pause between two events of the ended stream, zero if it had fewer than two events.
+	Gap time.Duration `json:"gap,omitempty"`
 }
 
 // Grant permits one request on an engine until End is called. End must be called exactly once.
@@ -100,6 +104,9 @@
 	Stalled time.Duration
 	// ReportFirstToken reports to the owner that the first token of the response has arrived.
 	ReportFirstToken func()
+	// RecordGap sets the longest pause between two events of the stream, which End reports to the owner. It must not be called
+	// concurrently with End.
+	RecordGap func(time.Duration)
 	// End reports to the owner how the request ended.
 	End func(owner.End)
 }
--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -123,6 +123,16 @@
 	}
 }
 
+// recordGap records the longest pause of the stream of a grant, before its release.
+func (s *Server) recordGap(id uint64, longest time.Duration) {
+	s.mu.Lock()
+	h, ok := s.held[id]
+	s.mu.Unlock()
+	if ok {
+		h.grant.RecordGap(longest)
+	}
+}
+
 // release ends a grant. It ignores unknown IDs.
 func (s *Server) release(id uint64, e owner.End) {
 	s.mu.Lock()
@@ -150,6 +160,7 @@
 		}
 	}
 	for _, e := range msg.Ends {
+		s.recordGap(e.ID, e.Gap)
 		s.release(e.ID, e.End)
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/internal/owner/action.go
+++ b/internal/owner/action.go
@@ -32,6 +32,8 @@
 	LocalOnly bool
 	// OthersTooSlow is true if none of the engines tried before can start the request in time.
 	OthersTooSlow bool
+	// GapObjective is the longest pause between two events that keeps the stream in time, zero if there is no objective.
+	GapObjective time.Duration
 	// Customer sent the request.
 	Customer string
 	// Rate is the engine's rate limit as the submitting box knows it.
--- a/internal/owner/event.go
+++ b/internal/owner/event.go
@@ -33,6 +33,12 @@
 
 type firstTokenReceived struct{ id uint64 }
 
+// gapReported is posted with the longest pause between two events of a stream, before ticketEnded.
+type gapReported struct {
+	id      uint64
+	longest time.Duration
+}
+
 type rateReceived struct{ rate ratelimit.Report }
 
 type permitGranted struct {
@@ -75,6 +81,7 @@
 func (ticketCanceled) event()      {}
 func (ticketEnded) event()         {}
 func (firstTokenReceived) event()  {}
+func (gapReported) event()         {}
 func (rateReceived) event()        {}
 func (permitGranted) event()       {}
 func (permitDenied) event()        {}
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -231,6 +231,8 @@
 	// OthersTooSlow is true if none of the engines tried before can start the request in time. It only affects engines that have a
 	// rate limit or lack their base model.
 	OthersTooSlow bool
+	// GapObjective is the longest pause between two events that keeps the stream in time, zero if there is no objective.
+	GapObjective time.Duration
 	// Customer sent the request.
 	Customer string
 	// Rate is the engine's rate limit as the requesting box knows it.
@@ -251,6 +253,13 @@
 // RecordFirstToken records that the first token of the answer has arrived.
 func (g *Grant) RecordFirstToken() { g.runner.post(firstTokenReceived{g.id}) }
 
+// RecordGap records the longest pause between two events of the stream, before Release.
+func (g *Grant) RecordGap(longest time.Duration) {
+	if longest != 0 {
+		g.runner.post(gapReported{g.id, longest})
+	}
+}
+
 // UpdateRate updates the engine's rate limit, as received in the engine's answer.
 func (g *Grant) UpdateRate(report ratelimit.Report) { g.runner.UpdateRate(report) }
 
@@ -270,7 +279,7 @@
 	t := Ticket{
 		ID: id, Ref: req.Ref, Weights: req.Weights, Urgency: req.Urgency, Arrived: clock.Now(), StartBy: req.StartBy, Last: req.Last,
 		Prompt: req.Prompt, Output: req.Output, Parts: req.Parts, MaxWait: req.MaxWait, LocalOnly: req.LocalOnly, OthersTooSlow: req.OthersTooSlow,
-		Customer: req.Customer, Rate: req.Rate,
+		Customer: req.Customer, Rate: req.Rate, GapObjective: req.GapObjective,
 	}
 	select {
 	case r.events <- ticketSubmitted{t, reply}:
@@ -388,6 +397,9 @@
 	case firstTokenReceived:
 		r.state.RecordFirstToken(now, e.id)
 		return nil
+	case gapReported:
+		r.state.RecordGap(now, e.id, e.longest)
+		return nil
 	case permitGranted:
 		r.permits = append(r.permits, e.permit)
 		return r.state.PermitGranted(now, e.ref)
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -52,3 +52,10 @@
 	b.tokens[service]--
 	return true
 }
+
+// refund returns a retry that was taken from the budget of a service and not used.
+func (b *budgets) refund(service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens[service] = min(b.tokens[service]+1, b.maxTokens())
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -48,6 +48,8 @@
 	// has ended.
 	reportFirstToken func()
 	release          func(owner.End)
+	// recordGap tells the owner the longest gap of the stream. It is called before release.
+	recordGap func(time.Duration)
 }
 
 // destination returns the endpoint that the request is sent to.
@@ -57,7 +59,7 @@
 // a change of ownership, it tries again for a limited time. If the chosen engine cannot take the request after all,
 // chooseEngine adds it to avoid and tries the next candidates.
 func (r *Relay) chooseEngine(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosenEngine, *result.Error) {
-	giveUpAt := q.receivedAt.Add(shareOf(q.route.Objective, ownerSearchShare))
+	giveUpAt := q.ownerSearchEnd()
 	for {
 		avoidedBefore := len(avoid)
 		c, rerr := r.chooseEngineOnce(ctx, q, ref, avoid)
@@ -157,6 +159,9 @@
 		}
 		return engine, rerr
 	}
+	if q.needsGrant {
+		return nil, lastErr
+	}
 	if engine := r.chooseWithoutOwner(candidates, ref); engine != nil {
 		q.recordTry(engine.name, "without owner")
 		return engine, nil
@@ -184,7 +189,7 @@
 func (r *Relay) newOffers(q *request) offers {
 	return offers{
 		limitCopies: r.cfg.Policy.IsEnabled(policy.CopyLimit), minGain: shareOf(q.route.Objective, copyGainShare),
-		inTime: shareOf(q.route.Objective, inTimeShare) - clock.Since(q.receivedAt),
+		inTime: q.inTimeWithin(),
 	}
 }
 
@@ -210,7 +215,7 @@
 func (r *Relay) newGrantRequest(q *request, ref resource.Ref) grant.Request {
 	a := grant.Request{
 		Urgency: q.urgency(), Customer: q.customerName(), Hold: q.timeLeft() + grantSlack, Prompt: q.head.Prompt, Output: q.head.expectedOutput(), Parts: q.head.Parts,
-		StartIn: min(q.timeLeft(), time.Duration(maxStartObjectives*float64(q.route.Objective))-clock.Since(q.receivedAt)),
+		StartIn: q.startIn(), GapObjective: time.Duration(q.route.GapObjective),
 	}
 	if !ref.IsBase() {
 		a.Ref, a.Weights = ref.String(), ref.String()
@@ -252,7 +257,7 @@
 		}
 		return nil, rerr
 	}
-	return &chosenEngine{name: c.name, address: c.address, started: c.started, reportFirstToken: g.ReportFirstToken, release: g.End}, nil
+	return &chosenEngine{name: c.name, address: c.address, started: c.started, reportFirstToken: g.ReportFirstToken, release: g.End, recordGap: g.RecordGap}, nil
 }
 
 // acquireLocal asks for a grant for an engine that this box owns.
@@ -265,7 +270,7 @@
 	if err != nil {
 		return nil, result.From(err, result.QueueFull)
 	}
-	return &chosenEngine{name: c.name, address: c.address, started: c.started, reportFirstToken: g.RecordFirstToken, release: g.Release}, nil
+	return &chosenEngine{name: c.name, address: c.address, started: c.started, reportFirstToken: g.RecordFirstToken, release: g.Release, recordGap: g.RecordGap}, nil
 }
 
 // chooseWithoutOwner picks an engine that is listed as holding the adapter version, if no owner has granted or offered
@@ -297,5 +302,5 @@
 		return r.chooseWithoutOwner(candidates, ref)
 	}
 	r.cfg.Scope.Counter("sent_without_owner").Inc(1)
-	return &chosenEngine{name: best.name, address: best.address, started: best.started, reportFirstToken: func() {}, release: func(owner.End) {}}
+	return &chosenEngine{name: best.name, address: best.address, started: best.started, reportFirstToken: func() {}, release: func(owner.End) {}, recordGap: func(time.Duration) {}}
 }
--- /dev/null
+++ b/internal/relay/continuation_test.go
@@ -0,0 +1,257 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bellgap/bellgap/internal/catalog"
+	"github.com/bellgap/bellgap/internal/grant"
+	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/policy"
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+const (
+	streamEvents = 6
+	// pauseAfterEvent is the event after which the first run of a stream pauses or breaks off.
+	pauseAfterEvent = 3
+	// callersPause is the pause after which callers give up a stream with the objective of the tests.
+	callersPause = 2 * time.Second
+	// maxOverlap is the time by which two runs of one stream must not overlap.
+	maxOverlap = 400 * time.Millisecond
+)
+
+// streamWire is plainWire with event ids.
+type streamWire struct{ plainWire }
+
+func (streamWire) WriteAttempt(h http.Header, a Attempt) { h.Set("After", a.LastEvent) }
+
+func (streamWire) EventID(event []byte) string {
+	id, _, _ := strings.Cut(strings.TrimPrefix(string(event), "id: "), "\n")
+	return id
+}
+
+// streamRun is one run of the stream at an engine.
+type streamRun struct {
+	engine int
+	start  time.Time
+	end    time.Time
+}
+
+// streamCase is one stream whose first run pauses or breaks off.
+type streamCase struct {
+	name string
+	// pauseAfter is the event after which the first run pauses, for as long as pause. With broken set, its connection breaks in the
+	// middle of the next event then.
+	pauseAfter int
+	pause      time.Duration
+	broken     bool
+	// answer is how the owner of the other engine answers a request for the continuation.
+	answer func(rw http.ResponseWriter)
+	// leaving is set if the box is leaving, once if the stream may not be repeated, noBudget if the retry budget is used up.
+	leaving  bool
+	once     bool
+	noBudget bool
+	// wantRuns is the number of runs, wantCounter a counter that must be 1.
+	wantRuns    int
+	wantCounter string
+}
+
+func grantRequest(rw http.ResponseWriter) {
+	httpx.WriteJSON(rw, http.StatusOK, map[string]any{"id": 2})
+}
+
+func refuseRequest(rw http.ResponseWriter) {
+	result.New(result.TryNext, "").Write(rw, "")
+}
+
+// grantAfter grants after a wait during which the owner sends keepalives.
+func grantAfter(wait time.Duration) func(http.ResponseWriter) {
+	return func(rw http.ResponseWriter) {
+		for end := time.Now().Add(wait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+			rw.WriteHeader(http.StatusProcessing)
+		}
+		grantRequest(rw)
+	}
+}
+
+// TestStreamsReachCallersWhole guards against a box that cuts a stream itself. Boxes cut 346 to 463 streams per test day, because
+// they cancelled a stalled stream first and looked for another engine then, with a latest start that had passed.
+func TestStreamsReachCallersWhole(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	for _, tt := range []streamCase{
+		{name: "pause, no other engine", pauseAfter: pauseAfterEvent, pause: pause, answer: refuseRequest, wantRuns: 1},
+		{name: "pause, no other engine, leaving box", pauseAfter: pauseAfterEvent, pause: pause, answer: refuseRequest, leaving: true, wantRuns: 1},
+		{name: "pause before the first event", pause: 1900 * time.Millisecond, answer: refuseRequest, wantRuns: 1},
+		{name: "long pause after all searches", pauseAfter: pauseAfterEvent, pause: 2500 * time.Millisecond, answer: refuseRequest, wantRuns: 1, wantCounter: "streams_kept"},
+		{name: "may not be repeated", pauseAfter: pauseAfterEvent, pause: pause, answer: grantRequest, once: true, wantRuns: 1},
+		{name: "silent for good, granted", pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
+		{name: "silent for good before the first event", pause: time.Minute, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
+		{name: "silent for good, granted, leaving box", pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest, leaving: true, wantRuns: 2, wantCounter: "streams_resumed"},
+		{name: "back before the grant", pauseAfter: pauseAfterEvent, pause: 1300 * time.Millisecond, answer: grantAfter(800 * time.Millisecond), wantRuns: 1},
+		{name: "owner lost between question and grant", pauseAfter: pauseAfterEvent, pause: pause, answer: func(http.ResponseWriter) { time.Sleep(time.Second) }, wantRuns: 1},
+		{name: "retry budget used up", pauseAfter: pauseAfterEvent, pause: pause, answer: grantRequest, noBudget: true, wantRuns: 1},
+		{name: "connection broken in an event", pauseAfter: pauseAfterEvent, pause: 900 * time.Millisecond, broken: true, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			checkStreamCase(qt.New(t), &tt)
+		})
+	}
+}
+
+// streamWorld runs one streamCase.
+type streamWorld struct {
+	*twoEngines
+	test    *streamCase
+	scope   tally.TestScope
+	mu      sync.Mutex
+	runs    []*streamRun
+	startIn []time.Duration
+}
+
+// checkStreamCase sends the stream of a case and checks that its caller receives it whole.
+func checkStreamCase(c *qt.C, tt *streamCase) {
+	w := startStreamWorld(c, tt)
+	ctx, cancel := context.WithCancel(c.Context())
+	var group errgroup.Group
+	group.Go(func() error { return w.relay.cfg.Grants.Serve(ctx) })
+	answer := w.sendStream()
+	cancel()
+	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
+	var want strings.Builder
+	for i := 1; i <= streamEvents; i++ {
+		fmt.Fprintf(&want, "id: %d\n\n", i)
+	}
+	c.Assert(answer, qt.IsNotNil)
+	c.Check(answer.Body.String(), qt.Equals, want.String())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	c.Assert(w.runs, qt.HasLen, tt.wantRuns)
+	if tt.wantRuns > 1 {
+		c.Check(w.runs[0].engine, qt.Not(qt.Equals), w.runs[1].engine)
+		c.Check(w.runs[0].end.IsZero(), qt.IsFalse, qt.Commentf("the first run goes on"))
+		c.Check(w.runs[1].start.Sub(w.runs[0].end) > -maxOverlap/4, qt.IsTrue, qt.Commentf("the second run began %v after the end of the first", w.runs[1].start.Sub(w.runs[0].end)))
+	}
+	for _, startIn := range w.startIn {
+		c.Check(startIn > 0 && startIn <= callersPause, qt.IsTrue, qt.Commentf("latest useful start in %v", startIn))
+	}
+	if tt.wantCounter != "" {
+		c.Check(w.counter(tt.wantCounter), qt.Equals, int64(1))
+	}
+	if tt.noBudget {
+		c.Check(w.counter("grants_returned_unused") > 0, qt.IsTrue)
+	}
+}
+
+// counter returns the value of a counter, zero if it has not been used.
+func (w *streamWorld) counter(name string) int64 {
+	if counter, ok := w.scope.Snapshot().Counters()[name+"+"]; ok {
+		return counter.Value()
+	}
+	return 0
+}
+
+// sendStream sends the request and returns what the caller received. It ends normally if the relay aborts the connection.
+func (w *streamWorld) sendStream() *httptest.ResponseRecorder {
+	defer func() {
+		if cause := recover(); cause != nil {
+			w.c.Check(cause, qt.IsNil, qt.Commentf("the relay cut the stream"))
+		}
+	}()
+	return w.sendRequest()
+}
+
+// startStreamWorld starts a relay with two engines that send the stream of a case.
+func startStreamWorld(c *qt.C, tt *streamCase) *streamWorld {
+	w := &streamWorld{test: tt, scope: tally.NewTestScope("", nil)}
+	var asked atomic.Bool
+	w.twoEngines = startTwoEngines(c, func(_ *twoEngines, rw http.ResponseWriter, req *grant.Request) {
+		if asked.CompareAndSwap(false, true) {
+			grantRequest(rw)
+			return
+		}
+		w.mu.Lock()
+		w.startIn = append(w.startIn, req.StartIn)
+		w.mu.Unlock()
+		tt.answer(rw)
+	}, func(string) {})
+	for i, name := range []string{"e0", "e1"} {
+		e := *w.engines[name]
+		e.Address = startServer(c, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serveStream(i, rw, r) }))
+		putObject(c, w.catalog, 11, string(resource.KindEndpoint), name, &e)
+	}
+	putObject(c, w.catalog, 12, string(resource.KindRouting), catalog.RoutingName, &resource.Routing{
+		Version: 2, Services: []resource.RouteService{{Name: "s", Engine: &resource.EngineClass{Batch: 4, KVTokens: 1000, AdapterSlots: 4, WeightsMB: 100}}},
+		Routes: []resource.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: resource.RouteStream, Resumable: !tt.once, Attempts: 2, Timeout: resource.Duration(5 * time.Second),
+			Objective: resource.Duration(450 * time.Millisecond), Targets: []resource.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	w.relay.cfg.Wire, w.relay.cfg.Scope = streamWire{}, w.scope
+	p, err := policy.New([]policy.Mechanism{policy.SendWithoutOwner})
+	c.Assert(err, qt.IsNil)
+	w.relay.cfg.Policy = p
+	if tt.leaving {
+		// The box began to leave after it accepted the stream.
+		began := time.Now()
+		w.relay.cfg.LastStream, w.relay.cfg.LastRequest = time.Second, time.Minute
+		w.relay.cfg.Closing = func() bool { return false }
+		w.relay.cfg.Leaving = func() time.Duration { return time.Since(began) }
+	}
+	if tt.noBudget {
+		w.relay.budgets = newBudgets(BudgetConfig{Boxes: func() int { return 1 << 20 }})
+		w.relay.budgets.earn("s")
+		for w.relay.budgets.spend("s") {
+			c.Logf("took one retry from the budget")
+		}
+	}
+	return w
+}
+
+// serveStream sends the events after the one that the request names.
+func (w *streamWorld) serveStream(engine int, rw http.ResponseWriter, r *http.Request) {
+	_, _ = r.Body.Read(make([]byte, 64))
+	run := &streamRun{engine: engine, start: time.Now()}
+	w.mu.Lock()
+	w.runs = append(w.runs, run)
+	first := len(w.runs) == 1
+	w.mu.Unlock()
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		run.end = time.Now()
+	}()
+	rw.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(rw)
+	from := 0
+	_, _ = fmt.Sscan(r.Header.Get("After"), &from)
+	for i := from + 1; i <= streamEvents; i++ {
+		if first && i == w.test.pauseAfter+1 {
+			select {
+			case <-time.After(w.test.pause):
+			case <-r.Context().Done():
+				return
+			}
+			if w.test.broken {
+				_, _ = rw.Write([]byte("id: "))
+				_ = rc.Flush()
+				panic(http.ErrAbortHandler)
+			}
+		}
+		_, _ = fmt.Fprintf(rw, "id: %d\n\n", i)
+		_ = rc.Flush()
+	}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -175,6 +175,9 @@
 	if err != nil {
 		return result.NewConnError(result.StreamCut, err)
 	}
+	if o.onEvent != nil {
+		o.onEvent()
+	}
 	o.writeHead(resp)
 	if _, err := o.w.Write(start); err != nil {
 		return result.New(result.CallerGone, "%v", err)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -5,13 +5,11 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/owner"
-	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -25,11 +23,6 @@
 	maxStartObjectives = 1.5
 	// grantSlack is added to the time that a request has left to get the lifetime of its grant.
 	grantSlack = time.Second
-	// firstEventObjectives is how many objectives a resumable stream may take until its first event. eventTimeout is the
-	// longest time between two events. A stream that takes longer is resumed at another engine. Callers hang up after
-	// two seconds at the earliest.
-	firstEventObjectives = 2
-	eventTimeout         = time.Second
 )
 
 // latestRef returns the adapter version that must answer a request, as a reference and as a number. It is the newest
@@ -56,50 +49,82 @@
 
 // tryEngines sends a request to one engine after another until one of them has answered it.
 func (r *Relay) tryEngines(ctx context.Context, out *output, q *request) *result.Error {
+	defer r.returnContinuation(q)
 	avoid := map[string]bool{}
 	lastEvent := q.head.LastEvent
+	previous := ""
 	var lastErr *result.Error
 	for q.canSend() {
 		if rerr := r.checkQuarantine(q); rerr != nil {
 			return rerr
 		}
-		if q.arrivals > 0 && !r.spendRetry(q, lastErr) {
-			break
-		}
-		// The version is looked up for each try, because a newer one may have been published since.
-		ref, version := r.latestRef(q)
-		q.ref = ref.String()
-		c, rerr := r.chooseEngine(ctx, q, ref, avoid)
-		if rerr != nil {
-			if lastErr == nil {
+		next := q.takeContinuation()
+		if next == nil {
+			var rerr *result.Error
+			if next, rerr = r.chooseNext(ctx, q, avoid, lastErr); rerr != nil {
 				lastErr = rerr
+				break
 			}
-			break
 		}
+		c := next.engine
 		if r.isLeavingOrGone(q.service, c.name) {
 			// The engine may have started to leave while the request waited for the grant.
 			c.release(owner.EndWhole)
+			r.refundRetry(q)
 			avoid[c.name] = true
 			continue
 		}
-		lastEvent, rerr = r.sendToEngine(ctx, out, q, c, Attempt{Version: version, LastEvent: lastEvent})
+		q.ref = next.ref.String()
+		if q.possibleRuns > 0 && q.route.Kind == resource.RouteStream {
+			r.logContinuation(q, previous, c, lastEvent)
+		}
+		var rerr *result.Error
+		lastEvent, rerr = r.sendToEngine(ctx, out, q, c, avoid, Attempt{Version: next.version, LastEvent: lastEvent})
 		r.reportOutcome(ctx, q, c.destination(), rerr)
-		r.recordHolding(ref, c.name, rerr)
+		r.recordHolding(next.ref, c.name, rerr)
 		if rerr == nil {
 			return nil
 		}
 		avoid[c.name] = rerr.Code != result.NotHeld
-		lastErr = rerr
+		previous, lastErr = c.name, rerr
 		if out.started && !q.route.Idempotent() {
 			break
 		}
 		if !r.canTryNext(q, rerr) {
 			break
 		}
+		r.allowContinuation(q)
 	}
 	return lastErr
 }
 
+// chooseNext chooses the engine for the next try, and takes a retry from the budget if the request has arrived at an engine
+// before. lastErr is the error of the previous try, which chooseNext returns if there is no next one.
+func (r *Relay) chooseNext(ctx context.Context, q *request, avoid map[string]bool, lastErr *result.Error) (*continuation, *result.Error) {
+	if q.arrivals > 0 && !r.spendRetry(q, lastErr) {
+		return nil, lastErr
+	}
+	// The version is looked up for each try, because a newer one may have been published since.
+	ref, version := r.latestRef(q)
+	q.ref = ref.String()
+	c, rerr := r.chooseEngine(ctx, q, ref, avoid)
+	if rerr == nil {
+		return &continuation{engine: c, ref: ref, version: version}, nil
+	}
+	r.refundRetry(q)
+	if lastErr != nil {
+		return nil, lastErr
+	}
+	return nil, rerr
+}
+
+// refundRetry returns the retry that was taken for a try that is not sent.
+func (r *Relay) refundRetry(q *request) {
+	if q.arrivals > 0 {
+		r.budgets.refund(q.service)
+	}
+}
+
 // isLeavingOrGone reports whether an endpoint is gone or receives no new requests, according to this box's catalog.
 func (r *Relay) isLeavingOrGone(service, endpoint string) bool {
 	all := r.cfg.Catalog.Topology().Endpoints[service]
@@ -118,15 +143,15 @@
 }
 
 // sendToEngine sends a request to the chosen engine and forwards the answer. It returns the id of the last forwarded
-// event.
-func (r *Relay) sendToEngine(ctx context.Context, out *output, q *request, c *chosenEngine, a Attempt) (string, *result.Error) {
-	ctx, cancel := context.WithCancel(ctx)
+// event. avoid lists the engines at which the stream does not continue if this one stalls.
+func (r *Relay) sendToEngine(ctx context.Context, out *output, q *request, c *chosenEngine, avoid map[string]bool, a Attempt) (string, *result.Error) {
+	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := r.startStallWatch(q, cancel)
-	defer watch.stop()
+	watch := r.startStreamWatch(ctx, q, c.name, avoid, cancel)
 	r.health.begin(c.name)
-	resp, rerr := r.exchange(ctx, q, c.destination(), a)
+	resp, rerr := r.exchange(runCtx, q, c.destination(), a)
 	if rerr != nil {
+		watch.stop(q)
 		rerr = watch.stallError(rerr)
 		if rerr.Code.Info().Ran != result.RanNo {
 			q.possibleRuns++
@@ -135,31 +160,26 @@
 		c.release(grantEnd(rerr))
 		return a.LastEvent, rerr
 	}
+	// Closing the unread body closes the connection, so that the run has ended before the stream continues elsewhere.
 	defer func() { _ = resp.Body.Close() }()
 	q.possibleRuns++
 	lastEvent := a.LastEvent
 	if resp.StatusCode != http.StatusOK || q.route.Kind != resource.RouteStream {
+		out.onEvent = watch.recordArrival
 		rerr = r.forwardNonStream(out, q, resp)
+		watch.stop(q)
 	} else {
-		out.onEvent = newEventCallback(c, watch)
+		out.onEvent, out.onForwarded = watch.newArrivalCallback(c), watch.recordForwarded
 		lastEvent, rerr = out.copyEvents(r.cfg.Wire, resp, a.LastEvent)
-		rerr = watch.stallError(rerr)
+		watch.stop(q)
+		c.recordGap(watch.stream.LongestGap())
 	}
+	rerr = watch.stallError(rerr)
 	r.health.end(c.name, clock.Now(), resp.StatusCode >= http.StatusInternalServerError || (rerr != nil && rerr.Code == result.StreamCut))
 	c.release(grantEnd(rerr))
 	return lastEvent, rerr
 }
 
-// newEventCallback returns the function to call for each event. Its first call notifies the owner that the engine has
-// read the prompt.
-func newEventCallback(c *chosenEngine, watch *stallWatch) func() {
-	reportOnce := sync.OnceFunc(c.reportFirstToken)
-	return func() {
-		reportOnce()
-		watch.resetTimer()
-	}
-}
-
 // forwardNonStream forwards an answer that is not a stream of events. A server error is returned as an error if the
 // request may run again.
 func (r *Relay) forwardNonStream(out *output, q *request, resp *http.Response) *result.Error {
@@ -187,48 +207,3 @@
 		return owner.EndBroken
 	}
 }
-
-// stallWatch cancels an exchange whose stream has stalled, if the stream can be resumed at another engine.
-type stallWatch struct {
-	timer *time.Timer
-	fired chan struct{}
-}
-
-// startStallWatch starts to watch a stream for stalls. The watch does nothing if the stream cannot be resumed.
-func (r *Relay) startStallWatch(q *request, cancel context.CancelFunc) *stallWatch {
-	w := &stallWatch{fired: make(chan struct{})}
-	if !r.cfg.Policy.IsEnabled(policy.StallDetection) || !q.route.Idempotent() || q.possibleRuns+1 >= q.route.Attempts {
-		return w
-	}
-	w.timer = time.AfterFunc(firstEventObjectives*time.Duration(q.route.Objective), func() {
-		close(w.fired)
-		cancel()
-	})
-	return w
-}
-
-// resetTimer restarts the timeout when an event has arrived.
-func (w *stallWatch) resetTimer() {
-	if w.timer != nil {
-		w.timer.Reset(eventTimeout)
-	}
-}
-
-func (w *stallWatch) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
-
-// stallError returns an error that names the stall if a stall caused rerr, and rerr otherwise.
-func (w *stallWatch) stallError(rerr *result.Error) *result.Error {
-	if rerr == nil {
-		return nil
-	}
-	select {
-	case <-w.fired:
-		return result.New(result.StreamCut, "the engine stopped sending events")
-	default:
-		return rerr
-	}
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -141,6 +141,16 @@
 	lastEndpoint  string
 	untilSent     time.Duration
 	untilAnswered time.Duration
+	// forwardedAt is when the last event of the stream was forwarded, zero if none was. longestGap is the longest pause between
+	// two events for the caller, including the change to another engine.
+	forwardedAt time.Time
+	longestGap  time.Duration
+	// continueBy is the latest useful start of the continuation of a stream, zero if the request is no continuation.
+	continueBy time.Time
+	// needsGrant is set if the request may only be sent with the grant of an owner.
+	needsGrant bool
+	// next is where the stream continues.
+	next *continuation
 }
 
 // timeLeft returns the time until the deadline of the request.
@@ -306,6 +316,8 @@
 type output struct {
 	w       http.ResponseWriter
 	started bool
-	// onEvent, if set, is called for each event that arrives from the endpoint.
-	onEvent func()
+	// onEvent, if set, is called for each event that arrives from the endpoint, and before an answer that is not a stream is
+	// forwarded. onForwarded is called when an event has been written.
+	onEvent     func()
+	onForwarded func()
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -78,6 +78,9 @@
 		if err := rc.Flush(); err != nil {
 			return lastID, result.New(result.CallerGone, "%v", err)
 		}
+		if o.onForwarded != nil {
+			o.onForwarded()
+		}
 		if id := wire.EventID(event); id != "" {
 			lastID = id
 		}
--- a/internal/relay/telemetry.go
+++ b/internal/relay/telemetry.go
@@ -49,5 +49,5 @@
 	}
 	klog.InfoS("request", "request", q.head.ID, "fingerprint", q.suspect.Fingerprint, "result", rerr.Code.String(), "detail", rerr.Detail, "route", routeName, "config", configVersion,
 		"service", q.service, "customer", q.customerName(), "adapter", q.head.Adapter, "ref", q.ref, "tries", q.tries, "endpoint", q.lastEndpoint, "arrivals", q.arrivals,
-		"waited", q.untilSent, "first", q.untilAnswered, "took", clock.Since(q.receivedAt), "left", q.timeLeft(), "store_age", r.cfg.StoreAge(), "left_out", skipped)
+		"waited", q.untilSent, "first", q.untilAnswered, "gap", q.longestGap, "took", clock.Since(q.receivedAt), "left", q.timeLeft(), "store_age", r.cfg.StoreAge(), "left_out", skipped)
 }
