Scarce engines: prompts are held back while streams with a gap objective are late

Cause: an engine processes prompts piece by piece between the tokens of its running requests. When several prompts are queued at a slow engine, each token of a stream takes over 400 ms.

Change: boxes report the longest gap of each ended stream with the end of its grant. After a late stream, the owner lets only so many prompt tokens onto the engine as it processes within 0.8 of the smallest gap objective; the limit rises again while streams are in time. Held tickets wait in order of urgency or are redirected by their expected wait.

--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -147,6 +147,7 @@
 		state: New(Config{
 			Slots: cfg.Engine.Slots, Batch: cfg.Engine.Batch, MaxQueue: cfg.MaxQueue, Pack: cfg.Pack, KVTokens: cfg.Engine.KVTokens,
 			PrefillRate: cfg.PrefillRate, FinishesFirst: cfg.Engine.DrainsBeforeUnload, AwaitReport: cfg.Engine.DrainsBeforeUnload, Policy: cfg.Policy,
+			LimitGaps: cfg.Engine.Scarce && cfg.Policy.IsEnabled(policy.GapAdmission),
 		}),
 		replies: map[uint64]chan decision{}, previousOwnerActive: true, reconciler: newReconciler(), orders: &errgroup.Group{},
 		status: Status{Engine: cfg.Name}, engineLeaving: cfg.EngineLeaving,
@@ -395,10 +396,11 @@
 		r.state.UpdateRate(now, &e.rate)
 		return nil
 	case firstTokenReceived:
-		r.state.RecordFirstToken(now, e.id)
-		return nil
+		return r.state.RecordFirstToken(now, e.id)
 	case gapReported:
-		r.state.RecordGap(now, e.id, e.longest)
+		if !r.state.RecordGap(now, e.id, e.longest) {
+			r.cfg.Scope.Counter("stream_gaps_invalid").Inc(1)
+		}
 		return nil
 	case permitGranted:
 		r.permits = append(r.permits, e.permit)
--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -10,9 +10,14 @@
 // schedule starts the tickets that can start, refuses the tickets that have not started in time, and requests the needed permits.
 // It returns all pending actions.
 func (s *State) schedule(now time.Time) []Action {
+	// A ticket that is held back for running streams holds back those behind it, so that small prompts do not overtake a large one
+	// without end.
+	held := false
 	s.retainWaiting(func(t Ticket) bool {
+		ready := s.hasRoom(t) && s.IsLoaded(t.Ref) && !s.isDelayedForPacking(now, t)
+		held = held || (ready && !s.hasGapRoom(now, t))
 		switch {
-		case s.hasRoom(t) && s.IsLoaded(t.Ref) && !s.isDelayedForPacking(now, t):
+		case ready && !held:
 			s.start(now, t)
 		case !now.Before(t.StartBy):
 			s.refuse(t, result.New(result.DeadlineUnmet, "not started after %s", now.Sub(t.Arrived).Round(time.Millisecond)))
@@ -44,6 +49,7 @@
 	s.runningTokens += tokens
 	s.running[t.ID] = runningTicket{slot: sl, urgency: t.Urgency, tokens: tokens, startedAt: now}
 	s.prefill.add(now, t)
+	s.gaps.start(t, s.prefill.unprocessed(now))
 	if t.Urgency > 0 {
 		s.urgentRunning++
 	}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/continuity"
 	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -63,6 +64,9 @@
 	FinishesFirst bool
 	// AwaitReport delays loads until Adopt has been called with the loaded adapters.
 	AwaitReport bool
+	// LimitGaps limits the prompts that go to the engine at once, so that the pauses between the events of its streams stay within
+	// their objectives.
+	LimitGaps bool
 	// Policy selects the enabled mechanisms.
 	Policy policy.Policy
 	// Worth returns the value of keeping an idle adapter loaded. The adapter with the lowest value is unloaded first. If Worth is
@@ -138,6 +142,7 @@
 	// runningTokens is the total number of tokens of the running tickets.
 	runningTokens    int
 	prefill          *prefillTracker
+	gaps             *gapTracker
 	recentlyUnloaded recentAdapters
 	// rateLimiter enforces the engine's rate limit. Each request to the engine needs a grant from its owner anyway. Enforcing the
 	// limit here therefore needs no extra messages, and the limit also applies to boxes that do not know it.
@@ -172,7 +177,7 @@
 		permitRequests: map[resource.Ref]int{}, waiters: map[resource.Ref]int{},
 		meanLoadTime: defaultLoadTime, meanRunTime: defaultRunTime,
 		awaitingReport: cfg.AwaitReport, recentlyUnloaded: recentAdapters{limit: recentPerSlot * cfg.Slots},
-		prefill: newPrefillTracker(cfg.PrefillRate, cfg.KVTokens, cfg.Policy),
+		prefill: newPrefillTracker(cfg.PrefillRate, cfg.KVTokens, cfg.Policy), gaps: newGapTracker(cfg.LimitGaps),
 	}
 }
 
@@ -204,13 +209,21 @@
 		}
 	}
 	s.prefill.clearCache()
+	s.gaps.limiter = continuity.GapLimiter{}
 	s.rateLimiter.Reset()
 	return s.schedule(now)
 }
 
 // RecordFirstToken records that the first token of a running ticket has arrived, which means that the engine has processed its
-// prompt.
-func (s *State) RecordFirstToken(now time.Time, id uint64) { s.prefill.finish(now, id) }
+// prompt. The next prompts may then go to the engine.
+func (s *State) RecordFirstToken(now time.Time, id uint64) []Action {
+	s.prefill.finish(now, id)
+	s.gaps.recordFirstToken(id, s.prefill.unprocessed(now))
+	if !s.gaps.limits {
+		return nil
+	}
+	return s.schedule(now)
+}
 
 // IsTracked reports whether ref occupies a slot or will be loaded when an unload ends.
 func (s *State) IsTracked(ref resource.Ref) bool {
@@ -276,6 +289,7 @@
 	delete(s.running, id)
 	s.runningTokens -= st.tokens
 	s.prefill.remove(id)
+	s.gaps.remove(id)
 	if end == EndWhole {
 		s.meanRunTime += time.Duration(runTimeSmoothing * float64(now.Sub(st.startedAt)-s.meanRunTime))
 	}
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -52,7 +52,7 @@
 		prompts += w.Prompt
 		tokens += w.Prompt + w.Output
 	}
-	startWait := max(s.prefill.prefillTime(s.prefill.backlog(now, t.Urgency)), s.loadWait(now, t))
+	startWait := max(s.prefill.prefillTime(s.prefill.backlog(now, t.Urgency)), s.loadWait(now, t), s.gapWait(now, t))
 	return startWait + s.batchWait(t, ahead, tokens) + s.prefill.prefillTime(prompts+s.prefill.uncachedTokens(t))
 }
 
