Streams: log a kept stream also when a search ends too late

A search that an owner queued until the continuation was useless left no line and no count. Grants are returned outside the lock that events need. Requests that are no streams send no gap objective.

--- a/internal/continuity/stream.go
+++ b/internal/continuity/stream.go
@@ -132,6 +132,9 @@
 	s.lastAsk, s.asking = now, true
 }
 
+// IsStalled reports whether no event has arrived since the last search for another engine began.
+func (s *Stream) IsStalled() bool { return s.asking }
+
 // ShouldSwitch reports whether the stream should continue at the engine that granted it. It is false if an event has arrived since
 // BeginAsk, or if the continuation would come too late for the caller.
 func (s *Stream) ShouldSwitch(now time.Time) bool { return s.asking && now.Before(s.UsefulUntil()) }
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -26,11 +26,19 @@
 // streamConfig returns what decides about the continuation of a request's stream that is sent to an engine now.
 func (q *request) streamConfig(now time.Time) continuity.StreamConfig {
 	return continuity.StreamConfig{
-		Objective: time.Duration(q.route.Objective), GapObjective: time.Duration(q.route.GapObjective),
+		Objective: time.Duration(q.route.Objective), GapObjective: q.gapObjective(),
 		ReceivedAt: q.receivedAt, SentAt: now, ForwardedAt: q.forwardedAt, Deadline: q.deadline,
 	}
 }
 
+// gapObjective returns the longest pause between two events that keeps the request's stream in time, zero if there is none.
+func (q *request) gapObjective() time.Duration {
+	if q.route.Kind != resource.RouteStream {
+		return 0
+	}
+	return time.Duration(q.route.GapObjective)
+}
+
 // allowContinuation sets until when a request whose run at an engine broke off may start at another one. Callers wait for the
 // next event longer than for the start of a request that has not run yet.
 func (r *Relay) allowContinuation(q *request) {
@@ -231,26 +239,31 @@
 	return ctx, true
 }
 
-// endAsk ends a search. If the stream still stalls and another engine has granted its continuation, endAsk cancels the exchange.
+// endAsk ends a search. A grant that is not used is returned.
 func (w *streamWatch) endAsk(next *continuation, rerr *result.Error) {
+	if !w.switchTo(next, rerr) && next != nil {
+		w.relay.returnGrant(next)
+	}
+}
+
+// switchTo cancels the exchange if the stream still stalls and next, which may be nil, has granted its continuation. Otherwise it
+// schedules the next search and returns false. rerr is the error of the search.
+func (w *streamWatch) switchTo(next *continuation, rerr *result.Error) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cancelAsk()
 	w.cancelAsk = nil
 	now := clock.Now()
-	stalled := !w.stopped && w.stream.ShouldSwitch(now)
-	switch {
-	case next != nil && stalled && w.relay.spendRetry(w.asker, result.New(result.StreamCut, "")):
+	if next != nil && !w.stopped && w.stream.ShouldSwitch(now) && w.relay.spendRetry(w.asker, result.New(result.StreamCut, "")) {
 		w.cut, w.next = true, next
 		w.cancelRun()
-		return
-	case next != nil:
-		w.relay.returnGrant(next)
+		return true
 	}
-	if again := w.scheduleLook(now); stalled && !again {
+	if !w.scheduleLook(now) && !w.stopped && w.stream.IsStalled() {
 		w.relay.cfg.Scope.Counter("streams_kept").Inc(1)
 		klog.InfoS("stalled stream stays at its engine", "request", w.asker.head.ID, "engine", w.engine, "silent", now.Sub(w.silentSince()), "reason", keptReason(rerr))
 	}
+	return false
 }
 
 // silentSince returns when the last event was forwarded, or when the request arrived if there was none.
@@ -264,7 +277,7 @@
 // keptReason returns why a stalled stream was not continued at another engine after the last search.
 func keptReason(rerr *result.Error) string {
 	if rerr == nil {
-		return errBudgetUsedUp
+		return "the grant came too late, or the retry budget is used up"
 	}
 	return rerr.Error()
 }
@@ -301,14 +314,11 @@
 	return result.New(result.StreamCut, "the engine stopped sending events")
 }
 
-// errBudgetUsedUp is the reason why a stream does not continue elsewhere if no retry is left.
-const errBudgetUsedUp = "the retry budget is used up"
-
 // askContinuation asks the owners of other engines once for the continuation of a stream. It asks none without a retry in the
 // budget, because a question may already make an engine load the adapter.
 func (r *Relay) askContinuation(ctx context.Context, q *request, avoid map[string]bool) (*continuation, *result.Error) {
 	if !r.budgets.hasRetry(q.service) {
-		return nil, result.New(result.StreamCut, errBudgetUsedUp)
+		return nil, result.New(result.StreamCut, "the retry budget is used up")
 	}
 	if rerr := r.checkQuarantine(q); rerr != nil {
 		return nil, rerr
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -102,6 +102,7 @@
 		{name: "silent for good, granted", pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
 		{name: "silent for good before the first event", pause: time.Minute, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
 		{name: "silent for good, granted, leaving box", pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest, leaving: true, wantRuns: 2, wantCounter: "streams_resumed"},
+		{name: "other engine busy until it is too late", pauseAfter: pauseAfterEvent, pause: 2500 * time.Millisecond, answer: grantAfter(1500 * time.Millisecond), wantRuns: 1, wantCounter: "streams_kept"},
 		{name: "back before the grant", pauseAfter: pauseAfterEvent, pause: 1300 * time.Millisecond, answer: grantAfter(800 * time.Millisecond), wantRuns: 1},
 		{name: "owner lost between question and grant", pauseAfter: pauseAfterEvent, pause: pause, answer: func(http.ResponseWriter) { time.Sleep(time.Second) }, wantRuns: 1},
 		{name: "retry budget used up", pauseAfter: pauseAfterEvent, pause: pause, answer: grantRequest, noBudget: true, wantRuns: 1},
