Stream gaps: the limit on unprocessed prompts may fall below the safe backlog

Cause: pauses of 420 to 500 ms at engines of 0.7 of the usual speed with a median of 5,450 unprocessed tokens: while prompts keep coming, the engine processes a full piece before each of an event's three tokens, whatever the backlog is above one piece. The limit had a floor above a piece. Change: the floor is a fifth of the safe backlog. Tests of continuity and owner pass.

--- a/internal/continuity/gaps.go
+++ b/internal/continuity/gaps.go
@@ -20,6 +20,9 @@
 	limitDecrease = 0.7
 	limitIncrease = 1.005
 	limitTested   = 0.75
+	// minFactor is the smallest limit as a multiple of the safe backlog. While prompts keep coming, an engine processes a piece of them
+	// before each token, and an event has several tokens. Only a backlog smaller than a piece then shortens the pauses.
+	minFactor = 0.2
 	// limitLifetime is the time without late streams after which there is no limit. Each end of the limit may cost a burst of late
 	// streams.
 	limitLifetime = 5 * time.Minute
@@ -31,10 +34,10 @@
 // GapLimiter limits the unprocessed prompt tokens at one engine so that the pauses between the events of its streams stay within
 // their objective. An engine processes prompts piece by piece between the tokens of running requests. How much it processes between
 // two tokens is unknown, but it cannot be more than what is unprocessed. A backlog that the engine processes within the objective is
-// therefore safe. There is no limit until a stream has been late; then the limit falls to the safe backlog, and rises again
-// while streams are in time. It is not safe for concurrent use.
+// therefore safe unless further prompts follow it. There is no limit until a stream has been late; then the limit falls to the safe
+// backlog, with further late streams below it, and rises again while streams are in time. It is not safe for concurrent use.
 type GapLimiter struct {
-	// factor is the limit as a multiple of the safe backlog, at least 1. It is valid for limitLifetime after lastLate.
+	// factor is the limit as a multiple of the safe backlog, at least minFactor. It is valid for limitLifetime after lastLate.
 	factor   float64
 	lastLate time.Time
 }
@@ -67,7 +70,7 @@
 			l.factor *= limitIncrease
 		}
 	case l.isActive(now):
-		l.factor, l.lastLate = max(1, limitDecrease*min(l.factor, used)), now
+		l.factor, l.lastLate = max(minFactor, limitDecrease*min(l.factor, used)), now
 	default:
 		l.factor, l.lastLate = 1, now
 	}
