Engine loads: reports travel with heartbeats and grant answers

Cause: a box knew the load of an engine only from the answers to its own requests. Change: owners make reports of scarce engines (50 ms ticks and events), Beat and Updates carry them and the demand rows, grant answers carry Bellgap-Engine-Load, a new Runner starts from the known prefill rate, the box builds table and exchange if capacity.scarce_slots is set, status and metrics show the reports.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -16,6 +16,8 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/engineload"
+	"github.com/bellgap/bellgap/internal/figures"
 	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/httpx"
@@ -89,6 +91,9 @@
 	places *places.Client
 	// rates holds the rate limits that endpoints report.
 	rates *ratelimit.Registry
+	// engineLoads holds the loads of scarce engines. figures exchanges them with other boxes. Both are nil if no engine can be scarce.
+	engineLoads *engineload.Table
+	figures     *figures.Exchange
 	// notices holds the other notices that endpoints have sent about themselves. noticeClient forwards notices of leaving endpoints to other
 	// boxes.
 	notices      *notice.Board
@@ -140,9 +145,13 @@
 		RelayTimeout: maxMissedBeats * cfg.Settings.Timing.Beat, FirstWatchDelay: firstWatchDelayBeats * cfg.Settings.Timing.Beat, RelayRate: relayLinkShare * minCompression * bytesPerMbit * cfg.Settings.Box.LinkMbps,
 	})
 	b.quarantine = newQuarantine(cfg.Settings, b.catalog, b.metrics.Scope)
+	if cfg.Settings.Capacity.ScarceSlots > 0 {
+		b.engineLoads = engineload.NewTable(engineload.TableConfig{Scope: b.metrics.Scope})
+	}
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
-	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Rates: b.rates, Scope: b.metrics.Scope})
+	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Rates: b.rates, EngineLoads: b.engineLoads, Scope: b.metrics.Scope})
 	scheduler := b.buildOwners(peers)
+	b.buildFigures()
 	b.buildNode(peers)
 	b.buildRelay(grants)
 	b.addParts(grants, scheduler)
@@ -192,7 +201,7 @@
 		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: quarantiningEngines{b.cfg.Deployment.Engines, b.quarantine},
 		PrefillRate: b.cfg.Settings.Routes.PrefillRate, Policy: b.cfg.Settings.Policy.Build(),
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
-		Lookup:    b.lookupEngine, Rates: b.rates, Notices: b.notices,
+		Lookup:    b.lookupEngine, Rates: b.rates, Notices: b.notices, EngineLoads: b.engineLoads,
 		Leaving: func(name string) bool { return b.catalog.Topology().Engines[name].Leaving },
 	})
 	return scheduler
@@ -228,10 +237,18 @@
 	return owner.Declared{Engine: *e.Spec}, true
 }
 
+// buildFigures builds the exchange of figures with other boxes, if engines can be scarce.
+func (b *Routed) buildFigures() {
+	if b.engineLoads == nil {
+		return
+	}
+	b.figures = figures.New(figures.Config{Box: b.cfg.Settings.Box.Name, OwnLoads: b.owners.Loads, Loads: b.engineLoads, Scope: b.metrics.Scope})
+}
+
 func (b *Routed) buildNode(peers *peer.Client) {
 	s := b.cfg.Settings
 	t := s.Timing
-	b.node = member.New(member.Config{
+	cfg := member.Config{
 		Cell: s.Box.Cell, Region: s.Box.Region, API: b.cfg.Deployment.API, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text, Spread: b.follower,
 		Quarantine: b.quarantine,
 		Self: coordinator.Member{
@@ -240,7 +257,11 @@
 		Timing: member.Timing{
 			Beat: t.Beat, LeaseTTL: t.LeaseTTL, Term: t.Term, Drain: t.Drain, SilentAfter: maxMissedBeats * t.Beat, OrderGap: t.OrderGap + orderMargin, Reclaim: t.Reclaim,
 		},
-	})
+	}
+	if b.figures != nil {
+		cfg.Figures = b.figures
+	}
+	b.node = member.New(cfg)
 }
 
 func (b *Routed) buildRelay(grants *grant.Client) {
@@ -274,7 +295,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, RecentRequests: record.New(),
-		Quarantine: b.quarantine, RateLimits: b.rates.Limits, Notices: b.notices, LastRestore: b.follower.LastRestore,
+		Quarantine: b.quarantine, RateLimits: b.rates.Limits, Notices: b.notices, LastRestore: b.follower.LastRestore, EngineLoads: b.knownEngineLoads,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
@@ -289,6 +310,14 @@
 	b.root.Add(delayedNode{b.follower.Ready(), b.node})
 }
 
+// knownEngineLoads returns the known loads of scarce engines.
+func (b *Routed) knownEngineLoads(now time.Time) []engineload.Sent {
+	if b.engineLoads == nil {
+		return nil
+	}
+	return b.engineLoads.Known(now)
+}
+
 // CallerAddress returns the address to which callers connect.
 func (b *Routed) CallerAddress() netip.AddrPort { return listenerAddress(b.listeners.caller) }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -99,6 +99,7 @@
 	if len(topology.Engines) <= maxListedEngines || cmd.Bool("all") {
 		printEngines(w, topology)
 	}
+	printEngineLoads(w, st.EngineLoads)
 	for _, e := range st.Engines {
 		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\tleft=%t\trate_refused=%d\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, e.Leaving, e.RateRefused, strings.Join(e.Loaded, " "))
 	}
@@ -113,6 +114,18 @@
 	}
 }
 
+// printEngineLoads prints the loads of scarce engines, those with the highest prefill rates first.
+func printEngineLoads(w io.Writer, all []operator.EngineLoad) {
+	if len(all) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(w, "SCARCE ENGINE\tTOKENS/S\tBACKLOG\tRUNNING\tWAITING\tFREE SLOTS\tSLOT WAIT\tLOAD TIME\tREPORT AGE")
+	for _, l := range all {
+		_, _ = fmt.Fprintf(w, "%s\t%.0f\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", l.Engine, l.PrefillRate, l.Backlog, l.Running, l.Waiting, l.FreeSlots,
+			l.SlotWait.Round(time.Millisecond), l.LoadTime.Round(time.Millisecond), l.Age.Round(time.Millisecond))
+	}
+}
+
 func codesCommand() *cli.Command {
 	return &cli.Command{
 		Name: "codes", Usage: "print the table of result codes",
--- a/internal/coordinator/batch.go
+++ b/internal/coordinator/batch.go
@@ -7,6 +7,8 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bellgap/bellgap/internal/demand"
+	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -44,6 +46,9 @@
 	StoreAge time.Duration `json:"store_age,omitempty"`
 	// Confirmed holds the age of the sender's data for each object kind whose age matters to the receiver.
 	Confirmed map[string]objects.Confirmation `json:"confirmed,omitempty"`
+	// EngineLoads holds reports of engines of other boxes, Shares the shares of demand that the fleet serves.
+	EngineLoads []engineload.Sent `json:"engine_loads,omitempty"`
+	Shares      []demand.Share    `json:"shares,omitempty"`
 }
 
 // GrantsChecksum returns a checksum of the grants of a box. It is never zero. Unchanged grants are recognized by it and not sent again.
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -5,6 +5,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/demand"
+	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/quarantine"
@@ -100,6 +102,10 @@
 	// lease epoch Lease.
 	PassOn bool   `json:"pass_on,omitempty"`
 	Lease  uint64 `json:"lease,omitempty"`
+	// EngineLoads holds reports of the box's own engines, Demand the requests that the box was asked for. Boxes of earlier builds ignore
+	// both.
+	EngineLoads []engineload.Sent `json:"engine_loads,omitempty"`
+	Demand      []demand.Row      `json:"demand,omitempty"`
 }
 
 // Reply is the response to a Beat.
--- a/internal/engineload/encode.go
+++ b/internal/engineload/encode.go
@@ -2,35 +2,42 @@
 
 import (
 	"encoding/json"
+	"math"
 	"strconv"
 	"strings"
 	"time"
 )
 
 const (
-	// separator separates the fields of an encoded Sent.
-	separator = " "
-	// fieldBase is the base of the encoded numbers.
-	fieldBase = 36
-	// fieldCount is the number of fields. A later build may append more.
-	fieldCount = 13
+	// separator separates the fields of an encoded Sent: engine, start, epoch, sequence and quantities. A later build may append more.
+	separator  = " "
+	fieldCount = 5
+	// numberBase is the base of encoded numbers.
+	numberBase = 36
+	// quantityStep is the ratio of two successive encoded quantities. They are off by less than 1%, and numbers up to 60 are exact. Two
+	// digits reach 2e8.
+	quantityStep   = 1.015
+	quantityDigits = 2
+	quantities     = 9
+	// impossible is the encoded form of a quantity that cannot be encoded, such as a negative one.
+	impossible = "--"
 )
 
-// MarshalJSON encodes the report as one string of numbers in base 36, with durations in milliseconds. This takes 40 to 60 B; a JSON
-// object takes 200 B, of which most are field names, and would leave room for a quarter of the reports in a heartbeat reply.
+// MarshalJSON encodes the report as one string of about 50 B. A JSON object takes 200 B, of which most are field names, and would leave
+// room for a quarter of the reports in a heartbeat reply.
 func (s Sent) MarshalJSON() ([]byte, error) {
-	fields := append(make([]string, 0, fieldCount), s.Engine)
-	for _, n := range []int64{
-		s.Started, int64(s.Epoch), int64(s.Sequence), int64(s.PrefillRate), int64(s.Backlog), int64(s.Running), int64(s.Waiting), int64(s.FreeSlots),
-		s.SlotWait.Milliseconds(), s.LoadTime.Milliseconds(), s.EventGap.Milliseconds(), s.Age.Milliseconds(),
+	var b strings.Builder
+	b.WriteString(s.Engine + separator)
+	for _, n := range []uint64{uint64(s.Started), s.Epoch, s.Sequence} {
+		b.WriteString(strconv.FormatUint(n, numberBase) + separator)
+	}
+	for _, q := range [quantities]float64{
+		s.PrefillRate, float64(s.Backlog), float64(s.Running), float64(s.Waiting), float64(s.FreeSlots),
+		toMilliseconds(s.SlotWait), toMilliseconds(s.LoadTime), toMilliseconds(s.EventGap), toMilliseconds(s.Age),
 	} {
-		field := ""
-		if n != 0 {
-			field = strconv.FormatInt(n, fieldBase)
-		}
-		fields = append(fields, field)
+		b.WriteString(encodeQuantity(q))
 	}
-	return json.Marshal(strings.Join(fields, separator))
+	return json.Marshal(b.String())
 }
 
 // UnmarshalJSON decodes a report. A malformed one becomes a report without an engine, which Table.Record counts as invalid: one box
@@ -42,33 +49,54 @@
 		return nil
 	}
 	fields := strings.Split(encoded, separator)
-	if len(fields) < fieldCount {
+	if len(fields) < fieldCount || len(fields[fieldCount-1]) < quantities*quantityDigits {
 		return nil
 	}
-	var numbers [fieldCount]int64
-	for i := 1; i < fieldCount; i++ {
-		if fields[i] == "" {
-			continue
-		}
-		n, err := strconv.ParseInt(fields[i], fieldBase, 64)
+	var numbers [fieldCount - 2]uint64
+	for i := range numbers {
+		n, err := strconv.ParseUint(fields[i+1], numberBase, 64)
 		if err != nil {
 			return nil
 		}
 		numbers[i] = n
 	}
+	var q [quantities]float64
+	for i := range q {
+		var ok bool
+		if q[i], ok = decodeQuantity(fields[fieldCount-1][i*quantityDigits:][:quantityDigits]); !ok {
+			return nil
+		}
+	}
 	*s = Sent{Report: Report{
-		Engine: fields[0], Started: numbers[1], Epoch: uint64(numbers[2]), Sequence: uint64(numbers[3]), PrefillRate: float64(numbers[4]),
-		Backlog: int(numbers[5]), Running: int(numbers[6]), Waiting: int(numbers[7]), FreeSlots: int(numbers[8]),
-		SlotWait: milliseconds(numbers[9]), LoadTime: milliseconds(numbers[10]), EventGap: milliseconds(numbers[11]),
-	}, Age: milliseconds(numbers[12])}
+		Engine: fields[0], Started: int64(numbers[0]), Epoch: numbers[1], Sequence: numbers[2],
+		PrefillRate: q[0], Backlog: int(q[1]), Running: int(q[2]), Waiting: int(q[3]), FreeSlots: int(q[4]),
+		SlotWait: fromMilliseconds(q[5]), LoadTime: fromMilliseconds(q[6]), EventGap: fromMilliseconds(q[7]),
+	}, Age: fromMilliseconds(q[8])}
 	return nil
 }
 
-// milliseconds converts a number of milliseconds to a duration. Numbers outside of the possible range become an invalid duration
-// instead of overflowing to a valid one.
-func milliseconds(n int64) time.Duration {
-	if n < 0 || n > maxDuration.Milliseconds() {
-		return -1
+// encodeQuantity encodes a quantity on a logarithmic scale. Zero is 0, and 1 is 1.
+func encodeQuantity(q float64) string {
+	code := 0.0
+	if q >= 0.5 {
+		code = 1 + math.Round(math.Log(max(1, q))/math.Log(quantityStep))
 	}
-	return time.Duration(n) * time.Millisecond
+	if !(q >= 0) || code >= numberBase*numberBase {
+		return impossible
+	}
+	s := strconv.FormatInt(int64(code), numberBase)
+	return strings.Repeat("0", quantityDigits-len(s)) + s
+}
+
+func decodeQuantity(s string) (float64, bool) {
+	code, err := strconv.ParseUint(s, numberBase, 32)
+	if err != nil || code == 0 {
+		return 0, err == nil
+	}
+	return math.Round(math.Pow(quantityStep, float64(code-1))), true
 }
+
+func toMilliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// fromMilliseconds converts milliseconds to a duration. The largest encoded quantity is 2e8, so the result does not overflow.
+func fromMilliseconds(ms float64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/internal/engineload/table.go
+++ b/internal/engineload/table.go
@@ -92,7 +92,7 @@
 	return t.record(now, r, age, false)
 }
 
-// RecordAnswer records a report that the engine's owner has just sent in its answer to a request of this box. It replaces any report
+// RecordAnswer records a report that the engine's owner has just made on this box, or sent in its answer to a request of this box. It replaces any report
 // that was forwarded by other boxes, so that a box with wrong reports cannot attract requests for longer than until the first answer.
 func (t *Table) RecordAnswer(now time.Time, r Report) bool { return t.record(now, r, 0, true) }
 
@@ -101,7 +101,6 @@
 		t.cfg.Scope.Counter("engine_load_invalid").Inc(1)
 		return false
 	}
-	t.cfg.Scope.Counter("engine_loads_received").Inc(1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	position, ok := t.index[r.Engine]
--- a/internal/engineload/upload.go
+++ b/internal/engineload/upload.go
@@ -1,7 +1,10 @@
 package engineload
 
 import (
+	"cmp"
 	"maps"
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -10,6 +13,9 @@
 	refreshAge = time.Second
 	// MaxUpload is the maximum number of reports in a heartbeat.
 	MaxUpload = 256
+	// changeBytes limits the reports in a heartbeat that are sent before refreshAge because they have changed. During a surge the figures
+	// of all engines change notably with every heartbeat.
+	changeBytes = 120
 )
 
 // Upload selects which of a box's own reports its heartbeats carry. It is not safe for concurrent use.
@@ -30,17 +36,23 @@
 	return &Upload{confirmed: map[string]uploaded{}, unconfirmed: map[string]uploaded{}}
 }
 
-// Select returns those reports that have changed notably since the last answered heartbeat that contained them, or whose last one is a
-// second old.
+// Select returns those reports whose last ones in an answered heartbeat are a second old, and as far as changeBytes allows those that
+// have changed notably since, the oldest first.
 func (u *Upload) Select(now time.Time, own []Sent) []Sent {
+	slices.SortFunc(own, func(a, b Sent) int {
+		return cmp.Or(u.confirmed[a.Engine].trueAt.Compare(u.confirmed[b.Engine].trueAt), strings.Compare(a.Engine, b.Engine))
+	})
 	current := map[string]bool{}
 	var out []Sent
+	size := 0
 	for _, s := range own {
 		current[s.Engine] = true
-		last, ok := u.confirmed[s.Engine]
-		if len(out) == MaxUpload || ok && now.Sub(last.trueAt) < refreshAge && !hasChangedNotably(&last.report, &s.Report) {
+		last := u.confirmed[s.Engine]
+		isDue := now.Sub(last.trueAt) >= refreshAge
+		if len(out) == MaxUpload || !isDue && (size >= changeBytes || !hasChangedNotably(&last.report, &s.Report)) {
 			continue
 		}
+		size += s.size()
 		u.unconfirmed[s.Engine] = uploaded{s.Report, now.Add(-s.Age)}
 		out = append(out, s)
 	}
--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -72,17 +72,15 @@
 	upload *engineload.Upload
 	// pending holds the rows that no answered heartbeat has contained yet, oldest first.
 	pending []collected
-	// collectedAt is the time of the last Collect.
-	collectedAt time.Time
 }
 
 // New returns an Exchange.
 func New(cfg Config) *Exchange { return &Exchange{cfg: cfg, upload: engineload.NewUpload()} }
 
 // Collect returns what this box tells with its next heartbeat. The rows of a heartbeat without an answer are not lost: Collect returns
-// them again, added to the newer ones, until Apply has been called for a heartbeat that was sent after they were collected, for at most
-// maxRowAge. If only the answer was lost, the coordinator counts the rows twice. That error is bounded by the rows of one heartbeat,
-// while lost rows would hide demand whenever the network is overloaded.
+// them again, added to the newer ones, until Confirm is called after an answered heartbeat, for at most maxRowAge. If only the answer
+// was lost, the coordinator counts the rows twice. That error is bounded by the rows of maxRowAge, while lost rows would hide demand
+// whenever the network is overloaded.
 func (e *Exchange) Collect(now time.Time) Upload {
 	own := e.cfg.OwnLoads(now)
 	for _, s := range own {
@@ -91,7 +89,6 @@
 	e.cfg.Loads.UpdateGauge(now)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.collectedAt = now
 	u := Upload{EngineLoads: e.upload.Select(now, own)}
 	if e.cfg.Demand == nil {
 		return u
@@ -128,22 +125,24 @@
 	return d
 }
 
-// Apply records a reply to a heartbeat of this box that was sent at sentAt, and confirms what Collect returned before.
+// Confirm records that the coordinator has answered the heartbeat with the result of the last Collect.
+func (e *Exchange) Confirm() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pending = nil
+	e.upload.Confirm()
+}
+
+// Apply records a reply to a message that was sent at sentAt.
 func (e *Exchange) Apply(now, sentAt time.Time, d Digest) {
 	e.recordLoads(now, limit(e, d.EngineLoads, maxDigestLoads))
 	if e.cfg.Demand != nil {
 		e.cfg.Demand.Apply(now, sentAt, limit(e, d.Shares, maxShares))
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if sentAt.Before(e.collectedAt) {
-		return
-	}
-	e.pending = nil
-	e.upload.Confirm()
 }
 
 func (e *Exchange) recordLoads(now time.Time, loads []engineload.Sent) {
+	e.cfg.Scope.Counter("engine_loads_received").Inc(int64(len(loads)))
 	for _, s := range loads {
 		e.cfg.Loads.Record(now, s.Report, s.Age)
 	}
--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/gather"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -43,7 +44,9 @@
 	HTTP *http.Client
 	// Rates holds the rate limits of engines that are known to this box.
 	Rates *ratelimit.Registry
-	Scope tally.Scope
+	// EngineLoads records the loads of engines; nil records none.
+	EngineLoads *engineload.Table
+	Scope       tally.Scope
 }
 
 // Client requests grants from owners on other boxes. Serve must run while the Client is in use, to send the progress of granted
@@ -109,9 +112,26 @@
 	if report := RateFromHeader(resp.Header); report != nil {
 		c.cfg.Rates.Record(clock.Now(), request.Engine, *report)
 	}
+	c.recordLoad(resp.Header, request.Engine)
 	return c.readAnswer(resp, address)
 }
 
+// recordLoad records the engine's load from the response header of its owner. A load of another engine than the one that was asked for
+// is ignored.
+func (c *Client) recordLoad(h http.Header, engine string) {
+	encoded := h.Get(headerLoad)
+	if encoded == "" || c.cfg.EngineLoads == nil {
+		return
+	}
+	var report engineload.Report
+	if err := json.Unmarshal([]byte(encoded), &report); err != nil || report.Engine != engine {
+		c.cfg.Scope.Counter("engine_load_invalid").Inc(1)
+		return
+	}
+	c.cfg.Scope.Counter("engine_loads_received").Inc(1)
+	c.cfg.EngineLoads.RecordAnswer(clock.Now(), report)
+}
+
 // RateFromHeader returns the engine's rate limit from the response header of its owner, or nil if the header is missing or
 // invalid.
 func RateFromHeader(h http.Header) *ratelimit.Report {
--- a/internal/grant/message.go
+++ b/internal/grant/message.go
@@ -88,6 +88,10 @@
 // and refusals.
 const headerRate = "Bellgap-Engine-Rate"
 
+// headerLoad is the response header that contains the load of the owner's engine as JSON, if the engine is scarce. It is set on grants
+// and refusals.
+const headerLoad = "Bellgap-Engine-Load"
+
 // grantEnd reports how the request with the grant ID ended.
 type grantEnd struct {
 	ID  uint64    `json:"id"`
--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -76,6 +76,7 @@
 	}
 	g, rerr := AcquireWithKeepalive(r.Context(), w, runner, q, keepaliveInterval)
 	SetRateHeader(w.Header(), runner.Rate())
+	setLoadHeader(w.Header(), runner)
 	if rerr != nil {
 		rerr.Write(w, "")
 		return
@@ -101,6 +102,21 @@
 	h.Set(headerRate, string(encoded))
 }
 
+// setLoadHeader sets the response header that contains the load of an engine, unless there is none to report. The load includes the
+// decision on the request that is answered.
+func setLoadHeader(h http.Header, runner *owner.Runner) {
+	load, ok := runner.Load(clock.Now())
+	if !ok {
+		return
+	}
+	encoded, err := json.Marshal(load.Report)
+	if err != nil {
+		klog.ErrorS(err, "load of the engine not encoded; response header omitted")
+		return
+	}
+	h.Set(headerLoad, string(encoded))
+}
+
 // hold stores a grant until it is released or expires, and returns its ID.
 func (s *Server) hold(g *owner.Grant, limit time.Duration) uint64 {
 	s.mu.Lock()
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -23,6 +23,7 @@
 		return coordinator.Reply{}, err
 	}
 	n.addUpdates(b.Known, b.MapGeneration, &r.Updates)
+	n.addFigures(b.Member.Box, 1, &r.Updates)
 	return r, nil
 }
 
@@ -44,6 +45,7 @@
 		out.Answers = append(out.Answers, answer)
 	}
 	n.addUpdates(b.Known, b.MapGeneration, &out.Updates)
+	n.addFigures(b.Box, len(b.Beats), &out.Updates)
 	return out, nil
 }
 
@@ -60,6 +62,7 @@
 	if err := n.state.RecordBeat(now, b); err != nil {
 		return coordinator.Reply{}, err
 	}
+	n.mergeFigures(now, b)
 	r := n.state.Reply(now, b.Member.Box)
 	r.Frozen = r.Frozen || !now.Before(n.leaseView.validUntil)
 	r.LeaseVersion = n.leaseView.version
@@ -88,6 +91,7 @@
 	if address == "" {
 		return errors.New("member: coordinator address is unknown")
 	}
+	n.collectFigures(&full)
 	b := n.omitUnchanged(full)
 	sentAt := clock.Now()
 	r, err := n.submitBeat(ctx, address, b)
@@ -105,6 +109,7 @@
 	if b.Base == 0 {
 		n.lastFullBeat = fullBeat{sequence: b.Sequence, lease: r.Lease, holdings: holdingsOf(full)}
 	}
+	n.confirmFigures()
 	n.applyReply(sentAt, r)
 	return nil
 }
@@ -126,7 +131,12 @@
 // submitBeat handles a heartbeat locally if this box is the coordinator, and sends it otherwise.
 func (n *Node) submitBeat(ctx context.Context, address string, b coordinator.Beat) (coordinator.Reply, error) {
 	if address == n.cfg.Self.Peer.String() {
-		return n.HandleBeat(b)
+		sentAt := clock.Now()
+		r, err := n.HandleBeat(b)
+		if err == nil {
+			n.applyFigures(r.Updates, sentAt)
+		}
+		return r, err
 	}
 	return n.callCoordinator(ctx, address, b)
 }
--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/fakeplatform"
 	"github.com/bellgap/bellgap/internal/feed"
 	"github.com/bellgap/bellgap/internal/invariant"
@@ -50,6 +51,10 @@
 	timing     member.Timing
 	// spread is passed to all boxes that are started after it is set.
 	spread member.Spread
+	// newFigures returns the figures of a box that is started; nil boxes exchange none. countLoads is called with the engine loads of each
+	// message that one box has sent to another.
+	newFigures func(name string) member.Figures
+	countLoads func(from, to *node, loads []engineload.Sent, inBatch bool)
 	// zones are the availability zones over which the boxes are distributed. If empty, all boxes are in the constant zone.
 	zones []string
 }
@@ -132,14 +137,18 @@
 	peer := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+port))
 	n.address = peer.String()
 	tokens := 0
-	n.Node = member.New(member.Config{
+	cfg := member.Config{
 		Cell: cell, API: n, Peers: n, Catalog: n.catalog, Holder: n, Timing: cl.timing, Scope: tally.NoopScope, Spread: cl.spread,
 		Self: coordinator.Member{Box: name, Zone: cl.zoneOf(port), Incarnation: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Caller: peer, Peer: peer},
 		NewToken: func() string {
 			tokens++
 			return fmt.Sprintf("%s-%d-%d", name, time.Now().UnixNano(), tokens)
 		},
-	})
+	}
+	if cl.newFigures != nil {
+		cfg.Figures = cl.newFigures(name)
+	}
+	n.Node = member.New(cfg)
 	n.feed = feed.New(feed.Config{Catalog: n.catalog, Scope: tally.NoopScope, PickSource: n.pickSource})
 	ctx, cancel := context.WithCancel(cl.c.Context())
 	n.stop = cancel
@@ -398,6 +407,10 @@
 	}
 	r, err := to.Receive(ctx, b)
 	n.waitWhileSuspended()
+	if cl := n.cluster; cl.countLoads != nil {
+		cl.countLoads(n, to, b.EngineLoads, false)
+		cl.countLoads(to, n, r.EngineLoads, false)
+	}
 	return r, err
 }
 
@@ -409,6 +422,14 @@
 	}
 	r, err := to.HandleBatch(b)
 	n.waitWhileSuspended()
+	if cl := n.cluster; cl.countLoads != nil {
+		var uploaded []engineload.Sent
+		for _, beat := range b.Beats {
+			uploaded = append(uploaded, beat.EngineLoads...)
+		}
+		cl.countLoads(n, to, uploaded, true)
+		cl.countLoads(to, n, r.Updates.EngineLoads, true)
+	}
 	return r, err
 }
 
--- a/internal/member/forward.go
+++ b/internal/member/forward.go
@@ -147,6 +147,7 @@
 	}
 	n.cfg.Scope.Counter("beats_passed").Inc(int64(len(batch)))
 	n.applyUpdates(reply.Updates, sentAt)
+	n.applyFigures(reply.Updates, sentAt)
 	n.mu.Lock()
 	n.lastBatchSize = len(batch)
 	n.mu.Unlock()
@@ -187,6 +188,7 @@
 		return forwardResult{reply: r}
 	}
 	n.addLocalUpdates(b, &r.Updates)
+	n.addFigures(b.Member.Box, 1, &r.Updates)
 	r.StoreAge = max(r.StoreAge, storeAge)
 	return forwardResult{reply: r}
 }
@@ -270,6 +272,9 @@
 	if err == nil {
 		n.applyUpdates(r.Updates, sentAt)
 	}
+	if err == nil && r.Unreached == nil {
+		n.applyFigures(r.Updates, sentAt)
+	}
 	return r, err
 }
 
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -76,6 +76,8 @@
 	Scope   tally.Scope
 	// Spread provides the changes that are sent with heartbeats; nil sends none.
 	Spread Spread
+	// Figures exchanges engine loads and demand with heartbeats; nil exchanges none.
+	Figures Figures
 	// Quarantine provides the quarantined requests of the cell map; nil publishes none.
 	Quarantine Quarantine
 	// NewToken returns a token that is unique to one write.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/member"
@@ -45,6 +46,8 @@
 	Notices *notice.Board
 	// LastRestore returns details of the store's last restore from an older copy. It is nil on boxes that do not use package follow.
 	LastRestore func() follow.RestoreStatus
+	// EngineLoads returns the known loads of scarce engines, those with the highest prefill rates first. It is nil on boxes without them.
+	EngineLoads func(now time.Time) []engineload.Sent
 	Scope       tally.Scope
 }
 
@@ -81,6 +84,14 @@
 	PausedEndpoints  []notice.PausedEndpoint  `json:"rests,omitempty"`
 	// LastRestore describes the last restore of the store from an older copy; nil if this box has seen none.
 	LastRestore *follow.RestoreStatus `json:"restored,omitempty"`
+	// EngineLoads lists the loads of scarce engines, as far as this box knows them.
+	EngineLoads []EngineLoad `json:"engine_loads,omitempty"`
+}
+
+// EngineLoad is the known load of a scarce engine.
+type EngineLoad struct {
+	engineload.Report
+	Age time.Duration `json:"age"`
 }
 
 // Handler returns the HTTP handler of the operator API.
@@ -119,9 +130,21 @@
 		Box: o.cfg.Box, Ready: o.cfg.IsReady(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(),
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
+		EngineLoads: o.engineLoads(),
 	})
 }
 
+func (o *Operator) engineLoads() []EngineLoad {
+	if o.cfg.EngineLoads == nil {
+		return nil
+	}
+	var all []EngineLoad
+	for _, s := range o.cfg.EngineLoads(clock.Now()) {
+		all = append(all, EngineLoad{s.Report, s.Age})
+	}
+	return all
+}
+
 func (o *Operator) lastRestore() *follow.RestoreStatus {
 	if o.cfg.LastRestore == nil {
 		return nil
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -12,6 +12,7 @@
 
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/policy"
@@ -62,7 +63,14 @@
 	BaseLoads loads.Source
 	// PrefillRate is the initial estimate of the engine's prefill rate in tokens per second.
 	PrefillRate float64
-	Policy      policy.Policy
+	// CarriedRate is the prefill rate that a previous owner has observed, or zero if none is known.
+	CarriedRate float64
+	// Epoch is the epoch of the ownership grant. NextLoadSequence numbers the reports of the engine's load, and EngineLoads records them.
+	// If EngineLoads is nil, there are no reports.
+	Epoch            uint64
+	NextLoadSequence func() uint64
+	EngineLoads      *engineload.Table
+	Policy           policy.Policy
 	// Authority is called right before each order.
 	Authority Authority
 	// Rate is the engine's last known rate limit, or nil if none is known.
@@ -91,6 +99,8 @@
 	rate atomic.Pointer[ratelimit.Report]
 	// publishedLeaving is the value of engineLeaving after the last event.
 	publishedLeaving atomic.Bool
+	// lastLoad is the engine's load after the last event or tick, nil if there is none to report.
+	lastLoad atomic.Pointer[publishedLoad]
 
 	// Only the loop may access the fields from state to engineGone.
 
@@ -155,6 +165,7 @@
 		// No tickets wait yet, so there are no actions to carry out.
 		_ = r.updateClosed(clock.Now())
 	}
+	r.state.prefill.carryRate(cfg.CarriedRate)
 	r.state.rateLimiter.SetStart(cfg.Engine.Started)
 	r.state.UpdateRate(clock.Now(), cfg.Rate)
 	return r
@@ -348,9 +359,13 @@
 			r.inFlight.Store(int64(r.state.InFlight()))
 			r.rate.Store(r.state.Rate(now))
 			r.publishedLeaving.Store(r.engineLeaving)
+			r.publishLoad(now)
 			r.execute(ctx, actions)
 		case <-tick.C:
-			r.execute(ctx, r.state.Tick(clock.Now()))
+			now := clock.Now()
+			actions := r.state.Tick(now)
+			r.publishLoad(now)
+			r.execute(ctx, actions)
 			r.publishStatus()
 		case <-ctx.Done():
 			for _, p := range r.permits {
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -11,6 +12,7 @@
 
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/loads"
 	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/policy"
@@ -48,7 +50,9 @@
 	Rates *ratelimit.Registry
 	// Notices holds other notices received from engines.
 	Notices *notice.Board
-	Scope   tally.Scope
+	// EngineLoads holds the reports of engine loads, or is nil if no engine is scarce.
+	EngineLoads *engineload.Table
+	Scope       tally.Scope
 }
 
 // Declared is the configuration that operators declare for an engine.
@@ -94,6 +98,9 @@
 	owned map[string]*ownedEngine
 	// draining holds the engines that this box no longer owns but whose Runners still have requests or orders in flight.
 	draining []*ownedEngine
+	// loadSequence is the sequence number of the last report of an engine's load. All Runners share it, so that a Runner that replaces
+	// another one under the same epoch continues its numbers.
+	loadSequence atomic.Uint64
 }
 
 // NewSet returns an empty Set.
@@ -192,6 +199,11 @@
 		Rate:          s.cfg.Rates.LatestReport(clock.Now(), name, settings.engine.Started),
 		EngineLeaving: s.cfg.Notices.IsLeaving(clock.Now(), notice.Endpoint{Name: name, Started: settings.engine.Started}),
 		Notices:       s.cfg.Notices,
+		Epoch:         g.Epoch,
+	}
+	if s.cfg.EngineLoads != nil && settings.engine.Scarce {
+		cfg.EngineLoads, cfg.NextLoadSequence = s.cfg.EngineLoads, func() uint64 { return s.loadSequence.Add(1) }
+		cfg.CarriedRate = s.cfg.EngineLoads.PrefillRate(name, settings.engine.Started)
 	}
 	r := NewRunner(cfg)
 	o := &ownedEngine{runner: r, epoch: g.Epoch, settings: settings}
