--- a/internal/grant/client_test.go
+++ b/internal/grant/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -127,3 +128,33 @@
 	c.Check(resp.Body.Close(), qt.IsNil)
 	c.Check(resp.StatusCode, qt.Equals, http.StatusBadRequest)
 }
+
+// TestLoadOfAnswersIsRecorded checks that a box records the load in grants and refusals, and ignores one that is malformed or of another
+// engine.
+func TestLoadOfAnswersIsRecorded(t *testing.T) {
+	for _, test := range []struct {
+		header string
+		status int
+		known  bool
+	}{
+		{`{"engine":"e-1","epoch":4,"seq":2,"rate":9000}`, http.StatusOK, true},
+		{`{"engine":"e-1","epoch":4,"seq":2,"rate":9000}`, http.StatusServiceUnavailable, true},
+		{`{"engine":"e-2","epoch":4,"seq":2,"rate":9000}`, http.StatusOK, false},
+		{`{"engine":"e-1","epoch":4,"seq":2,"rate":-1}`, http.StatusOK, false},
+		{`{"engine":7}`, http.StatusOK, false},
+		{``, http.StatusOK, false},
+	} {
+		c := qt.New(t)
+		address := startServer(c, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Bellgap-Engine-Load", test.header)
+			httpx.WriteJSON(w, test.status, map[string]any{"id": 7})
+		}))
+		table := engineload.NewTable(engineload.TableConfig{Scope: tally.NoopScope})
+		client := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(2)}, Scope: tally.NoopScope, EngineLoads: table})
+		_, err := client.Acquire(c.Context(), address, grant.Request{Engine: "e-1"})
+		c.Check(err == nil, qt.Equals, test.status == http.StatusOK)
+		r, _, ok := table.Get(time.Now(), "e-1", 0)
+		c.Check(ok, qt.Equals, test.known, qt.Commentf("%s", test.header))
+		c.Check(!ok || r.PrefillRate == 9000, qt.IsTrue)
+	}
+}
