--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -45,8 +45,8 @@
 // the rate that the former one has observed.
 func TestRunnerPublishesLoad(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
 		for _, scarce := range []bool{false, true} {
+			c := qt.New(t)
 			table := engineload.NewTable(engineload.TableConfig{Scope: tally.NoopScope})
 			sequence := uint64(0)
 			r := owner.NewRunner(owner.RunnerConfig{
