Engine loads: test of an aggregator of an earlier build

Cause: such an aggregator drops the new fields in both directions; its boxes must not go on using old reports.

--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -83,6 +83,8 @@
 	peersDisconnected    bool
 	// dropsAnswers simulates a store that is too slow for the box: the box's writes take effect without an answer, and its reads fail.
 	dropsAnswers bool
+	// earlierBuild simulates a build that knows no figures and drops them from the messages that it reads and writes.
+	earlierBuild bool
 	ownedEngines map[string]bool
 	toRelease    []string
 	zone         string
@@ -315,6 +317,18 @@
 	n.dropsAnswers = on
 }
 
+func (n *node) setEarlierBuild(on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.earlierBuild = on
+}
+
+func (n *node) isEarlierBuild() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.earlierBuild
+}
+
 func (n *node) isDroppingAnswers() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -405,8 +419,15 @@
 	if err != nil {
 		return coordinator.Reply{}, err
 	}
+	dropsFigures := to.isEarlierBuild()
+	if dropsFigures {
+		b.EngineLoads, b.Demand = nil, nil
+	}
 	r, err := to.Receive(ctx, b)
 	n.waitWhileSuspended()
+	if dropsFigures {
+		r.EngineLoads, r.Shares = nil, nil
+	}
 	if cl := n.cluster; cl.countLoads != nil {
 		cl.countLoads(n, to, b.EngineLoads, false)
 		cl.countLoads(to, n, r.EngineLoads, false)
--- a/internal/member/figures_test.go
+++ b/internal/member/figures_test.go
@@ -45,7 +45,7 @@
 	asked, merged int
 	// startedAt is the start of all engines.
 	startedAt int64
-	// extreme names a box that reports extreme figures, earlierBuild one that exchanges none.
+	// extreme names a box that reports extreme figures, earlierBuild one that is started without figures.
 	extreme, earlierBuild string
 	// former names a box that continues to report engines under the epoch and start of an earlier grant.
 	former string
@@ -257,6 +257,20 @@
 				n.setDisconnected(false, false)
 			}
 		}, 0},
+		{"aggregator of an earlier build", func(lc *loadCell) {
+			for name := range lc.aggregators() {
+				if lc.nodeNamed(name).setEarlierBuild(true); len(lc.aggregators()[name]) > 1 {
+					return
+				}
+			}
+		}, func(lc *loadCell) {
+			for name, boxes := range lc.aggregators() {
+				for _, box := range boxes {
+					lc.c.Check(!lc.nodeNamed(name).isEarlierBuild() || name == box || len(lc.knownAt(box)) <= 1, qt.IsTrue)
+				}
+				lc.nodeNamed(name).setEarlierBuild(false)
+			}
+		}, 0},
 		{"new box", func(lc *loadCell) { lc.startBox("box-new", boxes) }, func(lc *loadCell) {
 			lc.c.Check(len(lc.knownAt("box-new")) >= boxes*3/4, qt.IsTrue)
 		}, 0},
