Fair shares: count the demand on scarce services and admit by urgency and customer

Cause: engines that are asked for more than they serve refuse urgent requests first, and one customer can crowd out the others. Heartbeats do not carry the rows yet, so each box uses its own.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -16,6 +16,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/demand"
 	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/httpx"
@@ -35,6 +36,7 @@
 	"github.com/bellgap/bellgap/internal/relay"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/settings"
+	"github.com/bellgap/bellgap/internal/share"
 )
 
 const (
@@ -93,6 +95,9 @@
 	// boxes.
 	notices      *notice.Board
 	noticeClient *notice.Client
+	// demand counts the requests for scarce services and holds the shares in force. gate admits requests by these shares.
+	demand *demand.Exchange
+	gate   *share.Gate
 	// quarantine blocks requests that have crashed endpoints.
 	quarantine        *quarantine.Client
 	listeners         listeners
@@ -143,6 +148,7 @@
 	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
 	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Rates: b.rates, Scope: b.metrics.Scope})
 	scheduler := b.buildOwners(peers)
+	b.buildShares()
 	b.buildNode(peers)
 	b.buildRelay(grants)
 	b.addParts(grants, scheduler)
@@ -251,7 +257,7 @@
 		Budget:    relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
 		Policy:    s.Policy.Build(),
 		Quotas:    quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
-		Places:    b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices,
+		Places:    b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand,
 		AgeLimits: relay.ConfigAgeLimits{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
@@ -274,7 +280,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, RecentRequests: record.New(),
-		Quarantine: b.quarantine, RateLimits: b.rates.Limits, Notices: b.notices, LastRestore: b.follower.LastRestore,
+		Quarantine: b.quarantine, RateLimits: b.rates.Limits, Notices: b.notices, LastRestore: b.follower.LastRestore, Shortages: b.gate.Shortages,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- /dev/null
+++ b/internal/demand/counter.go
@@ -0,0 +1,133 @@
+package demand
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+)
+
+const (
+	// MaxRows is the largest number of rows in one report.
+	MaxRows = 64
+	// maxCounted bounds the rows that a box counts between two reports. Further customers are counted under an empty name.
+	maxCounted = 1024
+	// maxRequestTokens bounds the tokens that are counted for one request. It is above what the KV cache of an engine holds.
+	maxRequestTokens = 1 << 18
+)
+
+// Outcome is how a request ended.
+type Outcome int
+
+// The outcomes that are counted.
+const (
+	// Unserved requests were admitted and did not end well.
+	Unserved Outcome = iota
+	Served
+	// OverUrgency and OverCustomer requests were refused over the share of their urgency or of their customer.
+	OverUrgency
+	OverCustomer
+)
+
+// Request is a request that ended.
+type Request struct {
+	Service  string
+	Urgency  int
+	Customer string
+	Tokens   int
+	Outcome  Outcome
+}
+
+// row returns the counts of the request alone.
+func (r Request) row() Row {
+	tokens := min(max(r.Tokens, 1), maxRequestTokens)
+	row := Row{Service: r.Service, Urgency: r.Urgency, Customer: r.Customer, Asked: 1, AskedTokens: tokens}
+	switch r.Outcome {
+	case Served:
+		row.Served, row.ServedTokens = 1, tokens
+	case OverUrgency:
+		row.OverUrgency, row.OverUrgencyTokens = 1, tokens
+	case OverCustomer:
+		row.OverCustomer, row.OverCustomerTokens = 1, tokens
+	case Unserved:
+	}
+	return row
+}
+
+// Counter counts the requests that ended on one box. It is safe for concurrent use.
+type Counter struct {
+	mu   sync.Mutex
+	rows map[rowKey]*Row
+}
+
+// NewCounter returns a Counter without counts.
+func NewCounter() *Counter { return &Counter{rows: map[rowKey]*Row{}} }
+
+// Add counts a row.
+func (c *Counter) Add(r Row) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rows[r.key()] == nil && len(c.rows) >= maxCounted {
+		r.Customer = ""
+	}
+	sum := c.rows[r.key()]
+	if sum == nil {
+		if len(c.rows) >= 2*maxCounted {
+			return
+		}
+		empty := r.key().row()
+		sum = &empty
+		c.rows[r.key()] = sum
+	}
+	sum.add(r)
+}
+
+// Take returns the counts since the last call and resets them.
+func (c *Counter) Take() []Row {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rows := make([]Row, 0, len(c.rows))
+	for _, r := range c.rows {
+		rows = append(rows, *r)
+	}
+	c.rows = map[rowKey]*Row{}
+	return rows
+}
+
+// MergeRows sums the rows of the same service, urgency and customer. If there are more than MaxRows sums, the smallest of customers are summed under an empty
+// customer. What is left beyond the limit, which takes more than MaxRows pairs of service and urgency, is dropped.
+func MergeRows(lists ...[]Row) []Row {
+	rows := sumRows(slices.Concat(lists...))
+	if len(rows) <= MaxRows {
+		return rows
+	}
+	// The rows without a customer that are needed for the rest are at most as many as the pairs of service and urgency in it.
+	for kept := MaxRows - 1; kept > 0; kept-- {
+		rest := slices.Clone(rows[kept:])
+		for i := range rest {
+			rest[i].Customer = ""
+		}
+		if summed := sumRows(slices.Concat(rows[:kept], rest)); len(summed) <= MaxRows {
+			return summed
+		}
+	}
+	return rows[:MaxRows]
+}
+
+// sumRows sums the rows of the same key and returns them largest first.
+func sumRows(rows []Row) []Row {
+	sums := map[rowKey]Row{}
+	for _, r := range rows {
+		sum, ok := sums[r.key()]
+		if !ok {
+			sum = r.key().row()
+		}
+		sum.add(r)
+		sums[r.key()] = sum
+	}
+	return slices.SortedFunc(maps.Values(sums), compareRows)
+}
+
+func compareRows(a, b Row) int {
+	return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Service, b.Service), cmp.Compare(b.Urgency, a.Urgency), cmp.Compare(a.Customer, b.Customer))
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,7 @@
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/share"
 )
 
 // Config configures an Operator.
@@ -43,6 +44,8 @@
 	RateLimits func(now time.Time) []ratelimit.Limit
 	// Notices holds the other notices of endpoints: that they are leaving, or that they request a pause.
 	Notices *notice.Board
+	// Shortages returns the services that are short, with their shares. It is nil on boxes without scarce services.
+	Shortages func(now time.Time) []share.Shortage
 	// LastRestore returns details of the store's last restore from an older copy. It is nil on boxes that do not use package follow.
 	LastRestore func() follow.RestoreStatus
 	Scope       tally.Scope
@@ -79,6 +82,8 @@
 	// LeavingEndpoints lists the endpoints that reported that they are leaving. PausedEndpoints lists those that requested a pause from this box.
 	LeavingEndpoints []notice.LeavingEndpoint `json:"left,omitempty"`
 	PausedEndpoints  []notice.PausedEndpoint  `json:"rests,omitempty"`
+	// Shortages lists the scarce services that are asked for more than they serve, with the shares by urgency and of limited customers.
+	Shortages []share.Shortage `json:"shortages,omitempty"`
 	// LastRestore describes the last restore of the store from an older copy; nil if this box has seen none.
 	LastRestore *follow.RestoreStatus `json:"restored,omitempty"`
 }
@@ -119,9 +124,17 @@
 		Box: o.cfg.Box, Ready: o.cfg.IsReady(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(),
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
+		Shortages: o.shortages(),
 	})
 }
 
+func (o *Operator) shortages() []share.Shortage {
+	if o.cfg.Shortages == nil {
+		return nil
+	}
+	return o.cfg.Shortages(clock.Now())
+}
+
 func (o *Operator) lastRestore() *follow.RestoreStatus {
 	if o.cfg.LastRestore == nil {
 		return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/customer"
+	"github.com/bellgap/bellgap/internal/demand"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -27,6 +28,7 @@
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/route"
+	"github.com/bellgap/bellgap/internal/share"
 )
 
 // maxLoggedTries bounds the number of tries that the log line of a request lists.
@@ -75,6 +77,9 @@
 	Rates *ratelimit.Registry
 	// Notices holds the other notices of endpoints: that they are leaving, or that they request a pause.
 	Notices *notice.Board
+	// Gate admits the requests for scarce services, and Demand counts them. If Gate is nil, all are admitted and none is counted.
+	Gate   *share.Gate
+	Demand *demand.Exchange
 }
 
 // Relay is the HTTP handler that forwards requests.
@@ -130,6 +135,9 @@
 	// chargedUnits is the number of units charged to the quota of chargedCustomer.
 	chargedUnits    float64
 	chargedCustomer *customer.Customer
+	// isDemand is set if the request counts as asked of its service. overShare is why it was refused over a share, empty if it was not.
+	isDemand  bool
+	overShare share.Reason
 	// suspect identifies the request if it is sent again.
 	suspect quarantine.Suspect
 	// ref is the adapter version that the request needs. tries lists the owners and endpoints that were tried, with the
@@ -180,6 +188,9 @@
 	if rerr == nil {
 		rerr = r.chargeUnits(q)
 	}
+	if rerr == nil {
+		rerr = r.checkShare(q)
+	}
 	if rerr != nil {
 		r.refuse(w, q, rerr)
 		return
@@ -265,6 +276,7 @@
 // finish records the end of a request. If the answer is incomplete, it sends an error or aborts the connection.
 func (r *Relay) finish(callerCtx context.Context, out *output, q *request, rerr *result.Error) {
 	if rerr == nil {
+		r.countDemand(q, result.OK)
 		r.countResult(result.OK)
 		r.recordLatencies(q)
 		r.logRequest(q, result.New(result.OK, ""))
@@ -280,6 +292,7 @@
 		r.refuse(out.w, q, rerr)
 		return
 	}
+	r.countDemand(q, rerr.Code)
 	r.countResult(rerr.Code)
 	r.logRequest(q, rerr)
 	// Aborting the connection shows the caller that the answer is incomplete.
@@ -289,6 +302,7 @@
 // refuse sends an error of this box to the caller. If the request did not run, the status is always one that
 // guarantees this.
 func (r *Relay) refuse(w http.ResponseWriter, q *request, rerr *result.Error) {
+	r.countDemand(q, rerr.Code)
 	r.countResult(rerr.Code)
 	r.logRequest(q, rerr)
 	info := rerr.Code.Info()
