--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -16,6 +16,7 @@
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/share"
 )
 
 func statusCommand() *cli.Command {
@@ -99,6 +100,8 @@
 	if len(topology.Engines) <= maxListedEngines || cmd.Bool("all") {
 		printEngines(w, topology)
 	}
+	printShortages(w, st.Shortages)
+	printEngineLoads(w, st.EngineLoads)
 	for _, e := range st.Engines {
 		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\tleft=%t\trate_refused=%d\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, e.Leaving, e.RateRefused, strings.Join(e.Loaded, " "))
 	}
@@ -113,6 +116,36 @@
 	}
 }
 
+// printShortages prints the services that are short, with their shares by urgency and those of the customers that are limited.
+func printShortages(w io.Writer, all []share.Shortage) {
+	for _, s := range all {
+		source := "all boxes"
+		if !s.FromFleet {
+			source = "this box alone"
+		}
+		_, _ = fmt.Fprintf(w, "service %s is short for %s, by the demand on %s\n", s.Service, s.For.Round(time.Second/10), source)
+		for _, sh := range s.Shares {
+			name := fmt.Sprintf("urgency %d", sh.Urgency)
+			if sh.Customer != "" {
+				name = "customer " + sh.Customer
+			}
+			_, _ = fmt.Fprintf(w, "  %s\tasked=%.1f/s\tserved=%.3f\tadmitted=%.3f\n", name, sh.Asked, sh.Served, sh.Admit)
+		}
+	}
+}
+
+// printEngineLoads prints the loads of scarce engines, those with the highest prefill rates first.
+func printEngineLoads(w io.Writer, all []operator.EngineLoad) {
+	if len(all) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(w, "SCARCE ENGINE\tTOKENS/S\tBACKLOG\tRUNNING\tWAITING\tFREE SLOTS\tSLOT WAIT\tLOAD TIME\tREPORT AGE")
+	for _, l := range all {
+		_, _ = fmt.Fprintf(w, "%s\t%.0f\t%d\t%d\t%d\t%d\t%s\t%s\t%s\n", l.Engine, l.PrefillRate, l.Backlog, l.Running, l.Waiting, l.FreeSlots,
+			l.SlotWait.Round(time.Millisecond), l.LoadTime.Round(time.Millisecond), l.Age.Round(time.Millisecond))
+	}
+}
+
 func codesCommand() *cli.Command {
 	return &cli.Command{
 		Name: "codes", Usage: "print the table of result codes",
--- a/internal/demand/counter.go
+++ b/internal/demand/counter.go
@@ -1,15 +1,8 @@
 package demand
 
-import (
-	"cmp"
-	"maps"
-	"slices"
-	"sync"
-)
+import "sync"
 
 const (
-	// MaxRows is the largest number of rows in one report.
-	MaxRows = 64
 	// maxCounted bounds the rows that a box counts between two reports. Further customers are counted under an empty name.
 	maxCounted = 1024
 	// maxRequestTokens bounds the tokens that are counted for one request. It is above what the KV cache of an engine holds.
@@ -79,7 +72,7 @@
 		sum = &empty
 		c.rows[r.key()] = sum
 	}
-	sum.add(r)
+	sum.Add(r)
 }
 
 // Take returns the counts since the last call and resets them.
@@ -93,41 +86,3 @@
 	c.rows = map[rowKey]*Row{}
 	return rows
 }
-
-// MergeRows sums the rows of the same service, urgency and customer. If there are more than MaxRows sums, the smallest of customers are summed under an empty
-// customer. What is left beyond the limit, which takes more than MaxRows pairs of service and urgency, is dropped.
-func MergeRows(lists ...[]Row) []Row {
-	rows := sumRows(slices.Concat(lists...))
-	if len(rows) <= MaxRows {
-		return rows
-	}
-	// The rows without a customer that are needed for the rest are at most as many as the pairs of service and urgency in it.
-	for kept := MaxRows - 1; kept > 0; kept-- {
-		rest := slices.Clone(rows[kept:])
-		for i := range rest {
-			rest[i].Customer = ""
-		}
-		if summed := sumRows(slices.Concat(rows[:kept], rest)); len(summed) <= MaxRows {
-			return summed
-		}
-	}
-	return rows[:MaxRows]
-}
-
-// sumRows sums the rows of the same key and returns them largest first.
-func sumRows(rows []Row) []Row {
-	sums := map[rowKey]Row{}
-	for _, r := range rows {
-		sum, ok := sums[r.key()]
-		if !ok {
-			sum = r.key().row()
-		}
-		sum.add(r)
-		sums[r.key()] = sum
-	}
-	return slices.SortedFunc(maps.Values(sums), compareRows)
-}
-
-func compareRows(a, b Row) int {
-	return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Service, b.Service), cmp.Compare(b.Urgency, a.Urgency), cmp.Compare(a.Customer, b.Customer))
-}
--- a/internal/demand/exchange.go
+++ b/internal/demand/exchange.go
@@ -74,8 +74,9 @@
 	e.own.totals.add(now, row, 1)
 }
 
-// Collect returns the rows since the last call, at most MaxRows, and resets them. The caller keeps them until a heartbeat that carries them is answered.
-func (e *Exchange) Collect(time.Time) []Row { return MergeRows(e.counter.Take()) }
+// Collect returns the rows since the last call and resets them. The caller limits their number, and keeps them until a heartbeat that carries them is
+// answered.
+func (e *Exchange) Collect(time.Time) []Row { return e.counter.Take() }
 
 // Merge adds the rows of a box. It is called on the coordinator only.
 func (e *Exchange) Merge(now time.Time, box string, rows []Row) { e.fleet.totals.Merge(now, box, rows) }
--- a/internal/demand/row.go
+++ b/internal/demand/row.go
@@ -18,8 +18,8 @@
 	OverCustomerTokens int `json:"over_customer_tokens,omitempty"`
 }
 
-// add adds the counts of another row.
-func (r *Row) add(o Row) {
+// Add adds the counts of another row.
+func (r *Row) Add(o Row) {
 	r.Asked += o.Asked
 	r.Served += o.Served
 	r.AskedTokens += o.AskedTokens
--- a/internal/demand/totals.go
+++ b/internal/demand/totals.go
@@ -25,9 +25,10 @@
 	maxOfMean   = 2
 	minOthers   = 3
 	freeBoxRate = 1
-	// maxClasses, maxCustomers and maxBoxes bound the memory. Further customers are counted under an empty name; further classes and boxes are
+	// maxRows bounds what is read of one report. maxClasses, maxCustomers and maxBoxes bound the memory. Further customers are counted under an empty name; further classes and boxes are
 	// dropped.
 	maxClasses   = 256
+	maxRows      = 128
 	maxCustomers = 2048
 	maxBoxes     = 2048
 )
@@ -153,7 +154,7 @@
 		t.mergedSince = now
 	}
 	t.mergedAt = now
-	valid := slices.DeleteFunc(slices.Clone(rows[:min(len(rows), MaxRows)]), func(r Row) bool { return !r.isPossible() })
+	valid := slices.DeleteFunc(slices.Clone(rows[:min(len(rows), maxRows)]), func(r Row) bool { return !r.isPossible() })
 	if len(valid) < len(rows) {
 		t.scope.Counter("demand_rows_invalid").Inc(int64(len(rows) - len(valid)))
 	}
