--- a/internal/cli/summary_test.go
+++ b/internal/cli/summary_test.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/demand"
 	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/share"
 )
 
 // TestSummaryOfHundredsOfBoxes checks that the status of 300 boxes fits on one screen and lists degraded boxes and engines first.
@@ -39,3 +42,13 @@
 		"zone-3\t75\t0\t1\t4\t75\t0",
 	})
 }
+
+// TestShortagesAreListed checks the lines for a service that is short, which docs/OPERATIONS.md shows.
+func TestShortagesAreListed(t *testing.T) {
+	var out bytes.Buffer
+	printShortages(&out, []share.Shortage{{Service: "chat", For: 6200 * time.Millisecond, FromFleet: true, Shares: []demand.Share{
+		{Service: "chat", Urgency: 10, Asked: 42, Served: 0.41, Admit: 1}, {Service: "chat", Customer: "mill", Asked: 44.5, Served: 0.27, Admit: 0.261},
+	}}})
+	qt.Check(t, out.String(), qt.Equals, "service chat is short for 6.2s, by the demand on all boxes\n"+
+		"  urgency 10\tasked=42.0/s\tserved=0.410\tadmitted=1.000\n  customer mill\tasked=44.5/s\tserved=0.270\tadmitted=0.261\n")
+}
