Fair shares: bound how far a class is limited below the more urgent ones

Cause: with another order of events, the least urgent class at three times its usual with 16 customers left the most urgent class 0.052 behind; five seeds hid that. A constant failure of an urgent class lowered the others without a bound. Change: belowMean 0.05 (was 0.04), at most 0.1 below the lowest share; 10 seeds; the simulation needs no heap.

--- a/internal/share/failure_test.go
+++ b/internal/share/failure_test.go
@@ -46,7 +46,7 @@
 		{"a box joins", func(f *fleet) { f.after(lostAt, func() { f.addBox() }) }},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			checkClasses(qt.New(t), simulateWith(6, 0, 1, 6, end, func(f *fleet) {
+			checkClasses(qt.New(t), simulate(6, 0, 1, 6, end, func(f *fleet) {
 				f.load = overload
 				test.change(f)
 			}))
@@ -61,7 +61,7 @@
 		boxes, customers int
 		least            float64
 	}{{12, 0, 0.5}, {12, 16, 0.6}, {63, 0, 0.75}, {63, 16, 0.9}} {
-		sums := simulateWith(test.boxes, test.customers, 1.25, 6, 20, func(f *fleet) {
+		sums := simulate(test.boxes, test.customers, 1.25, 6, 20, func(f *fleet) {
 			f.report = func(b *box, rows []demand.Row) []demand.Row {
 				if b != f.boxes[3] {
 					return rows
--- a/internal/share/fleet_test.go
+++ b/internal/share/fleet_test.go
@@ -1,7 +1,6 @@
 package share_test
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -54,24 +53,6 @@
 	retried         bool
 }
 
-// event is what happens at a time: an attempt, the end of a request or a heartbeat.
-type event struct {
-	at time.Time
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // box is one box with its gate and the part that exchanges its demand.
 type box struct {
 	name    string
@@ -87,10 +68,11 @@
 type fleet struct {
 	now, start time.Time
 	rnd        *rand.Rand
-	queue      events
-	boxes      []*box
-	classes    []class
-	customers  int
+	// events is what happens at a tick: attempts, ends of requests and heartbeats.
+	events    map[int][]func()
+	boxes     []*box
+	classes   []class
+	customers int
 	// load returns the factor on the rate of a class and a customer at a time since the start.
 	load func(at time.Duration, class, customer int) float64
 	// coordinator returns the box that answers the heartbeats of a box, nil if none does.
@@ -108,7 +90,7 @@
 func newFleet(seed uint64, boxes, customers int, capacityFactor float64) *fleet {
 	f := &fleet{
 		now: time.Unix(1000, 0), start: time.Unix(1000, 0), rnd: rand.New(rand.NewPCG(seed, 2)), classes: usual(), customers: customers,
-		load: func(time.Duration, int, int) float64 { return 1 }, perSecond: map[int]map[string]*count{},
+		load: func(time.Duration, int, int) float64 { return 1 }, perSecond: map[int]map[string]*count{}, events: map[int][]func(){},
 	}
 	for _, cl := range f.classes {
 		f.capacity += capacityFactor * cl.rate * float64(cl.tokens) / engines
@@ -135,7 +117,11 @@
 	return b
 }
 
-func (f *fleet) after(d time.Duration, do func()) { heap.Push(&f.queue, event{f.now.Add(d), do}) }
+// after calls a function at the first tick that is at least a time away, but not in the current one.
+func (f *fleet) after(d time.Duration, do func()) {
+	at := max(int((f.since()+d+tick-1)/tick), int(f.since()/tick)+1)
+	f.events[at] = append(f.events[at], do)
+}
 
 func (f *fleet) since() time.Duration { return f.now.Sub(f.start) }
 
@@ -158,28 +144,24 @@
 // run simulates until a time since the start.
 func (f *fleet) run(until time.Duration) {
 	for f.since() < until {
-		for len(f.queue) > 0 && !f.queue[0].at.After(f.now) {
-			heap.Pop(&f.queue).(event).do()
+		for _, do := range f.events[int(f.since()/tick)] {
+			do()
 		}
 		for i := range f.backlogs {
 			f.backlogs[i] = max(0, f.backlogs[i]-f.capacity*tick.Seconds())
 		}
 		for i, cl := range f.classes {
 			for c := range max(1, f.customers) {
-				f.arrive(i, c, cl.rate/float64(max(1, f.customers))*f.load(f.since(), i, c)*tick.Seconds())
+				// The mean number of requests in a tick is far below one.
+				if f.rnd.Float64() < cl.rate/float64(max(1, f.customers))*f.load(f.since(), i, c)*tick.Seconds() {
+					f.send(attempt{i, c, false})
+				}
 			}
 		}
 		f.now = f.now.Add(tick)
 	}
 }
 
-// arrive sends a random number of requests with the given mean, which must be below one.
-func (f *fleet) arrive(class, customer int, mean float64) {
-	if f.rnd.Float64() < mean {
-		f.send(attempt{class, customer, false})
-	}
-}
-
 func (f *fleet) counts(a attempt) []*count {
 	second := int(f.since().Seconds())
 	if f.perSecond[second] == nil {
--- a/internal/share/level.go
+++ b/internal/share/level.go
@@ -19,11 +19,12 @@
 	// frequent one.
 	presumedServed = 4
 	// While a class is served less often than a less urgent one, the less urgent one is moved to the mean share, further by catchUp of what the more urgent
-	// class is away from the mean, and by belowMean so that small differences favor the more urgent. At the mean, all are served alike. The mean changes
-	// slowly, as it follows from the capacity. A target that follows the lowest share alone made shares swing between 0 and 0.9 in a simulation, since that
-	// share changes faster than the window shows.
+	// class is away from the mean, and by belowMean so that small differences favor the more urgent, but at most maxBehind
+	// below the lowest share of the more urgent ones. At the mean, all are served alike. The mean changes slowly, as it follows from the capacity. A target
+	// that follows the lowest share alone made shares swing between 0 and 0.9 in a simulation, since that share changes faster than the window shows.
 	catchUp   = 0.3
-	belowMean = 0.04
+	belowMean = 0.05
+	maxBehind = 0.1
 	// minShareOfMean is the part of the mean share served that every class may have.
 	minShareOfMean = 0.25
 	// minClassRatio is the least part of a class that is admitted. It bounds what a box can do that reports wrong rows.
@@ -123,7 +124,7 @@
 		passed := c.Asked - c.OverCustomer
 		admitted := passed - c.OverUrgency
 		if success := c.Served / max(admitted, 1); admitted > 0 && lowest < success {
-			target := max(mean+catchUp*(lowest-mean)-belowMean, minShareOfMean*mean)
+			target := max(mean+catchUp*(lowest-mean)-belowMean, lowest-maxBehind, minShareOfMean*mean)
 			ratios[i] = min(1, max(minClassRatio, target/success))
 		}
 		if passed > 0 {
--- a/internal/share/load_test.go
+++ b/internal/share/load_test.go
@@ -9,7 +9,7 @@
 
 const (
 	// seeds is the number of simulations whose counts are summed, so that chance moves no share by more than about 0.01.
-	seeds = 5
+	seeds = 10
 	// loadFrom is the second at which the load of a test rises.
 	loadFrom = 6
 	// maxLead is how much less often a class may be served than a less urgent one.
@@ -28,13 +28,8 @@
 	}
 }
 
-// simulate returns the summed counts of several simulations from one second to before another.
-func simulate(boxes, customers int, capacity float64, load func(time.Duration, int, int) float64, from, to int) map[string]count {
-	return simulateWith(boxes, customers, capacity, from, to, func(f *fleet) { f.load = load })
-}
-
-// simulateWith is like simulate. change is called for each fleet before it runs.
-func simulateWith(boxes, customers int, capacity float64, from, to int, change func(*fleet)) map[string]count {
+// simulate returns the summed counts of several simulations from one second to before another. change is called for each fleet before it runs.
+func simulate(boxes, customers int, capacity float64, from, to int, change func(*fleet)) map[string]count {
 	sums := map[string]count{}
 	for seed := range uint64(seeds) {
 		f := newFleet(seed, boxes, customers, capacity)
@@ -82,7 +77,7 @@
 		{"the same of 16 customers", 16, 1.1, between(20*time.Second, 1.7*1.1, every), loadFrom, loadFrom + 20},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			checkClasses(qt.New(t), simulate(12, test.customers, test.capacity, test.load, test.from, test.to))
+			checkClasses(qt.New(t), simulate(12, test.customers, test.capacity, test.from, test.to, func(f *fleet) { f.load = test.load }))
 		})
 	}
 }
@@ -91,7 +86,7 @@
 func TestGreedyCustomerPays(t *testing.T) {
 	c := qt.New(t)
 	load := between(8*time.Second, 7, func(_, customer int) bool { return customer == 3 })
-	sums := simulate(12, 16, 1.1, load, loadFrom, loadFrom+8)
+	sums := simulate(12, 16, 1.1, loadFrom, loadFrom+8, func(f *fleet) { f.load = load })
 	var others count
 	for key, sum := range sums {
 		if key[:2] == "c1" || key[:2] == "c2" {
@@ -110,7 +105,7 @@
 func TestCalmServiceRefusesNothing(t *testing.T) {
 	c := qt.New(t)
 	for _, customers := range []int{0, 16} {
-		for key, sum := range simulate(12, customers, 1.25, between(0, 1, func(int, int) bool { return false }), 0, 20) {
+		for key, sum := range simulate(12, customers, 1.25, 0, 20, func(*fleet) {}) {
 			c.Check(sum.over, qt.Equals, 0.0, qt.Commentf("%s", key))
 		}
 	}
@@ -121,10 +116,9 @@
 func TestFeedbackSettles(t *testing.T) {
 	c := qt.New(t)
 	const settled, length, end = 5, 4, 21
-	load := func(time.Duration, int, int) float64 { return 1.7 }
-	all := simulate(12, 0, 1, load, settled, end)
+	all := simulate(12, 0, 1, settled, end, func(f *fleet) { f.load = overload })
 	for from := settled; from+length <= end; from += length {
-		part := simulate(12, 0, 1, load, from, from+length)
+		part := simulate(12, 0, 1, from, from+length, func(f *fleet) { f.load = overload })
 		for _, key := range []string{"class0", "class1", "class2"} {
 			got, mean := shareOf(part[key]), shareOf(all[key])
 			c.Logf("%s %d s: %.3f of %.3f", key, from, got, mean)
@@ -137,7 +131,7 @@
 func TestLimitsCostNoThroughput(t *testing.T) {
 	c := qt.New(t)
 	for _, customers := range []int{0, 16} {
-		sums := simulate(12, customers, 1, func(time.Duration, int, int) float64 { return 1.7 }, 5, 20)
+		sums := simulate(12, customers, 1, 5, 20, func(f *fleet) { f.load = overload })
 		tokens, capacity := 0.0, 0.0
 		for i, cl := range usual() {
 			tokens += sums[[]string{"class0", "class1", "class2"}[i]].served * float64(cl.tokens)
