--- a/internal/figures/figures.go
+++ b/internal/figures/figures.go
@@ -200,10 +200,7 @@
 			out = append(out, r)
 			continue
 		}
-		out[i].Asked += r.Asked
-		out[i].Served += r.Served
-		out[i].AskedTokens += r.AskedTokens
-		out[i].ServedTokens += r.ServedTokens
+		out[i].Add(r)
 	}
 	return out
 }
