Scarce engines: all adapter slots, a short linger and load pacing

Cause: of five slots per engine one was never used, unanswered orders held another for 15 s, adapters of broken runs lingered for 5 s, and too many concurrent loads slowed each other down at the weight store. An adapter of a broken run lingers 250 ms (short_linger). Package loadpace limits the concurrent loads (load_pacing).

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -28,6 +28,7 @@
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/peer"
 	"github.com/bellgap/bellgap/internal/places"
+	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/quota"
 	"github.com/bellgap/bellgap/internal/ratelimit"
@@ -124,6 +125,7 @@
 		return nil, eris.Wrap(err, "box: listen")
 	}
 	b.catalog.SetScarceSlots(cfg.Settings.Capacity.ScarceSlots)
+	b.catalog.SetAllSlots(cfg.Settings.Policy.Build().IsEnabled(policy.AllSlots))
 	b.ledger, b.locator = quota.NewLedger(quota.LedgerConfig{Bounds: quota.Bounds{
 		Window: cfg.Settings.Customers.QuotaWindow, Excess: cfg.Settings.Customers.QuotaExcess, Tolerance: cfg.Settings.Customers.QuotaTolerance,
 	}}), newLocator(locatorConfig{
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -85,6 +85,8 @@
 	isLeaving func(endpoint string, started int64) bool
 	// scarceSlots is the largest number of adapter slots with which the engines of a service are scarce.
 	scarceSlots int
+	// allSlots is set if scarce engines have no spare slot.
+	allSlots bool
 	// routes is the table built from routing, the routing configuration in force.
 	routes  *route.Table
 	routing *resource.Routing
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -53,6 +53,8 @@
 	leavingBoxes map[string]bool
 	// scarceSlots is the largest number of adapter slots with which the engines of a service are scarce.
 	scarceSlots int
+	// allSlots is set if scarce engines have no spare slot.
+	allSlots bool
 }
 
 // defaultMaxEngines is how many engines are tried for one request if the base model has no serving configuration.
@@ -82,6 +84,13 @@
 	c.scarceSlots, c.topology = slots, nil
 }
 
+// SetAllSlots sets whether the owners of scarce engines use every adapter slot, so that none is kept free.
+func (c *Catalog) SetAllSlots(enabled bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.allSlots, c.topology = enabled, nil
+}
+
 // Topology returns the routing view of the current state. It computes the view if a change has invalidated it.
 func (c *Catalog) Topology() *Topology {
 	c.mu.RLock()
@@ -127,7 +136,7 @@
 	t := &Topology{
 		Engines: map[string]EngineView{}, ByModel: map[string][]string{},
 		Boxes: map[string]coordinator.Member{}, Serving: map[string]*resource.Serving{}, Endpoints: map[string][]EndpointView{},
-		Routes: c.routeTable(), scarceSlots: c.scarceSlots,
+		Routes: c.routeTable(), scarceSlots: c.scarceSlots, allSlots: c.allSlots,
 	}
 	owners := map[string]coordinator.Ownership{}
 	t.leavingBoxes, t.Schedulers = map[string]bool{}, map[string]coordinator.Member{}
@@ -202,7 +211,7 @@
 	}
 	model := baseModel(name, e, s.Engine)
 	t.addEngine(name, &resource.Engine{
-		Address: e.Address, Zone: e.Zone, BaseModel: model, Slots: s.Engine.SlotsFor(model) - spareSlots, Batch: s.Engine.Batch,
+		Address: e.Address, Zone: e.Zone, BaseModel: model, Slots: s.Engine.SlotsFor(model) - t.spareSlots(e.Service), Batch: s.Engine.Batch,
 		Service: e.Service, DrainsBeforeUnload: true, KVTokens: int(kvFillLimit * float64(s.Engine.KVTokens)), Started: e.Started,
 		Scarce: t.IsScarce(e.Service),
 	}, o)
@@ -211,6 +220,14 @@
 	}
 }
 
+// spareSlots returns how many adapter slots stay free on each engine of a service.
+func (t *Topology) spareSlots(service string) int {
+	if t.allSlots && t.IsScarce(service) {
+		return 0
+	}
+	return spareSlots
+}
+
 const (
 	// spareSlots is how many adapter slots stay free on a discovered engine, for an adapter whose load ended without an answer. Using this
 	// slot as well gained nothing: with eight slots, the measured worth was 0.490 instead of 0.488.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -15,6 +15,7 @@
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
+	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -100,11 +101,23 @@
 		printEngines(w, topology)
 	}
 	for _, e := range st.Engines {
-		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\tleft=%t\trate_refused=%d\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, e.Leaving, e.RateRefused, strings.Join(e.Loaded, " "))
+		_, _ = fmt.Fprintf(w, "owned %s\tin_flight=%d\twaiting=%d\tfrozen=%t\tleft=%t\trate_refused=%d\tslots=%s\t%s\n", e.Engine, e.InFlight, e.Waiting, e.Frozen, e.Leaving, e.RateRefused, formatSlots(e), strings.Join(e.Loaded, " "))
 	}
 	return w.Flush()
 }
 
+// formatSlots returns the adapter slots of an engine in use, those occupied by orders without an answer, and the limit of load pacing.
+func formatSlots(e owner.Status) string {
+	text := fmt.Sprintf("%d/%d", e.SlotsInUse, e.Slots)
+	if e.SlotsUncertain > 0 {
+		text += fmt.Sprintf(" (%d uncertain)", e.SlotsUncertain)
+	}
+	if e.LoadLimit > 0 {
+		text += fmt.Sprintf("\tload_limit=%d", e.LoadLimit)
+	}
+	return text
+}
+
 func printEngines(w io.Writer, t catalog.Topology) {
 	_, _ = fmt.Fprintln(w, "ENGINE\tZONE\tMODEL\tOWNER\tEPOCH")
 	for _, name := range sortedKeys(t.Engines) {
--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -39,6 +39,13 @@
 	// MaxAdapters is the maximum number of adapters that the engine can hold, or zero if unknown. If other owners have sent
 	// orders to the engine in the meantime and filled it with adapters, an order to load an adapter is not sent.
 	MaxAdapters int `json:"-"`
+	// Tracked returns the adapter versions that occupy slots according to the owner. It is nil unless the owner uses every slot of
+	// the engine. A sender then reads a report before the first order of a session and after each conflict. It sends no order while
+	// the report lists an adapter that is not tracked, and no load while more adapters are tracked than MaxAdapters.
+	Tracked func() map[string]bool `json:"-"`
+	// Session identifies the scheduler that sends the order. It is not zero if Tracked is set. A new owner has a new session, also
+	// on the same box.
+	Session uint64 `json:"-"`
 }
 
 // MaySend reports whether the order may be sent now.
@@ -60,6 +67,8 @@
 	Epoch uint64 `json:"epoch"`
 	// Loaded lists the loaded adapter versions.
 	Loaded []string `json:"loaded"`
+	// Pending lists those of the loaded adapter versions whose load is still running. It is empty if the engine does not report them.
+	Pending []string `json:"pending,omitempty"`
 	// BaseModels lists the loaded base models. It is nil if the engine always has its own base model loaded.
 	BaseModels []string `json:"base_models,omitempty"`
 	// LocalBaseModels lists the base models of which the engine has a local copy, so that it need not fetch them from the weight
--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -18,7 +18,7 @@
 		return s.schedule(now)
 	}
 	load := Load{Ref: t.Ref, Weights: t.Weights}
-	if len(s.slots) < s.cfg.Slots {
+	if len(s.slots) < s.cfg.Slots || s.hasUncertainSlot(t.Ref) {
 		s.startLoad(now, load)
 		return s.schedule(now)
 	}
@@ -120,7 +120,9 @@
 	}
 	if err != nil {
 		s.handleFailedLoad(now, sl, err)
-		s.backOff(now, ref)
+		if !s.isWithheld(err) {
+			s.backOff(now, ref)
+		}
 		return s.schedule(now)
 	}
 	delete(s.failures, ref)
@@ -131,6 +133,7 @@
 	if took := now.Sub(sl.loadStarted); !s.recentlyUnloaded.contains(ref) {
 		expected := s.expectedLoadTime(now)
 		s.meanLoadTime, s.lastLoadAt = expected+time.Duration(loadTimeSmoothing*float64(took-expected)), now
+		s.recordPace(now, took)
 	}
 	s.recentlyUnloaded.remove(ref)
 	return s.schedule(now)
@@ -140,7 +143,7 @@
 // carry it out, so the slot stays occupied for some time.
 func (s *State) handleFailedLoad(now time.Time, sl *slot, err error) {
 	var refused *engine.OrderRefusedError
-	if s.cfg.FinishesFirst && !errors.As(err, &refused) && !errors.Is(err, errNoAuthority) {
+	if s.cfg.FinishesFirst && !errors.As(err, &refused) && !errors.Is(err, errNoAuthority) && !isNotSent(err) {
 		sl.phase, sl.uncertainUntil = uncertain, now.Add(uncertainLoadTime)
 		return
 	}
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -79,6 +79,7 @@
 			current, ok := r.cfg.Authority(clock.Now())
 			return ok && current == epoch
 		}
+		r.addTracked(&o)
 		err = r.cfg.Client.SendOrder(ctx, r.target(), o)
 		if err == nil || isFinal(err) || ctx.Err() != nil {
 			return err
@@ -92,14 +93,16 @@
 // isFinal reports whether an order that failed with err must not be retried.
 func isFinal(err error) bool {
 	var refused *engine.OrderRefusedError
-	return errors.As(err, &refused) || errors.Is(err, engine.ErrAuthorityLost) || errors.Is(err, engine.ErrConnectionLost)
+	var unknown *engine.UnknownAdaptersError
+	return errors.As(err, &refused) || errors.As(err, &unknown) || errors.Is(err, engine.ErrAuthorityLost) || errors.Is(err, engine.ErrConnectionLost)
 }
 
 // pollReports requests reports from the engine until ctx ends.
 func (r *Runner) pollReports(ctx context.Context) error {
-	tick := time.NewTicker(reportInterval)
+	tick := time.NewTicker(r.reportTick())
 	defer tick.Stop()
 	for {
+		last := clock.Now()
 		rep, err := r.cfg.Client.Report(ctx, r.target())
 		r.cfg.Notices.RecordNotices(clock.Now(), notice.Endpoint{Name: r.cfg.Name, Started: r.cfg.Engine.Started}, rep.Notice)
 		if err != nil {
@@ -111,10 +114,13 @@
 		} else {
 			r.post(reportReceived{rep})
 		}
-		select {
-		case <-tick.C:
-		case <-ctx.Done():
-			return nil
+		for due := false; !due; {
+			select {
+			case <-tick.C:
+				due = r.isReportDue(last)
+			case <-ctx.Done():
+				return nil
+			}
 		}
 	}
 }
--- a/internal/owner/reconcile.go
+++ b/internal/owner/reconcile.go
@@ -56,8 +56,13 @@
 // loadedRefs returns the adapter versions that a report lists as loaded. It skips other names, since this system did not load
 // them.
 func loadedRefs(rep engine.Report) []resource.Ref {
+	return parseRefs(rep.Loaded)
+}
+
+// parseRefs returns the adapter versions among names.
+func parseRefs(names []string) []resource.Ref {
 	var refs []resource.Ref
-	for _, m := range rep.Loaded {
+	for _, m := range names {
 		if ref, err := resource.ParseRef(m); err == nil {
 			refs = append(refs, ref)
 		}
--- a/internal/owner/report.go
+++ b/internal/owner/report.go
@@ -46,7 +46,7 @@
 			actions = append(actions, r.startBaseLoad()...)
 		}
 	}
-	r.state.Adopt(loadedRefs(rep), r.previousOwnerActive)
+	r.adoptReported(now, loadedRefs(rep), rep)
 	return append(actions, r.state.Tick(now)...)
 }
 
@@ -57,7 +57,7 @@
 	}
 	klog.InfoS("loaded adapters differ from recorded state", "engine", r.cfg.Name, "unknown", adopt, "gone", gone)
 	r.cfg.Scope.Counter("engine_corrections").Inc(int64(len(adopt) + len(gone)))
-	r.state.Adopt(adopt, r.previousOwnerActive)
+	r.adoptReported(now, adopt, rep)
 	return r.state.RemoveLost(now, gone)
 }
 
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,9 +28,11 @@
 	// tickInterval is the time between two calls of State.Tick.
 	tickInterval = 50 * time.Millisecond
 	// reportInterval is the time between two report requests.
-	reportInterval  = time.Second
-	orderAttempts   = 3
-	orderRetryDelay = 100 * time.Millisecond
+	reportInterval = time.Second
+	// uncertainReportInterval replaces reportInterval on engines without a spare slot while an order without an answer occupies a slot.
+	uncertainReportInterval = 200 * time.Millisecond
+	orderAttempts           = 3
+	orderRetryDelay         = 100 * time.Millisecond
 	// extraOrders is a reserve in the limit of concurrent order goroutines.
 	extraOrders = 8
 )
@@ -91,6 +94,11 @@
 	rate atomic.Pointer[ratelimit.Report]
 	// publishedLeaving is the value of engineLeaving after the last event.
 	publishedLeaving atomic.Bool
+	// tracked holds the names of the adapters that occupied slots after the last event, and uncertain how many of them are uncertain.
+	tracked   atomic.Pointer[map[string]bool]
+	uncertain atomic.Int64
+	// session identifies this Runner to the client.
+	session uint64
 
 	// Only the loop may access the fields from state to engineGone.
 
@@ -121,6 +129,9 @@
 	// engineGone is true if the engine was not found and has sent no report since.
 	engineGone bool
 
+	// ignoredDurations is the number of invalid load durations that have been counted. Only the loop may access it.
+	ignoredDurations int64
+
 	// mu guards status.
 	mu     sync.Mutex
 	status Status
@@ -138,6 +149,12 @@
 	Leaving bool `json:"left,omitempty"`
 	// RateRefused is the number of requests refused because of the engine's rate limit, since the engine reported one.
 	RateRefused int `json:"rate_refused,omitempty"`
+	// Slots is the number of adapter slots. SlotsInUse of them are not free, SlotsUncertain of these because of orders without an answer.
+	Slots          int `json:"slots"`
+	SlotsInUse     int `json:"slots_in_use"`
+	SlotsUncertain int `json:"slots_uncertain,omitempty"`
+	// LoadLimit is the number of concurrent adapter loads that load pacing allows. It is zero if they are not limited.
+	LoadLimit int `json:"load_limit,omitempty"`
 }
 
 // NewRunner returns a Runner, which handles requests while Serve runs.
@@ -147,9 +164,10 @@
 		state: New(Config{
 			Slots: cfg.Engine.Slots, Batch: cfg.Engine.Batch, MaxQueue: cfg.MaxQueue, Pack: cfg.Pack, KVTokens: cfg.Engine.KVTokens,
 			PrefillRate: cfg.PrefillRate, FinishesFirst: cfg.Engine.DrainsBeforeUnload, AwaitReport: cfg.Engine.DrainsBeforeUnload, Policy: cfg.Policy,
+			Scarce: cfg.Engine.Scarce,
 		}),
 		replies: map[uint64]chan decision{}, previousOwnerActive: true, reconciler: newReconciler(), orders: &errgroup.Group{},
-		status: Status{Engine: cfg.Name}, engineLeaving: cfg.EngineLeaving,
+		status: Status{Engine: cfg.Name}, engineLeaving: cfg.EngineLeaving, session: max(1, rand.Uint64()),
 	}
 	if r.engineLeaving {
 		// No tickets wait yet, so there are no actions to carry out.
@@ -348,9 +366,14 @@
 			r.inFlight.Store(int64(r.state.InFlight()))
 			r.rate.Store(r.state.Rate(now))
 			r.publishedLeaving.Store(r.engineLeaving)
+			r.publishTracked()
 			r.execute(ctx, actions)
 		case <-tick.C:
-			r.execute(ctx, r.state.Tick(clock.Now()))
+			now := clock.Now()
+			r.resolveUncertain(now)
+			actions := r.state.Tick(now)
+			r.publishTracked()
+			r.execute(ctx, actions)
 			r.publishStatus()
 		case <-ctx.Done():
 			for _, p := range r.permits {
@@ -395,9 +418,11 @@
 		return r.state.PermitDenied(now, e.ref)
 	case loadEnded:
 		r.ordersInFlight.Add(-1)
+		r.adoptUnknown(now, e.err)
 		return append(r.state.FinishLoad(now, e.ref, e.err), r.markGoneIfNotFound(now, e.err)...)
 	case unloadEnded:
 		r.ordersInFlight.Add(-1)
+		r.adoptUnknown(now, e.err)
 		return append(r.state.FinishUnload(now, e.ref, e.err), r.markGoneIfNotFound(now, e.err)...)
 	case reportReceived:
 		return r.handleReport(now, e.report)
@@ -417,6 +442,7 @@
 		return r.updateClosed(now)
 	case baseLoadEnded:
 		r.ordersInFlight.Add(-1)
+		r.adoptUnknown(now, e.err)
 		r.baseLoading = false
 		if r.baseMissing = e.err != nil; r.baseMissing {
 			// Clearing the incarnation makes the next report start the load again if needed.
@@ -487,7 +513,9 @@
 	st := Status{
 		Engine: r.cfg.Name, InFlight: r.state.InFlight(), Waiting: r.state.Waiting(), Loaded: r.state.LoadedNames(),
 		Frozen: !ok, Leaving: r.engineLeaving, RateRefused: r.state.rateLimiter.Refused(),
+		Slots: r.cfg.Engine.Slots, SlotsInUse: r.state.SlotsInUse(), SlotsUncertain: len(r.state.UncertainRefs()), LoadLimit: r.state.LoadLimit(),
 	}
+	r.countIgnoredDurations()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.status = st
--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -56,12 +56,13 @@
 	if s.stopped || s.awaitingReport || len(s.waiting) == 0 || (len(s.slots) >= s.cfg.Slots && s.victim(now) == nil) {
 		return
 	}
+	limit := s.permitLimit()
 	for _, t := range s.waiting {
 		requested, ok := s.permitRequests[t.Ref]
 		if (ok && requested >= t.Urgency) || !s.isMissing(now, t.Ref) {
 			continue
 		}
-		if len(s.permitRequests) >= maxPermitRequests && !ok {
+		if len(s.permitRequests) >= limit && !ok {
 			return
 		}
 		s.permitRequests[t.Ref] = t.Urgency
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/loadpace"
 	"github.com/bellgap/bellgap/internal/policy"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -22,6 +23,9 @@
 	maxBackoff      = time.Minute
 	// brokenRunLinger is the time for which an engine may continue a run whose answer broke off.
 	brokenRunLinger = 5 * time.Second
+	// shortRunLinger replaces brokenRunLinger on scarce engines that finish runs before they unload. It gives such an engine time to
+	// notice the closed connection.
+	shortRunLinger = 250 * time.Millisecond
 	// loadTimeSmoothing is the weight of the newest load in the mean load time.
 	loadTimeSmoothing = 0.2
 	// maxUseRates is the maximum number of adapters whose use rate is stored.
@@ -61,6 +65,8 @@
 	// FinishesFirst is true if the engine finishes the runs of an adapter before it unloads or replaces the adapter, and if loading
 	// a version of an adapter replaces its other versions.
 	FinishesFirst bool
+	// Scarce is true if the engine has so few slots that all of them are used and its loads are paced, as Policy allows.
+	Scarce bool
 	// AwaitReport delays loads until Adopt has been called with the loaded adapters.
 	AwaitReport bool
 	// Policy selects the enabled mechanisms.
@@ -142,6 +148,8 @@
 	// rateLimiter enforces the engine's rate limit. Each request to the engine needs a grant from its owner anyway. Enforcing the
 	// limit here therefore needs no extra messages, and the limit also applies to boxes that do not know it.
 	rateLimiter ratelimit.Limiter
+	// pace limits the concurrent loads. It is nil if they are not limited.
+	pace *loadpace.Pace
 	// unloadFrom is the earliest time of the next unload after a failed unload.
 	unloadFrom time.Time
 	// actions holds the actions to return to the caller.
@@ -172,7 +180,7 @@
 		permitRequests: map[resource.Ref]int{}, waiters: map[resource.Ref]int{},
 		meanLoadTime: defaultLoadTime, meanRunTime: defaultRunTime,
 		awaitingReport: cfg.AwaitReport, recentlyUnloaded: recentAdapters{limit: recentPerSlot * cfg.Slots},
-		prefill: newPrefillTracker(cfg.PrefillRate, cfg.KVTokens, cfg.Policy),
+		prefill: newPrefillTracker(cfg.PrefillRate, cfg.KVTokens, cfg.Policy), pace: newPace(cfg),
 	}
 }
 
@@ -205,6 +213,7 @@
 	}
 	s.prefill.clearCache()
 	s.rateLimiter.Reset()
+	s.resetPace()
 	return s.schedule(now)
 }
 
@@ -215,7 +224,7 @@
 // IsTracked reports whether ref occupies a slot or will be loaded when an unload ends.
 func (s *State) IsTracked(ref resource.Ref) bool {
 	sl := s.slots[ref]
-	return (sl != nil && sl.phase != uncertain) || s.isNextLoad(ref)
+	return (sl != nil && (sl.phase != uncertain || s.usesAllSlots())) || s.isNextLoad(ref)
 }
 
 // LoadedRefs returns the loaded adapters in no particular order.
@@ -291,7 +300,7 @@
 	}
 	switch end {
 	case EndBroken:
-		s.lingerUntil[sl.ref] = now.Add(brokenRunLinger)
+		s.lingerUntil[sl.ref] = now.Add(s.runLinger())
 	case EndNotLoaded:
 		if sl.phase == loaded && s.slots[sl.ref] == sl {
 			delete(s.slots, sl.ref)
@@ -301,6 +310,14 @@
 	return s.schedule(now)
 }
 
+// runLinger returns the time for which the adapter of a run that broke off may not be unloaded.
+func (s *State) runLinger() time.Duration {
+	if s.cfg.Scarce && s.cfg.FinishesFirst && s.cfg.Policy.IsEnabled(policy.ShortLinger) {
+		return shortRunLinger
+	}
+	return brokenRunLinger
+}
+
 // Stop refuses the waiting tickets and all further tickets, because the engine is being handed over. Running tickets continue.
 func (s *State) Stop(now time.Time) []Action {
 	s.stopped = true
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -68,7 +68,7 @@
 	if s.wasRecentlyUnloaded(t.Ref) {
 		expected /= recentLoadSpeedup
 	}
-	return s.slotWait(now, t) + expected
+	return max(s.slotWait(now, t), s.paceWait(now, t)) + expected
 }
 
 // slotWait returns the expected time until a slot is free for the adapter of a ticket. The estimate assumes that the slots in use
@@ -87,18 +87,24 @@
 			inUse++
 		}
 	}
-	needed := 1
+	needed := 1 + s.missingAhead(now, t)
+	return s.meanRunTime * time.Duration(max(0, needed-free)) / time.Duration(max(1, inUse))
+}
+
+// missingAhead returns the number of other missing adapters for which tickets wait ahead of a ticket.
+func (s *State) missingAhead(now time.Time, t Ticket) int {
+	missing := 0
 	seen := map[resource.Ref]bool{t.Ref: true}
 	for _, w := range s.waiting {
 		if w.Urgency < t.Urgency {
 			break
 		}
 		if !seen[w.Ref] && s.isMissing(now, w.Ref) {
-			needed++
+			missing++
 		}
 		seen[w.Ref] = true
 	}
-	return s.meanRunTime * time.Duration(max(0, needed-free)) / time.Duration(max(1, inUse))
+	return missing
 }
 
 // expectedLoadTime returns the mean observed load time, which decays towards defaultLoadTime. Without the decay, an engine with a
