Owner: slots of first loads count as in use in the expected wait

Cause: TestLeavingEndpointsAreLeftAlone (streams) was refused requests as deadline_unmet in its first half second. A trace of six such runs at once with GOMAXPROCS=1 shows that four of five engines answered not_owner, as their owners had no grants yet, and that the fifth expected its first start in 3.1 to 3.3 s: it was loading in 3 slots, 6 tickets waited and no ticket ran. The wait for a slot was divided by the slots with running tickets only, here by 1 in place of 3, so that each missing adapter counted as a whole run time.

Change: slots whose adapters are loading, unloading or have waiting tickets count as in use, and so do free slots, which tickets ahead fill.

Result: the new test expects 0.53 to 1.03 s in four cases for which the code before expected 1.28 to 3.28 s.

--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -73,7 +73,9 @@
 
 // slotWait returns the expected time until a slot is free for the adapter of a ticket. The estimate assumes that the slots in use
 // become free one after another at even intervals, all of them within the mean run time. Missing adapters of tickets ahead get
-// slots first.
+// slots first. Slots whose adapters are being loaded or have waiting tickets count as in use, and so do free slots, which the tickets
+// ahead fill. Without them, an engine that had just started and loaded its first adapters expected a whole run time for each missing
+// adapter, and refused requests for seconds.
 func (s *State) slotWait(now time.Time, t Ticket) time.Duration {
 	if !s.cfg.Policy.IsEnabled(policy.SlotWait) {
 		return 0
@@ -83,7 +85,7 @@
 		switch {
 		case s.isEvictable(now, sl):
 			free++
-		case s.uses[sl.ref] > 0:
+		case s.uses[sl.ref] > 0, sl.phase == loading, sl.phase == unloading, s.isAwaited(sl.ref):
 			inUse++
 		}
 	}
@@ -98,7 +100,7 @@
 		}
 		seen[w.Ref] = true
 	}
-	return s.meanRunTime * time.Duration(max(0, needed-free)) / time.Duration(max(1, inUse))
+	return s.meanRunTime * time.Duration(max(0, needed-free)) / time.Duration(max(1, free+inUse))
 }
 
 // expectedLoadTime returns the mean observed load time, which decays towards defaultLoadTime. Without the decay, an engine with a
--- a/internal/owner/wait_test.go
+++ b/internal/owner/wait_test.go
@@ -170,3 +170,40 @@
 		})
 	}
 }
+
+// TestExpectedWaitCountsSlotsOfFirstLoads checks the expected wait while an engine without adapters loads its first ones. It guards
+// against an engine that expects a whole run time for each missing adapter although all its slots are in use soon: the first requests of a
+// new deployment were refused with earliest starts in 3.0 to 3.9 s.
+func TestExpectedWaitCountsSlotsOfFirstLoads(t *testing.T) {
+	const loadTime, slots = 280 * time.Millisecond, 4
+	for _, tt := range []struct {
+		name string
+		// loads is the number of loads that have begun, ahead the number of other adapters for which tickets wait.
+		loads, ahead int
+		want         time.Duration
+	}{
+		{"all slots are free", 0, 0, loadTime},
+		{"tickets ahead leave one slot", 0, 3, loadTime},
+		{"tickets ahead need all slots", 0, 4, loadTime + time.Second/slots},
+		{"some slots load", 2, 3, loadTime + 2*time.Second/slots},
+		{"all slots load", 4, 0, loadTime + time.Second/slots},
+		{"all slots load and two tickets wait", 4, 2, loadTime + 3*time.Second/slots},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			s := owner.New(owner.Config{Slots: slots, Batch: 64, MaxQueue: 100})
+			for i := range tt.loads + tt.ahead {
+				s.Submit(now, owner.Ticket{ID: uint64(i), Ref: ref(i), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+				if i < tt.loads {
+					c.Assert(actionsOf[owner.Load](s.PermitGranted(now, ref(i))), qt.HasLen, 1)
+				}
+			}
+			refused := actionsOf[owner.Refuse](s.Submit(now, owner.Ticket{
+				ID: 99, Ref: ref(99), Arrived: now, StartBy: now.Add(time.Minute), MaxWait: time.Millisecond,
+			}))
+			c.Assert(refused, qt.HasLen, 1)
+			c.Check(refused[0].Err.RetryAfter, qt.Equals, tt.want)
+		})
+	}
+}
