Slow readers: settings and result codes

Cause: nothing bounds what a box holds for callers and endpoints that do not read, and no result says that one of them did not read. Change: settings callers.stall_timeout, process.memory_mb and process.hold_mb; results 2012 caller_not_reading and 4010 endpoint_not_reading.

--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -25,6 +25,7 @@
 	CallerGone       Code = 2009
 	NotFound         Code = 2010
 	DuplicateRequest Code = 2011
+	CallerNotReading Code = 2012
 
 	QueueFull      Code = 3001
 	DeadlineUnmet  Code = 3002
@@ -52,6 +53,7 @@
 	NoEndpoint         Code = 4007
 	NotHeld            Code = 4008
 	NotListening       Code = 4009
+	EndpointNotReading Code = 4010
 
 	Conflict            Code = 5001
 	InvalidResource     Code = 5002
@@ -123,6 +125,7 @@
 	{CallerGone, "caller_gone", statusClientClosedRequest, RanUnknown, 0, "the caller went away"},
 	{NotFound, "not_found", http.StatusNotFound, RanNo, 0, "no such path"},
 	{DuplicateRequest, "duplicate_request", http.StatusConflict, RanNo, 0, "a request with this id has been taken already"},
+	{CallerNotReading, "caller_not_reading", statusClientClosedRequest, RanUnknown, 0, "the caller did not read its answer"},
 
 	{QueueFull, "queue_full", http.StatusServiceUnavailable, RanNo, time.Second, "the queue of the engine is full"},
 	{DeadlineUnmet, "deadline_unmet", http.StatusServiceUnavailable, RanNo, 2 * time.Second, "the request could not start before its deadline"},
@@ -148,6 +151,7 @@
 	{TimedOut, "timed_out", http.StatusGatewayTimeout, RanUnknown, 0, "the back end had not answered when the time for the request was over"},
 	{NotHeld, "not_held", http.StatusServiceUnavailable, RanNo, time.Second, "the endpoint is not the one meant, or lacks the model or version"},
 	{NotListening, "not_listening", http.StatusBadGateway, RanNo, time.Second, "nothing listens at the back end's address"},
+	{EndpointNotReading, "endpoint_not_reading", http.StatusBadGateway, RanUnknown, 0, "the back end did not read the request body in time"},
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, RanNo, time.Second, "no endpoint of the service can take the request"},
 
 	{Conflict, "conflict", http.StatusConflict, RanNo, 0, "the resource has changed since it was read"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net/netip"
 	"os"
 	"reflect"
@@ -28,6 +29,7 @@
 	Timing   Timing   `toml:"timing"`
 	Log      Log      `toml:"log"`
 	Process  Process  `toml:"process"`
+	Callers  Callers  `toml:"callers"`
 	Policy   Policy   `toml:"policy"`
 
 	Customers  Customers  `toml:"customers"`
@@ -182,11 +184,42 @@
 	Level int `toml:"level"`
 }
 
-// Process configures the Go runtime of the process.
+// Callers bounds how long callers may leave their answers unread.
+type Callers struct {
+	// StallTimeout is the time without progress after which an answer that the caller does not read, or a request body that an endpoint
+	// does not read, is ended.
+	StallTimeout time.Duration `toml:"stall_timeout"`
+}
+
+// Process configures the Go runtime and the memory of the process.
 type Process struct {
 	// GCPercent is the heap growth, in percent, after which the next garbage collection starts. A lower value saves memory and
 	// costs CPU time.
 	GCPercent int `toml:"gc_percent"`
+	// MemoryMB is the memory that the platform allows the process, zero if unknown. HoldMB bounds the bytes held for slow callers and
+	// endpoints; zero derives it from MemoryMB.
+	MemoryMB float64 `toml:"memory_mb"`
+	HoldMB   float64 `toml:"hold_mb"`
+}
+
+const (
+	// holdMemoryShare is the fraction of the process memory that may be held for slow callers and endpoints if hold_mb is not set.
+	holdMemoryShare = 1.0 / 16
+	// defaultHoldMB applies if neither hold_mb nor memory_mb is set.
+	defaultHoldMB = 16
+	bytesPerMB    = 1 << 20
+)
+
+// HoldBytes returns the maximum number of bytes to hold for slow callers and endpoints.
+func (p Process) HoldBytes() int64 {
+	hold := p.HoldMB
+	if hold == 0 {
+		hold = defaultHoldMB
+		if p.MemoryMB > 0 {
+			hold = p.MemoryMB * holdMemoryShare
+		}
+	}
+	return int64(hold * bytesPerMB)
 }
 
 // Default returns the settings that apply to keys missing from the file.
@@ -203,6 +236,7 @@
 		Timing:   Timing{Beat: time.Second, LeaseTTL: 3 * time.Second, Term: 4 * time.Second, Drain: 10 * time.Minute, Leave: 10 * time.Minute},
 		Log:      Log{Level: 1},
 		Process:  Process{GCPercent: 100},
+		Callers:  Callers{StallTimeout: 5 * time.Second},
 
 		Quarantine: Quarantine{Endpoints: 3, Hold: 10 * time.Minute},
 	}
@@ -407,7 +441,45 @@
 			"process.gc_percent", "Growth of the heap between two garbage collections, in percent; less saves memory and costs processor time.", fmt.Sprint(d.Process.GCPercent),
 			func(s *Settings) string { return checkRange(s.Process.GCPercent, 5, 1000) },
 		},
+		{
+			"process.memory_mb", "Memory that the process may use, in MB; `process.hold_mb` follows from it. Zero: not known.", fmt.Sprint(d.Process.MemoryMB),
+			func(s *Settings) string { return checkZeroOrRange(s.Process.MemoryMB, minMemoryMB, maxMemoryMB) },
+		},
+		{
+			"process.hold_mb", "Bytes held for callers and endpoints that do not read, in MB; above it, those that have stalled longest are ended. Zero: a sixteenth of `process.memory_mb` if that is set, else 16.", fmt.Sprint(d.Process.HoldMB),
+			checkHold,
+		},
+		{
+			"callers.stall_timeout", "How long a caller may leave its answer, or an endpoint a request body, without reading any of it before the box ends it.", d.Callers.StallTimeout.String(),
+			func(s *Settings) string {
+				return checkRange(s.Callers.StallTimeout, 100*time.Millisecond, 10*time.Minute)
+			},
+		},
+	}
+}
+
+// Bounds of the memory settings, in MB.
+const (
+	minMemoryMB = 16
+	maxMemoryMB = 1 << 20
+	minHoldMB   = 1
+)
+
+func checkHold(s *Settings) string {
+	if reason := checkZeroOrRange(s.Process.HoldMB, minHoldMB, maxMemoryMB); reason != "" {
+		return reason
+	}
+	if s.Process.MemoryMB > 0 && s.Process.HoldMB > s.Process.MemoryMB/2 {
+		return fmt.Sprintf("is %v, must be at most half of process.memory_mb, which is %v", s.Process.HoldMB, s.Process.MemoryMB)
 	}
+	return ""
+}
+
+func checkZeroOrRange(v, low, high float64) string {
+	if v != 0 && (v < low || v > high || math.IsNaN(v)) {
+		return fmt.Sprintf("is %v, must be 0 or in %v..%v", v, low, high)
+	}
+	return ""
 }
 
 func checkMechanisms(s *Settings) string {
