Slow readers: bound what is held for callers and endpoints that do not read

Cause: writes to callers had no deadline, so a caller that did not read held its answer, its goroutine and its endpoint until the request deadline or longer. A cut by an endpoint that waited for such a caller counted against the endpoint's health. Change: package slowpeer tracks the bytes held and the progress of each request. Writes to callers and to endpoints have a deadline that moves with the progress; above process.hold_mb the longest stalled are ended first. Result 2012 ends an answer that is not read, 4010 a request whose endpoint does not read its body.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -13,6 +13,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -38,6 +39,7 @@
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/repair"
 	"github.com/bellgap/bellgap/internal/settings"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // Maximum number of idle connections to one peer, engine or service.
@@ -69,6 +71,7 @@
 	owners    *owner.Set
 	node      *member.Node
 	gateway   *gateway.Gateway
+	callers   *slowpeer.Tracker
 	// quarantine blocks requests that have crashed back ends.
 	quarantine *quarantine.Client
 	// keeper counts the calls of the service addresses that are assigned to this box. places acquires places at all service addresses.
@@ -95,7 +98,7 @@
 	}
 	b := &Box{
 		cfg: cfg, done: make(chan struct{}), listeners: ls, metrics: metric.New(cfg.Settings.Box.Name), catalog: catalog.New(),
-		engines: engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerEngine)}}),
+		engines: engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: slowpeer.BoundWrites(httpx.NewTransport(connsPerEngine), cfg.Settings.Callers.StallTimeout)}}),
 		root:    suture.New("box", suture.Spec{EventHook: logSupervisorEvent}),
 	}
 	api := objects.NewClient(objects.ClientConfig{
@@ -106,6 +109,7 @@
 		Catalog: b.catalog, Scope: b.metrics.Scope, PickSource: func() feed.Source { return b.changeSource(api, peers) },
 		LostObjects: func(ctx context.Context) ([]objects.Object, error) { return b.lostObjects(ctx, api, peers) },
 	})
+	b.callers = newCallerTracker(cfg.Settings, b.metrics.Scope)
 	b.quarantine = newQuarantine(cfg.Settings, b.catalog, b.metrics.Scope)
 	b.rates = ratelimit.NewRegistry(ratelimit.RegistryConfig{Boxes: func() int { return len(b.catalog.Topology().Boxes) }, Scope: b.metrics.Scope})
 	b.notices = notice.NewBoard(notice.BoardConfig{Scope: b.metrics.Scope, OnLeaving: func(e notice.Endpoint, firsthand bool) {
@@ -250,11 +254,11 @@
 func (b *Box) buildGateway(records *record.Log) {
 	s := b.cfg.Settings
 	b.gateway = gateway.New(gateway.Config{
-		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Record: records, Scope: b.metrics.Scope, NewID: rand.Text,
+		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Callers: b.callers, Record: records, Scope: b.metrics.Scope, NewID: rand.Text,
 		Engines:              b.engines,
 		PeerClient:           &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
-		Services:             &http.Client{Transport: httpx.NewTransport(connsPerService), CheckRedirect: noRedirect},
-		UnrepeatableServices: &http.Client{Transport: httpx.NewSingleUseTransport(), CheckRedirect: noRedirect},
+		Services:             &http.Client{Transport: slowpeer.BoundWrites(httpx.NewTransport(connsPerService), s.Callers.StallTimeout), CheckRedirect: noRedirect},
+		UnrepeatableServices: &http.Client{Transport: slowpeer.BoundWrites(httpx.NewSingleUseTransport(), s.Callers.StallTimeout), CheckRedirect: noRedirect},
 		Limits: gateway.Limits{
 			BodyBytes: s.Request.BodyBytes, BodyTime: s.Request.BodyTime, DefaultWait: s.Request.DefaultWait,
 			MaxDuration: s.Request.MaxDuration, LocateTTL: s.Request.LocateKeep,
@@ -263,6 +267,13 @@
 	})
 }
 
+// newCallerTracker returns the tracker of callers and endpoints that do not read.
+func newCallerTracker(s settings.Settings, scope tally.Scope) *slowpeer.Tracker {
+	return slowpeer.New(slowpeer.Config{
+		Limits: slowpeer.Limits{StallTimeout: s.Callers.StallTimeout, HoldBytes: s.Process.HoldBytes()}, Scope: scope,
+	})
+}
+
 // noRedirect makes an HTTP client return a redirect, which the box then sends to the caller, instead of following it.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
@@ -278,12 +289,13 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.feed.IsReady,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope,
-		RecentRequests: records, Quarantine: b.quarantine, RateLimits: b.rates.Limits, Notices: b.notices,
+		RecentRequests: records, Quarantine: b.quarantine, RateLimits: b.rates.Limits, Notices: b.notices, SlowPeers: b.callers.Status,
 	})
 	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
 	b.root.Add(server{b.listeners.peer, peerMux})
 	b.root.Add(server{b.listeners.operator, op.Handler()})
 	b.root.Add(b.feed)
+	b.root.Add(b.callers)
 	b.root.Add(b.quarantine)
 	b.root.Add(b.places)
 	b.root.Add(b.noticeClient)
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -35,6 +35,7 @@
 	"github.com/bellgap/bellgap/internal/relay"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/settings"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 const (
@@ -81,6 +82,7 @@
 	owners   *owner.Set
 	node     *member.Node
 	relay    *relay.Relay
+	callers  *slowpeer.Tracker
 	// ledger counts the quota use of the customers for which this box is accountable.
 	ledger  *quota.Ledger
 	locator *locator
@@ -123,6 +125,7 @@
 	if b.directoryListener, err = net.Listen("tcp", l.Directory.String()); err != nil {
 		return nil, eris.Wrap(err, "box: listen")
 	}
+	b.callers = newCallerTracker(cfg.Settings, b.metrics.Scope)
 	b.catalog.SetScarceSlots(cfg.Settings.Capacity.ScarceSlots)
 	b.ledger, b.locator = quota.NewLedger(quota.LedgerConfig{Bounds: quota.Bounds{
 		Window: cfg.Settings.Customers.QuotaWindow, Excess: cfg.Settings.Customers.QuotaExcess, Tolerance: cfg.Settings.Customers.QuotaTolerance,
@@ -247,11 +250,11 @@
 	s := b.cfg.Settings
 	b.relay = relay.New(relay.Config{
 		Box: s.Box.Name, Zone: s.Box.Zone, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
-		Endpoints: &http.Client{Transport: httpx.NewTransport(connsPerEngine), CheckRedirect: noRedirect},
+		Endpoints: &http.Client{Transport: slowpeer.BoundWrites(httpx.NewTransport(connsPerEngine), s.Callers.StallTimeout), CheckRedirect: noRedirect},
 		Budget:    relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
 		Policy:    s.Policy.Build(),
 		Quotas:    quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
-		Places:    b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices,
+		Places:    b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Callers: b.callers,
 		AgeLimits: relay.ConfigAgeLimits{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
@@ -274,7 +277,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, RecentRequests: record.New(),
-		Quarantine: b.quarantine, RateLimits: b.rates.Limits, Notices: b.notices, LastRestore: b.follower.LastRestore,
+		Quarantine: b.quarantine, RateLimits: b.rates.Limits, Notices: b.notices, LastRestore: b.follower.LastRestore, SlowPeers: b.callers.Status,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
@@ -282,6 +285,7 @@
 	b.root.Add(server{b.readyListener, b.cfg.Deployment.NewReadyHandler(b)})
 	b.root.Add(server{b.directoryListener, b.cfg.Deployment.NewDirectoryHandler(b)})
 	b.root.Add(b.follower)
+	b.root.Add(b.callers)
 	b.root.Add(grants)
 	b.root.Add(b.places)
 	b.root.Add(b.noticeClient)
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -16,6 +16,7 @@
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 func statusCommand() *cli.Command {
@@ -92,6 +93,7 @@
 		_, _ = fmt.Fprintf(w, "store restored from an older copy: era %d, %s ago; kept %d objects that it lacks, withheld %d that it has again\n",
 			r.Era, r.Ago.Round(time.Second), r.Kept, r.Withheld)
 	}
+	printSlowPeers(w, st.SlowPeers)
 	fleet := summarize(topology, st.Member.Coordinator, st.Member.Cell)
 	fleet.addRateLimits(st.RateLimits)
 	fleet.addNotices(st.LeavingEndpoints, st.PausedEndpoints)
@@ -105,6 +107,17 @@
 	return w.Flush()
 }
 
+// printSlowPeers prints the bytes held for callers and endpoints and the stalled connections, if there are any.
+func printSlowPeers(w io.Writer, s slowpeer.Status) {
+	if s.HeldBytes == 0 && s.Stalls == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(w, "held for callers and endpoints: %d bytes; stalled connections: %d\n", s.HeldBytes, s.Stalls)
+	for _, c := range s.Listed {
+		_, _ = fmt.Fprintf(w, "stalled %s\tcustomer=%s\troute=%s\theld=%d\twaits_for=%s\n", c.Since.Round(time.Millisecond), cmp.Or(c.Customer, "none"), c.Route, c.Held, c.Step)
+	}
+}
+
 func printEngines(w io.Writer, t catalog.Topology) {
 	_, _ = fmt.Fprintln(w, "ENGINE\tZONE\tMODEL\tOWNER\tEPOCH")
 	for _, name := range sortedKeys(t.Engines) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
@@ -15,6 +16,7 @@
 	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // Limits on the calls of a Client.
@@ -151,6 +153,8 @@
 		return result.New(result.BackendUnreachable, "%v", err)
 	case ctx.Err() != nil:
 		return result.New(result.CallerGone, "%v", context.Cause(ctx))
+	case errors.Is(err, slowpeer.ErrEndpointNotReading):
+		return result.New(result.EndpointNotReading, "%v", err)
 	default:
 		return result.NewConnError(result.AnswerLost, err)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,7 +125,7 @@
 	case result.NotOwner, result.TryNext, result.QueueFull, result.RateLimited, result.EndpointResting, result.EndpointLeaving,
 		result.LoadFailed, result.LoadBudget, result.Leaving, result.BackendRefused, result.BackendUnreachable, result.NotReady:
 		return true
-	case result.AnswerLost, result.StreamCut, result.WrongAnswer:
+	case result.AnswerLost, result.StreamCut, result.WrongAnswer, result.EndpointNotReading:
 		return repeatable
 	default:
 		return false
@@ -191,6 +191,9 @@
 	})
 	if err != nil {
 		rerr := result.From(err, result.AnswerLost)
+		if rerr.Code == result.EndpointNotReading {
+			g.cfg.Scope.Counter("slow_endpoints_ended").Inc(1)
+		}
 		recordOutcome(rerr)
 		grant.Release(ownerEnd(rerr))
 		return nil, rerr
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -51,6 +51,10 @@
 	g.recordEnd(j, a, rerr, receivedAt)
 	if rerr != nil {
 		g.countResult(rerr.Code)
+		if rerr.Code == result.CallerNotReading {
+			// Aborting the connection shows the caller that the answer is incomplete.
+			panic(http.ErrAbortHandler)
+		}
 		return
 	}
 	g.countResult(result.OK)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // Limits bound the requests of callers.
@@ -58,6 +59,8 @@
 	Rates *ratelimit.Registry
 	// Notices stores which engines and services have announced that they are leaving or requested a pause.
 	Notices *notice.Board
+	// Callers bounds what is held for callers and endpoints that do not read. New sets one with default limits if it is nil.
+	Callers *slowpeer.Tracker
 	// Record stores how recent requests were handled, for operators.
 	Record *record.Log
 	// Ready reports whether this box can serve requests, Leaving whether it ends soon.
@@ -81,6 +84,9 @@
 
 // New returns a Gateway.
 func New(cfg Config) *Gateway {
+	if cfg.Callers == nil {
+		cfg.Callers = slowpeer.New(slowpeer.Config{Scope: cfg.Scope})
+	}
 	return &Gateway{cfg: cfg, inFlight: map[string]int{}, unresponsive: recent.New[string](unresponsivePeriod), retryBudget: newRetryBudget()}
 }
 
@@ -95,7 +101,12 @@
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
 		g.refuse(w, r.Header.Get(result.HeaderRequest), result.New(result.NotFound, "%s %s", r.Method, r.URL.Path))
 	})
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		caller := g.cfg.Callers.NewCaller(w)
+		defer caller.Close()
+		caller.Describe("", r.URL.Path)
+		mux.ServeHTTP(caller, caller.WithBody(r))
+	})
 }
 
 // RegisterPeer adds the handler for requests that other boxes forward to mux.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"math"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // maxServiceTries is the maximum number of addresses of a service to which one call is sent.
@@ -205,11 +207,31 @@
 		return resp, nil
 	case !sent.MayHaveSent():
 		return nil, result.New(result.BackendUnreachable, "%v", err)
+	case errors.Is(err, slowpeer.ErrEndpointNotReading):
+		g.cfg.Scope.Counter("slow_endpoints_ended").Inc(1)
+		return nil, result.New(result.EndpointNotReading, "%v", err)
 	default:
 		return nil, result.NewConnError(result.AnswerLost, err)
 	}
 }
 
+// copyBody copies the body of an answer to the caller.
+func copyBody(w http.ResponseWriter, body io.Reader) *result.Error {
+	caller, ok := w.(*slowpeer.Caller)
+	if !ok {
+		return result.New(result.CallerGone, "the caller is not tracked")
+	}
+	readErr, writeErr := caller.Copy(body)
+	switch {
+	case writeErr != nil:
+		return writeError(writeErr)
+	case readErr != nil:
+		return cutError(w, result.NewConnError(result.StreamCut, readErr))
+	default:
+		return nil
+	}
+}
+
 // copyServiceAnswer copies a service's answer to the caller.
 func (g *Gateway) copyServiceAnswer(w http.ResponseWriter, resp *http.Response, requestID string) *result.Error {
 	defer httpx.Drain(resp.Body)
@@ -225,9 +247,9 @@
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	w.WriteHeader(resp.StatusCode)
-	if _, err := io.Copy(w, resp.Body); err != nil {
-		g.countResult(result.StreamCut)
-		return result.NewConnError(result.StreamCut, err)
+	if rerr := copyBody(w, resp.Body); rerr != nil {
+		g.countResult(rerr.Code)
+		return rerr
 	}
 	g.countResult(result.OK)
 	return nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // copyAnswer copies a validated answer to the caller. It writes nothing before the first event of a stream or the whole answer is
@@ -22,7 +23,7 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		if _, err := w.Write(b); err != nil {
-			return result.New(result.CallerGone, "%v", err)
+			return writeError(err)
 		}
 		return nil
 	}
@@ -42,23 +43,41 @@
 	rc := http.NewResponseController(w)
 	for {
 		if _, err := w.Write(event); err != nil {
-			return result.New(result.CallerGone, "%v", err)
+			return writeError(err)
+		}
+		if err := rc.Flush(); err != nil {
+			return writeError(err)
 		}
-		// If the flush fails, the next write returns the error.
-		_ = rc.Flush()
 		var err error
 		event, err = a.NextEvent()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			rerr := result.From(err, result.StreamCut)
+			rerr := cutError(w, result.From(err, result.StreamCut))
 			writeErrorEvent(w, rerr)
 			return rerr
 		}
 	}
 }
 
+// writeError returns the result of a write to the caller that failed.
+func writeError(err error) *result.Error {
+	if errors.Is(err, slowpeer.ErrCallerNotReading) {
+		return result.New(result.CallerNotReading, "%v", err)
+	}
+	return result.New(result.CallerGone, "%v", err)
+}
+
+// cutError returns the result of an answer that broke off with rerr. Endpoints cut answers that are left unread, so a cut after such
+// a pause of the caller is not the endpoint's failure.
+func cutError(w http.ResponseWriter, rerr *result.Error) *result.Error {
+	if caller, ok := w.(*slowpeer.Caller); ok && caller.WasUnread() {
+		return &result.Error{Code: result.CallerNotReading, Detail: rerr.Detail, BrokenOff: rerr.BrokenOff}
+	}
+	return rerr
+}
+
 // writeErrorEvent ends a stream with an event that contains the error. No end marker follows.
 func writeErrorEvent(w http.ResponseWriter, rerr *result.Error) {
 	b, err := json.Marshal(rerr.Body(""))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -21,6 +21,7 @@
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // Config configures an Operator.
@@ -46,6 +47,8 @@
 	// LastRestore returns details of the store's last restore from an older copy. It is nil on boxes that do not use package follow.
 	LastRestore func() follow.RestoreStatus
 	Scope       tally.Scope
+	// SlowPeers returns the bytes held for callers and endpoints, and those of them that stall.
+	SlowPeers func(now time.Time) slowpeer.Status
 }
 
 // Quarantine lists the requests that have crashed endpoints and allows an operator to release them.
@@ -81,6 +84,8 @@
 	PausedEndpoints  []notice.PausedEndpoint  `json:"rests,omitempty"`
 	// LastRestore describes the last restore of the store from an older copy; nil if this box has seen none.
 	LastRestore *follow.RestoreStatus `json:"restored,omitempty"`
+	// SlowPeers describes the bytes held for callers and endpoints, and those of them that stall.
+	SlowPeers slowpeer.Status `json:"slow_peers"`
 }
 
 // Handler returns the HTTP handler of the operator API.
@@ -119,6 +124,7 @@
 		Box: o.cfg.Box, Ready: o.cfg.IsReady(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(),
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
+		SlowPeers: o.cfg.SlowPeers(clock.Now()),
 	})
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -11,9 +11,12 @@
 	"strings"
 	"syscall"
 
+	"k8s.io/klog/v2"
+
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // hopByHopHeaders lists the headers that apply only to a single connection.
@@ -64,7 +67,9 @@
 		q.recordTry(to.name, rerr.Code.String())
 		return nil, rerr
 	}
-	outgoing, err := http.NewRequestWithContext(ctx, q.incoming.Method, "http://"+to.address.String(), nil)
+	sendCtx, content, endSend := q.caller.Send(ctx, bytes.NewReader(q.body))
+	defer endSend()
+	outgoing, err := http.NewRequestWithContext(sendCtx, q.incoming.Method, "http://"+to.address.String(), nil)
 	if err != nil {
 		return nil, result.New(result.BadRequest, "%v", err)
 	}
@@ -82,13 +87,16 @@
 	a.Instance, a.Deadline, a.Priority = to.name, q.timeLeft(), q.rank()
 	a.Keyed, a.Customer = r.cfg.Catalog.Topology().Routes.RequiresKey(), q.customerName()
 	r.cfg.Wire.WriteAttempt(outgoing.Header, a)
-	outgoing.Body, outgoing.ContentLength = singleUseBody{bytes.NewReader(q.body)}, int64(len(q.body))
+	outgoing.Body, outgoing.ContentLength = singleUseBody{content}, int64(len(q.body))
 	q.arrivals++
 	q.lastEndpoint, q.untilSent = to.name, clock.Since(q.receivedAt)
 	traced := httpx.NewSendTrace(outgoing)
 	resp, err := r.cfg.Endpoints.Do(traced.Request)
 	if err != nil {
-		rerr := r.classifySendError(ctx, traced.MayHaveSent(), err)
+		rerr := r.classifySendError(ctx, traced.MayHaveSent(), slowpeer.SendError(sendCtx, err))
+		if rerr.Code == result.EndpointNotReading {
+			r.recordSlowEndpoint(q, to)
+		}
 		if rerr.Code == result.BackendUnreachable || rerr.Code == result.NotListening {
 			// The request has not arrived, so the next try is not a retry.
 			q.arrivals--
@@ -110,6 +118,13 @@
 	return resp, nil
 }
 
+// recordSlowEndpoint counts and logs a request that ended because the endpoint did not read its body.
+func (r *Relay) recordSlowEndpoint(q *request, to destination) {
+	r.cfg.Scope.Counter("slow_endpoints_ended").Inc(1)
+	klog.InfoS("request ended, its endpoint does not read the body", "request", q.head.ID, "endpoint", to.name, "customer", q.customerName(), "route", q.route.Name,
+		"held", len(q.body), "took", clock.Since(q.receivedAt)-q.untilSent)
+}
+
 // classifySendError returns the result of a request that was not answered. started tells whether sending had begun.
 func (r *Relay) classifySendError(ctx context.Context, started bool, err error) *result.Error {
 	switch {
@@ -117,6 +132,8 @@
 		return result.New(result.NotListening, "%v", err)
 	case !started:
 		return result.New(result.BackendUnreachable, "%v", err)
+	case errors.Is(err, slowpeer.ErrEndpointNotReading):
+		return result.New(result.EndpointNotReading, "%v", err)
 	case ctx.Err() != nil:
 		return result.New(result.TimedOut, "%v", context.Cause(ctx))
 	default:
@@ -171,7 +188,8 @@
 
 // copyAnswer forwards an answer that is not a stream.
 func (o *output) copyAnswer(resp *http.Response) *result.Error {
-	start, err := io.ReadAll(io.LimitReader(resp.Body, answerBuffer))
+	defer o.w.ReleaseAnswer()
+	start, err := o.w.ReadAnswer(io.LimitReader(resp.Body, answerBuffer))
 	if err != nil {
 		return result.NewConnError(result.StreamCut, err)
 	}
@@ -179,14 +197,53 @@
 		o.onEvent()
 	}
 	o.writeHead(resp)
+	o.w.ReleaseAnswer()
 	if _, err := o.w.Write(start); err != nil {
-		return result.New(result.CallerGone, "%v", err)
+		return writeError(err)
 	}
 	if len(start) < answerBuffer {
+		return o.flushLong(len(start))
+	}
+	readErr, writeErr := o.w.Copy(resp.Body)
+	switch {
+	case writeErr != nil:
+		return writeError(writeErr)
+	case readErr != nil:
+		return o.cutError(readErr)
+	}
+	return o.flushLong(len(start))
+}
+
+// serverBuffer is how many bytes of an answer the HTTP server may keep until the handler returns.
+const serverBuffer = 4 << 10
+
+// flushLong flushes an answer of which the server may have written a part already. The result of a short answer does not tell
+// whether its caller read it; flushing it would only change its framing.
+func (o *output) flushLong(size int) *result.Error {
+	if size < serverBuffer {
 		return nil
 	}
-	if _, err := io.Copy(o.w, resp.Body); err != nil {
-		return result.NewConnError(result.StreamCut, err)
+	if err := o.w.FlushError(); err != nil {
+		return writeError(err)
 	}
 	return nil
 }
+
+// writeError returns the result of a write to the caller that failed.
+func writeError(err error) *result.Error {
+	if errors.Is(err, slowpeer.ErrCallerNotReading) {
+		return result.New(result.CallerNotReading, "%v", err)
+	}
+	return result.New(result.CallerGone, "%v", err)
+}
+
+// cutError returns the result of an answer that the endpoint broke off. Endpoints cut answers that are left unread, so a cut after
+// such a pause is not the endpoint's failure. It is still reported as broken off, so that the quarantine finds out if the endpoint
+// crashed.
+func (o *output) cutError(err error) *result.Error {
+	rerr := result.NewConnError(result.StreamCut, err)
+	if o.w.WasUnread() {
+		rerr.Code = result.CallerNotReading
+	}
+	return rerr
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -164,7 +164,7 @@
 	if rerr.Code.Info().Ran == result.RanNo {
 		return true
 	}
-	return q.route.Idempotent() && q.possibleRuns < q.route.Attempts && rerr.Code != result.CallerGone
+	return q.route.Idempotent() && q.possibleRuns < q.route.Attempts && rerr.Code != result.CallerGone && rerr.Code != result.CallerNotReading
 }
 
 // choosePlainEndpoint chooses among the endpoints that have not been tried and are neither leaving nor paused. While no
@@ -246,7 +246,7 @@
 // isEndpointFault reports whether an error counts as a failure of the endpoint.
 func isEndpointFault(rerr *result.Error) bool {
 	switch rerr.Code {
-	case result.CallerGone, result.NotHeld, result.Quarantined, result.EndpointLeaving, result.EndpointResting:
+	case result.CallerGone, result.CallerNotReading, result.NotHeld, result.Quarantined, result.EndpointLeaving, result.EndpointResting:
 		return false
 	default:
 		return true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/route"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // maxLoggedTries bounds the number of tries that the log line of a request lists.
@@ -75,6 +76,8 @@
 	Rates *ratelimit.Registry
 	// Notices holds the other notices of endpoints: that they are leaving, or that they request a pause.
 	Notices *notice.Board
+	// Callers bounds what is held for callers and endpoints that do not read. New sets one with default limits if it is nil.
+	Callers *slowpeer.Tracker
 }
 
 // Relay is the HTTP handler that forwards requests.
@@ -96,6 +99,9 @@
 
 // New returns a Relay that uses the given configuration.
 func New(cfg Config) *Relay {
+	if cfg.Callers == nil {
+		cfg.Callers = slowpeer.New(slowpeer.Config{Scope: cfg.Scope})
+	}
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
@@ -110,6 +116,7 @@
 	head       Head
 	incoming   *http.Request
 	body       []byte
+	caller     *slowpeer.Caller
 	route      *resource.Route
 	service    string
 	receivedAt time.Time
@@ -177,7 +184,10 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	q, rerr := r.readRequest(w, req)
+	caller := r.cfg.Callers.NewCaller(w)
+	defer caller.Close()
+	w = caller
+	q, rerr := r.readRequest(caller, req)
 	if r.cfg.Leaving() > 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -198,7 +208,7 @@
 	defer cancel()
 	defer r.refundUnits(q)
 	r.budgets.earn(q.service)
-	out := &output{w: w}
+	out := &output{w: caller}
 	if r.isModelRequest(q) {
 		rerr = r.serveModel(ctx, out, q)
 	} else {
@@ -226,8 +236,8 @@
 }
 
 // readRequest reads the headers and the body of a request, and finds its route and customer.
-func (r *Relay) readRequest(w http.ResponseWriter, req *http.Request) (*request, *result.Error) {
-	q := &request{incoming: req, receivedAt: clock.Now()}
+func (r *Relay) readRequest(w *slowpeer.Caller, req *http.Request) (*request, *result.Error) {
+	q := &request{incoming: req, caller: w, receivedAt: clock.Now()}
 	table := r.cfg.Catalog.Topology().Routes
 	if table == nil {
 		return q, result.New(result.NotReady, "%s has no routes yet", r.cfg.Box)
@@ -250,7 +260,8 @@
 	if rerr := r.identifyCustomer(q, table); rerr != nil {
 		return q, rerr
 	}
-	content, rerr := body.Read(w, req, bodyLimits(table.CallerLimits(), q))
+	w.Describe(q.customerName(), rt.Name)
+	content, rerr := body.Read(w, w.WithBody(req), bodyLimits(table.CallerLimits(), q))
 	q.body = content
 	q.suspect = suspectOf(q)
 	return q, rerr
@@ -281,6 +292,8 @@
 		return
 	}
 	switch {
+	case rerr.Code == result.CallerNotReading:
+		// The failed write has ended the caller's context as well.
 	case callerCtx.Err() != nil:
 		rerr = result.New(result.CallerGone, "%s", rerr.Error())
 	case !out.started:
@@ -314,7 +327,7 @@
 
 // output writes the answer to a caller.
 type output struct {
-	w       http.ResponseWriter
+	w       *slowpeer.Caller
 	started bool
 	// onEvent, if set, is called for each event that arrives from the endpoint, and before an answer that is not a stream is
 	// forwarded. onForwarded is called when an event has been written.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -58,7 +58,6 @@
 // copyEvents forwards a stream event by event and returns the id of the last forwarded event.
 func (o *output) copyEvents(wire Wire, resp *http.Response, lastID string) (string, *result.Error) {
 	events := newEventReader(resp.Body)
-	rc := http.NewResponseController(o.w)
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -66,17 +65,17 @@
 			return lastID, nil
 		}
 		if err != nil {
-			return lastID, result.NewConnError(result.StreamCut, err)
+			return lastID, o.cutError(err)
 		}
 		if o.onEvent != nil {
 			o.onEvent()
 		}
 		o.writeHead(resp)
 		if _, err := o.w.Write(event); err != nil {
-			return lastID, result.New(result.CallerGone, "%v", err)
+			return lastID, writeError(err)
 		}
-		if err := rc.Flush(); err != nil {
-			return lastID, result.New(result.CallerGone, "%v", err)
+		if err := o.w.FlushError(); err != nil {
+			return lastID, writeError(err)
 		}
 		if o.onForwarded != nil {
 			o.onForwarded()
--- /dev/null
+++ b/internal/slowpeer/dial.go
@@ -0,0 +1,56 @@
+package slowpeer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+)
+
+// BoundWrites makes the connections of a transport fail with ErrEndpointNotReading if the other side takes no byte for the stall
+// timeout. It returns t.
+func BoundWrites(t *http.Transport, stallTimeout time.Duration) *http.Transport {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &boundedConn{conn, cmp.Or(stallTimeout, defaultStallTimeout)}, nil
+	}
+	return t
+}
+
+// SendError returns the cause if the tracker cancelled a request whose context is ctx, and err otherwise.
+func SendError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); errors.Is(cause, ErrEndpointNotReading) {
+		return cause
+	}
+	return err
+}
+
+// boundedConn is a connection whose writes have a deadline that moves with each byte that the other side takes.
+type boundedConn struct {
+	net.Conn
+	stallTimeout time.Duration
+}
+
+// Write implements net.Conn.
+func (c *boundedConn) Write(p []byte) (int, error) {
+	n := 0
+	for {
+		// If this fails, the connection is closed, and so the write fails.
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.stallTimeout))
+		k, err := c.Conn.Write(p[n:])
+		n += k
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if k == 0 {
+			return n, ErrEndpointNotReading
+		}
+	}
+}
