--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -189,8 +189,9 @@
 // copyAnswer forwards an answer that is not a stream.
 func (o *output) copyAnswer(resp *http.Response) *result.Error {
 	defer o.w.ReleaseAnswer()
-	start, err := o.w.ReadAnswer(io.LimitReader(resp.Body, answerBuffer))
-	if err != nil {
+	start, err := o.w.ReadAnswer(resp.Body, answerBuffer)
+	whole := errors.Is(err, io.EOF)
+	if err != nil && !whole {
 		return result.NewConnError(result.StreamCut, err)
 	}
 	if o.onEvent != nil {
@@ -201,7 +202,7 @@
 	if _, err := o.w.Write(start); err != nil {
 		return writeError(err)
 	}
-	if len(start) < answerBuffer {
+	if whole {
 		return o.flushLong(len(start))
 	}
 	readErr, writeErr := o.w.Copy(resp.Body)
--- a/internal/slowpeer/caller.go
+++ b/internal/slowpeer/caller.go
@@ -18,6 +18,11 @@
 	// writeChunk is the number of bytes that are written under one deadline. A caller makes progress if it takes this many bytes
 	// within the stall timeout.
 	writeChunk = 8 << 10
+	// firstAnswerBuffer is the first size of the buffer for the start of an answer. Most answers fit.
+	firstAnswerBuffer = 4 << 10
+	// minAnswerBuffer is how much of an answer is buffered while the limit on held bytes is exceeded. With the whole buffer, 500
+	// callers that stopped reading at once held 105 MB before they had stalled for minStall.
+	minAnswerBuffer = 32 << 10
 	// copyBuffer is the buffer size of Copy. It is below the 64 KiB that may be held for a caller that does not read.
 	copyBuffer = 32 << 10
 	// unreadThreshold is the time without progress from which an endpoint may have cut the answer because it was left unread.
@@ -206,9 +211,39 @@
 	return r
 }
 
-// ReadAnswer reads the first bytes of an answer. They count as held until ReleaseAnswer.
-func (c *Caller) ReadAnswer(r io.Reader) ([]byte, error) {
-	return io.ReadAll(&heldReader{r, c})
+// ReadAnswer reads the first bytes of an answer, at most limit. They count as held until ReleaseAnswer. It reads only
+// minAnswerBuffer bytes if more would exceed the limit on held bytes. The error is io.EOF if the answer has ended.
+func (c *Caller) ReadAnswer(r io.Reader, limit int) ([]byte, error) {
+	start := make([]byte, 0, firstAnswerBuffer)
+	for {
+		if len(start) == cap(start) {
+			size, ok := c.nextBuffer(len(start), limit)
+			if !ok {
+				return start, nil
+			}
+			start = append(make([]byte, 0, size), start...)
+		}
+		n, err := r.Read(start[len(start):cap(start)])
+		start = start[:len(start)+n]
+		c.holdAnswer(int64(n))
+		if err != nil {
+			return start, err
+		}
+	}
+}
+
+// nextBuffer returns the next size of the buffer for an answer of which size bytes have been read. ok is false if it may not grow.
+func (c *Caller) nextBuffer(size, limit int) (next int, ok bool) {
+	next = min(2*size, limit)
+	fits := size < minAnswerBuffer || c.tracker.held.Load()+int64(next-size) <= c.tracker.cfg.Limits.HoldBytes
+	return next, next > size && fits
+}
+
+func (c *Caller) holdAnswer(n int64) {
+	c.mu.Lock()
+	c.answerHeld += n
+	c.mu.Unlock()
+	c.tracker.addHeld(n)
 }
 
 // ReleaseAnswer ends the count of what ReadAnswer has read. It is called before that is written, because a write counts its bytes.
@@ -328,22 +363,6 @@
 	return n, err
 }
 
-// heldReader counts the bytes of an answer that are read before the first write.
-type heldReader struct {
-	io.Reader
-	caller *Caller
-}
-
-// Read implements io.Reader.
-func (h *heldReader) Read(p []byte) (int, error) {
-	n, err := h.Reader.Read(p)
-	h.caller.mu.Lock()
-	h.caller.answerHeld += int64(n)
-	h.caller.mu.Unlock()
-	h.caller.tracker.addHeld(int64(n))
-	return n, err
-}
-
 // sentBody records how the transport takes a request body.
 type sentBody struct {
 	io.Reader
--- a/internal/slowpeer/dial.go
+++ b/internal/slowpeer/dial.go
@@ -32,6 +32,10 @@
 	return err
 }
 
+// looksPerStall is how often a blocked write looks for progress within the stall timeout. A write that has made some progress is
+// ended at most 1/looksPerStall of the timeout too late.
+const looksPerStall = 4
+
 // boundedConn is a connection whose writes have a deadline that moves with each byte that the other side takes.
 type boundedConn struct {
 	net.Conn
@@ -40,16 +44,20 @@
 
 // Write implements net.Conn.
 func (c *boundedConn) Write(p []byte) (int, error) {
-	n := 0
+	n, looks := 0, 0
 	for {
 		// If this fails, the connection is closed, and so the write fails.
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.stallTimeout))
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.stallTimeout / looksPerStall))
 		k, err := c.Conn.Write(p[n:])
 		n += k
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
-		if k == 0 {
+		looks++
+		if k > 0 {
+			looks = 0
+		}
+		if looks >= looksPerStall {
 			return n, ErrEndpointNotReading
 		}
 	}
