--- a/internal/slowpeer/caller.go
+++ b/internal/slowpeer/caller.go
@@ -280,6 +280,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	c.mu.Lock()
 	c.cancelSend = cancel
+	if c.ended == stepSend {
+		c.ended = stepNone
+	}
 	c.mu.Unlock()
 	return ctx, &sentBody{body, c}, c.endSend
 }
@@ -313,7 +316,7 @@
 	if c.closed || (c.ended != stepNone && c.ended == c.step) {
 		return State{}, false
 	}
-	return State{Held: c.heldLocked(), Waiting: c.step != stepNone, ProgressAt: c.progressAt}, true
+	return State{Held: c.heldLocked(), Waiting: c.step != stepNone, ProgressAt: c.progressAt, HasOwnLimit: c.step == stepBody}, true
 }
 
 // stalled returns the description of the caller for the status. ok is false if the caller does not stall.
@@ -337,6 +340,9 @@
 	switch c.step {
 	case stepBody:
 		_ = c.control.SetReadDeadline(past)
+		c.tracker.cfg.Scope.Counter("slow_callers_ended").Inc(1)
+		klog.InfoS("request body ended, its caller does not send and too much is held", "customer", c.customer, "route", c.route, "held", s.Held,
+			"unsent", clock.Since(s.ProgressAt))
 	case stepSend:
 		c.cancelSend(ErrEndpointNotReading)
 	case stepAnswer:
--- a/internal/slowpeer/decide.go
+++ b/internal/slowpeer/decide.go
@@ -23,6 +23,8 @@
 	// when the wait began, whichever is later.
 	Waiting    bool
 	ProgressAt time.Time
+	// HasOwnLimit is set if another limit bounds the wait, so that the connection is ended only to free memory.
+	HasOwnLimit bool
 }
 
 // stall returns the time without progress, zero if the box does not wait for the other side.
@@ -34,7 +36,7 @@
 }
 
 // SelectEnds returns the indexes of the connections to end, the longest stalled first: those that have stalled for the stall
-// timeout and, while the rest holds more than HoldBytes, those that have stalled for at least minStall and hold bytes.
+// timeout, unless another limit bounds them, and, while the rest holds more than HoldBytes, those that have stalled for at least minStall and hold bytes.
 func (l Limits) SelectEnds(now time.Time, conns []State) []int {
 	total := int64(0)
 	var stalled []int
@@ -47,7 +49,8 @@
 	slices.SortStableFunc(stalled, func(a, b int) int { return conns[a].ProgressAt.Compare(conns[b].ProgressAt) })
 	var ends []int
 	for _, i := range stalled {
-		if conns[i].stall(now) >= l.StallTimeout || (total > l.HoldBytes && conns[i].Held > 0) {
+		timedOut := !conns[i].HasOwnLimit && conns[i].stall(now) >= l.StallTimeout
+		if timedOut || (total > l.HoldBytes && conns[i].Held > 0) {
 			ends = append(ends, i)
 			total -= conns[i].Held
 		}
