--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -23,6 +23,7 @@
 	"github.com/bellgap/bellgap/internal/record"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/share"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // Config configures an Operator.
@@ -52,6 +53,8 @@
 	// EngineLoads returns the known loads of scarce engines, those with the highest prefill rates first. It is nil on boxes without them.
 	EngineLoads func(now time.Time) []engineload.Sent
 	Scope       tally.Scope
+	// SlowPeers returns the bytes held for callers and endpoints, and those of them that stall.
+	SlowPeers func(now time.Time) slowpeer.Status
 }
 
 // Quarantine lists the requests that have crashed endpoints and allows an operator to release them.
@@ -91,6 +94,8 @@
 	LastRestore *follow.RestoreStatus `json:"restored,omitempty"`
 	// EngineLoads lists the loads of scarce engines, as far as this box knows them.
 	EngineLoads []EngineLoad `json:"engine_loads,omitempty"`
+	// SlowPeers describes the bytes held for callers and endpoints, and those of them that stall.
+	SlowPeers slowpeer.Status `json:"slow_peers"`
 }
 
 // EngineLoad is the known load of a scarce engine.
@@ -136,6 +141,7 @@
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
 		EngineLoads: o.engineLoads(), Shortages: o.shortages(),
+		SlowPeers: o.cfg.SlowPeers(clock.Now()),
 	})
 }
 
