--- a/internal/engineload/encode.go
+++ b/internal/engineload/encode.go
@@ -47,8 +47,8 @@
 func (s *Sent) UnmarshalJSON(b []byte) error {
 	*s = Sent{}
 	var encoded string
-	if json.Unmarshal(b, &encoded) != nil {
-		return nil
+	if err := json.Unmarshal(b, &encoded); err != nil {
+		return nil //nolint:nilerr // A malformed report is counted by the table.
 	}
 	fields := strings.Split(encoded, separator)
 	if len(fields) < fieldCount || len(fields[fieldCount-1]) < quantities*quantityDigits {
@@ -58,7 +58,7 @@
 	for i := range numbers {
 		n, err := strconv.ParseUint(fields[i+1], numberBase, 64)
 		if err != nil {
-			return nil
+			return nil //nolint:nilerr // See above.
 		}
 		numbers[i] = n
 	}
--- a/internal/engineload/table.go
+++ b/internal/engineload/table.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// FullWeightAge is the age up to which a report counts in full. MaxAge is the age from which it is not used.
+	// FullWeightAge is the age up to which a report counts in full.
 	FullWeightAge = time.Second
-	MaxAge        = 3 * time.Second
+	// MaxAge is the age from which a report is not used.
+	MaxAge = 3 * time.Second
 	// maxEngines is the maximum number of engines in a Table.
 	maxEngines = 1024
 	// maxListedAge is the age up to which Known lists reports, so that operators also see those that are no longer used.
--- a/internal/relay/slow_test.go
+++ b/internal/relay/slow_test.go
@@ -64,7 +64,7 @@
 	c.Check(tcp.SetReadBuffer(slowBuffer), qt.IsNil)
 }
 
-func dialSmall(c *qt.C, ctx context.Context, address string) (net.Conn, error) {
+func dialSmall(ctx context.Context, c *qt.C, address string) (net.Conn, error) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err == nil {
 		smallBuffers(c, conn)
@@ -89,7 +89,7 @@
 	w := &slowWorld{c: c, relay: r, scope: tally.NewTestScope("", nil)}
 	r.cfg.Wire, r.cfg.Scope, r.cfg.Callers = patientWire{}, w.scope, slowpeer.New(slowpeer.Config{Limits: limits, Scope: w.scope})
 	transport := httpx.NewTransport(4)
-	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return dialSmall(c, ctx, address) }
+	transport.DialContext = func(ctx context.Context, _, address string) (net.Conn, error) { return dialSmall(ctx, c, address) }
 	r.cfg.Endpoints = &http.Client{Transport: slowpeer.BoundWrites(transport, limits.StallTimeout)}
 	ctx, cancel := context.WithCancel(c.Context())
 	var group errgroup.Group
@@ -120,7 +120,7 @@
 
 // open sends a request and returns the connection, of which nothing has been read.
 func (w *slowWorld) open(path string, body []byte) net.Conn {
-	conn, err := dialSmall(w.c, w.c.Context(), w.address.String())
+	conn, err := dialSmall(w.c.Context(), w.c, w.address.String())
 	w.c.Assert(err, qt.IsNil)
 	w.c.Cleanup(func() { _ = conn.Close() })
 	_, err = conn.Write(fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: h\r\nId: id\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body))
--- a/internal/share/fleet_test.go
+++ b/internal/share/fleet_test.go
@@ -102,7 +102,7 @@
 	return f
 }
 
-func (f *fleet) addBox() *box {
+func (f *fleet) addBox() {
 	newDivider := func() demand.Divider {
 		return share.NewDivider(share.DividerConfig{Weight: func(c string) (float64, bool) { return 1, len(c) > 1 && c[0] == 'c' }})
 	}
@@ -114,7 +114,6 @@
 	b.gate = share.NewGate(share.GateConfig{View: b.demand.View, ByUrgency: true, ByCustomer: true, Random: f.rnd.Float64, Scope: tally.NoopScope})
 	f.boxes = append(f.boxes, b)
 	f.after(time.Duration(f.rnd.Float64()*float64(beat)), func() { f.heartbeat(b) })
-	return b
 }
 
 // after calls a function at the first tick that is at least a time away, but not in the current one.
--- a/internal/share/level_test.go
+++ b/internal/share/level_test.go
@@ -69,7 +69,8 @@
 func TestGate(t *testing.T) {
 	now := time.Unix(1000, 0)
 	shares := []demand.Share{
-		{Service: service, Urgency: 10, Asked: 50, Served: 0.5, Admit: 1}, {Service: service, Urgency: 8, Asked: 50, Served: 0.5, Admit: 0.5},
+		{Service: service, Urgency: 10, Asked: 50, Served: 0.5, Admit: 1},
+		{Service: service, Urgency: 8, Asked: 50, Served: 0.5, Admit: 0.5},
 		{Service: service, Customer: "greedy", Asked: 50, Served: 0.2, Admit: 0.2},
 	}
 	for _, test := range []struct {
--- a/internal/slowpeer/dial.go
+++ b/internal/slowpeer/dial.go
@@ -47,7 +47,7 @@
 	n, looks := 0, 0
 	for {
 		// If this fails, the connection is closed, and so the write fails.
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(c.stallTimeout / looksPerStall))
+		_ = c.SetWriteDeadline(time.Now().Add(c.stallTimeout / looksPerStall))
 		k, err := c.Conn.Write(p[n:])
 		n += k
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
