Box: outcomes of unanswered loads pass through the quarantine's wrapper

The owner asks its client for such outcomes through an optional interface, which the wrapper that the quarantine puts around the client did not have. So the slot was freed after 15 s although the engine held the adapter, and the next load exceeded its slots. Change: the wrapper passes the interface on; a test guards it.

--- a/internal/box/orders.go
+++ b/internal/box/orders.go
@@ -16,7 +16,18 @@
 	quarantine *quarantine.Client
 }
 
-var _ owner.Engines = quarantiningEngines{}
+var (
+	_ owner.Engines      = quarantiningEngines{}
+	_ owner.LoadOutcomes = quarantiningEngines{}
+)
+
+// LoadOutcome implements owner.LoadOutcomes. An outcome is open if the wrapped client cannot tell it.
+func (q quarantiningEngines) LoadOutcome(name, model string) engine.LoadOutcome {
+	if client, ok := q.Engines.(owner.LoadOutcomes); ok {
+		return client.LoadOutcome(name, model)
+	}
+	return engine.OutcomeOpen
+}
 
 // SendOrder implements owner.Engines.
 func (q quarantiningEngines) SendOrder(ctx context.Context, target engine.Target, order engine.Order) error {
