Owner: tickets that take only spare room

Cause: a box that refuses requests over their share at arrival cannot know whether an engine has room at that moment, so it refuses requests that could have been served.

Change: a grant request may carry `spare`. A spare ticket whose load has not started yields to a ticket that arrives later. The state machine test submits spare tickets too; its checks are unchanged.

--- a/internal/grant/message.go
+++ b/internal/grant/message.go
@@ -39,6 +39,8 @@
 	Output int  `json:"output,omitempty"`
 	// Parts are the parts of the prompt that other requests may share, in order.
 	Parts []owner.PromptPart `json:"parts,omitempty"`
+	// Spare is true if the owner may grant the request only with room that no other request needs now. Owners of earlier builds ignore it.
+	Spare bool `json:"spare,omitempty"`
 	// GapObjective is the longest pause between two events that keeps the stream in time, zero if there is no objective.
 	GapObjective time.Duration `json:"gap_objective,omitempty"`
 	// Customer sent the request.
@@ -52,7 +54,7 @@
 	q := owner.Request{
 		Weights: r.Weights, Urgency: r.Urgency, StartBy: now.Add(r.StartIn), Last: r.Last,
 		Prompt: r.Prompt, Output: r.Output, Parts: r.Parts, MaxWait: r.MaxWait, LocalOnly: r.LocalOnly, OthersTooSlow: r.OthersTooSlow,
-		Customer: r.Customer, Rate: r.Rate, GapObjective: r.GapObjective,
+		Customer: r.Customer, Rate: r.Rate, GapObjective: r.GapObjective, Spare: r.Spare,
 	}
 	if r.Ref == "" {
 		return q, nil
--- a/internal/owner/action.go
+++ b/internal/owner/action.go
@@ -32,6 +32,9 @@
 	LocalOnly bool
 	// OthersTooSlow is true if none of the engines tried before can start the request in time.
 	OthersTooSlow bool
+	// Spare is true if the ticket may only take room that no other ticket needs now. It is refused if it cannot start at once, or after the load
+	// of its adapter.
+	Spare bool
 	// GapObjective is the longest pause between two events that keeps the stream in time, zero if there is no objective.
 	GapObjective time.Duration
 	// Customer sent the request.
--- a/internal/owner/machine_test.go
+++ b/internal/owner/machine_test.go
@@ -106,7 +106,7 @@
 			m.apply(t, m.state.Submit(m.now, owner.Ticket{
 				ID: m.nextID, Ref: r, Urgency: rapid.SampledFrom([]int{0, 50}).Draw(t, "urgency"), Arrived: m.now,
 				StartBy: m.now.Add(time.Duration(rapid.SampledFrom([]int{5, 60, 600}).Draw(t, "wait")) * time.Second),
-				Last:    rapid.Bool().Draw(t, "last"),
+				Last:    rapid.Bool().Draw(t, "last"), Spare: rapid.Bool().Draw(t, "spare"),
 			}))
 		},
 		"end": func(t *rapid.T) {
--- a/internal/owner/queue.go
+++ b/internal/owner/queue.go
@@ -22,6 +22,8 @@
 	}
 	s.recordUse(now, t.Ref)
 	switch {
+	case t.Spare && !s.hasSpareRoom(now, t):
+		s.refuseSpare(t)
 	case !t.Last && (s.isTooSlow(now, t) || s.isCrowded(now, t)):
 		s.redirect(now, t)
 	case len(s.waiting) >= s.cfg.MaxQueue:
@@ -54,7 +56,7 @@
 	}
 	ahead := 0
 	for _, w := range s.waiting {
-		if w.Urgency < t.Urgency {
+		if !isAhead(w, t) {
 			break
 		}
 		ahead++
@@ -70,7 +72,7 @@
 // refuseLeastUrgent handles a full queue. It refuses the last waiting ticket if t is more urgent, or else t.
 func (s *State) refuseLeastUrgent(now time.Time, t Ticket) {
 	last := len(s.waiting) - 1
-	if last >= 0 && s.waiting[last].Urgency < t.Urgency {
+	if last >= 0 && !isAhead(s.waiting[last], t) {
 		displaced := s.waiting[last]
 		s.retainWaiting(func(w Ticket) bool { return w.ID != displaced.ID })
 		s.refuse(displaced, result.New(result.QueueFull, "displaced by a more urgent request"))
@@ -93,7 +95,7 @@
 	})
 }
 
-// enqueue adds t to the waiting tickets, which are ordered by urgency, then by latest useful start, then by arrival.
+// enqueue adds t to the waiting tickets, which are ordered by urgency with spare tickets last, then by latest useful start, then by arrival.
 func (s *State) enqueue(now time.Time, t Ticket) {
 	t.countedInRate = s.rateLimiter.IsLimited()
 	s.rateLimiter.Use(now, t.Customer)
@@ -103,6 +105,12 @@
 }
 
 func compareTickets(a, b Ticket) int {
+	if a.Spare != b.Spare {
+		if b.Spare {
+			return -1
+		}
+		return 1
+	}
 	return cmp.Or(
 		cmp.Compare(b.Urgency, a.Urgency), a.StartBy.Compare(b.StartBy), a.Arrived.Compare(b.Arrived), cmp.Compare(a.ID, b.ID),
 	)
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -243,6 +243,8 @@
 	// OthersTooSlow is true if none of the engines tried before can start the request in time. It only affects engines that have a
 	// rate limit or lack their base model.
 	OthersTooSlow bool
+	// Spare requests a refusal unless the engine has room now that no other request needs.
+	Spare bool
 	// GapObjective is the longest pause between two events that keeps the stream in time, zero if there is no objective.
 	GapObjective time.Duration
 	// Customer sent the request.
@@ -291,7 +293,7 @@
 	t := Ticket{
 		ID: id, Ref: req.Ref, Weights: req.Weights, Urgency: req.Urgency, Arrived: clock.Now(), StartBy: req.StartBy, Last: req.Last,
 		Prompt: req.Prompt, Output: req.Output, Parts: req.Parts, MaxWait: req.MaxWait, LocalOnly: req.LocalOnly, OthersTooSlow: req.OthersTooSlow,
-		Customer: req.Customer, Rate: req.Rate, GapObjective: req.GapObjective,
+		Customer: req.Customer, Rate: req.Rate, GapObjective: req.GapObjective, Spare: req.Spare,
 	}
 	select {
 	case r.events <- ticketSubmitted{t, reply}:
--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -14,6 +14,9 @@
 	// without end.
 	held := false
 	s.retainWaiting(func(t Ticket) bool {
+		if t.Spare {
+			return true
+		}
 		ready := s.hasRoom(t) && s.IsLoaded(t.Ref) && !s.isDelayedForPacking(now, t)
 		held = held || (ready && !s.hasGapRoom(now, t))
 		switch {
@@ -26,6 +29,7 @@
 		}
 		return false
 	})
+	s.scheduleSpare(now)
 	s.requestPermits(now)
 	actions := s.actions
 	s.actions = nil
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -45,7 +45,7 @@
 func (s *State) expectedWait(now time.Time, t Ticket) time.Duration {
 	ahead, prompts, tokens := 0, 0, 0
 	for _, w := range s.waiting {
-		if w.Urgency < t.Urgency {
+		if !isAhead(w, t) {
 			break
 		}
 		ahead++
@@ -90,7 +90,7 @@
 	needed := 1
 	seen := map[resource.Ref]bool{t.Ref: true}
 	for _, w := range s.waiting {
-		if w.Urgency < t.Urgency {
+		if !isAhead(w, t) {
 			break
 		}
 		if !seen[w.Ref] && s.isMissing(now, w.Ref) {
