Owner: loads for spare tickets come last at the weight store

Cause: the permit for the load of a spare ticket had the urgency of its request, so it could go before loads of unrestricted tickets at other engines. Change: its permit has urgency 0, below that of all requests of routes. Result: go test -race ./internal/owner passes.

--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -68,14 +68,14 @@
 	}
 	for _, t := range s.waiting {
 		requested, ok := s.permitRequests[t.Ref]
-		if (ok && requested >= t.Urgency) || !s.isMissing(now, t.Ref) {
+		if (ok && requested >= permitUrgency(t)) || !s.isMissing(now, t.Ref) {
 			continue
 		}
 		if len(s.permitRequests) >= maxPermitRequests && !ok {
 			return
 		}
-		s.permitRequests[t.Ref] = t.Urgency
-		s.emit(RequestPermit{Ref: t.Ref, Urgency: t.Urgency, StartBy: t.StartBy, Waiters: s.waiters[t.Ref]})
+		s.permitRequests[t.Ref] = permitUrgency(t)
+		s.emit(RequestPermit{Ref: t.Ref, Urgency: permitUrgency(t), StartBy: t.StartBy, Waiters: s.waiters[t.Ref]})
 	}
 }
 
--- a/internal/owner/spare.go
+++ b/internal/owner/spare.go
@@ -85,3 +85,11 @@
 func (s *State) refuseSpare(t Ticket) {
 	s.refuse(t, result.New(result.TryNext, "the engine has no room that no other request needs"))
 }
+
+// permitUrgency returns the urgency of the load for a ticket. Loads for spare tickets come after those of other engines, as all share the weight store.
+func permitUrgency(t Ticket) int {
+	if t.Spare {
+		return 0
+	}
+	return t.Urgency
+}
--- a/internal/owner/spare_test.go
+++ b/internal/owner/spare_test.go
@@ -45,6 +45,9 @@
 			actions := s.Submit(now, spare)
 			c.Check(actionsOf[owner.Start](actions), qt.HasLen, lengthIf(test.started))
 			c.Check(actionsOf[owner.RequestPermit](actions), qt.HasLen, lengthIf(test.loading))
+			for _, p := range actionsOf[owner.RequestPermit](actions) {
+				c.Check(p.Urgency, qt.Equals, 0)
+			}
 			refused := actionsOf[owner.Refuse](actions)
 			c.Assert(refused, qt.HasLen, lengthIf(!test.started && !test.loading))
 			for _, r := range refused {
