--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -14,6 +14,9 @@
 	// without end.
 	held := false
 	s.retainWaiting(func(t Ticket) bool {
+		if t.Spare {
+			return true
+		}
 		ready := s.hasRoom(t) && s.IsLoaded(t.Ref) && !s.isDelayedForPacking(now, t)
 		held = held || (ready && !s.hasGapRoom(now, t))
 		switch {
@@ -26,6 +29,7 @@
 		}
 		return false
 	})
+	s.scheduleSpare(now)
 	s.requestPermits(now)
 	actions := s.actions
 	s.actions = nil
@@ -65,14 +69,14 @@
 	limit := s.permitLimit()
 	for _, t := range s.waiting {
 		requested, ok := s.permitRequests[t.Ref]
-		if (ok && requested >= t.Urgency) || !s.isMissing(now, t.Ref) {
+		if (ok && requested >= permitUrgency(t)) || !s.isMissing(now, t.Ref) {
 			continue
 		}
 		if len(s.permitRequests) >= limit && !ok {
 			return
 		}
-		s.permitRequests[t.Ref] = t.Urgency
-		s.emit(RequestPermit{Ref: t.Ref, Urgency: t.Urgency, StartBy: t.StartBy, Waiters: s.waiters[t.Ref]})
+		s.permitRequests[t.Ref] = permitUrgency(t)
+		s.emit(RequestPermit{Ref: t.Ref, Urgency: permitUrgency(t), StartBy: t.StartBy, Waiters: s.waiters[t.Ref]})
 	}
 }
 
