Relay: scarce engines are asked in the order of their expected starts

Cause: the hash order asks the same six engines for an adapter, however busy they are.

Requests that the box has sent since a report count. The owner's answer decides as before. The tries in the log line tell the expected start; engine_choices counts both ways.

Result: go test ./internal/relay passes, without changes to existing tests. Nothing sets Config.Loads yet.

--- a/internal/choice/figures.go
+++ b/internal/choice/figures.go
@@ -3,12 +3,11 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/bellgap/bellgap/internal/engineload"
 )
 
 const (
-	// fullWeightAge is the age up to which a report has its full weight. From maxAge on it is not used.
-	fullWeightAge = time.Second
-	maxAge        = 3 * time.Second
 	// maxMedianSample bounds the engines whose figures are sorted for a median. It bounds the cost of a choice in a large service.
 	maxMedianSample = 63
 	// maxRateFactor bounds the rate of an engine to this multiple of the median, and to this fraction of it. Engine speeds differ by a
@@ -21,14 +20,8 @@
 )
 
 // isFresh reports whether the engine has a report that is used.
-func (e *Engine) isFresh() bool { return e.Report != nil && e.Age >= 0 && e.Age < maxAge }
-
-// reportWeight returns the weight of the engine's report: 1 up to fullWeightAge, then falling to 0 at maxAge.
-func (e *Engine) reportWeight() float64 {
-	if !e.isFresh() {
-		return 0
-	}
-	return min(1, float64(maxAge-e.Age)/float64(maxAge-fullWeightAge))
+func (e *Engine) isFresh() bool {
+	return e.Report != nil && e.Age >= 0 && e.Age < engineload.MaxAge
 }
 
 // figures are the figures of an engine that its expected start depends on.
@@ -95,11 +88,10 @@
 // blend returns the figures of an engine, blended with the median as its report ages. The rate does not age, because it is a property
 // of the engine.
 func (m *figures) blend(e *Engine) figures {
-	weight := e.reportWeight()
-	if weight == 0 {
+	if !e.isFresh() {
 		return *m
 	}
-	f := m.of(e)
+	f, weight := m.of(e), engineload.Weight(e.Age)
 	mix := func(own, usual time.Duration) time.Duration {
 		return time.Duration(weight*float64(own) + (1-weight)*float64(usual))
 	}
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -40,30 +40,21 @@
 	sameZone       bool
 	// rateExhausted is set if the engine's rate limit leaves nothing for the request.
 	rateExhausted bool
+	// byReports is set if the engine was chosen by reported loads. expectedStart is then the expected time until it has read the prompt.
+	byReports     bool
+	expectedStart time.Duration
 }
 
-// candidates returns the engines for an adapter version in the order in which they are asked. It omits the engines in
-// avoid, and those that are leaving, are paused or have exhausted their rate limit.
+// candidates returns the engines for an adapter version in the order in which they are asked.
 func (r *Relay) candidates(q *request, ref resource.Ref, avoid map[string]bool) []candidate {
-	t := r.cfg.Catalog.Topology()
 	now := clock.Now()
-	byName := map[string]candidate{}
-	var names []string
-	for _, e := range t.Endpoints[q.service] {
-		view, declared := t.Engines[e.Name]
-		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model || r.isPaused(e) {
-			continue
+	available := r.availableCandidates(q, ref, avoid, now)
+	if r.choosesByLoad(q, ref) {
+		ranked, ok := r.rankByLoad(q, ref, available, now)
+		r.countChoice(ok)
+		if ok {
+			return ranked
 		}
-		if r.isRateExhausted(q, e.Name) {
-			q.rateLimited.add(0)
-			continue
-		}
-		_, failures := r.health.load(e.Name, now)
-		byName[e.Name] = candidate{
-			name: e.Name, address: e.Spec.Address, started: e.Spec.Started, owner: view.Owner, failedRecently: failures >= avoidThreshold && r.cfg.Policy.IsEnabled(policy.FailureAvoidance),
-			holdsVersion: listsVersion(e, ref) || r.holdings.has(ref, e.Name, now), sameZone: e.Spec.Zone == r.cfg.Zone && r.cfg.Policy.IsEnabled(policy.OwnZoneFirst),
-		}
-		names = append(names, e.Name)
 	}
 	key := ref.String()
 	if ref.IsBase() {
@@ -71,6 +62,11 @@
 		// identical requests to the same engine.
 		key = q.suspect.Fingerprint.String()
 	}
+	byName, names := make(map[string]candidate, len(available)), make([]string, 0, len(available))
+	for _, c := range available {
+		byName[c.name] = c
+		names = append(names, c.name)
+	}
 	ranked := make([]candidate, 0, len(names))
 	for _, name := range placement.Rank(key, names) {
 		ranked = append(ranked, byName[name])
@@ -78,6 +74,29 @@
 	return orderCandidates(ranked, r.crowdedRefs.Has(ref, now) && r.cfg.Policy.IsEnabled(policy.CrowdDetection))
 }
 
+// availableCandidates returns the engines for an adapter version. It omits the engines in avoid, and those that are
+// leaving, are paused or have exhausted their rate limit.
+func (r *Relay) availableCandidates(q *request, ref resource.Ref, avoid map[string]bool, now time.Time) []candidate {
+	t := r.cfg.Catalog.Topology()
+	available := make([]candidate, 0, len(t.Endpoints[q.service]))
+	for _, e := range t.Endpoints[q.service] {
+		view, declared := t.Engines[e.Name]
+		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model || r.isPaused(e) {
+			continue
+		}
+		if r.isRateExhausted(q, e.Name) {
+			q.rateLimited.add(0)
+			continue
+		}
+		_, failures := r.health.load(e.Name, now)
+		available = append(available, candidate{
+			name: e.Name, address: e.Spec.Address, started: e.Spec.Started, owner: view.Owner, failedRecently: failures >= avoidThreshold && r.cfg.Policy.IsEnabled(policy.FailureAvoidance),
+			holdsVersion: listsVersion(e, ref) || r.holdings.has(ref, e.Name, now), sameZone: e.Spec.Zone == r.cfg.Zone && r.cfg.Policy.IsEnabled(policy.OwnZoneFirst),
+		})
+	}
+	return available
+}
+
 // orderCandidates returns ranked candidates in the order in which they are asked. The first maxCandidates come first,
 // then other candidates that hold the version, then the remaining ones, and last those that failed recently. At most
 // maxCandidatesCrowded are returned.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/choice"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -19,7 +20,7 @@
 	acceptWaitShare = 0.5
 	// inTimeShare is the part of the objective up to which an expected first token counts as in time. The rest is a
 	// margin for wrong estimates.
-	inTimeShare = 0.85
+	inTimeShare = choice.InTimeShare
 	// copyGainShare is the part of the objective that loading another copy of an adapter must save if an engine that has
 	// the adapter locally can also start the request in time.
 	copyGainShare = 0.5
@@ -122,6 +123,7 @@
 		req.OthersTooSlow = offers.noneInTime() && i >= min(othersTooSlowAfter, len(candidates)-1)
 		engine, rerr := r.acquireGrant(ctx, q, c, req)
 		if rerr == nil {
+			r.recordSend(q, ref, c)
 			return engine, nil
 		}
 		if rerr.Code == result.CallerGone || rerr.Code == result.TimedOut {
@@ -149,6 +151,9 @@
 	}
 	if best := offers.best(); best != nil {
 		engine, rerr := r.acceptOffer(ctx, q, best, req)
+		if rerr == nil {
+			r.recordSend(q, ref, best.candidate)
+		}
 		if rerr != nil && isOfferWithdrawn(rerr) {
 			avoid[best.candidate.name] = true
 		}
@@ -159,6 +164,7 @@
 	}
 	if engine := r.chooseWithoutOwner(candidates, ref); engine != nil {
 		q.recordTry(engine.name, "without owner")
+		r.recordSend(q, ref, &candidate{name: engine.name, started: engine.started, holdsVersion: true})
 		return engine, nil
 	}
 	if q.rateLimited.count > 0 && (asked == 0 || (lastErr.RetryDelay() == 0 && !isOwnerUnavailable(lastErr))) {
@@ -221,14 +227,17 @@
 // acquireGrant asks the owner of a candidate for a grant and records the outcome.
 func (r *Relay) acquireGrant(ctx context.Context, q *request, c *candidate, req grant.Request) (*chosenEngine, *result.Error) {
 	engine, rerr := r.askOwner(ctx, c, req)
-	switch {
-	case rerr == nil:
-		q.recordTry(c.owner.Box+"/"+c.name, "granted")
-	case rerr.RetryAfter > 0:
-		q.recordTry(c.owner.Box+"/"+c.name, rerr.Code.String()+":"+rerr.RetryAfter.Round(time.Millisecond).String())
-	default:
-		q.recordTry(c.owner.Box+"/"+c.name, rerr.Code.String())
+	outcome := "granted"
+	if rerr != nil {
+		outcome = rerr.Code.String()
+		if rerr.RetryAfter > 0 {
+			outcome += ":" + rerr.RetryAfter.Round(time.Millisecond).String()
+		}
+	}
+	if c.byReports {
+		outcome += ",expected:" + c.expectedStart.Round(time.Millisecond).String()
 	}
+	q.recordTry(c.owner.Box+"/"+c.name, outcome)
 	return engine, rerr
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -75,6 +75,8 @@
 	Rates *ratelimit.Registry
 	// Notices holds the other notices of endpoints: that they are leaving, or that they request a pause.
 	Notices *notice.Board
+	// Loads holds the load that the owners of engines report, nil if none is known. It is used for scarce engines.
+	Loads EngineLoads
 }
 
 // Relay is the HTTP handler that forwards requests.
@@ -92,12 +94,15 @@
 	sampler        *logSampler
 	holdings       *holdings
 	firstRequests  *firstRequests
+	sends          *sends
+	speeds         *speeds
 }
 
 // New returns a Relay that uses the given configuration.
 func New(cfg Config) *Relay {
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
+		sends: newSends(), speeds: newSpeeds(),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
 	}
 }
