--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -266,7 +266,7 @@
 
 func (b *Routed) buildRelay(grants *grant.Client) {
 	s := b.cfg.Settings
-	b.relay = relay.New(relay.Config{
+	cfg := relay.Config{
 		Box: s.Box.Name, Zone: s.Box.Zone, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
 		Endpoints: &http.Client{Transport: httpx.NewTransport(connsPerEngine), CheckRedirect: noRedirect},
 		Budget:    relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
@@ -278,7 +278,11 @@
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
 		},
 		StoreAge: b.follower.StoreAge, Leaving: b.leavingDuration, Closing: b.closed.Load, LastStream: s.Timing.LastStream, LastRequest: max(0, s.Timing.Leave-refusalPeriod),
-	})
+	}
+	if b.engineLoads != nil {
+		cfg.Loads = b.engineLoads
+	}
+	b.relay = relay.New(cfg)
 }
 
 func (b *Routed) addParts(grants *grant.Client, scheduler *loads.Local) {
