--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -121,9 +121,10 @@
 		}
 		c := &candidates[i]
 		req.OthersTooSlow = offers.noneInTime() && i >= min(othersTooSlowAfter, len(candidates)-1)
+		askedAt := clock.Now()
 		engine, rerr := r.acquireGrant(ctx, q, c, req)
 		if rerr == nil {
-			r.recordSend(q, ref, c)
+			r.recordSend(q, ref, c, askedAt)
 			return engine, nil
 		}
 		if rerr.Code == result.CallerGone || rerr.Code == result.TimedOut {
@@ -150,9 +151,10 @@
 		r.crowdedRefs.Add(ref, clock.Now())
 	}
 	if best := offers.best(); best != nil {
+		askedAt := clock.Now()
 		engine, rerr := r.acceptOffer(ctx, q, best, req)
 		if rerr == nil {
-			r.recordSend(q, ref, best.candidate)
+			r.recordSend(q, ref, best.candidate, askedAt)
 		}
 		if rerr != nil && isOfferWithdrawn(rerr) {
 			avoid[best.candidate.name] = true
@@ -164,7 +166,7 @@
 	}
 	if engine := r.chooseWithoutOwner(candidates, ref); engine != nil {
 		q.recordTry(engine.name, "without owner")
-		r.recordSend(q, ref, &candidate{name: engine.name, started: engine.started, holdsVersion: true})
+		r.recordSend(q, ref, &candidate{name: engine.name, started: engine.started, holdsVersion: true}, clock.Now())
 		return engine, nil
 	}
 	if q.rateLimited.count > 0 && (asked == 0 || (lastErr.RetryDelay() == 0 && !isOwnerUnavailable(lastErr))) {
--- a/internal/relay/engineloads.go
+++ b/internal/relay/engineloads.go
@@ -79,15 +79,15 @@
 	r.cfg.Scope.Tagged(map[string]string{"by": basis}).Counter("engine_choices").Inc(1)
 }
 
-// recordSend records that a request is sent to an engine.
-func (r *Relay) recordSend(q *request, ref resource.Ref, c *candidate) {
+// recordSend records that a request is sent to an engine whose owner was asked at askedAt. The report in the owner's answer includes the
+// request already, and is newer.
+func (r *Relay) recordSend(q *request, ref resource.Ref, c *candidate, askedAt time.Time) {
 	if !r.choosesByLoad(q, ref) {
 		return
 	}
-	now := clock.Now()
-	r.sends.add(now, c.name, c.started, send{tokens: q.head.Prompt, load: !c.holdsVersion})
+	r.sends.add(c.name, c.started, send{at: askedAt, tokens: q.head.Prompt, load: !c.holdsVersion})
 	// Other requests for the version must find the engine before this one has been answered.
-	r.holdings.add(ref, c.name, now)
+	r.holdings.add(ref, c.name, clock.Now())
 }
 
 const (
@@ -105,13 +105,14 @@
 	byEngine map[string]*engineSends
 }
 
-// engineSends holds the requests that were sent to one incarnation of an engine, the latest last.
+// engineSends holds the requests that were sent to one incarnation of an engine.
 type engineSends struct {
 	started int64
 	all     []send
 }
 
 type send struct {
+	// at is when the owner was asked for the request.
 	at     time.Time
 	tokens int
 	// load is set if the engine has to load an adapter for the request.
@@ -121,7 +122,7 @@
 func newSends() *sends { return &sends{byEngine: map[string]*engineSends{}} }
 
 // add records a request. Requests to an earlier incarnation of the engine and expired ones are dropped.
-func (s *sends) add(now time.Time, engine string, started int64, sent send) {
+func (s *sends) add(engine string, started int64, sent send) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.byEngine[engine]
@@ -134,14 +135,13 @@
 	}
 	kept := e.all[:0]
 	for _, old := range e.all {
-		if now.Sub(old.at) < sendTTL {
+		if sent.at.Sub(old.at) < sendTTL {
 			kept = append(kept, old)
 		}
 	}
 	if len(kept) >= maxSends {
 		kept = append(kept[:0], kept[1:]...)
 	}
-	sent.at = now
 	e.all = append(kept, sent)
 }
 
