--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -80,6 +80,8 @@
 	// Gate admits the requests for scarce services, and Demand counts them. If Gate is nil, all are admitted and none is counted.
 	Gate   *share.Gate
 	Demand *demand.Exchange
+	// Loads holds the load that the owners of engines report, nil if none is known. It is used for scarce engines.
+	Loads EngineLoads
 }
 
 // Relay is the HTTP handler that forwards requests.
@@ -97,12 +99,15 @@
 	sampler        *logSampler
 	holdings       *holdings
 	firstRequests  *firstRequests
+	sends          *sends
+	speeds         *speeds
 }
 
 // New returns a Relay that uses the given configuration.
 func New(cfg Config) *Relay {
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
+		sends: newSends(), speeds: newSpeeds(),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
 	}
 }
