Engine loads: undisturbed prefill rate, used by the weights of the order

Cause: the weights of the rendezvous order came from the mean prefill rate. It falls while an engine is busy, because generating tokens shares its time, so a busy engine lost its adapters to others, which loaded them again.

Table.PrefillRate became LastRates.

Result: unit tests of the owner, encoding and table pass. Its effect on loads is not measured yet.

--- a/internal/engineload/encode.go
+++ b/internal/engineload/encode.go
@@ -20,7 +20,9 @@
 	// digits reach 2e8.
 	quantityStep   = 1.015
 	quantityDigits = 2
-	quantities     = 9
+	quantities     = 10
+	// minQuantities is the number of quantities that every build sends. The later ones are zero if they are missing.
+	minQuantities = 9
 	// impossible is the encoded form of a quantity that cannot be encoded, such as a negative one.
 	impossible = "--"
 )
@@ -35,7 +37,7 @@
 	}
 	for _, q := range [quantities]float64{
 		s.PrefillRate, float64(s.Backlog), float64(s.Running), float64(s.Waiting), float64(s.FreeSlots),
-		toMilliseconds(s.SlotWait), toMilliseconds(s.LoadTime), toMilliseconds(s.EventGap), toMilliseconds(s.Age),
+		toMilliseconds(s.SlotWait), toMilliseconds(s.LoadTime), toMilliseconds(s.EventGap), toMilliseconds(s.Age), s.UndisturbedRate,
 	} {
 		b.WriteString(encodeQuantity(q))
 	}
@@ -51,7 +53,7 @@
 		return nil
 	}
 	fields := strings.Split(encoded, separator)
-	if len(fields) < fieldCount || len(fields[fieldCount-1]) < quantities*quantityDigits {
+	if len(fields) < fieldCount || len(fields[fieldCount-1]) < minQuantities*quantityDigits {
 		return nil
 	}
 	var numbers [fieldCount - 2]uint64
@@ -63,7 +65,7 @@
 		numbers[i] = n
 	}
 	var q [quantities]float64
-	for i := range q {
+	for i := range min(quantities, len(fields[fieldCount-1])/quantityDigits) {
 		var ok bool
 		if q[i], ok = decodeQuantity(fields[fieldCount-1][i*quantityDigits:][:quantityDigits]); !ok {
 			return nil
@@ -72,7 +74,7 @@
 	*s = Sent{Report: Report{
 		Engine: fields[0], Started: int64(numbers[0]), Epoch: numbers[1]<<halfBits | numbers[2]&math.MaxUint32, Sequence: numbers[3],
 		PrefillRate: q[0], Backlog: int(q[1]), Running: int(q[2]), Waiting: int(q[3]), FreeSlots: int(q[4]),
-		SlotWait: fromMilliseconds(q[5]), LoadTime: fromMilliseconds(q[6]), EventGap: fromMilliseconds(q[7]),
+		SlotWait: fromMilliseconds(q[5]), LoadTime: fromMilliseconds(q[6]), EventGap: fromMilliseconds(q[7]), UndisturbedRate: q[9],
 	}, Age: fromMilliseconds(q[8])}
 	return nil
 }
--- a/internal/engineload/report.go
+++ b/internal/engineload/report.go
@@ -13,6 +13,9 @@
 	Sequence uint64 `json:"seq"`
 	// PrefillRate is the observed number of prompt tokens that the engine processes per second, zero if nothing has been observed.
 	PrefillRate float64 `json:"rate,omitempty"`
+	// UndisturbedRate is the prefill rate of the engine while it generates no tokens of other requests, zero if unknown. It is a property
+	// of the engine, whereas PrefillRate falls with its load.
+	UndisturbedRate float64 `json:"full_rate,omitempty"`
 	// Backlog is the number of prompt tokens that were sent to the engine and are not processed yet.
 	Backlog int `json:"backlog,omitempty"`
 	Running int `json:"running,omitempty"`
--- a/internal/engineload/table.go
+++ b/internal/engineload/table.go
@@ -39,11 +39,13 @@
 func (r *Report) isValid() bool {
 	counts := r.Started >= 0 && r.Backlog >= 0 && r.Backlog <= maxBacklog && r.Running >= 0 && r.Running <= maxRequests && r.Waiting >= 0 &&
 		r.Waiting <= maxRequests && r.FreeSlots >= 0 && r.FreeSlots <= maxSlots
-	// The comparisons are false for a rate that is not a number.
-	return counts && r.PrefillRate >= 0 && r.PrefillRate <= maxRate && r.Engine != "" && len(r.Engine) <= maxName && !strings.Contains(r.Engine, separator) &&
+	return counts && isPossibleRate(r.PrefillRate) && isPossibleRate(r.UndisturbedRate) && r.Engine != "" && len(r.Engine) <= maxName && !strings.Contains(r.Engine, separator) &&
 		isPossible(r.SlotWait) && isPossible(r.LoadTime) && isPossible(r.EventGap)
 }
 
+// isPossibleRate reports whether a rate is possible. The comparisons are false for a rate that is not a number.
+func isPossibleRate(rate float64) bool { return rate >= 0 && rate <= maxRate }
+
 func isPossible(d time.Duration) bool { return d >= 0 && d <= maxDuration }
 
 // compare orders reports of one engine by epoch and sequence.
@@ -156,16 +158,17 @@
 	return e.report, age, true
 }
 
-// PrefillRate returns the last known prefill rate of the incarnation of an engine that began at started, whatever its age. It returns
-// zero if the rate or the start is unknown.
-func (t *Table) PrefillRate(engine string, started int64) float64 {
+// LastRates returns the last known prefill rates of the incarnation of an engine that began at started, whatever the age of its report.
+// They are zero if they or the start are unknown.
+func (t *Table) LastRates(engine string, started int64) (prefill, undisturbed float64) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	position, ok := t.index[engine]
 	if !ok || started == 0 || t.entries[position].report.Started != started {
-		return 0
+		return 0, 0
 	}
-	return t.entries[position].report.PrefillRate
+	r := &t.entries[position].report
+	return r.PrefillRate, r.UndisturbedRate
 }
 
 // Known returns the reports of the last minute with their ages, those with the highest prefill rates first.
@@ -206,7 +209,7 @@
 	// Smaller differences than these do not change a choice among engines.
 	const minTokens, minRequests, minTime = 1000, 4, float64(50 * time.Millisecond)
 	return last.FreeSlots != r.FreeSlots || last.Epoch != r.Epoch || last.Started != r.Started ||
-		differ(last.PrefillRate, r.PrefillRate, 1) ||
+		differ(last.PrefillRate, r.PrefillRate, 1) || differ(last.UndisturbedRate, r.UndisturbedRate, 1) ||
 		differ(float64(last.Backlog), float64(r.Backlog), minTokens) ||
 		differ(float64(last.Running), float64(r.Running), minRequests) || differ(float64(last.Waiting), float64(r.Waiting), minRequests) ||
 		differ(float64(last.SlotWait), float64(r.SlotWait), minTime) || differ(float64(last.LoadTime), float64(r.LoadTime), minTime) ||
--- a/internal/engineload/table_test.go
+++ b/internal/engineload/table_test.go
@@ -21,7 +21,7 @@
 }
 
 func report(epoch, sequence uint64) engineload.Report {
-	return engineload.Report{Engine: "e", Started: 5, Epoch: epoch, Sequence: sequence, PrefillRate: 12000}
+	return engineload.Report{Engine: "e", Started: 5, Epoch: epoch, Sequence: sequence, PrefillRate: 12000, UndisturbedRate: 15000}
 }
 
 // TestTableKeepsTheNewestReport guards against the use of reports that are void: older ones, those of an earlier start, and old ones.
@@ -58,8 +58,10 @@
 			c.Check(ok, qt.IsFalse, qt.Commentf("the engine has restarted"))
 			_, _, ok = table.Get(at.Add(3*second), "e", 5)
 			c.Check(ok, qt.IsFalse, qt.Commentf("the report has expired"))
-			c.Check(table.PrefillRate("e", 5), qt.Equals, 12000.0, qt.Commentf("the rate is known for longer"))
-			c.Check(table.PrefillRate("e", 6), qt.Equals, 0.0)
+			prefill, undisturbed := table.LastRates("e", 5)
+			c.Check([]float64{prefill, undisturbed}, qt.DeepEquals, []float64{12000, 15000}, qt.Commentf("the rates are known for longer"))
+			prefill, undisturbed = table.LastRates("e", 6)
+			c.Check([]float64{prefill, undisturbed}, qt.DeepEquals, []float64{0, 0})
 		})
 	}
 }
@@ -72,6 +74,7 @@
 		func(r *engineload.Report) { r.PrefillRate = math.NaN() },
 		func(r *engineload.Report) { r.PrefillRate = math.Inf(1) },
 		func(r *engineload.Report) { r.PrefillRate = 1e8 },
+		func(r *engineload.Report) { r.UndisturbedRate = 1e8 },
 		func(r *engineload.Report) { r.Backlog = -1 },
 		func(r *engineload.Report) { r.Backlog = math.MaxInt },
 		func(r *engineload.Report) { r.Running = 1e6 },
@@ -101,7 +104,7 @@
 	c := qt.New(t)
 	sent := engineload.Sent{Report: engineload.Report{
 		Engine: "engine-001", Started: 1765000000000, Epoch: math.MaxUint64, Sequence: 70000, PrefillRate: 20000, Backlog: 31000, Running: 60, Waiting: 17, FreeSlots: 2,
-		LoadTime: 288 * time.Millisecond, EventGap: 41 * time.Millisecond,
+		LoadTime: 288 * time.Millisecond, EventGap: 41 * time.Millisecond, UndisturbedRate: 24000,
 	}, Age: 700 * time.Millisecond}
 	b, err := json.Marshal(sent)
 	c.Assert(err, qt.IsNil)
@@ -109,12 +112,16 @@
 	var got engineload.Sent
 	c.Assert(json.Unmarshal(append(b[:len(b)-1], ` more"`...), &got), qt.IsNil)
 	for _, pair := range [][2]float64{
-		{got.PrefillRate, 20000}, {float64(got.Backlog), 31000}, {float64(got.LoadTime), 288e6}, {float64(got.EventGap), 41e6}, {float64(got.Age), 700e6},
+		{got.PrefillRate, 20000}, {float64(got.Backlog), 31000}, {float64(got.LoadTime), 288e6}, {float64(got.EventGap), 41e6}, {float64(got.Age), 700e6}, {got.UndisturbedRate, 24000},
 	} {
 		c.Check(math.Abs(pair[0]/pair[1]-1) < 0.01, qt.IsTrue, qt.Commentf("%v", pair))
 	}
 	got.PrefillRate, got.Backlog, got.LoadTime, got.EventGap, got.Age = sent.PrefillRate, sent.Backlog, sent.LoadTime, sent.EventGap, sent.Age
+	got.UndisturbedRate = sent.UndisturbedRate
 	c.Check(got, qt.Equals, sent)
+	// A box of an earlier build sends no undisturbed rate.
+	c.Assert(json.Unmarshal([]byte(`"e 1 1 1 1 000000000000000001"`), &got), qt.IsNil)
+	c.Check(got, qt.Equals, engineload.Sent{Report: engineload.Report{Engine: "e", Started: 1, Epoch: 1<<32 | 1, Sequence: 1}, Age: time.Millisecond})
 	for _, malformed := range []string{`"e"`, `7`, `{"engine":"e"}`, `"e 1 1 1 ! 000000000000000000"`, `"e 1 1 1 1 ******************"`, `null`} {
 		c.Check(json.Unmarshal([]byte(malformed), &got), qt.IsNil)
 		c.Check(got.Engine, qt.Equals, "")
--- a/internal/owner/load.go
+++ b/internal/owner/load.go
@@ -30,7 +30,7 @@
 	}
 	r := engineload.Report{
 		PrefillRate: s.prefill.observedRate(), Backlog: max(0, s.prefill.backlog(now, math.MinInt)), Running: len(s.running), Waiting: len(s.waiting),
-		FreeSlots: max(0, free), LoadTime: s.expectedLoadTime(now), EventGap: s.EventGap(now),
+		FreeSlots: max(0, free), LoadTime: s.expectedLoadTime(now), EventGap: s.EventGap(now), UndisturbedRate: s.prefill.speed.undisturbed,
 	}
 	if r.FreeSlots == 0 {
 		// A ticket of the lowest urgency waits until all waiting tickets have slots.
--- a/internal/owner/load_test.go
+++ b/internal/owner/load_test.go
@@ -52,7 +52,7 @@
 			r := owner.NewRunner(owner.RunnerConfig{
 				Name: "e", Engine: resource.Engine{BaseModel: "base", Slots: 4, Batch: 8, Scarce: scarce, Started: 7}, MaxQueue: 10, Client: &replacedEngine{},
 				Loads: loads.Unlimited{}, BaseLoads: loads.Unlimited{}, Scope: tally.NoopScope, Authority: func(time.Time) (uint64, bool) { return 1, true },
-				Epoch: 3, EngineLoads: table, CarriedRate: 8000, NextLoadSequence: func() uint64 { sequence++; return sequence },
+				Epoch: 3, EngineLoads: table, CarriedRate: 8000, CarriedUndisturbedRate: 9000, NextLoadSequence: func() uint64 { sequence++; return sequence },
 			})
 			ctx, cancel := context.WithCancel(t.Context())
 			var group errgroup.Group
@@ -67,6 +67,7 @@
 				c.Check(sent.Epoch, qt.Equals, uint64(3))
 				c.Check(sent.Sequence > 10, qt.IsTrue)
 				c.Check(sent.PrefillRate, qt.Equals, 8000.0)
+				c.Check(sent.UndisturbedRate, qt.Equals, 9000.0)
 				c.Check(sent.Age <= 50*time.Millisecond, qt.IsTrue)
 			}
 			cancel()
--- a/internal/owner/prefill.go
+++ b/internal/owner/prefill.go
@@ -25,7 +25,9 @@
 	// timePerToken is the mean prefill time per token, observed over samples prompts.
 	timePerToken time.Duration
 	samples      int
-	pending      []pendingPrompt
+	// speed tracks the rate without the influence of other work.
+	speed   speedTracker
+	pending []pendingPrompt
 	// headStarted is the time when the engine started to process the first pending prompt.
 	headStarted time.Time
 	// cache holds the prompt parts that the engine has processed.
@@ -82,7 +84,9 @@
 	}
 	r.headStarted = now
 	if total := u.tokensAhead + u.tokens; total >= minSampleTokens && r.policy.IsEnabled(policy.ReadRate) {
-		r.observe(now.Sub(u.sentAt) / time.Duration(total))
+		perToken := now.Sub(u.sentAt) / time.Duration(total)
+		r.observe(perToken)
+		r.speed.observe(perToken)
 	}
 }
 
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -65,6 +65,8 @@
 	PrefillRate float64
 	// CarriedRate is the prefill rate that a previous owner has observed, or zero if none is known.
 	CarriedRate float64
+	// CarriedUndisturbedRate is the undisturbed rate that a previous owner has observed, or zero if none is known.
+	CarriedUndisturbedRate float64
 	// Epoch is the epoch of the ownership grant. NextLoadSequence numbers the reports of the engine's load, and EngineLoads records them.
 	// If EngineLoads is nil, there are no reports.
 	Epoch            uint64
@@ -167,6 +169,7 @@
 		_ = r.updateClosed(clock.Now())
 	}
 	r.state.prefill.carryRate(cfg.CarriedRate)
+	r.state.prefill.speed.carry(cfg.CarriedUndisturbedRate)
 	r.state.rateLimiter.SetStart(cfg.Engine.Started)
 	r.state.UpdateRate(clock.Now(), cfg.Rate)
 	return r
--- a/internal/owner/set.go
+++ b/internal/owner/set.go
@@ -203,7 +203,7 @@
 	}
 	if s.cfg.EngineLoads != nil && settings.engine.Scarce {
 		cfg.EngineLoads, cfg.NextLoadSequence = s.cfg.EngineLoads, func() uint64 { return s.loadSequence.Add(1) }
-		cfg.CarriedRate = s.cfg.EngineLoads.PrefillRate(name, settings.engine.Started)
+		cfg.CarriedRate, cfg.CarriedUndisturbedRate = s.cfg.EngineLoads.LastRates(name, settings.engine.Started)
 	}
 	r := NewRunner(cfg)
 	o := &ownedEngine{runner: r, epoch: g.Epoch, settings: settings}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -209,6 +209,7 @@
 		}
 	}
 	s.prefill.clearCache()
+	s.prefill.speed.reset()
 	s.gaps.limiter = continuity.GapLimiter{}
 	s.rateLimiter.Reset()
 	return s.schedule(now)
--- a/internal/relay/engineloads.go
+++ b/internal/relay/engineloads.go
@@ -218,7 +218,7 @@
 	for _, e := range endpoints {
 		rates[e.Name] = 0
 		if report, _, ok := loads.Get(now, e.Name, e.Spec.Started); ok {
-			rates[e.Name] = report.PrefillRate
+			rates[e.Name] = report.UndisturbedRate
 		}
 	}
 	v.rounded.Update(rates)
