Engine choice: ask the first engines in rendezvous order, then further ones with free slots

Cause: without a known holder, the first six engines and two random ones were asked by expected start. A box knows only the copies that it has used itself, so copies of other boxes were not found and second ones were loaded.

Change: the first six engines are asked in their order. If none is in time, up to three engines with free slots are asked, those with the earliest start; position does not count against them.

--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -43,6 +43,8 @@
 	// byReports is set if the engine was chosen by reported loads. expectedStart is then the expected time until it has read the prompt.
 	byReports     bool
 	expectedStart time.Duration
+	// further is set if the engine is asked only if none of those before it can start the request in time.
+	further bool
 }
 
 // candidates returns the engines for an adapter version in the order in which they are asked.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -103,7 +103,7 @@
 // because no owner answers, it takes an engine that is listed as holding the version.
 //
 // More than maxCandidates engines are asked only while all engines that have the version locally are too busy to
-// start the request in time.
+// start the request in time, or if no engine asked so far can start it in time and further ones have free slots by report.
 func (r *Relay) chooseEngineOnce(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosenEngine, *result.Error) {
 	candidates := r.candidates(q, ref, avoid)
 	if len(candidates) == 0 {
@@ -117,11 +117,10 @@
 	lastErr := result.New(result.NoEngine, "%s of %s", q.head.Model, q.service)
 	asked := 0
 	for i := range candidates {
-		askMore := offers.isCrowded() && r.cfg.Policy.IsEnabled(policy.CrowdDetection)
-		if asked >= maxCandidates && !askMore {
-			break
-		}
 		c := &candidates[i]
+		if !r.shouldAsk(c, &offers, asked) {
+			continue
+		}
 		req.OthersTooSlow = offers.noneInTime() && i >= min(othersTooSlowAfter, len(candidates)-1)
 		askedAt := clock.Now()
 		engine, rerr := r.acquireGrant(ctx, q, c, req)
@@ -146,7 +145,12 @@
 		asked++
 		lastErr = rerr
 		if isReferral(rerr) && rerr.RetryAfter > 0 {
-			offers.add(c, rerr, r.positionWeight(q)*time.Duration(min(i, maxCandidates)))
+			position := min(i, maxCandidates)
+			if c.further {
+				// No engine before it can start the request in time.
+				position = 0
+			}
+			offers.add(c, rerr, r.positionWeight(q)*time.Duration(position))
 		}
 	}
 	if offers.isCrowded() {
@@ -181,6 +185,18 @@
 	return nil, lastErr
 }
 
+// shouldAsk reports whether the owner of a candidate is asked, after asked others.
+func (r *Relay) shouldAsk(c *candidate, offers *offers, asked int) bool {
+	switch {
+	case offers.isCrowded() && r.cfg.Policy.IsEnabled(policy.CrowdDetection):
+		return true
+	case c.further:
+		return offers.noneInTime()
+	default:
+		return asked < maxCandidates
+	}
+}
+
 // acceptOffer waits for the grant of the engine with the best offer. It refuses the request at once if the engine is
 // not expected to start the request in its time.
 func (r *Relay) acceptOffer(ctx context.Context, q *request, best *offer, req grant.Request) (*chosenEngine, *result.Error) {
--- a/internal/relay/engineloads.go
+++ b/internal/relay/engineloads.go
@@ -51,7 +51,7 @@
 	ranked := make([]candidate, 0, len(choices))
 	for _, x := range choices {
 		c := available[x.Index]
-		c.byReports, c.expectedStart = true, x.Start
+		c.byReports, c.expectedStart, c.further = true, x.Start, x.Further
 		ranked = append(ranked, c)
 	}
 	return ranked, ok
