Relay: tests of further engines and of weights by the undisturbed rate

They guard against asking further engines while one before them can start the request in time, against not asking them when none can, and against a lower weight of a busy engine. Tests of the package pass.

--- a/internal/relay/engineloads_test.go
+++ b/internal/relay/engineloads_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/choice"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/engineload"
@@ -126,3 +127,43 @@
 	c.Check(w.relay.sends.since("e1", 9, loads.trueAt), qt.Equals, choice.Sent{}, qt.Commentf("the engine has restarted since"))
 	c.Check(w.relay.holdings.has(ref, "e1", clock.Now()), qt.IsTrue)
 }
+
+// TestFurtherEnginesAreAskedLast guards against loading another copy on a further engine while an engine before it can start the request
+// in time, and against refusing a request while a further engine has room.
+func TestFurtherEnginesAreAskedLast(t *testing.T) {
+	far := candidate{further: true}
+	near := candidate{}
+	late, inTime := offer{wait: time.Second}, offer{wait: 100 * time.Millisecond}
+	for _, tt := range []struct {
+		name      string
+		candidate *candidate
+		offers    offers
+		asked     int
+		want      bool
+	}{
+		{"first engines are late", &far, offers{download: &late}, maxCandidates, true},
+		{"a first engine is in time", &far, offers{download: &inTime}, maxCandidates, false},
+		{"first engines skipped, one is in time", &far, offers{download: &inTime}, 1, false},
+		{"another one after the first engines", &near, offers{download: &late}, maxCandidates, false},
+		{"one of the first engines", &near, offers{download: &inTime}, maxCandidates - 1, true},
+		{"all copies are late", &near, offers{local: &late}, maxCandidates, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			tt.offers.inTime = 500 * time.Millisecond
+			c.Check((&Relay{}).shouldAsk(tt.candidate, &tt.offers, tt.asked), qt.Equals, tt.want)
+		})
+	}
+}
+
+// TestWeightsUseUndisturbedRate guards against moving the adapters of a busy engine to others: its mean prefill rate falls.
+func TestWeightsUseUndisturbedRate(t *testing.T) {
+	c := qt.New(t)
+	loads := &fakeLoads{trueAt: clock.Now(), reports: map[string]engineload.Report{
+		"busy": {PrefillRate: 5000, UndisturbedRate: 20000}, "idle": {PrefillRate: 20000, UndisturbedRate: 20000}, "slow": {PrefillRate: 10000, UndisturbedRate: 10000},
+	}}
+	endpoints := []catalog.EndpointView{{Name: "busy", Spec: &resource.Endpoint{}}, {Name: "idle", Spec: &resource.Endpoint{}}, {Name: "slow", Spec: &resource.Endpoint{}}}
+	weights := newSpeeds().weights(clock.Now(), "s", endpoints, loads)
+	c.Check(weights.of("busy"), qt.Equals, weights.of("idle"))
+	c.Check(weights.of("slow") < weights.of("idle"), qt.IsTrue)
+}
