--- a/internal/choice/choice_test.go
+++ b/internal/choice/choice_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,7 +138,7 @@
 			}
 			engines[17].Report = &engineload.Report{PrefillRate: 10000, FreeSlots: 2, LoadTime: loadTime}
 			var sent [boxCount][engineCount]choice.Sent
-			chosen := 0
+			chosen, askedLater := 0, 0
 			for request := range tt.requests {
 				box := request % boxCount
 				for position, i := range placement.TopWeighted(fmt.Sprint("adapter-", random.IntN(10000)), names, engineCount) {
@@ -150,9 +151,11 @@
 				sent[box][best].Loads++
 				if best == 17 {
 					chosen++
+				} else if slices.ContainsFunc(ranked, func(x choice.Choice) bool { return x.Index == 17 && x.Further }) {
+					askedLater++
 				}
 			}
-			c.Logf("chosen for %d requests, %.1f times its room", chosen, float64(chosen)/tt.room)
+			c.Logf("chosen for %d requests, %.1f times its room, further engine of %d", chosen, float64(chosen)/tt.room, askedLater)
 			c.Check(float64(chosen) <= tt.maxMultiple*tt.room, qt.IsTrue)
 		})
 	}
