Relay: positions count against further engines while another engine is in time

Cause: a crowded version asks further engines also if a first engine can load a copy in time. With position zero they would win, and copies would scatter over all engines.

Change: the position is left out only while no engine asked so far is in time. The model of TestLoad does the same.

--- a/internal/choice/load_test.go
+++ b/internal/choice/load_test.go
@@ -230,10 +230,9 @@
 		e, position := c.engine, min(i, choice.FirstEngines)
 		isCrowded, noneInTime := local != nil && localStart > inTime, (local == nil || localStart > inTime) && (download == nil || downloadStart > inTime)
 		switch {
-		case isCrowded:
 		case c.further && noneInTime:
 			position = 0
-		case c.further || asked >= choice.FirstEngines:
+		case !isCrowded && (c.further || asked >= choice.FirstEngines):
 			continue
 		}
 		asked++
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -146,8 +146,8 @@
 		lastErr = rerr
 		if isReferral(rerr) && rerr.RetryAfter > 0 {
 			position := min(i, maxCandidates)
-			if c.further {
-				// No engine before it can start the request in time.
+			if c.further && offers.noneInTime() {
+				// The position counts only between engines that can start the request in time.
 				position = 0
 			}
 			offers.add(c, rerr, r.positionWeight(q)*time.Duration(position))
