--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/bellgap/bellgap/internal/choice"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -19,7 +20,7 @@
 	acceptWaitShare = 0.5
 	// inTimeShare is the part of the objective up to which an expected first token counts as in time. The rest is a
 	// margin for wrong estimates.
-	inTimeShare = 0.85
+	inTimeShare = choice.InTimeShare
 	// copyGainShare is the part of the objective that loading another copy of an adapter must save if an engine that has
 	// the adapter locally can also start the request in time.
 	copyGainShare = 0.5
@@ -102,7 +103,7 @@
 // because no owner answers, it takes an engine that is listed as holding the version.
 //
 // More than maxCandidates engines are asked only while all engines that have the version locally are too busy to
-// start the request in time.
+// start the request in time, or if no engine asked so far can start it in time and further ones have free slots by report.
 func (r *Relay) chooseEngineOnce(ctx context.Context, q *request, ref resource.Ref, avoid map[string]bool) (*chosenEngine, *result.Error) {
 	candidates := r.candidates(q, ref, avoid)
 	if len(candidates) == 0 {
@@ -116,14 +117,15 @@
 	lastErr := result.New(result.NoEngine, "%s of %s", q.head.Model, q.service)
 	asked := 0
 	for i := range candidates {
-		askMore := offers.isCrowded() && r.cfg.Policy.IsEnabled(policy.CrowdDetection)
-		if asked >= maxCandidates && !askMore {
-			break
-		}
 		c := &candidates[i]
+		if !r.shouldAsk(c, &offers, asked) {
+			continue
+		}
 		req.OthersTooSlow = offers.noneInTime() && i >= min(othersTooSlowAfter, len(candidates)-1)
+		askedAt := clock.Now()
 		engine, rerr := r.acquireGrant(ctx, q, c, req)
 		if rerr == nil {
+			r.recordSend(q, ref, c, askedAt)
 			return engine, nil
 		}
 		if rerr.Code == result.CallerGone || rerr.Code == result.TimedOut {
@@ -143,14 +145,23 @@
 		asked++
 		lastErr = rerr
 		if isReferral(rerr) && rerr.RetryAfter > 0 {
-			offers.add(c, rerr, r.positionWeight(q)*time.Duration(min(i, maxCandidates)))
+			position := min(i, maxCandidates)
+			if c.further && offers.noneInTime() {
+				// The position counts only between engines that can start the request in time.
+				position = 0
+			}
+			offers.add(c, rerr, r.positionWeight(q)*time.Duration(position))
 		}
 	}
 	if offers.isCrowded() {
 		r.crowdedRefs.Add(ref, clock.Now())
 	}
 	if best := offers.best(); best != nil {
+		askedAt := clock.Now()
 		engine, rerr := r.acceptOffer(ctx, q, best, req)
+		if rerr == nil {
+			r.recordSend(q, ref, best.candidate, askedAt)
+		}
 		if rerr != nil && isOfferWithdrawn(rerr) {
 			avoid[best.candidate.name] = true
 		}
@@ -164,6 +175,7 @@
 	}
 	if engine := r.chooseWithoutOwner(candidates, ref); engine != nil {
 		q.recordTry(engine.name, "without owner")
+		r.recordSend(q, ref, &candidate{name: engine.name, started: engine.started, holdsVersion: true}, clock.Now())
 		return engine, nil
 	}
 	if q.rateLimited.count > 0 && (asked == 0 || (lastErr.RetryDelay() == 0 && !isOwnerUnavailable(lastErr))) {
@@ -173,6 +185,18 @@
 	return nil, lastErr
 }
 
+// shouldAsk reports whether the owner of a candidate is asked, after asked others.
+func (r *Relay) shouldAsk(c *candidate, offers *offers, asked int) bool {
+	switch {
+	case offers.isCrowded() && r.cfg.Policy.IsEnabled(policy.CrowdDetection):
+		return true
+	case c.further:
+		return offers.noneInTime()
+	default:
+		return asked < maxCandidates
+	}
+}
+
 // acceptOffer waits for the grant of the engine with the best offer. It refuses the request at once if the engine is
 // not expected to start the request in its time.
 func (r *Relay) acceptOffer(ctx context.Context, q *request, best *offer, req grant.Request) (*chosenEngine, *result.Error) {
@@ -226,14 +250,17 @@
 // acquireGrant asks the owner of a candidate for a grant and records the outcome.
 func (r *Relay) acquireGrant(ctx context.Context, q *request, c *candidate, req grant.Request) (*chosenEngine, *result.Error) {
 	engine, rerr := r.askOwner(ctx, c, req)
-	switch {
-	case rerr == nil:
-		q.recordTry(c.owner.Box+"/"+c.name, "granted")
-	case rerr.RetryAfter > 0:
-		q.recordTry(c.owner.Box+"/"+c.name, rerr.Code.String()+":"+rerr.RetryAfter.Round(time.Millisecond).String())
-	default:
-		q.recordTry(c.owner.Box+"/"+c.name, rerr.Code.String())
+	outcome := "granted"
+	if rerr != nil {
+		outcome = rerr.Code.String()
+		if rerr.RetryAfter > 0 {
+			outcome += ":" + rerr.RetryAfter.Round(time.Millisecond).String()
+		}
+	}
+	if c.byReports {
+		outcome += ",expected:" + c.expectedStart.Round(time.Millisecond).String()
 	}
+	q.recordTry(c.owner.Box+"/"+c.name, outcome)
 	return engine, rerr
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,8 @@
 	Demand *demand.Exchange
 	// Callers bounds what is held for callers and endpoints that do not read. New sets one with default limits if it is nil.
 	Callers *slowpeer.Tracker
+	// Loads holds the load that the owners of engines report, nil if none is known. It is used for scarce engines.
+	Loads EngineLoads
 }
 
 // Relay is the HTTP handler that forwards requests.
@@ -100,6 +102,8 @@
 	sampler        *logSampler
 	holdings       *holdings
 	firstRequests  *firstRequests
+	sends          *sends
+	speeds         *speeds
 }
 
 // New returns a Relay that uses the given configuration.
@@ -109,6 +113,7 @@
 	}
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
+		sends: newSends(), speeds: newSpeeds(),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
 	}
 }
