Owner: keep the slot of an uncertain load whose second order fails

Cause: a second load of an uncertain adapter replaced its slot. If that order was refused, not sent or had no authority, the slot was freed although the engine may have executed the first order, and the next load could exceed the slots. Change: a slot remembers that its load repeats an uncertain one, and its failure leaves the slot uncertain. On engines of which all slots are used, the backoff of an adapter holds for its uncertain slot too, so that the order is not repeated in a tight loop. Result: TestRepeatedUncertainLoadKeepsSlot fails in all five cases without the change and passes with it; Load, Slot, Uncertain and Scarce tests of owner and box, and TestScarce, TestAdapters and TestDelayed of platform pass.

--- a/internal/owner/failing.go
+++ b/internal/owner/failing.go
@@ -14,9 +14,10 @@
 	s.refuse(t, err)
 }
 
-// isBackedOff reports whether ref is in backoff after a failed load.
+// isBackedOff reports whether ref is in backoff after a failed load. If all slots are used, an uncertain load is not repeated during the
+// backoff either.
 func (s *State) isBackedOff(now time.Time, ref resource.Ref) bool {
-	return now.Before(s.failures[ref].until) && s.slots[ref] == nil
+	return now.Before(s.failures[ref].until) && (s.slots[ref] == nil || s.hasUncertainSlot(ref))
 }
 
 // backOff starts or extends the backoff of ref and refuses the tickets that wait for it.
--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -66,7 +66,9 @@
 }
 
 func (s *State) startLoad(now time.Time, l Load) {
-	s.slots[l.Ref] = &slot{ref: l.Ref, phase: loading, loadStarted: now}
+	former := s.slots[l.Ref]
+	wasUncertain := s.usesAllSlots() && former != nil && (former.phase == uncertain || former.wasUncertain)
+	s.slots[l.Ref] = &slot{ref: l.Ref, phase: loading, loadStarted: now, wasUncertain: wasUncertain}
 	s.emit(l)
 }
 
@@ -120,7 +122,8 @@
 	}
 	if err != nil {
 		s.handleFailedLoad(now, sl, err)
-		if !s.isWithheld(err) {
+		// A withheld load that repeats an uncertain one needs a backoff, too: it would be repeated at once while its slot exists.
+		if sl.wasUncertain || !s.isWithheld(err) {
 			s.backOff(now, ref)
 		}
 		return s.schedule(now)
@@ -140,8 +143,12 @@
 }
 
 // handleFailedLoad handles the slot of a failed load. If neither the engine nor this box refused the order, the engine may still
-// carry it out, so the slot stays occupied for some time.
+// carry it out, so the slot stays occupied for some time. The failure of a repeated load says nothing about the earlier one.
 func (s *State) handleFailedLoad(now time.Time, sl *slot, err error) {
+	if sl.wasUncertain {
+		sl.phase, sl.uncertainUntil = uncertain, now.Add(uncertainLoadTime)
+		return
+	}
 	var refused *engine.OrderRefusedError
 	if s.cfg.FinishesFirst && !errors.As(err, &refused) && !errors.Is(err, errNoAuthority) && !isNotSent(err) {
 		sl.phase, sl.uncertainUntil = uncertain, now.Add(uncertainLoadTime)
--- a/internal/owner/scarce_test.go
+++ b/internal/owner/scarce_test.go
@@ -59,6 +59,38 @@
 	}
 }
 
+// TestRepeatedUncertainLoadKeepsSlot guards against a slot that is freed because the second order of an uncertain load failed, although
+// the engine may have executed the first, and against repeating that order in a tight loop.
+func TestRepeatedUncertainLoadKeepsSlot(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		err  error
+	}{
+		{"refused by the engine or by the quarantine", &engine.OrderRefusedError{Type: engine.RefusalLoadFailed}},
+		{"no slot", &engine.OrderRefusedError{Type: engine.RefusalNoSlot}},
+		{"not sent", &engine.UnknownAdaptersError{}},
+		{"stale epoch", &engine.OrderRefusedError{Type: engine.RefusalStaleEpoch}},
+		{"no authority", owner.ErrNoAuthority},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			now := time.Unix(1000, 0)
+			s := newScarceState(c, 2)
+			submit(s, now, 1, 0)
+			s.PermitGranted(now, ref(1))
+			s.FinishLoad(now, ref(1), errors.New("no answer"))
+			for range 2 {
+				now = now.Add(5 * time.Second)
+				submit(s, now, 1, 0)
+				c.Assert(actionsOf[owner.Load](s.PermitGranted(now, ref(1))), qt.HasLen, 1)
+				c.Check(actionsOf[owner.RequestPermit](s.FinishLoad(now, ref(1), tt.err)), qt.HasLen, 0)
+				c.Check(s.UncertainRefs(), qt.DeepEquals, []resource.Ref{ref(1)})
+				c.Check(actionsOf[owner.RequestPermit](submit(s, now, 1, 0)), qt.HasLen, 0)
+			}
+		})
+	}
+}
+
 // TestAdaptersFoundByConflictOccupySlots checks that adapters that a conflict has revealed occupy slots before the next load, and that
 // the load that met the conflict is requested again at once: its adapter did not fail.
 func TestAdaptersFoundByConflictOccupySlots(t *testing.T) {
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -96,6 +96,8 @@
 	phase phase
 	// uncertainUntil is the time until which the engine may still carry out an unanswered load.
 	uncertainUntil time.Time
+	// wasUncertain is true if the load repeats an uncertain load, which the engine may have carried out.
+	wasUncertain bool
 	// nextLoad is the load to start once this adapter is unloaded.
 	nextLoad *Load
 	// inherited is true if the previous owner may have requests in flight on the adapter.
