Owner: an order that was attempted does not fail for lack of authority

Cause: if the authority was lost before a retry, errNoAuthority hid an earlier attempt without an answer. The slot of the load was freed, although the engine may have executed that attempt. This concerns all engines that finish runs before they unload. Change: sendOrder returns errNoAuthority only if it made no attempt, otherwise the error of the last attempt. Result: TestLoadKeepsSlotAfterLostAuthority fails without the change and passes with it; Load, Slot, Uncertain and Scarce tests of owner pass.

--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -65,14 +65,18 @@
 var errNoAuthority = errors.New("owner: no authority to send orders")
 
 // sendOrder sends one order to the engine and retries it after a failure. Retrying an order is safe: engines report success for
-// a load of a loaded adapter and for an unload of an adapter that they do not have.
+// a load of a loaded adapter and for an unload of an adapter that they do not have. errNoAuthority means that no attempt was made.
 func (r *Runner) sendOrder(ctx context.Context, o engine.Order) error {
 	var err error
 	for range orderAttempts {
 		epoch, ok := r.cfg.Authority(clock.Now())
 		if !ok {
 			r.cfg.Scope.Counter("orders_withheld").Inc(1)
-			return errNoAuthority
+			if err == nil {
+				return errNoAuthority
+			}
+			// The engine may still execute the earlier attempt.
+			return err
 		}
 		o.Epoch = epoch
 		o.IsAllowed = func() bool {
