Owner: read a report before the order that follows an expired slot

Cause: the slot of a load without an answer is freed after 15 s without proof, and the next order was sent without a report, so a load that was executed after all was not noticed before the engine was overfilled. Change: on engines of which all slots are used, a Runner starts a new session when a slot expires. The client reads a report before the first order of a session.

--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -162,6 +162,7 @@
 	for ref, sl := range s.slots {
 		if sl.phase == uncertain && !now.Before(sl.uncertainUntil) {
 			delete(s.slots, ref)
+			s.uncertainExpired = true
 		}
 	}
 }
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -109,8 +108,8 @@
 	// tracked holds the names of the adapters that occupied slots after the last event, and uncertain how many of them are uncertain.
 	tracked   atomic.Pointer[map[string]bool]
 	uncertain atomic.Int64
-	// session identifies this Runner to the client.
-	session uint64
+	// session identifies this Runner to the client. It changes when the slot of an uncertain load expires.
+	session atomic.Uint64
 
 	// Only the loop may access the fields from state to engineGone.
 
@@ -180,8 +179,9 @@
 			Scarce:    cfg.Engine.Scarce,
 		}),
 		replies: map[uint64]chan decision{}, previousOwnerActive: true, reconciler: newReconciler(), orders: &errgroup.Group{},
-		status: Status{Engine: cfg.Name}, engineLeaving: cfg.EngineLeaving, session: max(1, rand.Uint64()),
+		status: Status{Engine: cfg.Name}, engineLeaving: cfg.EngineLeaving,
 	}
+	r.startSession()
 	if r.engineLeaving {
 		// No tickets wait yet, so there are no actions to carry out.
 		_ = r.updateClosed(clock.Now())
--- a/internal/owner/session_test.go
+++ b/internal/owner/session_test.go
@@ -86,3 +86,25 @@
 		c.Check(r.Status().SlotsUncertain, qt.Equals, 1)
 	})
 }
+
+// TestExpiredSlotStartsSession guards against a load into a slot that was freed by time alone, without a report that shows whether the
+// engine holds the adapter of the unanswered load.
+func TestExpiredSlotStartsSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		e := &silentEngine{}
+		r, stop := startScarceRunner(t.Context(), e, func(time.Time) (uint64, bool) { return 1, true })
+		defer stop()
+		c.Check(acquire(t.Context(), r, 1), qt.IsNotNil)
+		time.Sleep(10 * time.Second)
+		c.Check(acquire(t.Context(), r, 2), qt.IsNotNil)
+		sameSession := e.sentOrders()
+		c.Check(sameSession[len(sameSession)-1].Session, qt.Equals, sameSession[0].Session)
+		time.Sleep(6 * time.Second)
+		c.Check(acquire(t.Context(), r, 3), qt.IsNotNil)
+		orders := e.sentOrders()
+		c.Check(len(orders) > len(sameSession), qt.IsTrue)
+		c.Check(orders[len(orders)-1].Session, qt.Not(qt.Equals), orders[0].Session)
+		c.Check(orders[len(orders)-1].Tracked()[ref(1).String()], qt.IsFalse)
+	})
+}
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -159,6 +159,8 @@
 	pace *loadpace.Pace
 	// unloadFrom is the earliest time of the next unload after a failed unload.
 	unloadFrom time.Time
+	// uncertainExpired is true if the slot of an uncertain load has expired since the last call of TakeExpired.
+	uncertainExpired bool
 	// actions holds the actions to return to the caller.
 	actions []Action
 }
--- a/internal/owner/uncertain.go
+++ b/internal/owner/uncertain.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -53,6 +54,13 @@
 	return refs
 }
 
+// TakeExpired reports whether the slot of an uncertain load has expired since the last call.
+func (s *State) TakeExpired() bool {
+	expired := s.uncertainExpired
+	s.uncertainExpired = false
+	return expired
+}
+
 // SlotsInUse returns the number of slots that are not free.
 func (s *State) SlotsInUse() int { return len(s.slots) }
 
@@ -109,14 +117,22 @@
 	names := r.state.TrackedNames()
 	r.tracked.Store(&names)
 	r.uncertain.Store(int64(len(r.state.UncertainRefs())))
+	if r.state.TakeExpired() {
+		// An expired slot is free without proof, so the next order reads a report first. The tracked adapters were published before, since
+		// the check compares the report with them.
+		r.startSession()
+	}
 }
 
+// startSession starts a new session. The client reads a report before the first order of a session.
+func (r *Runner) startSession() { r.session.Store(max(1, rand.Uint64())) }
+
 // addTracked adds to an order what the client needs to keep the orders within the slots.
 func (r *Runner) addTracked(o *engine.Order) {
 	if !r.usesAllSlots() {
 		return
 	}
-	o.Session = r.session
+	o.Session = r.session.Load()
 	o.Tracked = func() map[string]bool {
 		if names := r.tracked.Load(); names != nil {
 			return *names
