Owner: no load of an adapter that reports have shown during the unload for it

Cause: FinishUnload started the planned load even if a report had shown its adapter in the meantime. The load replaced the slot, and its failure freed the slot although the engine holds the adapter. Change: the permit is returned if the adapter has a slot that is not uncertain. Result: TestNoLoadOfAdapterFoundDuringUnload fails without the change and passes with it; Load, Slot, Uncertain, Scarce and State tests of owner pass.

--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -97,8 +97,8 @@
 	if next == nil {
 		return s.schedule(now)
 	}
-	if len(s.slots) >= s.cfg.Slots {
-		// Reports have shown more loaded adapters in the meantime, so there is still no free slot.
+	if existing := s.slots[next.Ref]; len(s.slots) >= s.cfg.Slots || (existing != nil && existing.phase != uncertain) {
+		// Reports have shown more loaded adapters in the meantime, so there is still no free slot, or the adapter is already loaded.
 		s.emit(ReturnPermit{})
 		return s.schedule(now)
 	}
--- a/internal/owner/loading_test.go
+++ b/internal/owner/loading_test.go
@@ -76,6 +76,28 @@
 	c.Check(actionsOf[owner.ReturnPermit](actions), qt.HasLen, 1)
 }
 
+// TestNoLoadOfAdapterFoundDuringUnload guards against a load that replaces the slot of an adapter that a report has shown as loaded while
+// another adapter was unloaded for it. The failure of that load would free the slot although the engine holds the adapter.
+func TestNoLoadOfAdapterFoundDuringUnload(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := newDiscoveredState(3)
+	s.Adopt([]resource.Ref{ref(1), ref(2), ref(3)}, false)
+	s.Submit(now, owner.Ticket{ID: 1, Ref: ref(4), Arrived: now, StartBy: now.Add(time.Minute), Last: true})
+	unload := actionsOf[owner.Unload](s.PermitGranted(now, ref(4)))
+	c.Assert(unload, qt.HasLen, 1)
+	s.Adopt([]resource.Ref{ref(4)}, false)
+	for i := 1; i <= 3; i++ {
+		if ref(i) != unload[0].Ref {
+			s.RemoveLost(now, []resource.Ref{ref(i)})
+		}
+	}
+	actions := s.FinishUnload(now, unload[0].Ref, nil)
+	c.Check(actionsOf[owner.Load](actions), qt.HasLen, 0)
+	c.Check(actionsOf[owner.ReturnPermit](actions), qt.HasLen, 1)
+	c.Check(s.IsLoaded(ref(4)), qt.IsTrue)
+}
+
 // TestUnloadOfMissingAdapterFreesSlot checks that the slot is free if the engine refuses an unload because it does not have the
 // adapter.
 func TestUnloadOfMissingAdapterFreesSlot(t *testing.T) {
