Platform: an uncounted acceptance makes no unanswered load void

Cause: an engine accepts a load of an adapter that it is already loading without counting it. The client took the acceptance as counted, and declared another load without an answer at the same count void, although the engine could still execute it.

--- a/internal/engine/message.go
+++ b/internal/engine/message.go
@@ -46,6 +46,8 @@
 	// Session identifies the scheduler that sends the order. It is not zero if Tracked is set. A new owner has a new session, also
 	// on the same box.
 	Session uint64 `json:"-"`
+	// Repeated is true if the order repeats a load without an answer, so that the engine may already be loading the adapter.
+	Repeated bool `json:"-"`
 }
 
 // MaySend reports whether the order may be sent now.
--- a/internal/owner/action.go
+++ b/internal/owner/action.go
@@ -77,6 +77,8 @@
 type Load struct {
 	Ref     resource.Ref
 	Weights string
+	// Repeated is true if the load repeats one without an answer, on an engine of which all slots are used.
+	Repeated bool
 }
 
 // LoadBase orders the engine to load its base model.
--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -69,6 +69,7 @@
 	former := s.slots[l.Ref]
 	wasUncertain := s.usesAllSlots() && former != nil && (former.phase == uncertain || former.wasUncertain)
 	s.slots[l.Ref] = &slot{ref: l.Ref, phase: loading, loadStarted: now, wasUncertain: wasUncertain}
+	l.Repeated = wasUncertain
 	s.emit(l)
 }
 
--- a/internal/owner/order.go
+++ b/internal/owner/order.go
@@ -31,7 +31,7 @@
 }
 
 func (r *Runner) load(ctx context.Context, l Load, permit loads.Permit) {
-	err := r.sendOrder(ctx, engine.Order{Action: engine.ActionLoad, Model: l.Ref.String(), Weights: l.Weights, MaxAdapters: r.cfg.Engine.Slots})
+	err := r.sendOrder(ctx, engine.Order{Action: engine.ActionLoad, Model: l.Ref.String(), Weights: l.Weights, MaxAdapters: r.cfg.Engine.Slots, Repeated: l.Repeated})
 	permit(true)
 	r.recordOrder("loads", err)
 	r.post(loadEnded{l.Ref, err})
--- a/internal/owner/scarce_test.go
+++ b/internal/owner/scarce_test.go
@@ -82,7 +82,9 @@
 			for range 2 {
 				now = now.Add(5 * time.Second)
 				submit(s, now, 1, 0)
-				c.Assert(actionsOf[owner.Load](s.PermitGranted(now, ref(1))), qt.HasLen, 1)
+				loads := actionsOf[owner.Load](s.PermitGranted(now, ref(1)))
+				c.Assert(loads, qt.HasLen, 1)
+				c.Check(loads[0].Repeated, qt.IsTrue)
 				c.Check(actionsOf[owner.RequestPermit](s.FinishLoad(now, ref(1), tt.err)), qt.HasLen, 0)
 				c.Check(s.UncertainRefs(), qt.DeepEquals, []resource.Ref{ref(1)})
 				c.Check(actionsOf[owner.RequestPermit](submit(s, now, 1, 0)), qt.HasLen, 0)
