Owner: use all slots only of engines that finish runs first

Cause: an unanswered load occupies a slot only on engines that finish runs before they unload. Other scarce engines were treated as if all of their slots could be used safely. A client that does not remember unanswered loads went unnoticed. Change: usesAllSlots requires FinishesFirst; NewRunner logs an error once if all slots are used with a client without LoadOutcomes. Result: TestAllSlotsRequireFinishedRuns fails without the change and passes with it; Load, Slot, Uncertain and Scarce tests of owner pass. The log line is not tested.

--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -182,6 +182,7 @@
 		status: Status{Engine: cfg.Name}, engineLeaving: cfg.EngineLeaving,
 	}
 	r.startSession()
+	r.checkClient()
 	if r.engineLeaving {
 		// No tickets wait yet, so there are no actions to carry out.
 		_ = r.updateClosed(clock.Now())
--- a/internal/owner/scarce_test.go
+++ b/internal/owner/scarce_test.go
@@ -195,3 +195,14 @@
 	}
 	c.Check(s.LoadLimit() >= 2, qt.IsTrue, qt.Commentf("limit %d", s.LoadLimit()))
 }
+
+// TestAllSlotsRequireFinishedRuns guards against using all slots of an engine whose unanswered loads occupy no slot.
+func TestAllSlotsRequireFinishedRuns(t *testing.T) {
+	for _, finishesFirst := range []bool{true, false} {
+		c := qt.New(t)
+		now := time.Unix(1000, 0)
+		s := owner.New(owner.Config{Slots: 2, Batch: 64, MaxQueue: 100, FinishesFirst: finishesFirst, Scarce: true})
+		s.AdoptUncertain(now, []resource.Ref{ref(1)})
+		c.Check(s.IsTracked(ref(1)), qt.Equals, finishesFirst)
+	}
+}
--- a/internal/owner/uncertain.go
+++ b/internal/owner/uncertain.go
@@ -19,8 +19,11 @@
 	LoadOutcome(engine, model string) engine.LoadOutcome
 }
 
-// usesAllSlots reports whether no slot is kept free for a load without an answer.
-func (s *State) usesAllSlots() bool { return s.cfg.Scarce && s.cfg.Policy.IsEnabled(policy.AllSlots) }
+// usesAllSlots reports whether no slot is kept free for a load without an answer. Engines that do not finish runs first keep no uncertain
+// slots, so that their unanswered loads could exceed the slots.
+func (s *State) usesAllSlots() bool {
+	return s.cfg.Scarce && s.cfg.FinishesFirst && s.cfg.Policy.IsEnabled(policy.AllSlots)
+}
 
 // hasUncertainSlot reports whether ref may be loaded again in the slot that its unanswered load occupies.
 func (s *State) hasUncertainSlot(ref resource.Ref) bool {
@@ -109,6 +112,13 @@
 // usesAllSlots reports whether no slot of the engine is kept free for a load without an answer.
 func (r *Runner) usesAllSlots() bool { return r.state.usesAllSlots() }
 
+// checkClient logs an error if all slots are used although the client does not remember unanswered loads.
+func (r *Runner) checkClient() {
+	if _, ok := r.cfg.Client.(LoadOutcomes); !ok && r.usesAllSlots() {
+		klog.ErrorS(nil, "owner: the client cannot tell the outcome of unanswered loads, so they occupy slots until they expire", "engine", r.cfg.Name)
+	}
+}
+
 // publishTracked publishes the adapters that occupy slots, which the client compares with reports before it sends orders.
 func (r *Runner) publishTracked() {
 	if !r.usesAllSlots() {
