Owner: a pending permit request of low urgency does not block an urgent one

Cause: with load pacing, few permits are requested at once. A request of low urgency that the budget of the weight store did not grant blocked the request for a more urgent adapter. Change: beyond the limit a permit is still requested if its urgency exceeds that of all pending requests and the pace allows a load now. A permit granted while the pace allows no load is returned.

--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -13,7 +13,7 @@
 func (s *State) PermitGranted(now time.Time, ref resource.Ref) []Action {
 	delete(s.permitRequests, ref)
 	t, ok := s.mostUrgentMissing(now)
-	if !ok || s.stopped {
+	if !ok || s.stopped || s.isPaceReached() {
 		s.emit(ReturnPermit{})
 		return s.schedule(now)
 	}
--- a/internal/owner/pacing.go
+++ b/internal/owner/pacing.go
@@ -48,7 +48,8 @@
 	return n
 }
 
-// permitLimit returns the maximum number of pending permit requests. Each of them becomes a load, and the pace limits the loads.
+// permitLimit returns the maximum number of pending permit requests. Each of them becomes a load, and the pace limits the loads. Requests
+// beyond the limit are possible for urgent adapters; a permit that the pace does not allow to use is returned.
 func (s *State) permitLimit() int {
 	if s.pace == nil {
 		return maxPermitRequests
@@ -56,6 +57,9 @@
 	return s.pace.Limit() - s.loadsInFlight()
 }
 
+// isPaceReached reports whether the pace allows no further load now.
+func (s *State) isPaceReached() bool { return s.pace != nil && s.loadsInFlight() >= s.pace.Limit() }
+
 // paceWait returns the expected time until the pace allows the load of a ticket's adapter. The loads in flight and those of tickets ahead
 // come first, and as many of them as the pace allows run at once.
 func (s *State) paceWait(now time.Time, t Ticket) time.Duration {
--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -72,7 +72,7 @@
 		if (ok && requested >= permitUrgency(t)) || !s.isMissing(now, t.Ref) {
 			continue
 		}
-		if len(s.permitRequests) >= limit && !ok {
+		if len(s.permitRequests) >= limit && !ok && !s.exceedsPendingRequests(permitUrgency(t)) {
 			return
 		}
 		s.permitRequests[t.Ref] = permitUrgency(t)
@@ -80,6 +80,20 @@
 	}
 }
 
+// exceedsPendingRequests reports whether a permit may be requested beyond the limit, because all pending requests are less urgent and may be
+// granted late. The pace must allow a load now: otherwise the permit would be returned and requested again without end.
+func (s *State) exceedsPendingRequests(urgency int) bool {
+	if s.pace == nil || s.isPaceReached() || len(s.permitRequests) >= maxPermitRequests {
+		return false
+	}
+	for _, pending := range s.permitRequests {
+		if pending >= urgency {
+			return false
+		}
+	}
+	return true
+}
+
 // mostUrgentMissing returns the most urgent waiting ticket whose adapter is missing.
 func (s *State) mostUrgentMissing(now time.Time) (Ticket, bool) {
 	for _, t := range s.waiting {
