--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -13,7 +13,7 @@
 func (s *State) PermitGranted(now time.Time, ref resource.Ref) []Action {
 	delete(s.permitRequests, ref)
 	t, ok := s.mostUrgentMissing(now)
-	if !ok || s.stopped {
+	if !ok || s.stopped || s.isPaceReached() {
 		s.emit(ReturnPermit{})
 		return s.schedule(now)
 	}
@@ -66,7 +66,10 @@
 }
 
 func (s *State) startLoad(now time.Time, l Load) {
-	s.slots[l.Ref] = &slot{ref: l.Ref, phase: loading, loadStarted: now}
+	former := s.slots[l.Ref]
+	wasUncertain := s.usesAllSlots() && former != nil && (former.phase == uncertain || former.wasUncertain)
+	s.slots[l.Ref] = &slot{ref: l.Ref, phase: loading, loadStarted: now, wasUncertain: wasUncertain}
+	l.Repeated = wasUncertain
 	s.emit(l)
 }
 
@@ -95,8 +98,8 @@
 	if next == nil {
 		return s.schedule(now)
 	}
-	if len(s.slots) >= s.cfg.Slots {
-		// Reports have shown more loaded adapters in the meantime, so there is still no free slot.
+	if existing := s.slots[next.Ref]; len(s.slots) >= s.cfg.Slots || (existing != nil && existing.phase != uncertain) {
+		// Reports have shown more loaded adapters in the meantime, so there is still no free slot, or the adapter is already loaded.
 		s.emit(ReturnPermit{})
 		return s.schedule(now)
 	}
@@ -120,7 +123,8 @@
 	}
 	if err != nil {
 		s.handleFailedLoad(now, sl, err)
-		if !s.isWithheld(err) {
+		// A withheld load that repeats an uncertain one needs a backoff, too: it would be repeated at once while its slot exists.
+		if sl.wasUncertain || !s.isWithheld(err) {
 			s.backOff(now, ref)
 		}
 		return s.schedule(now)
@@ -140,8 +144,12 @@
 }
 
 // handleFailedLoad handles the slot of a failed load. If neither the engine nor this box refused the order, the engine may still
-// carry it out, so the slot stays occupied for some time.
+// carry it out, so the slot stays occupied for some time. The failure of a repeated load says nothing about the earlier one.
 func (s *State) handleFailedLoad(now time.Time, sl *slot, err error) {
+	if sl.wasUncertain {
+		sl.phase, sl.uncertainUntil = uncertain, now.Add(uncertainLoadTime)
+		return
+	}
 	var refused *engine.OrderRefusedError
 	if s.cfg.FinishesFirst && !errors.As(err, &refused) && !errors.Is(err, errNoAuthority) && !isNotSent(err) {
 		sl.phase, sl.uncertainUntil = uncertain, now.Add(uncertainLoadTime)
@@ -155,6 +163,7 @@
 	for ref, sl := range s.slots {
 		if sl.phase == uncertain && !now.Before(sl.uncertainUntil) {
 			delete(s.slots, ref)
+			s.uncertainExpired = true
 		}
 	}
 }
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -96,6 +96,8 @@
 	phase phase
 	// uncertainUntil is the time until which the engine may still carry out an unanswered load.
 	uncertainUntil time.Time
+	// wasUncertain is true if the load repeats an uncertain load, which the engine may have carried out.
+	wasUncertain bool
 	// nextLoad is the load to start once this adapter is unloaded.
 	nextLoad *Load
 	// inherited is true if the previous owner may have requests in flight on the adapter.
@@ -157,6 +159,8 @@
 	pace *loadpace.Pace
 	// unloadFrom is the earliest time of the next unload after a failed unload.
 	unloadFrom time.Time
+	// uncertainExpired is true if the slot of an uncertain load has expired since the last call of TakeExpired.
+	uncertainExpired bool
 	// actions holds the actions to return to the caller.
 	actions []Action
 }
--- a/internal/owner/uncertain.go
+++ b/internal/owner/uncertain.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -18,8 +19,11 @@
 	LoadOutcome(engine, model string) engine.LoadOutcome
 }
 
-// usesAllSlots reports whether no slot is kept free for a load without an answer.
-func (s *State) usesAllSlots() bool { return s.cfg.Scarce && s.cfg.Policy.IsEnabled(policy.AllSlots) }
+// usesAllSlots reports whether no slot is kept free for a load without an answer. Engines that do not finish runs first keep no uncertain
+// slots, so that their unanswered loads could exceed the slots.
+func (s *State) usesAllSlots() bool {
+	return s.cfg.Scarce && s.cfg.FinishesFirst && s.cfg.Policy.IsEnabled(policy.AllSlots)
+}
 
 // hasUncertainSlot reports whether ref may be loaded again in the slot that its unanswered load occupies.
 func (s *State) hasUncertainSlot(ref resource.Ref) bool {
@@ -53,6 +57,13 @@
 	return refs
 }
 
+// TakeExpired reports whether the slot of an uncertain load has expired since the last call.
+func (s *State) TakeExpired() bool {
+	expired := s.uncertainExpired
+	s.uncertainExpired = false
+	return expired
+}
+
 // SlotsInUse returns the number of slots that are not free.
 func (s *State) SlotsInUse() int { return len(s.slots) }
 
@@ -101,6 +112,13 @@
 // usesAllSlots reports whether no slot of the engine is kept free for a load without an answer.
 func (r *Runner) usesAllSlots() bool { return r.state.usesAllSlots() }
 
+// checkClient logs an error if all slots are used although the client does not remember unanswered loads.
+func (r *Runner) checkClient() {
+	if _, ok := r.cfg.Client.(LoadOutcomes); !ok && r.usesAllSlots() {
+		klog.ErrorS(nil, "owner: the client cannot tell the outcome of unanswered loads, so they occupy slots until they expire", "engine", r.cfg.Name)
+	}
+}
+
 // publishTracked publishes the adapters that occupy slots, which the client compares with reports before it sends orders.
 func (r *Runner) publishTracked() {
 	if !r.usesAllSlots() {
@@ -109,14 +127,22 @@
 	names := r.state.TrackedNames()
 	r.tracked.Store(&names)
 	r.uncertain.Store(int64(len(r.state.UncertainRefs())))
+	if r.state.TakeExpired() {
+		// An expired slot is free without proof, so the next order reads a report first. The tracked adapters were published before, since
+		// the check compares the report with them.
+		r.startSession()
+	}
 }
 
+// startSession starts a new session. The client reads a report before the first order of a session.
+func (r *Runner) startSession() { r.session.Store(max(1, rand.Uint64())) }
+
 // addTracked adds to an order what the client needs to keep the orders within the slots.
 func (r *Runner) addTracked(o *engine.Order) {
 	if !r.usesAllSlots() {
 		return
 	}
-	o.Session = r.session
+	o.Session = r.session.Load()
 	o.Tracked = func() map[string]bool {
 		if names := r.tracked.Load(); names != nil {
 			return *names
