slowpeer: Move the write deadline at the end of an answer

Cause: only Write and FlushError move the deadline. If an endpoint ended an answer more than the stall timeout after its last event, or answered late without a body, what the server writes after the handler failed, and the caller saw a broken answer. Change: Caller.Close extends the deadline unless a write has failed or the answer was ended. Result: TestAnswerThatEndsLate fails without the change (unexpected EOF, EOF) and passes with it.

--- a/internal/slowpeer/caller.go
+++ b/internal/slowpeer/caller.go
@@ -74,16 +74,22 @@
 	// ended is the step in which the tracker ended the transfer, stepNone if it did not.
 	ended  step
 	closed bool
+	// writeFailed is set once a write or flush has failed.
+	writeFailed bool
 	// cancelSend cancels the request to the endpoint.
 	cancelSend context.CancelCauseFunc
 	// unreadAt is the end of the last pause of at least unreadThreshold in the answer.
 	unreadAt time.Time
 }
 
-// Close ends the tracking. The deadline of the last write stays, so that it also bounds what the server writes after the handler.
+// Close ends the tracking. If no write has failed, it allows the caller another stall timeout for what the server writes after the
+// handler: the last write may be longer ago than that.
 func (c *Caller) Close() {
 	c.tracker.remove(c)
 	c.mu.Lock()
+	if !c.writeFailed && c.ended != stepAnswer {
+		c.extendDeadline()
+	}
 	held := c.heldLocked()
 	c.bodyHeld, c.answerHeld, c.writeHeld, c.closed = 0, 0, 0, true
 	c.mu.Unlock()
@@ -184,6 +190,7 @@
 	c.recordProgressLocked()
 	n := c.writeHeld
 	c.step, c.writeHeld = stepNone, 0
+	c.writeFailed = c.writeFailed || err != nil
 	customer, route := c.customer, c.route
 	ended := c.ended == stepAnswer
 	c.mu.Unlock()
