--- a/internal/slowpeer/caller.go
+++ b/internal/slowpeer/caller.go
@@ -323,7 +323,9 @@
 	if c.closed || (c.ended != stepNone && c.ended == c.step) {
 		return State{}, false
 	}
-	return State{Held: c.heldLocked(), Waiting: c.step != stepNone, ProgressAt: c.progressAt, HasOwnLimit: c.step == stepBody}, true
+	// The transport may read its next piece long after the endpoint took part of the last one; BoundWrites sees each byte.
+	hasOwnLimit := c.step == stepBody || c.step == stepSend
+	return State{Held: c.heldLocked(), Waiting: c.step != stepNone, ProgressAt: c.progressAt, HasOwnLimit: hasOwnLimit}, true
 }
 
 // stalled returns the description of the caller for the status. ok is false if the caller does not stall.
--- a/internal/slowpeer/caller_test.go
+++ b/internal/slowpeer/caller_test.go
@@ -1,13 +1,16 @@
 package slowpeer_test
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bellgap/bellgap/internal/slowpeer"
 )
@@ -48,3 +51,42 @@
 		})
 	}
 }
+
+// TestEndpointThatReadsSlowly guards against ending a request because the transport has not read its next piece for the stall
+// timeout, although the endpoint may take bytes of the last one, and against a limit on held bytes that no longer ends it.
+func TestEndpointThatReadsSlowly(t *testing.T) {
+	const stallTimeout, wait = 100 * time.Millisecond, time.Second
+	for _, tt := range []struct {
+		name      string
+		holdBytes int64
+		want      error
+	}{
+		{"below the limit on held bytes", 1 << 20, nil},
+		{"above the limit on held bytes", 1 << 10, slowpeer.ErrEndpointNotReading},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			tracker := slowpeer.New(slowpeer.Config{Limits: slowpeer.Limits{StallTimeout: stallTimeout, HoldBytes: tt.holdBytes}})
+			ctx, cancel := context.WithCancel(c.Context())
+			var group errgroup.Group
+			group.Go(func() error { return tracker.Serve(ctx) })
+			caller := tracker.NewCaller(httptest.NewRecorder())
+			body := strings.Repeat("x", 16<<10)
+			incoming := caller.WithBody(httptest.NewRequestWithContext(ctx, http.MethodPost, "/", strings.NewReader(body)))
+			_, err := io.Copy(io.Discard, incoming.Body)
+			c.Assert(err, qt.IsNil)
+			sendCtx, content, endSend := caller.Send(ctx, strings.NewReader(body))
+			_, err = content.Read(make([]byte, 1<<10))
+			c.Assert(err, qt.IsNil)
+			select {
+			case <-sendCtx.Done():
+			case <-time.After(wait):
+			}
+			c.Check(slowpeer.SendError(sendCtx, nil), qt.Equals, tt.want)
+			endSend()
+			caller.Close()
+			cancel()
+			c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
+		})
+	}
+}
