relay: Keep errors that a stall did not cause

Cause: when a stream moved to another engine, any error of its first run was replaced by the stall, also a caller that had left or did not read, an engine that was not reached and a connection that really broke. Change: only errors that the cancellation itself causes are replaced. Result: 4 of 8 cases of TestStallErrorKeepsOtherErrors fail without the change; all pass with it, and TestStreamsReachCallersWhole.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -305,15 +305,25 @@
 	}
 }
 
-// stallError returns an error that names the stall if the watch cancelled the exchange because of one, and rerr otherwise. It is
-// called after stop.
+// stallError returns an error that names the stall if rerr shows that the watch cancelled the exchange because of one, and rerr
+// otherwise. It is called after stop.
 func (w *streamWatch) stallError(rerr *result.Error) *result.Error {
-	if rerr == nil || !w.cut {
+	if rerr == nil || !w.cut || !isCancellation(rerr) {
 		return rerr
 	}
 	return result.New(result.StreamCut, "the engine stopped sending events")
 }
 
+// isCancellation reports whether an error may be due to the cancellation of its exchange.
+func isCancellation(rerr *result.Error) bool {
+	switch rerr.Code {
+	case result.StreamCut, result.TimedOut, result.AnswerLost:
+		return !rerr.BrokenOff
+	default:
+		return false
+	}
+}
+
 // askContinuation asks the owners of other engines once for the continuation of a stream. It asks none without a retry in the
 // budget, because a question may already make an engine load the adapter.
 func (r *Relay) askContinuation(ctx context.Context, q *request, avoid map[string]bool) (*continuation, *result.Error) {
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -248,3 +249,34 @@
 		_ = rc.Flush()
 	}
 }
+
+// TestStallErrorKeepsOtherErrors guards against taking the failure of a caller or of a connection for a stall of the engine because
+// the run was cut at the same time.
+func TestStallErrorKeepsOtherErrors(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		rerr *result.Error
+		cut  bool
+		want string
+	}{
+		{"cancelled stream", result.NewConnError(result.StreamCut, context.Canceled), true, "stall"},
+		{"cancelled before the answer", result.New(result.TimedOut, ""), true, "stall"},
+		{"cancelled answer", result.NewConnError(result.AnswerLost, context.Canceled), true, "stall"},
+		{"not cut", result.New(result.StreamCut, ""), false, "same"},
+		{"broken connection", result.NewConnError(result.StreamCut, io.ErrUnexpectedEOF), true, "same"},
+		{"caller does not read", result.New(result.CallerNotReading, ""), true, "same"},
+		{"caller gone", result.New(result.CallerGone, ""), true, "same"},
+		{"engine not reached", result.New(result.BackendUnreachable, ""), true, "same"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			got := (&streamWatch{cut: tt.cut}).stallError(tt.rerr)
+			if tt.want == "same" {
+				c.Check(got, qt.Equals, tt.rerr)
+				return
+			}
+			c.Check(got, qt.Not(qt.Equals), tt.rerr)
+			c.Check(got.Code, qt.Equals, result.StreamCut)
+		})
+	}
+}
