relay: Continue streams that break off after a pause of the caller

Cause: a caller that paused for 1 s and then read on lost its continuation when its engine crashed within 5 s, because the cut counted as the caller's doing and 2012 is never continued. Change: the pause excuses the endpoint's health only. The usual rules decide about another try, and the result becomes 2012 when none is left. Answers that are not streams of a model stay as they were. Result: the new case of TestStreamsReachCallersWhole fails with the earlier rule and passes now; internal/relay passes.

--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -134,13 +134,18 @@
 
 // sendRequest sends one request through the relay and returns the answer.
 func (w *twoEngines) sendRequest() *httptest.ResponseRecorder {
-	req := httptest.NewRequest(http.MethodPost, "http://h/x", strings.NewReader("prompt"))
-	req.Header.Set("Id", "id")
 	recorder := httptest.NewRecorder()
-	w.relay.ServeHTTP(recorder, req)
+	w.serveRequest(recorder)
 	return recorder
 }
 
+// serveRequest sends one request through the relay, which writes the answer to rw.
+func (w *twoEngines) serveRequest(rw http.ResponseWriter) {
+	req := httptest.NewRequest(http.MethodPost, "http://h/x", strings.NewReader("prompt"))
+	req.Header.Set("Id", "id")
+	w.relay.ServeHTTP(rw, req)
+}
+
 // checkOnlyOtherReached checks that no request reached the engine untouched and that one request reached the other
 // engine.
 func (w *twoEngines) checkOnlyOtherReached(untouched int64) {
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -63,6 +63,8 @@
 	// leaving is set if the box is leaving, once if the stream may not be repeated, noBudget if the retry budget is used up, off if
 	// the mechanism is switched off.
 	leaving, once, noBudget, off bool
+	// callerPause is how long the caller does not read after its first event.
+	callerPause time.Duration
 	// wantRuns is the number of runs, wantCounter a counter that must be 1.
 	wantRuns    int
 	wantCounter string
@@ -104,6 +106,7 @@
 		{name: "owner lost between question and grant", pauseAfter: pauseAfterEvent, pause: pause, answer: func(http.ResponseWriter) { time.Sleep(time.Second) }, wantRuns: 1},
 		{name: "retry budget used up", pauseAfter: pauseAfterEvent, pause: pause, answer: grantRequest, noBudget: true, wantRuns: 1},
 		{name: "connection broken in an event", pauseAfter: pauseAfterEvent, pause: 900 * time.Millisecond, broken: true, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
+		{name: "caller pauses, connection broken after that", pauseAfter: pauseAfterEvent, pause: 900 * time.Millisecond, broken: true, callerPause: 1200 * time.Millisecond, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
 		{name: "mechanism off", pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest, off: true, wantRuns: 2, wantCounter: "streams_resumed"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -172,7 +175,24 @@
 			w.c.Check(cause, qt.IsNil, qt.Commentf("the relay cut the stream"))
 		}
 	}()
-	return w.sendRequest()
+	recorder := httptest.NewRecorder()
+	w.serveRequest(&pausingCaller{recorder, w.test.callerPause})
+	return recorder
+}
+
+// pausingCaller is a caller that does not read for a time after its first event.
+type pausingCaller struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+// Write implements io.Writer.
+func (w *pausingCaller) Write(p []byte) (int, error) {
+	if w.Body.Len() > 0 {
+		time.Sleep(w.pause)
+		w.pause = 0
+	}
+	return w.ResponseRecorder.Write(p)
 }
 
 // startStreamWorld starts a relay with two engines that send the stream of a case.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -210,7 +210,7 @@
 	case writeErr != nil:
 		return writeError(writeErr)
 	case readErr != nil:
-		return o.cutError(readErr)
+		return o.excuseCut(o.cutError(readErr))
 	}
 	return o.flushLong(len(start))
 }
@@ -238,13 +238,24 @@
 	return result.New(result.CallerGone, "%v", err)
 }
 
-// cutError returns the result of an answer that the endpoint broke off. Endpoints cut answers that are left unread, so a cut after
-// such a pause is not the endpoint's failure. It is still reported as broken off, so that the quarantine finds out if the endpoint
-// crashed.
+// cutError returns the result of an answer that the endpoint broke off, and records whether a pause of the caller may be the reason.
 func (o *output) cutError(err error) *result.Error {
 	rerr := result.NewConnError(result.StreamCut, err)
 	if o.w.WasUnread() {
-		rerr.Code = result.CallerNotReading
+		o.unreadCut = rerr
 	}
 	return rerr
 }
+
+// isExcused reports whether rerr is a cut that may be due to a pause of the caller. Endpoints cut answers that are left unread, so
+// such a cut is not the endpoint's failure.
+func (o *output) isExcused(rerr *result.Error) bool { return rerr != nil && rerr == o.unreadCut }
+
+// excuseCut returns the final result of an answer that ended with rerr. An excused cut is the caller's doing. It is still reported as
+// broken off, so that the quarantine finds out if the endpoint crashed.
+func (o *output) excuseCut(rerr *result.Error) *result.Error {
+	if !o.isExcused(rerr) {
+		return rerr
+	}
+	return &result.Error{Code: result.CallerNotReading, Detail: rerr.Detail, BrokenOff: rerr.BrokenOff}
+}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -44,7 +44,7 @@
 
 // serveModel answers a request from an engine that holds its adapter version.
 func (r *Relay) serveModel(ctx context.Context, out *output, q *request) *result.Error {
-	return r.delayRetryUntilPauseEnds(q, r.tryEngines(ctx, out, q))
+	return r.delayRetryUntilPauseEnds(q, out.excuseCut(r.tryEngines(ctx, out, q)))
 }
 
 // tryEngines sends a request to one engine after another until one of them has answered it.
@@ -180,7 +180,8 @@
 		c.recordGap(watch.stream.LongestGap())
 	}
 	rerr = watch.stallError(rerr)
-	r.health.end(c.name, clock.Now(), resp.StatusCode >= http.StatusInternalServerError || (rerr != nil && rerr.Code == result.StreamCut))
+	cut := rerr != nil && rerr.Code == result.StreamCut && !out.isExcused(rerr)
+	r.health.end(c.name, clock.Now(), resp.StatusCode >= http.StatusInternalServerError || cut)
 	c.release(grantEnd(rerr))
 	return lastEvent, rerr
 }
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -260,6 +260,7 @@
 	var rerr *result.Error
 	if q.route.Kind == resource.RouteStream {
 		_, rerr = out.copyEvents(r.cfg.Wire, resp, q.head.LastEvent)
+		rerr = out.excuseCut(rerr)
 	} else {
 		rerr = out.copyAnswer(resp)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -351,4 +351,6 @@
 	// forwarded. onForwarded is called when an event has been written.
 	onEvent     func()
 	onForwarded func()
+	// unreadCut is the error of the last stream that its endpoint broke off after a pause of the caller, nil if there was none.
+	unreadCut *result.Error
 }
