--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -16,6 +16,7 @@
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/quota"
+	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/share"
 )
@@ -77,6 +78,38 @@
 	}
 }
 
+// TestOverShareWithoutAnswers guards against refusing a request as over its share, and counting it as a lack of capacity, although no engine's owner
+// reported one.
+func TestOverShareWithoutAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		answer result.Code
+		avoid  map[string]bool
+	}{
+		{"no owner", result.NotOwner, nil},
+		{"owners do not answer", result.OwnerSilent, nil},
+		{"no candidates", result.TryNext, map[string]bool{"e0": true, "e1": true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := startTwoEngines(c, func(_ *twoEngines, rw http.ResponseWriter, _ *grant.Request) {
+				result.New(test.answer, "").Write(rw, "")
+			}, func(string) {})
+			w.catalog.SetScarceSlots(4)
+			setShare(w.relay, 0)
+			rt, _ := w.catalog.Topology().Routes.Lookup("h", "/x")
+			q := &request{route: rt, service: "s", head: Head{Model: "base"}, receivedAt: clock.Now(), deadline: clock.Now().Add(time.Second)}
+			w.relay.restrict(q)
+			c.Assert(q.restriction, qt.IsNotNil)
+			_, rerr := w.relay.chooseSpare(t.Context(), q, resource.Ref{Adapter: "base.a", Version: "1"}, test.avoid)
+			c.Assert(rerr, qt.IsNotNil)
+			c.Check(isLackOfCapacity(rerr.Code), qt.IsFalse, qt.Commentf("%s", rerr.Code))
+			w.relay.countUntaken(q, rerr.Code)
+			c.Check(w.relay.cfg.Demand.Collect(clock.Now()), qt.DeepEquals, []demand.Row{})
+		})
+	}
+}
+
 // TestOverShareReturnsUnits guards against refusals over a share that use up the quota of the customer. The quota starts with a third of its burst, which
 // is less than what the requests cost.
 func TestOverShareReturnsUnits(t *testing.T) {
