relay: Keep the restriction until an engine has taken the request

Cause: a request counted as taken before it was sent, so after a try that never arrived (not_listening, not_held, endpoint_leaving) it took any room as unrestricted. Change: it counts once the engine answers or its result may have run. A refusal over the share after an earlier try is not counted, since the request ends with the error of that try. Result: TestRestrictionOutlivesUntakenTry fails without the change and passes with it; internal/relay passes.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -79,7 +79,6 @@
 			r.logContinuation(q, previous, c, lastEvent)
 		}
 		var rerr *result.Error
-		r.countTaken(q)
 		lastEvent, rerr = r.sendToEngine(ctx, out, q, c, avoid, Attempt{Version: next.version, LastEvent: lastEvent})
 		r.reportOutcome(ctx, q, c.destination(), rerr)
 		r.recordHolding(next.ref, c.name, rerr)
@@ -118,6 +117,8 @@
 	}
 	r.refundRetry(q)
 	if lastErr != nil {
+		// The request ends with the error of its earlier try.
+		q.overShare = ""
 		return nil, lastErr
 	}
 	return nil, rerr
@@ -160,6 +161,7 @@
 		rerr = watch.stallError(rerr)
 		if rerr.Code.Info().Ran != result.RanNo {
 			q.possibleRuns++
+			r.countTaken(q)
 		}
 		r.health.end(c.name, clock.Now(), isEndpointFault(rerr))
 		c.release(grantEnd(rerr))
@@ -168,6 +170,7 @@
 	// Closing the unread body closes the connection, so that the run has ended before the stream continues elsewhere.
 	defer func() { _ = resp.Body.Close() }()
 	q.possibleRuns++
+	r.countTaken(q)
 	lastEvent := a.LastEvent
 	if resp.StatusCode != http.StatusOK || q.route.Kind != resource.RouteStream {
 		out.onEvent = watch.recordArrival
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -16,13 +16,13 @@
 	q.restriction = r.cfg.Gate.Check(clock.Now(), q.service, q.urgency(), q.customerName())
 }
 
-// countTaken counts a request that is sent to an engine. It is no longer restricted: its tries at other engines continue a run that was granted.
+// countTaken counts a request that an engine took or may have run. It is no longer restricted: its tries at other engines continue a run that was granted.
 func (r *Relay) countTaken(q *request) {
 	q.restriction = nil
 	r.recordDemand(q, demand.Served)
 }
 
-// countUntaken counts a request that ended without having been sent to an engine, if that was due to a lack of capacity. Other failures tell nothing
+// countUntaken counts a request that ended without an engine having taken it, if that was due to a lack of capacity. Other failures tell nothing
 // about what the engines can serve.
 func (r *Relay) countUntaken(q *request, code result.Code) {
 	switch {
--- a/internal/relay/share_test.go
+++ b/internal/relay/share_test.go
@@ -110,6 +110,36 @@
 	}
 }
 
+// misdirectedWire is plainWire whose first answer says that the engine does not hold the adapter version.
+type misdirectedWire struct {
+	plainWire
+	answers *atomic.Int64
+}
+
+func (w misdirectedWire) ReadAnswer(int, http.Header) AnswerHead {
+	return AnswerHead{ID: "id", Signed: true, Misdirected: w.answers.Add(1) == 1}
+}
+
+// TestRestrictionOutlivesUntakenTry guards against a restricted request that takes any room after a try that its engine did not take.
+func TestRestrictionOutlivesUntakenTry(t *testing.T) {
+	c := qt.New(t)
+	var asked, spare atomic.Int64
+	w := startTwoEngines(c, func(_ *twoEngines, rw http.ResponseWriter, req *grant.Request) {
+		asked.Add(1)
+		if req.Spare {
+			spare.Add(1)
+		}
+		httpx.WriteJSON(rw, http.StatusOK, map[string]any{"id": 1})
+	}, func(string) {})
+	w.relay.cfg.Wire = misdirectedWire{answers: &atomic.Int64{}}
+	w.catalog.SetScarceSlots(4)
+	setShare(w.relay, 0.1)
+	c.Check(w.sendRequest().Code, qt.Equals, http.StatusOK)
+	c.Check(asked.Load(), qt.Equals, int64(2))
+	c.Check(spare.Load(), qt.Equals, int64(2))
+	c.Check(w.relay.cfg.Demand.Collect(clock.Now()), qt.DeepEquals, []demand.Row{{Service: "s", Urgency: urgencyBase, Asked: 1, AskedTokens: 20, Served: 1, ServedTokens: 20}})
+}
+
 // TestOverShareReturnsUnits guards against refusals over a share that use up the quota of the customer. The quota starts with a third of its burst, which
 // is less than what the requests cost.
 func TestOverShareReturnsUnits(t *testing.T) {
