relay: Watch streams that are sent late

Cause: if a search before the first event would have been useless, no timer was created, and the stream was never watched. Change: the timer is created stopped in that case, and the first event starts it. Result: TestLateStreamIsWatched fails without the change and passes with it; TestStreamsReachCallersWhole passes.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -149,13 +149,14 @@
 			w.avoid[name] = true
 		}
 	}
-	at, ok := w.stream.NextAsk(now)
-	if !ok {
-		return w
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	at, ok := w.stream.NextAsk(now)
 	w.timer = time.AfterFunc(at.Sub(now), w.look)
+	if !ok {
+		// The first event starts the timer.
+		w.timer.Stop()
+	}
 	return w
 }
 
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -270,6 +270,31 @@
 	}
 }
 
+// TestLateStreamIsWatched guards against a stream that is never watched because it was sent so late that a search before its first
+// event would be useless.
+func TestLateStreamIsWatched(t *testing.T) {
+	c := qt.New(t)
+	w := startTwoEngines(c, func(_ *twoEngines, rw http.ResponseWriter, _ *grant.Request) { grantRequest(rw) }, func(string) {})
+	w.relay.budgets.tokens["s"] = 1
+	now := time.Now()
+	q := &request{
+		route:   &resource.Route{Kind: resource.RouteStream, Resumable: true, Attempts: 2, Objective: resource.Duration(450 * time.Millisecond)},
+		service: "s", head: Head{Model: "base", Adapter: "a"}, receivedAt: now.Add(-callersPause), deadline: now.Add(time.Minute),
+	}
+	ctx, cancel := context.WithCancel(c.Context())
+	defer cancel()
+	watch := w.relay.startStreamWatch(c.Context(), q, "e0", nil, cancel)
+	watch.recordArrival()
+	watch.recordForwarded()
+	select {
+	case <-ctx.Done():
+	case <-time.After(callersPause):
+	}
+	watch.stop(q)
+	c.Check(watch.cut, qt.IsTrue)
+	w.relay.returnContinuation(q)
+}
+
 // TestStallErrorKeepsOtherErrors guards against taking the failure of a caller or of a connection for a stall of the engine because
 // the run was cut at the same time.
 func TestStallErrorKeepsOtherErrors(t *testing.T) {
