owner: Leave unused grants out of the mean run time

Cause: an unused grant, a canceled ticket and a refusal ended as whole runs, so a few milliseconds entered the mean run time, from which waits are estimated. Change: EndUnused ends them without that. Owners of earlier builds decode the new number, skip the mean time and otherwise treat it like a whole end.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -175,11 +175,11 @@
 func (g *Gateway) runGranted(ctx context.Context, j *job, grant *owner.Grant) (*attempt, *result.Error) {
 	// The request may have been quarantined while it waited for the grant.
 	if rerr := g.cfg.Quarantine.Refusal(j.suspect.Fingerprint); rerr != nil {
-		grant.Release(owner.EndWhole)
+		grant.Release(owner.EndUnused)
 		return nil, rerr
 	}
 	if rerr := g.checkGranted(grant); rerr != nil {
-		grant.Release(owner.EndWhole)
+		grant.Release(owner.EndUnused)
 		return nil, rerr
 	}
 	recordOutcome := func(rerr *result.Error) {
@@ -207,7 +207,7 @@
 	case err.Code == result.BackendRefused:
 		return owner.EndNotLoaded
 	case err.Code.Info().Ran == result.RanNo:
-		return owner.EndWhole
+		return owner.EndUnused
 	default:
 		return owner.EndBroken
 	}
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -178,7 +178,7 @@
 		return
 	}
 	if rerr = j.readHopBody(w, r); rerr != nil {
-		granted.Release(owner.EndWhole)
+		granted.Release(owner.EndUnused)
 		rerr.Write(w, j.requestID)
 		return
 	}
--- a/internal/grant/server.go
+++ b/internal/grant/server.go
@@ -82,7 +82,7 @@
 		return
 	}
 	if r.Context().Err() != nil {
-		g.Release(owner.EndWhole)
+		g.Release(owner.EndUnused)
 		return
 	}
 	httpx.WriteJSON(w, http.StatusOK, acquireAnswer{ID: s.hold(g, req.Hold), Stalled: g.Stalled})
--- a/internal/owner/state.go
+++ b/internal/owner/state.go
@@ -272,7 +272,7 @@
 		s.returnRate(t)
 		return false
 	})
-	return s.FinishTicket(now, id, EndWhole)
+	return s.FinishTicket(now, id, EndUnused)
 }
 
 // End is the way in which a started ticket ended.
@@ -288,6 +288,9 @@
 	EndNotLoaded
 	// EndNotListening means that no process listens at the engine's address, so the request did not reach the engine.
 	EndNotListening
+	// EndUnused means that the request did not run, so that its time tells nothing about runs. Owners of earlier builds treat it like
+	// EndWhole, but do not count the time either.
+	EndUnused
 )
 
 // FinishTicket ends a running ticket.
@@ -320,7 +323,7 @@
 		if sl.phase == loaded && s.slots[sl.ref] == sl {
 			delete(s.slots, sl.ref)
 		}
-	case EndWhole, EndNotListening:
+	case EndWhole, EndNotListening, EndUnused:
 	}
 	return s.schedule(now)
 }
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -91,7 +91,7 @@
 }
 
 func (r *Relay) returnGrant(next *continuation) {
-	next.engine.release(owner.EndWhole)
+	next.engine.release(owner.EndUnused)
 	r.cfg.Scope.Counter("grants_returned_unused").Inc(1)
 }
 
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -69,7 +69,7 @@
 		c := next.engine
 		if r.isLeavingOrGone(q.service, c.name) {
 			// The engine may have started to leave while the request waited for the grant.
-			c.release(owner.EndWhole)
+			c.release(owner.EndUnused)
 			r.refundRetry(q)
 			avoid[c.name] = true
 			continue
@@ -211,7 +211,7 @@
 	case rerr.Code == result.NotListening:
 		return owner.EndNotListening
 	case rerr.Code.Info().Ran == result.RanNo:
-		return owner.EndWhole
+		return owner.EndUnused
 	default:
 		return owner.EndBroken
 	}
