continuity: Report the pause before a cut

Cause: the pause because of which a stream left its engine was not reported to the owner, which therefore learned of small gaps only. Change: when a run ends by a cut that its caller did not cause, its longest gap includes the time since the last forwarded event. Streams without a pause report none, as before: Grant.RecordGap leaves a gap of zero out.

--- a/internal/continuity/stream.go
+++ b/internal/continuity/stream.go
@@ -90,10 +90,18 @@
 	s.cfg.ForwardedAt = now
 }
 
+// RecordCut records that the run broke off. The pause since the last forwarded event then counts as a pause of the run.
+func (s *Stream) RecordCut(now time.Time) {
+	if s.hasEvents && !s.forwarding {
+		s.longestGap = max(s.longestGap, now.Sub(s.cfg.ForwardedAt))
+	}
+}
+
 // ForwardedAt returns when the last event was forwarded, zero if none was.
 func (s *Stream) ForwardedAt() time.Time { return s.cfg.ForwardedAt }
 
-// LongestGap returns the longest pause between two events of this run.
+// LongestGap returns the longest pause between two events of this run, or between its last event and its cut. It is zero if there was
+// none.
 func (s *Stream) LongestGap() time.Duration { return s.longestGap }
 
 // LongestPause returns the longest pause between two events as the caller saw it, including the one before this run.
--- a/internal/continuity/stream_test.go
+++ b/internal/continuity/stream_test.go
@@ -80,6 +80,33 @@
 	}
 }
 
+// TestPauseBeforeCut guards against leaving out the pause because of which a run was cut, and against taking the wait for a first event
+// or for a slow caller for such a pause.
+func TestPauseBeforeCut(t *testing.T) {
+	for _, tt := range []struct {
+		name               string
+		arrived, forwarded bool
+		want               time.Duration
+	}{
+		{"no event", false, false, 0},
+		{"event not forwarded", true, false, 0},
+		{"pause after an event", true, true, 1500 * ms},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := continuity.NewStream(continuity.StreamConfig{Objective: 400 * ms, ReceivedAt: now, SentAt: now, ForwardedAt: now, Deadline: now.Add(time.Minute)})
+			if tt.arrived {
+				s.RecordArrival(now)
+			}
+			if tt.forwarded {
+				s.RecordForwarded(now)
+			}
+			s.RecordCut(now.Add(1500 * ms))
+			qt.Check(t, s.LongestGap(), qt.Equals, tt.want)
+		})
+	}
+}
+
 // TestSlowCallerIsNoStall guards against taking the time in which a caller does not read for a pause of the engine.
 func TestSlowCallerIsNoStall(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/grant/message.go
+++ b/internal/grant/message.go
@@ -100,7 +100,7 @@
 type grantEnd struct {
 	ID  uint64    `json:"id"`
 	End owner.End `json:"end"`
-	// Gap is the longest pause between two events of the ended stream, zero if it had fewer than two events.
+	// Gap is the longest pause between two events of the ended stream, or between its last event and its cut, zero if there was none.
 	Gap time.Duration `json:"gap,omitempty"`
 }
 
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -124,6 +125,8 @@
 	mu      sync.Mutex
 	runs    []*streamRun
 	startIn []time.Duration
+	// ends are the reports of ended grants.
+	ends []string
 }
 
 func (w *streamWorld) locked(change func()) {
@@ -206,7 +209,7 @@
 		}
 		w.locked(func() { w.startIn = append(w.startIn, req.StartIn) })
 		tt.answer(rw)
-	}, func(string) {})
+	}, func(body string) { w.locked(func() { w.ends = append(w.ends, body) }) })
 	for i, name := range []string{"e0", "e1"} {
 		e := *w.engines[name]
 		e.Address = startServer(c, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serveStream(i, rw, r) }))
@@ -270,6 +273,42 @@
 	}
 }
 
+// TestPauseBeforeCutIsReported guards against an owner that does not learn of the pause because of which a stream left its engine.
+func TestPauseBeforeCutIsReported(t *testing.T) {
+	c := qt.New(t)
+	w := startStreamWorld(c, &streamCase{pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest})
+	ctx, cancel := context.WithCancel(c.Context())
+	var group errgroup.Group
+	group.Go(func() error { return w.relay.cfg.Grants.Serve(ctx) })
+	c.Assert(w.sendStream(), qt.IsNotNil)
+	longest := int64(0)
+	for end := time.Now().Add(callersPause); longest == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		w.locked(func() { longest = longestGap(c, w.ends) })
+	}
+	cancel()
+	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
+	c.Check(time.Duration(longest) >= time.Second, qt.IsTrue, qt.Commentf("%v", time.Duration(longest)))
+}
+
+// longestGap returns the longest gap in reports of ended grants, if it is at least a second, else zero.
+func longestGap(c *qt.C, reports []string) int64 {
+	longest := int64(0)
+	for _, report := range reports {
+		var msg struct {
+			Ends []struct {
+				Gap int64 `json:"gap"`
+			} `json:"ends"`
+		}
+		c.Check(json.Unmarshal([]byte(report), &msg), qt.IsNil)
+		for _, end := range msg.Ends {
+			if end.Gap >= int64(time.Second) {
+				longest = max(longest, end.Gap)
+			}
+		}
+	}
+	return longest
+}
+
 // TestLateStreamIsWatched guards against a stream that is never watched because it was sent so late that a search before its first
 // event would be useless.
 func TestLateStreamIsWatched(t *testing.T) {
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -180,10 +180,13 @@
 		out.onEvent, out.onForwarded = watch.newArrivalCallback(c), watch.recordForwarded
 		lastEvent, rerr = out.copyEvents(r.cfg.Wire, resp, a.LastEvent)
 		watch.stop(q)
-		c.recordGap(watch.stream.LongestGap())
 	}
 	rerr = watch.stallError(rerr)
 	cut := rerr != nil && rerr.Code == result.StreamCut && !out.isExcused(rerr)
+	if cut {
+		watch.stream.RecordCut(clock.Now())
+	}
+	c.recordGap(watch.stream.LongestGap())
 	r.health.end(c.name, clock.Now(), resp.StatusCode >= http.StatusInternalServerError || cut)
 	c.release(grantEnd(rerr))
 	return lastEvent, rerr
