--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -91,7 +91,7 @@
 }
 
 func (r *Relay) returnGrant(next *continuation) {
-	next.engine.release(owner.EndWhole)
+	next.engine.release(owner.EndUnused)
 	r.cfg.Scope.Counter("grants_returned_unused").Inc(1)
 }
 
@@ -149,13 +149,14 @@
 			w.avoid[name] = true
 		}
 	}
-	at, ok := w.stream.NextAsk(now)
-	if !ok {
-		return w
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	at, ok := w.stream.NextAsk(now)
 	w.timer = time.AfterFunc(at.Sub(now), w.look)
+	if !ok {
+		// The first event starts the timer.
+		w.timer.Stop()
+	}
 	return w
 }
 
@@ -305,15 +306,25 @@
 	}
 }
 
-// stallError returns an error that names the stall if the watch cancelled the exchange because of one, and rerr otherwise. It is
-// called after stop.
+// stallError returns an error that names the stall if rerr shows that the watch cancelled the exchange because of one, and rerr
+// otherwise. It is called after stop.
 func (w *streamWatch) stallError(rerr *result.Error) *result.Error {
-	if rerr == nil || !w.cut {
+	if rerr == nil || !w.cut || !isCancellation(rerr) {
 		return rerr
 	}
 	return result.New(result.StreamCut, "the engine stopped sending events")
 }
 
+// isCancellation reports whether an error may be due to the cancellation of its exchange.
+func isCancellation(rerr *result.Error) bool {
+	switch rerr.Code {
+	case result.StreamCut, result.TimedOut, result.AnswerLost:
+		return !rerr.BrokenOff
+	default:
+		return false
+	}
+}
+
 // askContinuation asks the owners of other engines once for the continuation of a stream. It asks none without a retry in the
 // budget, because a question may already make an engine load the adapter.
 func (r *Relay) askContinuation(ctx context.Context, q *request, avoid map[string]bool) (*continuation, *result.Error) {
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -62,6 +64,8 @@
 	// leaving is set if the box is leaving, once if the stream may not be repeated, noBudget if the retry budget is used up, off if
 	// the mechanism is switched off.
 	leaving, once, noBudget, off bool
+	// callerPause is how long the caller does not read after its first event.
+	callerPause time.Duration
 	// wantRuns is the number of runs, wantCounter a counter that must be 1.
 	wantRuns    int
 	wantCounter string
@@ -103,6 +107,7 @@
 		{name: "owner lost between question and grant", pauseAfter: pauseAfterEvent, pause: pause, answer: func(http.ResponseWriter) { time.Sleep(time.Second) }, wantRuns: 1},
 		{name: "retry budget used up", pauseAfter: pauseAfterEvent, pause: pause, answer: grantRequest, noBudget: true, wantRuns: 1},
 		{name: "connection broken in an event", pauseAfter: pauseAfterEvent, pause: 900 * time.Millisecond, broken: true, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
+		{name: "caller pauses, connection broken after that", pauseAfter: pauseAfterEvent, pause: 900 * time.Millisecond, broken: true, callerPause: 1200 * time.Millisecond, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
 		{name: "mechanism off", pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest, off: true, wantRuns: 2, wantCounter: "streams_resumed"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -120,6 +125,8 @@
 	mu      sync.Mutex
 	runs    []*streamRun
 	startIn []time.Duration
+	// ends are the reports of ended grants.
+	ends []string
 }
 
 func (w *streamWorld) locked(change func()) {
@@ -171,7 +178,24 @@
 			w.c.Check(cause, qt.IsNil, qt.Commentf("the relay cut the stream"))
 		}
 	}()
-	return w.sendRequest()
+	recorder := httptest.NewRecorder()
+	w.serveRequest(&pausingCaller{recorder, w.test.callerPause})
+	return recorder
+}
+
+// pausingCaller is a caller that does not read for a time after its first event.
+type pausingCaller struct {
+	*httptest.ResponseRecorder
+	pause time.Duration
+}
+
+// Write implements io.Writer.
+func (w *pausingCaller) Write(p []byte) (int, error) {
+	if w.Body.Len() > 0 {
+		time.Sleep(w.pause)
+		w.pause = 0
+	}
+	return w.ResponseRecorder.Write(p)
 }
 
 // startStreamWorld starts a relay with two engines that send the stream of a case.
@@ -185,7 +209,7 @@
 		}
 		w.locked(func() { w.startIn = append(w.startIn, req.StartIn) })
 		tt.answer(rw)
-	}, func(string) {})
+	}, func(body string) { w.locked(func() { w.ends = append(w.ends, body) }) })
 	for i, name := range []string{"e0", "e1"} {
 		e := *w.engines[name]
 		e.Address = startServer(c, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.serveStream(i, rw, r) }))
@@ -248,3 +272,95 @@
 		_ = rc.Flush()
 	}
 }
+
+// TestPauseBeforeCutIsReported guards against an owner that does not learn of the pause because of which a stream left its engine.
+func TestPauseBeforeCutIsReported(t *testing.T) {
+	c := qt.New(t)
+	w := startStreamWorld(c, &streamCase{pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest})
+	ctx, cancel := context.WithCancel(c.Context())
+	var group errgroup.Group
+	group.Go(func() error { return w.relay.cfg.Grants.Serve(ctx) })
+	c.Assert(w.sendStream(), qt.IsNotNil)
+	longest := int64(0)
+	for end := time.Now().Add(callersPause); longest == 0 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		w.locked(func() { longest = longestGap(c, w.ends) })
+	}
+	cancel()
+	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
+	c.Check(time.Duration(longest) >= time.Second, qt.IsTrue, qt.Commentf("%v", time.Duration(longest)))
+}
+
+// longestGap returns the longest gap in reports of ended grants, if it is at least a second, else zero.
+func longestGap(c *qt.C, reports []string) int64 {
+	longest := int64(0)
+	for _, report := range reports {
+		var msg struct {
+			Ends []struct {
+				Gap int64 `json:"gap"`
+			} `json:"ends"`
+		}
+		c.Check(json.Unmarshal([]byte(report), &msg), qt.IsNil)
+		for _, end := range msg.Ends {
+			if end.Gap >= int64(time.Second) {
+				longest = max(longest, end.Gap)
+			}
+		}
+	}
+	return longest
+}
+
+// TestLateStreamIsWatched guards against a stream that is never watched because it was sent so late that a search before its first
+// event would be useless.
+func TestLateStreamIsWatched(t *testing.T) {
+	c := qt.New(t)
+	w := startTwoEngines(c, func(_ *twoEngines, rw http.ResponseWriter, _ *grant.Request) { grantRequest(rw) }, func(string) {})
+	w.relay.budgets.tokens["s"] = 1
+	now := time.Now()
+	q := &request{
+		route:   &resource.Route{Kind: resource.RouteStream, Resumable: true, Attempts: 2, Objective: resource.Duration(450 * time.Millisecond)},
+		service: "s", head: Head{Model: "base", Adapter: "a"}, receivedAt: now.Add(-callersPause), deadline: now.Add(time.Minute),
+	}
+	ctx, cancel := context.WithCancel(c.Context())
+	defer cancel()
+	watch := w.relay.startStreamWatch(c.Context(), q, "e0", nil, cancel)
+	watch.recordArrival()
+	watch.recordForwarded()
+	select {
+	case <-ctx.Done():
+	case <-time.After(callersPause):
+	}
+	watch.stop(q)
+	c.Check(watch.cut, qt.IsTrue)
+	w.relay.returnContinuation(q)
+}
+
+// TestStallErrorKeepsOtherErrors guards against taking the failure of a caller or of a connection for a stall of the engine because
+// the run was cut at the same time.
+func TestStallErrorKeepsOtherErrors(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		rerr *result.Error
+		cut  bool
+		want string
+	}{
+		{"cancelled stream", result.NewConnError(result.StreamCut, context.Canceled), true, "stall"},
+		{"cancelled before the answer", result.New(result.TimedOut, ""), true, "stall"},
+		{"cancelled answer", result.NewConnError(result.AnswerLost, context.Canceled), true, "stall"},
+		{"not cut", result.New(result.StreamCut, ""), false, "same"},
+		{"broken connection", result.NewConnError(result.StreamCut, io.ErrUnexpectedEOF), true, "same"},
+		{"caller does not read", result.New(result.CallerNotReading, ""), true, "same"},
+		{"caller gone", result.New(result.CallerGone, ""), true, "same"},
+		{"engine not reached", result.New(result.BackendUnreachable, ""), true, "same"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			got := (&streamWatch{cut: tt.cut}).stallError(tt.rerr)
+			if tt.want == "same" {
+				c.Check(got, qt.Equals, tt.rerr)
+				return
+			}
+			c.Check(got, qt.Not(qt.Equals), tt.rerr)
+			c.Check(got.Code, qt.Equals, result.StreamCut)
+		})
+	}
+}
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -44,7 +44,7 @@
 
 // serveModel answers a request from an engine that holds its adapter version.
 func (r *Relay) serveModel(ctx context.Context, out *output, q *request) *result.Error {
-	return r.delayRetryUntilPauseEnds(q, r.tryEngines(ctx, out, q))
+	return r.delayRetryUntilPauseEnds(q, out.excuseCut(r.tryEngines(ctx, out, q)))
 }
 
 // tryEngines sends a request to one engine after another until one of them has answered it.
@@ -69,7 +69,7 @@
 		c := next.engine
 		if r.isLeavingOrGone(q.service, c.name) {
 			// The engine may have started to leave while the request waited for the grant.
-			c.release(owner.EndWhole)
+			c.release(owner.EndUnused)
 			r.refundRetry(q)
 			avoid[c.name] = true
 			continue
@@ -79,7 +79,6 @@
 			r.logContinuation(q, previous, c, lastEvent)
 		}
 		var rerr *result.Error
-		r.countTaken(q)
 		lastEvent, rerr = r.sendToEngine(ctx, out, q, c, avoid, Attempt{Version: next.version, LastEvent: lastEvent})
 		r.reportOutcome(ctx, q, c.destination(), rerr)
 		r.recordHolding(next.ref, c.name, rerr)
@@ -118,6 +117,8 @@
 	}
 	r.refundRetry(q)
 	if lastErr != nil {
+		// The request ends with the error of its earlier try.
+		q.overShare = ""
 		return nil, lastErr
 	}
 	return nil, rerr
@@ -160,6 +161,7 @@
 		rerr = watch.stallError(rerr)
 		if rerr.Code.Info().Ran != result.RanNo {
 			q.possibleRuns++
+			r.countTaken(q)
 		}
 		r.health.end(c.name, clock.Now(), isEndpointFault(rerr))
 		c.release(grantEnd(rerr))
@@ -168,6 +170,7 @@
 	// Closing the unread body closes the connection, so that the run has ended before the stream continues elsewhere.
 	defer func() { _ = resp.Body.Close() }()
 	q.possibleRuns++
+	r.countTaken(q)
 	lastEvent := a.LastEvent
 	if resp.StatusCode != http.StatusOK || q.route.Kind != resource.RouteStream {
 		out.onEvent = watch.recordArrival
@@ -177,10 +180,14 @@
 		out.onEvent, out.onForwarded = watch.newArrivalCallback(c), watch.recordForwarded
 		lastEvent, rerr = out.copyEvents(r.cfg.Wire, resp, a.LastEvent)
 		watch.stop(q)
-		c.recordGap(watch.stream.LongestGap())
 	}
 	rerr = watch.stallError(rerr)
-	r.health.end(c.name, clock.Now(), resp.StatusCode >= http.StatusInternalServerError || (rerr != nil && rerr.Code == result.StreamCut))
+	cut := rerr != nil && rerr.Code == result.StreamCut && !out.isExcused(rerr)
+	if cut {
+		watch.stream.RecordCut(clock.Now())
+	}
+	c.recordGap(watch.stream.LongestGap())
+	r.health.end(c.name, clock.Now(), resp.StatusCode >= http.StatusInternalServerError || cut)
 	c.release(grantEnd(rerr))
 	return lastEvent, rerr
 }
@@ -207,7 +214,7 @@
 	case rerr.Code == result.NotListening:
 		return owner.EndNotListening
 	case rerr.Code.Info().Ran == result.RanNo:
-		return owner.EndWhole
+		return owner.EndUnused
 	default:
 		return owner.EndBroken
 	}
--- a/internal/slowpeer/caller.go
+++ b/internal/slowpeer/caller.go
@@ -74,16 +74,22 @@
 	// ended is the step in which the tracker ended the transfer, stepNone if it did not.
 	ended  step
 	closed bool
+	// writeFailed is set once a write or flush has failed.
+	writeFailed bool
 	// cancelSend cancels the request to the endpoint.
 	cancelSend context.CancelCauseFunc
 	// unreadAt is the end of the last pause of at least unreadThreshold in the answer.
 	unreadAt time.Time
 }
 
-// Close ends the tracking. The deadline of the last write stays, so that it also bounds what the server writes after the handler.
+// Close ends the tracking. If no write has failed, it allows the caller another stall timeout for what the server writes after the
+// handler: the last write may be longer ago than that.
 func (c *Caller) Close() {
 	c.tracker.remove(c)
 	c.mu.Lock()
+	if !c.writeFailed && c.ended != stepAnswer {
+		c.extendDeadline()
+	}
 	held := c.heldLocked()
 	c.bodyHeld, c.answerHeld, c.writeHeld, c.closed = 0, 0, 0, true
 	c.mu.Unlock()
@@ -184,6 +190,7 @@
 	c.recordProgressLocked()
 	n := c.writeHeld
 	c.step, c.writeHeld = stepNone, 0
+	c.writeFailed = c.writeFailed || err != nil
 	customer, route := c.customer, c.route
 	ended := c.ended == stepAnswer
 	c.mu.Unlock()
@@ -316,7 +323,9 @@
 	if c.closed || (c.ended != stepNone && c.ended == c.step) {
 		return State{}, false
 	}
-	return State{Held: c.heldLocked(), Waiting: c.step != stepNone, ProgressAt: c.progressAt, HasOwnLimit: c.step == stepBody}, true
+	// The transport may read its next piece long after the endpoint took part of the last one; BoundWrites sees each byte.
+	hasOwnLimit := c.step == stepBody || c.step == stepSend
+	return State{Held: c.heldLocked(), Waiting: c.step != stepNone, ProgressAt: c.progressAt, HasOwnLimit: hasOwnLimit}, true
 }
 
 // stalled returns the description of the caller for the status. ok is false if the caller does not stall.
