--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -39,9 +39,6 @@
 	Started time.Time
 	// ExpiredCoordinator names the last coordinator if its lease expired. It is empty if the lease was released or belonged to this box.
 	ExpiredCoordinator string
-	// Contacts holds the boxes that contacted this box before it acquired the lease. If it shows that other boxes are lost, these are
-	// silent from the first map on.
-	Contacts Contacts
 	// Restored means that the store was restored from an older copy after the last map was written, or may have lost that map. The engines
 	// and boxes in the stored map may be out of date then, so boxes report which engines they own. An engine that no box claims stays
 	// reserved until all earlier grants have expired. These include grants of a coordinator that has not noticed the restore.
@@ -109,10 +106,9 @@
 		reservedUntil: map[string]time.Time{}, reservedFor: map[string]reservation{}, listedLeaving: last.Leaving,
 		highestEpoch: max(last.Epoch, lease.EpochBase(lease.EraOf(cfg.Lease))),
 	}
-	missing := cfg.Contacts.FindMissing(last, cfg.Box, cfg.ExpiredCoordinator)
 	for _, m := range last.Members {
 		// A box whose lease expired has been silent for the duration of the lease. A box of an older map may no longer exist.
-		m.Silent = m.Silent || m.Box == cfg.ExpiredCoordinator || cfg.Restored || slices.Contains(missing, m.Box)
+		m.Silent = m.Silent || m.Box == cfg.ExpiredCoordinator || cfg.Restored
 		s.members[m.Box] = &member{Member: m, lastSeen: cfg.Started, inherited: true}
 	}
 	for _, o := range last.Owners {
--- a/internal/member/beat.go
+++ b/internal/member/beat.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -58,7 +56,6 @@
 // processBeat records a heartbeat and returns the reply without updates. The caller holds the lock.
 func (n *Node) processBeat(now time.Time, b coordinator.Beat) (coordinator.Reply, error) {
 	if n.state == nil {
-		n.recordContact(now, b.Member.Box)
 		return coordinator.Reply{}, n.notCoordinatorError()
 	}
 	// Heartbeats are recorded even while the coordinator is frozen. Otherwise boxes would count as silent when the platform is back.
@@ -117,52 +114,6 @@
 	return nil
 }
 
-// contactBase is the Base of a heartbeat to a candidate. No coordinator has a heartbeat of that number, so each one rejects it.
-const contactBase = math.MaxUint64
-
-// recordContact records that a box has sent a heartbeat while this box did not coordinate. The caller holds the lock.
-func (n *Node) recordContact(now time.Time, box string) {
-	maps.DeleteFunc(n.contactedAt, func(_ string, at time.Time) bool { return now.Sub(at) > n.cfg.Timing.LeaseTTL+n.cfg.Timing.SilentAfter })
-	n.contactedAt[box] = now
-}
-
-// contactCandidates sends a heartbeat to the first candidates for the lease while the coordinator does not answer or cannot renew the
-// lease. The candidates refuse it, but the one that takes over knows then which boxes are present, and need not show the others for
-// another grace period. In a cell with aggregators nothing is sent, as each candidate would be sent the heartbeats of hundreds of boxes.
-func (n *Node) contactCandidates() {
-	if n.cfg.Timing.SilentAfter == 0 || !n.beatMissed && !n.isFrozen() || n.coordinatorState() != nil {
-		return
-	}
-	if _, ok := n.currentAggregator(); ok {
-		return
-	}
-	m, _, _ := n.cfg.Catalog.Map(n.cfg.Cell)
-	candidates := n.candidates(m)
-	for _, b := range m.Members {
-		if b.Box != n.cfg.Self.Box && slices.Contains(candidates, b.Box) {
-			n.contactCandidate(b.Peer.String())
-		}
-	}
-}
-
-// contactCandidate sends a heartbeat that changes nothing, whether or not the receiver coordinates.
-func (n *Node) contactCandidate(address string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.batchesStopped {
-		return
-	}
-	n.batches.Go(func() error {
-		ctx, cancel := context.WithTimeout(context.Background(), n.cfg.Timing.Beat)
-		defer cancel()
-		// The candidate refuses the heartbeat. If it has begun to coordinate, the next heartbeat of the loop follows at once.
-		_, _ = n.cfg.Peers.Beat(ctx, address, coordinator.Beat{
-			Member: coordinator.Member{Box: n.cfg.Self.Box, Incarnation: n.cfg.Self.Incarnation}, Base: contactBase,
-		})
-		return nil
-	})
-}
-
 // adoptReportedLease records the lease state that an aggregator returns when it cannot reach the coordinator. Boxes that are not
 // among the first candidates for the lease then need not read it from the platform.
 func (n *Node) adoptReportedLease(err error) {
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -36,7 +36,7 @@
 	} else {
 		n.updateLeaseView(nil)
 	}
-	if n.coordinatorState() != nil || n.Leaving() && !n.isRecordedCoordinator() || !n.lease.IsFree(clock.Now(), n.takeoverDelay()) {
+	if n.coordinatorState() != nil || n.Leaving() || !n.lease.IsFree(clock.Now(), n.takeoverDelay()) {
 		return
 	}
 	state, err := n.takeLease(ctx)
@@ -49,45 +49,10 @@
 	}
 }
 
-// isRecordedCoordinator reports whether the lease names this box as the holder and this process has coordinated before. This is so after
-// the store was restored from an older copy. A leaving box then acquires the lease again and releases it when it stops; otherwise the cell
-// would have no coordinator until the lease has expired, and its map would show boxes that were lost meanwhile.
-func (n *Node) isRecordedCoordinator() bool {
-	return n.hasCoordinated && n.lease.Record().Holder == n.cfg.Self.Box
-}
-
 // takeoverDelay returns how long this box waits before it acquires a free lease. Boxes of a better rank go first, so that the members
-// do not all write at once after the loss of their coordinator. Boxes that seem to be lost as well are not waited for.
+// do not all write at once after the loss of their coordinator.
 func (n *Node) takeoverDelay() time.Duration {
-	m, _, ok := n.cfg.Catalog.Map(n.cfg.Cell)
-	if !ok {
-		return 0
-	}
-	candidates := n.candidates(m)
-	rank := slices.Index(candidates, n.cfg.Self.Box)
-	if rank < 0 {
-		return maxCandidates * n.cfg.Timing.Beat
-	}
-	n.mu.Lock()
-	missing := n.contacts(clock.Now()).FindMissing(m, n.cfg.Self.Box, n.lease.Record().Holder)
-	n.mu.Unlock()
-	for _, box := range candidates[:rank] {
-		if slices.Contains(missing, box) {
-			rank--
-		}
-	}
-	return time.Duration(rank) * n.cfg.Timing.Beat
-}
-
-// contacts returns the boxes that have contacted this box within SilentAfter before since, or later. The caller holds the lock.
-func (n *Node) contacts(since time.Time) coordinator.Contacts {
-	recent := coordinator.Contacts{}
-	for box, at := range n.contactedAt {
-		if since.Sub(at) <= n.cfg.Timing.SilentAfter {
-			recent[box] = true
-		}
-	}
-	return recent
+	return time.Duration(n.candidateRank()) * n.cfg.Timing.Beat
 }
 
 // candidateRank returns how many boxes may acquire the lease before this one, at most maxCandidates. It returns 0 if no map is known.
@@ -96,15 +61,6 @@
 	if !ok {
 		return 0
 	}
-	rank := slices.Index(n.candidates(m), n.cfg.Self.Box)
-	if rank < 0 {
-		return maxCandidates
-	}
-	return rank
-}
-
-// candidates returns the names of the first candidates for the lease, best first.
-func (n *Node) candidates(m coordinator.Map) []string {
 	record := n.lease.Record()
 	var names []string
 	for _, b := range m.Members {
@@ -112,7 +68,12 @@
 			names = append(names, b.Box)
 		}
 	}
-	return placement.Top(fmt.Sprintf("%s/%d", n.cfg.Cell, record.Epoch), names, maxCandidates)
+	key := fmt.Sprintf("%s/%d", n.cfg.Cell, record.Epoch)
+	rank := slices.Index(placement.Top(key, names, maxCandidates), n.cfg.Self.Box)
+	if rank < 0 {
+		return maxCandidates
+	}
+	return rank
 }
 
 // CoordinatorAddress returns the peer address of the coordinator if that is another box and it has replied recently.
@@ -150,20 +111,14 @@
 		n.history.Set(lastMap)
 	}
 	n.historyVersion = version
-	// Calls to a slow store must not make contacts too old.
-	contacts := n.contacts(n.lastLeaseCheck)
 	n.mu.Unlock()
-	n.hasCoordinated = true
-	if restored {
-		n.takeoverGraceEnd = clock.Now().Add(takeoverGraceBeats*n.cfg.Timing.Beat + time.Millisecond)
-	}
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
 	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", n.expiredHolder, "restored", restored, "generation", lastMap.Generation,
 		"members", len(lastMap.Members), "engines", len(lastMap.Owners))
 	return coordinator.New(coordinator.Config{
 		Cell: n.cfg.Cell, Region: n.cfg.Region, Box: n.cfg.Self.Box, Lease: epoch, Term: n.cfg.Timing.Term, Drain: n.cfg.Timing.Drain, Started: clock.Now(),
 		SilentAfter: n.cfg.Timing.SilentAfter, InheritedSilentAfter: takeoverGraceBeats * n.cfg.Timing.Beat, OrderGap: n.cfg.Timing.OrderGap, Reclaim: n.cfg.Timing.Reclaim, ExpiredCoordinator: n.expiredHolder,
-		Restored: restored, LeaseTTL: n.cfg.Timing.LeaseTTL, Contacts: contacts,
+		Restored: restored, LeaseTTL: n.cfg.Timing.LeaseTTL,
 	}, lastMap), nil
 }
 
@@ -276,10 +231,6 @@
 		return objects.ErrUnavailable
 	}
 	n.recordStoredMap(state, m, version)
-	if n.cfg.Spread != nil {
-		// Reading the map back from the store took up to 0.3 s after a restore, in which this box sent callers to lost boxes.
-		n.applyMap(m, version)
-	}
 	return nil
 }
 
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -131,8 +131,6 @@
 	checkedLeaseEpoch uint64
 	// expiredHolder is the box whose lease expired before this box acquired it. It is cleared once a map of this coordinator is stored.
 	expiredHolder string
-	// hasCoordinated is set once this process has coordinated the cell.
-	hasCoordinated bool
 	// lastGrants holds the grants of the last reply. lastFullBeat describes the last complete heartbeat that was answered.
 	lastGrants   []coordinator.Ownership
 	lastFullBeat fullBeat
@@ -143,8 +141,7 @@
 	skippedUntil map[string]time.Time
 	// isFinalBeat is set before the last heartbeat, which cannot wait to be forwarded in a batch.
 	isFinalBeat bool
-	// takeoverGraceEnd is when, after a takeover, boxes that have sent no heartbeat are to be shown as silent, or when the first map after
-	// a restore of the store is due.
+	// takeoverGraceEnd is when, after a takeover, boxes that have sent no heartbeat are to be shown as silent.
 	takeoverGraceEnd time.Time
 
 	mu sync.Mutex
@@ -160,15 +157,13 @@
 	// the version of the newest one.
 	history        coordinator.History
 	historyVersion objects.Position
-	// contactedAt holds, by box, the time of the last heartbeat that was sent to this box while it did not coordinate.
-	contactedAt map[string]time.Time
 	// aggregator names the box that forwarded the last heartbeat. lastBatchSize is the size of the last batch, for the status.
 	aggregator    string
 	lastBatchSize int
 	// collector holds the heartbeats that this box is about to forward.
 	collector *aggregator.Collector[pendingBeat]
 
-	// batches holds the goroutines that forward batches or contact candidates. None begins once batchesStopped is set.
+	// batches holds the goroutines that forward batches. No batch begins once batchesStopped is set.
 	batches        errgroup.Group
 	batchesStopped bool
 }
@@ -191,8 +186,7 @@
 	})
 	return &Node{
 		cfg: cfg, done: make(chan struct{}), lease: l, grants: map[string]grant{}, skippedUntil: map[string]time.Time{},
-		contactedAt: map[string]time.Time{},
-		collector:   aggregator.NewCollector[pendingBeat](aggregator.CollectorConfig{Window: cfg.Timing.Beat / windowDivisor, MaxDelay: cfg.Timing.Beat}),
+		collector: aggregator.NewCollector[pendingBeat](aggregator.CollectorConfig{Window: cfg.Timing.Beat / windowDivisor, MaxDelay: cfg.Timing.Beat}),
 	}
 }
 
--- a/internal/member/round.go
+++ b/internal/member/round.go
@@ -81,11 +81,9 @@
 		n.checkLease(ctx)
 	}
 	n.beatEpoch = n.lease.Record().Epoch
-	n.contactCandidates()
 	err := n.sendHeartbeat(ctx)
 	n.beatMissed = err != nil
 	if err != nil {
-		n.contactCandidates()
 		n.cfg.Scope.Counter("beat_failures").Inc(1)
 		klog.V(1).InfoS("heartbeat failed", "cell", n.cfg.Cell, "err", err)
 	}
@@ -116,11 +114,11 @@
 	return known && n.lastLeaseCheck.Before(freeAt) && !now.Before(freeAt)
 }
 
-// leaseCheckInterval returns the time between two checks of the lease while the coordinator does not answer. The recorded holder and the
-// first candidates for the lease check it in every round. Other boxes wait long enough for a candidate to acquire the lease, because each check is a
+// leaseCheckInterval returns the time between two checks of the lease while the coordinator does not answer. The first candidates for
+// the lease check it in every round. Other boxes wait long enough for a candidate to acquire the lease, because each check is a
 // billed platform call.
 func (n *Node) leaseCheckInterval() time.Duration {
-	if holder := n.lease.Record().Holder; holder == "" || holder == n.cfg.Self.Box || n.candidateRank() < maxCandidates {
+	if n.lease.Record().Holder == "" || n.candidateRank() < maxCandidates {
 		return 0
 	}
 	return n.cfg.Timing.LeaseTTL / leaseCheckDivisor
