Box tests: wait until every box knows the adapters

Cause: TestResponsesMatchRequestedModel waited for the third box and then asked the first, which answered 404 in 3 of 72 plays on a busy machine. Change: it waits for each box. The checks are as before.

--- a/internal/box/path_test.go
+++ b/internal/box/path_test.go
@@ -48,9 +48,12 @@
 		models = append(models, fmt.Sprintf("adapter-%d@1", i))
 		f.declareAdapter(models[i])
 	}
-	f.waitUntil(func() bool {
-		return f.boxes[2].Topology() != nil && f.post(f.boxes[2], "/v1/completions", completionBody(models[19], 1, false)).status == 200
-	})
+	// A box that knows the adapter declared last knows all of them.
+	for _, b := range f.boxes {
+		f.waitUntil(func() bool {
+			return b.Topology() != nil && f.post(b, "/v1/completions", completionBody(models[19], 1, false)).status == 200
+		})
+	}
 	for i := range 120 {
 		model := models[i*i%len(models)]
 		a := f.post(f.boxes[i%3], "/v1/completions", completionBody(model, 2, i%2 == 0))
