Orders to scarce engines wait for their answer by its response time

Cause: an unanswered order blocked all other orders of its engine for 400 ms, and after an order that was sent again the next one read a report first, which takes 150 ms and more. The client of the engines is built with the scope of the box, so Deployment.Engines became Deployment.NewEngines.

--- a/internal/box/orders.go
+++ b/internal/box/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/owner"
@@ -17,8 +18,9 @@
 }
 
 var (
-	_ owner.Engines      = quarantiningEngines{}
-	_ owner.LoadOutcomes = quarantiningEngines{}
+	_ owner.Engines       = quarantiningEngines{}
+	_ owner.LoadOutcomes  = quarantiningEngines{}
+	_ owner.OrderTimeouts = quarantiningEngines{}
 )
 
 // LoadOutcome implements owner.LoadOutcomes. An outcome is open if the wrapped client cannot tell it.
@@ -29,6 +31,14 @@
 	return engine.OutcomeOpen
 }
 
+// OrderTimeout implements owner.OrderTimeouts. It returns zero if the wrapped client does not adapt the timeout.
+func (q quarantiningEngines) OrderTimeout(name string) time.Duration {
+	if client, ok := q.Engines.(owner.OrderTimeouts); ok {
+		return client.OrderTimeout(name)
+	}
+	return 0
+}
+
 // SendOrder implements owner.Engines.
 func (q quarantiningEngines) SendOrder(ctx context.Context, target engine.Target, order engine.Order) error {
 	if order.Action != engine.ActionLoad {
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/thejerf/suture/v4"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
@@ -60,10 +61,11 @@
 
 // Deployment contains the parts of a routed box that depend on the platform.
 type Deployment struct {
-	API     objects.API
-	Source  follow.Source
-	Engines owner.Engines
-	Wire    relay.Wire
+	API    objects.API
+	Source follow.Source
+	// NewEngines returns the client of the engines, which counts in the given scope.
+	NewEngines func(tally.Scope) owner.Engines
+	Wire       relay.Wire
 	// NewDirectoryHandler returns the handler for callers' requests for addresses. Ready returns the handler for the platform's readiness
 	// checks.
 	NewDirectoryHandler func(*Routed) http.Handler
@@ -209,7 +211,7 @@
 		adapters = budgeted
 	}
 	b.owners = owner.NewSet(owner.SetConfig{
-		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: quarantiningEngines{b.cfg.Deployment.Engines, b.quarantine},
+		Supervisor: b.root, Loads: adapters, BaseLoads: budgeted, Scope: b.metrics.Scope, Client: quarantiningEngines{b.cfg.Deployment.NewEngines(b.metrics.Scope), b.quarantine},
 		PrefillRate: b.cfg.Settings.Routes.PrefillRate, Policy: b.cfg.Settings.Policy.Build(),
 		Authority: func(name string, now time.Time) (uint64, bool) { return b.node.Authority(name, now) },
 		Lookup:    b.lookupEngine, Rates: b.rates, Notices: b.notices, EngineLoads: b.engineLoads,
--- a/internal/cli/routed.go
+++ b/internal/cli/routed.go
@@ -5,12 +5,14 @@
 	"net/http"
 	"os"
 
+	"github.com/uber-go/tally/v4"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/box"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/logsink"
+	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/settings"
 	"github.com/bellgap/bellgap/platform"
 )
@@ -43,7 +45,11 @@
 	locateKeep := s.Request.LocateKeep
 	b, err := box.NewRouted(box.RoutedConfig{Settings: s, Deployment: box.Deployment{
 		API: store, Source: store, Wire: platform.Wire{},
-		Engines: platform.NewWorkers(platform.WorkersConfig{Box: s.Box.Name, HTTP: &http.Client{Transport: httpx.NewTransport(maxIdleWorkerConns)}}),
+		NewEngines: func(scope tally.Scope) owner.Engines {
+			return platform.NewWorkers(platform.WorkersConfig{
+				Box: s.Box.Name, HTTP: &http.Client{Transport: httpx.NewTransport(maxIdleWorkerConns)}, Policy: s.Policy.Build(), Scope: scope,
+			})
+		},
 		NewDirectoryHandler: func(b *box.Routed) http.Handler {
 			return platform.DirectoryHandler(platform.EdgeConfig{BoxStatus: b, CacheTTL: locateKeep})
 		},
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -111,7 +111,8 @@
 	return w.Flush()
 }
 
-// formatSlots returns the adapter slots of an engine in use, those occupied by orders without an answer, and the limit of load pacing.
+// formatSlots returns the adapter slots of an engine in use, those occupied by orders without an answer, the limit of load pacing, and the
+// response timeout of orders.
 func formatSlots(e owner.Status) string {
 	text := fmt.Sprintf("%d/%d", e.SlotsInUse, e.Slots)
 	if e.SlotsUncertain > 0 {
@@ -120,6 +121,9 @@
 	if e.LoadLimit > 0 {
 		text += fmt.Sprintf("\tload_limit=%d", e.LoadLimit)
 	}
+	if e.OrderTimeout > 0 {
+		text += fmt.Sprintf("\torder_timeout=%s", e.OrderTimeout.Round(time.Millisecond))
+	}
 	return text
 }
 
--- a/internal/owner/runner.go
+++ b/internal/owner/runner.go
@@ -166,6 +166,8 @@
 	SlotsUncertain int `json:"slots_uncertain,omitempty"`
 	// LoadLimit is the number of concurrent adapter loads that load pacing allows. It is zero if they are not limited.
 	LoadLimit int `json:"load_limit,omitempty"`
+	// OrderTimeout is the response timeout of orders, if the client adapts it to the engine.
+	OrderTimeout time.Duration `json:"order_timeout,omitempty"`
 }
 
 // NewRunner returns a Runner, which handles requests while Serve runs.
@@ -200,11 +202,14 @@
 // Done returns a channel that is closed when Serve has ended.
 func (r *Runner) Done() <-chan struct{} { return r.done }
 
-// Status returns the status that the loop published last.
+// Status returns the status that the loop published last, with the current response timeout of orders.
 func (r *Runner) Status() Status {
+	timeout := r.orderTimeout()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.status
+	st := r.status
+	st.OrderTimeout = timeout
+	return st
 }
 
 // InFlight returns the number of running requests.
--- a/internal/owner/uncertain.go
+++ b/internal/owner/uncertain.go
@@ -19,6 +19,12 @@
 	LoadOutcome(engine, model string) engine.LoadOutcome
 }
 
+// OrderTimeouts is implemented by clients that adapt the response timeout of orders to each engine whose slots are all used.
+type OrderTimeouts interface {
+	// OrderTimeout returns the current response timeout of the orders to such an engine.
+	OrderTimeout(engine string) time.Duration
+}
+
 // usesAllSlots reports whether no slot is kept free for a load without an answer. Engines that do not finish runs first keep no uncertain
 // slots, so that their unanswered loads could exceed the slots.
 func (s *State) usesAllSlots() bool {
@@ -112,6 +118,14 @@
 // usesAllSlots reports whether no slot of the engine is kept free for a load without an answer.
 func (r *Runner) usesAllSlots() bool { return r.state.usesAllSlots() }
 
+// orderTimeout returns the response timeout of the engine's orders, or zero if it is not adapted.
+func (r *Runner) orderTimeout() time.Duration {
+	if client, ok := r.cfg.Client.(OrderTimeouts); ok && r.usesAllSlots() {
+		return client.OrderTimeout(r.cfg.Name)
+	}
+	return 0
+}
+
 // checkClient logs an error if all slots are used although the client does not remember unanswered loads.
 func (r *Runner) checkClient() {
 	if _, ok := r.cfg.Client.(LoadOutcomes); !ok && r.usesAllSlots() {
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -56,6 +56,8 @@
 	ShortLinger Mechanism = "short_linger"
 	// LoadPacing limits the concurrent adapter loads of a scarce engine by how long its loads take.
 	LoadPacing Mechanism = "load_pacing"
+	// OrderTimeout adapts how long orders to a scarce engine wait for their answer to the response times of the engine.
+	OrderTimeout Mechanism = "order_timeout"
 	// EngineLoads chooses among scarce engines by the loads that their owners report.
 	EngineLoads Mechanism = "engine_loads"
 	// SpeedWeight assigns adapters to scarce engines in proportion to the rate at which the engines process prompts.
@@ -74,7 +76,7 @@
 func Mechanisms() []Mechanism {
 	return []Mechanism{
 		CopyLimit, CrowdDetection, PreferenceOrder, Admission, PrefixReuse, ReadRate, LoadTime, SlotWait, FastReload, UseRate, FailureAvoidance, OwnZoneFirst, SendWithoutOwner, StallDetection, ConcurrencyLimit, BaseOnDemand, Quarantine,
-		AllSlots, ShortLinger, LoadPacing, EngineLoads, SpeedWeight, ResumeFirst, GapAdmission, UrgencyShares, CustomerShares,
+		AllSlots, ShortLinger, LoadPacing, OrderTimeout, EngineLoads, SpeedWeight, ResumeFirst, GapAdmission, UrgencyShares, CustomerShares,
 	}
 }
 
