Coordinator: successors keep the reservations after a restore of the store

Cause: a coordinator that finds the store restored reserves engines that no box claims for a lease TTL, a term and the order gap, as a coordinator that has not noticed the restore may renew grants until its lease expires. A successor that takes over within the lease TTL, from a stopped or restarted coordinator, knew nothing of the restore and reserved them for a term and the order gap from its own start. The time between the last order of one owner and the first of the next could then be shorter than the order gap by up to the lease TTL.

Change: maps that are written before these grants have expired say so, and a successor reserves engines without an owner for the longer time. The mark alone causes no write.

--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -64,6 +64,9 @@
 	Owners      []Ownership `json:"owners"`
 	// Leaving lists the boxes that the platform's box list marks as leaving, sorted by name.
 	Leaving []string `json:"leaving,omitempty"`
+	// UnreportedGrants means that the store was restored from an older copy shortly before, so that boxes may hold grants that they have not
+	// reported. The next coordinator reserves engines for as long as the one that found the restore.
+	UnreportedGrants bool `json:"unreported_grants,omitempty"`
 	// Quarantined lists the quarantined requests, which are sent to no endpoint. The list is sorted.
 	Quarantined []quarantine.Held `json:"quarantined,omitempty"`
 }
--- a/internal/coordinator/state.go
+++ b/internal/coordinator/state.go
@@ -91,6 +91,10 @@
 	// firstPublishedAt is when this coordinator's first map was stored. From then on boxes can find this coordinator.
 	firstPublishedAt time.Time
 	highestEpoch     uint64
+	// unreportedGrants means that boxes may hold grants of an earlier coordinator that they have not reported. earlierGrantsEnd is OrderGap
+	// after the latest time at which a grant of an earlier coordinator may expire.
+	unreportedGrants bool
+	earlierGrantsEnd time.Time
 	// lastTick is the time of the last Tick. Map marks boxes that were silent at that time. keepLimit is the number of engines per box
 	// as of that Tick; a box above the limit has to release engines.
 	lastTick  time.Time
@@ -104,7 +108,12 @@
 	s := &State{
 		cfg: cfg, members: map[string]*member{}, owners: map[string]*Ownership{}, freedAt: map[string]time.Time{},
 		reservedUntil: map[string]time.Time{}, reservedFor: map[string]reservation{}, listedLeaving: last.Leaving,
-		highestEpoch: max(last.Epoch, lease.EpochBase(lease.EraOf(cfg.Lease))),
+		highestEpoch:     max(last.Epoch, lease.EpochBase(lease.EraOf(cfg.Lease))),
+		unreportedGrants: cfg.Restored || last.UnreportedGrants, earlierGrantsEnd: cfg.Started.Add(cfg.Term + cfg.OrderGap),
+	}
+	if s.unreportedGrants {
+		// A coordinator that has not noticed the restore may renew grants until its lease expires.
+		s.earlierGrantsEnd = s.earlierGrantsEnd.Add(cfg.LeaseTTL)
 	}
 	for _, m := range last.Members {
 		// A box whose lease expired has been silent for the duration of the lease. A box of an older map may no longer exist.
@@ -118,7 +127,7 @@
 		}
 		s.adoptOwnership(o)
 		if o.Owner == "" {
-			s.reservedUntil[o.Engine] = cfg.Started.Add(cfg.Term + cfg.OrderGap)
+			s.reservedUntil[o.Engine] = s.earlierGrantsEnd
 		}
 	}
 	return s
@@ -129,17 +138,12 @@
 func (s *State) reserveUntilClaimed(o Ownership) {
 	s.highestEpoch = max(s.highestEpoch, o.Epoch)
 	s.owners[o.Engine] = &Ownership{Engine: o.Engine}
-	s.reservedUntil[o.Engine] = s.unreportedGrantsEnd()
+	s.reservedUntil[o.Engine] = s.earlierGrantsEnd
 	if m := s.members[o.Owner]; m != nil {
 		s.reservedFor[o.Engine] = reservation{o.Owner, m.Incarnation}
 	}
 }
 
-// unreportedGrantsEnd returns the time until which an earlier grant that no box has reported may still be valid.
-func (s *State) unreportedGrantsEnd() time.Time {
-	return s.cfg.Started.Add(s.cfg.LeaseTTL + s.cfg.Term + s.cfg.OrderGap)
-}
-
 // IsCollecting reports whether the coordinator still waits for the boxes' reports of owned engines before it publishes its first map.
 func (s *State) IsCollecting(now time.Time) bool {
 	return s.cfg.Restored && !s.hasPublished && now.Before(s.cfg.Started.Add(s.cfg.InheritedSilentAfter))
@@ -294,8 +298,8 @@
 		s.engineZones[e.Name] = e.Zone
 		if s.owners[e.Name] == nil {
 			s.owners[e.Name] = &Ownership{Engine: e.Name}
-			if s.cfg.Restored {
-				s.reservedUntil[e.Name] = s.unreportedGrantsEnd()
+			if s.unreportedGrants {
+				s.reservedUntil[e.Name] = s.earlierGrantsEnd
 			}
 		}
 	}
@@ -407,6 +411,7 @@
 func (s *State) Map() Map {
 	cellMap := Map{
 		Cell: s.cfg.Cell, Region: s.cfg.Region, Coordinator: s.cfg.Box, Lease: s.cfg.Lease, Epoch: s.highestEpoch, Leaving: s.listedLeaving,
+		UnreportedGrants: s.unreportedGrants && s.lastTick.Before(s.earlierGrantsEnd),
 	}
 	for _, m := range s.members {
 		entry := m.Member
