Membership: a leaving coordinator continues after a restore of the store

Cause: soak kills a box just before the store goes down, so that its silence cannot be stored; the coordinator starts to leave 1.2 s later, and the store comes back from an older copy.

Change: a leaving box that the lease names acquires it again only while it is the last coordinator that it knows. The recorded holder checks the lease in every round, and a coordinator applies its own stored map at once.

--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -83,6 +83,8 @@
 	peersDisconnected    bool
 	// dropsAnswers simulates a store that is too slow for the box: the box's writes take effect without an answer, and its reads fail.
 	dropsAnswers bool
+	// missesChanges makes the box's watches fail, so that it reads no changes from the store.
+	missesChanges bool
 	// earlierBuild simulates a build that knows no figures and drops them from the messages that it reads and writes.
 	earlierBuild bool
 	ownedEngines map[string]bool
@@ -323,6 +325,18 @@
 	n.earlierBuild = on
 }
 
+func (n *node) setMissesChanges(on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.missesChanges = on
+}
+
+func (n *node) isMissingChanges() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.missesChanges
+}
+
 func (n *node) isEarlierBuild() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -509,7 +523,7 @@
 }
 
 func (n *node) List(ctx context.Context, kinds []string, after string) (objects.Changes, error) {
-	if n.isPlatformDisconnected() {
+	if n.isPlatformDisconnected() || n.isMissingChanges() {
 		return objects.Changes{}, objects.ErrUnavailable
 	}
 	return n.cluster.platform.List(ctx, kinds, after)
@@ -518,10 +532,14 @@
 func (n *node) IsAuthoritative() bool { return true }
 
 func (n *node) Watch(ctx context.Context, kinds []string, from objects.Position, wait time.Duration) (objects.Changes, error) {
-	if n.isPlatformDisconnected() {
+	if n.isPlatformDisconnected() || n.isMissingChanges() {
+		return objects.Changes{}, objects.ErrUnavailable
+	}
+	ch, err := n.cluster.platform.Watch(ctx, kinds, from, wait)
+	if n.isMissingChanges() {
 		return objects.Changes{}, objects.ErrUnavailable
 	}
-	return n.cluster.platform.Watch(ctx, kinds, from, wait)
+	return ch, err
 }
 
 func (n *node) Put(ctx context.Context, kind, name string, expect objects.Position, value json.RawMessage) (objects.Position, error) {
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -36,7 +36,7 @@
 	} else {
 		n.updateLeaseView(nil)
 	}
-	if n.coordinatorState() != nil || n.Leaving() || !n.lease.IsFree(clock.Now(), n.takeoverDelay()) {
+	if n.coordinatorState() != nil || n.Leaving() && !n.isRecordedCoordinator() || !n.lease.IsFree(clock.Now(), n.takeoverDelay()) {
 		return
 	}
 	state, err := n.takeLease(ctx)
@@ -49,6 +49,14 @@
 	}
 }
 
+// isRecordedCoordinator reports whether the lease names this box as the holder and this process is the last coordinator that it knows.
+// This is so after the store was restored from an older copy. A leaving box then acquires the lease again and releases it when it stops;
+// otherwise the cell would have no coordinator until the lease has expired, and its map would show boxes that were lost meanwhile. It does
+// not do so after another box has coordinated: the other boxes, which follow that one, would report their engines too late.
+func (n *Node) isRecordedCoordinator() bool {
+	return n.wasLastCoordinator && n.lease.Record().Holder == n.cfg.Self.Box
+}
+
 // takeoverDelay returns how long this box waits before it acquires a free lease. Boxes of a better rank go first, so that the members
 // do not all write at once after the loss of their coordinator.
 func (n *Node) takeoverDelay() time.Duration {
@@ -112,6 +120,7 @@
 	}
 	n.historyVersion = version
 	n.mu.Unlock()
+	n.wasLastCoordinator = true
 	n.cfg.Scope.Counter("leases_taken").Inc(1)
 	klog.InfoS("coordinating", "cell", n.cfg.Cell, "lease", epoch, "lapsed", n.expiredHolder, "restored", restored, "generation", lastMap.Generation,
 		"members", len(lastMap.Members), "engines", len(lastMap.Owners))
@@ -231,6 +240,10 @@
 		return objects.ErrUnavailable
 	}
 	n.recordStoredMap(state, m, version)
+	if n.cfg.Spread != nil {
+		// Reading the map back from the store took up to 0.3 s after a restore, in which this box sent callers to lost boxes.
+		n.applyMap(m, version)
+	}
 	return nil
 }
 
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -131,6 +131,8 @@
 	checkedLeaseEpoch uint64
 	// expiredHolder is the box whose lease expired before this box acquired it. It is cleared once a map of this coordinator is stored.
 	expiredHolder string
+	// wasLastCoordinator is set once this process has acquired the lease, and cleared when the lease names another box.
+	wasLastCoordinator bool
 	// lastGrants holds the grants of the last reply. lastFullBeat describes the last complete heartbeat that was answered.
 	lastGrants   []coordinator.Ownership
 	lastFullBeat fullBeat
@@ -327,6 +329,9 @@
 // updateLeaseView copies the loop's lease state for readers outside the loop and sets the coordinator state, nil if this box does not
 // coordinate.
 func (n *Node) updateLeaseView(state *coordinator.State) {
+	if holder := n.lease.Record().Holder; holder != "" && holder != n.cfg.Self.Box {
+		n.wasLastCoordinator = false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leaseView = leaseSnapshot{record: n.lease.Record(), version: n.lease.Version(), validUntil: n.lease.ValidUntil()}
--- a/internal/member/restore_test.go
+++ b/internal/member/restore_test.go
@@ -7,6 +7,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/fakeplatform"
+	"github.com/bellgap/bellgap/internal/invariant"
 )
 
 // TestAuthorityAfterStoreRestore restores the store from a copy that lacks the last takeovers. It guards against two boxes with
@@ -39,6 +42,51 @@
 	}
 }
 
+// TestAuthorityAfterLeavingCoordinatorContinues restores the store while its coordinator is leaving, and ends that coordinator's process
+// soon after it has acquired the lease again. It guards against a successor that gives an engine to a box before the authority of the
+// former owner, which is lost or disconnected, has ended for the order gap.
+func TestAuthorityAfterLeavingCoordinatorContinues(t *testing.T) {
+	for _, stopDelay := range []time.Duration{0, 300 * time.Millisecond, 900 * time.Millisecond, 1300 * time.Millisecond, 3 * time.Second} {
+		for seed := range 8 {
+			t.Run(fmt.Sprint(stopDelay, "-seed-", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					cl := newCalmCluster(t, 4*time.Millisecond, seed)
+					defer cl.stopAll()
+					holder := cl.coordinator()
+					lost := cl.otherNode(holder)
+					backup := cl.platform.Snapshot()
+					cl.advance(time.Second)
+					cl.startBox("box-006", 6)
+					cl.advance(6 * time.Second)
+					cl.platform.SetFaults(fakeplatform.Faults{Down: true})
+					holder.Leave()
+					cl.advance(900 * time.Millisecond)
+					cl.platform.SetFaults(fakeplatform.Faults{})
+					cl.platform.RestoreInNewEra(backup)
+					lost.setDisconnected(true, true)
+					cl.advance(stopDelay)
+					holder.stop()
+					cl.advance(25 * time.Second)
+					cl.checkInvariants()
+					cl.checkOrderGaps()
+				})
+			})
+		}
+	}
+}
+
+// checkOrderGaps checks that the authority of each former owner of an engine had ended for OrderGap before that of the next one began.
+func (cl *cluster) checkOrderGaps() {
+	last := map[string]invariant.Authority{}
+	for _, a := range cl.history {
+		b, ok := last[a.Engine]
+		if gap := a.At.Sub(b.At); ok && a.Box != b.Box && gap < cl.timing.OrderGap {
+			cl.c.Errorf("%s had authority over %s %v after %s", a.Box, a.Engine, gap, b.Box)
+		}
+		last[a.Engine] = a
+	}
+}
+
 // TestLargeCellAfterStoreRestore restores the store from an older copy, without any other fault. It guards against boxes behind
 // aggregators that lose their engines or are hidden from callers.
 func TestLargeCellAfterStoreRestore(t *testing.T) {
--- a/internal/member/round.go
+++ b/internal/member/round.go
@@ -114,11 +114,12 @@
 	return known && n.lastLeaseCheck.Before(freeAt) && !now.Before(freeAt)
 }
 
-// leaseCheckInterval returns the time between two checks of the lease while the coordinator does not answer. The first candidates for
-// the lease check it in every round. Other boxes wait long enough for a candidate to acquire the lease, because each check is a
-// billed platform call.
+// leaseCheckInterval returns the time between two checks of the lease while the coordinator does not answer. The recorded holder and the
+// first candidates for the lease check it in every round; a leaving box that the lease names after a restore of the store would otherwise
+// report its engines to the next coordinator too late. Other boxes wait long enough for a candidate to acquire the lease, because each
+// check is a billed platform call.
 func (n *Node) leaseCheckInterval() time.Duration {
-	if n.lease.Record().Holder == "" || n.candidateRank() < maxCandidates {
+	if holder := n.lease.Record().Holder; holder == "" || holder == n.cfg.Self.Box || n.candidateRank() < maxCandidates {
 		return 0
 	}
 	return n.cfg.Timing.LeaseTTL / leaseCheckDivisor
--- a/internal/member/spread.go
+++ b/internal/member/spread.go
@@ -58,16 +58,19 @@
 		return
 	}
 	current, _, _ := n.cfg.Catalog.Map(n.cfg.Cell)
-	m, ok := updates.Map.Apply(current)
-	if !ok {
-		return
+	if m, ok := updates.Map.Apply(current); ok {
+		n.applyMap(m, updates.Map.Version)
 	}
+}
+
+// applyMap applies a cell map to the catalog of this box.
+func (n *Node) applyMap(m coordinator.Map, version objects.Position) {
 	value, err := json.Marshal(m)
 	if err != nil {
-		klog.ErrorS(err, "could not encode the received cell map", "generation", m.Generation)
+		klog.ErrorS(err, "could not encode the cell map", "generation", m.Generation)
 		return
 	}
 	n.cfg.Catalog.Apply(objects.Changes{Objects: []objects.Object{
-		{Kind: coordinator.MapKind, Name: n.cfg.Cell, Version: updates.Map.Version, Value: value},
+		{Kind: coordinator.MapKind, Name: n.cfg.Cell, Version: version, Value: value},
 	}})
 }
--- a/internal/member/spread_test.go
+++ b/internal/member/spread_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -76,3 +77,28 @@
 		}
 	})
 }
+
+// TestCoordinatorAppliesItsStoredMap loses a box while the coordinator reads no changes from the store. It guards against a coordinator
+// that sends callers to a lost box until it has read back the map in which it hides the box.
+func TestCoordinatorAppliesItsStoredMap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cl := newTimedCluster(t, 0, 6, 4*time.Millisecond, routedTiming())
+		defer cl.stopAll()
+		cl.spread = &fakeSpread{}
+		for i := range 3 {
+			cl.startBox(fmt.Sprintf("box-%03d", i), i)
+		}
+		cl.waitForOwners()
+		cl.advance(20 * time.Second)
+		n := cl.coordinator()
+		lost := cl.otherNode(n)
+		n.setMissesChanges(true)
+		lost.suspend()
+		cl.waitUntil(5*time.Second, func() bool { return !cl.storedMapShows(lost.name) })
+		// The answer to the write takes some milliseconds.
+		cl.advance(100 * time.Millisecond)
+		m, _, _ := n.catalog.Map(cell)
+		shown := slices.ContainsFunc(m.Members, func(b coordinator.Member) bool { return b.Box == lost.name && !b.Silent })
+		cl.c.Check(shown, qt.IsFalse)
+	})
+}
