--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -283,9 +283,9 @@
 		Box: s.Box.Name, Zone: s.Box.Zone, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
 		Endpoints: &http.Client{Transport: slowpeer.BoundWrites(httpx.NewTransport(connsPerEngine), s.Callers.StallTimeout), CheckRedirect: noRedirect},
 		Budget:    relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
-		Policy:    s.Policy.Build(),
-		Quotas:    quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
-		Places:    b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
+		Policy:    s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
+		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
+		Places: b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
 		AgeLimits: relay.ConfigAgeLimits{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -65,14 +65,24 @@
 	return min(q.startIn(), shareOf(q.route.Objective, inTimeStartObjectives)-clock.Since(q.receivedAt))
 }
 
-// mustStartInTime reports whether a request has to start within its objective. Continuations of streams have their own limit.
+// mustStartInTime reports whether a request has to start within its objective. Continuations of streams have their own limit. A prompt
+// that alone takes over half of the objective keeps the longer limit, as it would otherwise be refused by idle engines that have to load
+// its adapter.
 func (r *Relay) mustStartInTime(q *request) bool {
-	if q.needsGrant || (q.possibleRuns > 0 && q.route.Kind == resource.RouteStream) {
+	if q.needsGrant || (q.possibleRuns > 0 && q.route.Kind == resource.RouteStream) || r.prefillTime(q.head.Prompt) > shareOf(q.route.Objective, maxPromptShare) {
 		return false
 	}
 	return r.cfg.Policy.IsEnabled(policy.InTimeStarts) && r.cfg.Catalog.Topology().IsScarce(q.service)
 }
 
+// prefillTime returns the time that an idle engine takes to process a number of prompt tokens, zero if the rate is not configured.
+func (r *Relay) prefillTime(tokens int) time.Duration {
+	if r.cfg.PrefillRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) / r.cfg.PrefillRate * float64(time.Second))
+}
+
 // inTimeWithin returns the longest wait with which a request is answered in time.
 func (q *request) inTimeWithin() time.Duration {
 	if !q.continueBy.IsZero() {
--- a/internal/relay/intime_test.go
+++ b/internal/relay/intime_test.go
@@ -35,12 +35,14 @@
 		{name: "sent before without a run", scarceSlots: scarce, change: func(q *request) { q.arrivals = 1 }, want: 700 * time.Millisecond},
 		{name: "continuation", scarceSlots: scarce, change: func(q *request) { q.possibleRuns, q.continueBy = 1, q.receivedAt.Add(2*time.Second) }, want: 1700 * time.Millisecond},
 		{name: "continuation without a limit of its own", scarceSlots: scarce, change: func(q *request) { q.possibleRuns = 1 }, want: 1200 * time.Millisecond},
+		{name: "prompt of half an objective", scarceSlots: scarce, change: func(q *request) { q.head.Prompt = 500 }, want: 700 * time.Millisecond},
+		{name: "prompt of over half an objective", scarceSlots: scarce, change: func(q *request) { q.head.Prompt = 501 }, want: 1200 * time.Millisecond},
 		{name: "search for a continuation", scarceSlots: scarce, change: func(q *request) { q.needsGrant = true }, want: 1200 * time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
 			w.catalog.SetScarceSlots(tt.scarceSlots)
-			w.relay.cfg.Policy = tt.policy
+			w.relay.cfg.Policy, w.relay.cfg.PrefillRate = tt.policy, 1000
 			synctest.Test(t, func(*testing.T) {
 				q := &request{
 					service: "s", receivedAt: clock.Now().Add(-300 * time.Millisecond), deadline: clock.Now().Add(5 * time.Second),
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -24,6 +24,8 @@
 	// inTimeStartObjectives replaces maxStartObjectives for scarce services, whose queues fill up to the limit. In trials, 0.75 refused
 	// more requests, and fewer were in time.
 	inTimeStartObjectives = 1.0
+	// maxPromptShare is the part of the objective that the prompt of a request may take for inTimeStartObjectives to apply.
+	maxPromptShare = 0.5
 	// grantSlack is added to the time that a request has left to get the lifetime of its grant.
 	grantSlack = time.Second
 )
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -55,7 +55,9 @@
 	Endpoints *http.Client
 	Wire      Wire
 	Budget    BudgetConfig
-	Scope     tally.Scope
+	// PrefillRate is the configured number of prompt tokens that an engine processes per second.
+	PrefillRate float64
+	Scope       tally.Scope
 	// Leaving returns how long this box has been leaving, zero if it is not leaving. From LastStream on, the box accepts
 	// no new streams. From LastRequest on, it accepts no requests at all.
 	Leaving     func() time.Duration
