--- a/internal/owner/intime.go
+++ b/internal/owner/intime.go
@@ -7,9 +7,9 @@
 	"github.com/bellgap/bellgap/internal/result"
 )
 
-// isLoadTooLate reports whether the adapter of a waiting ticket of a scarce engine is missing and could not be loaded before the latest start
+// cannotLoadInTime reports whether the adapter of a waiting ticket of a scarce engine is missing and could not be loaded before the latest start
 // even if its load started now. An adapter whose load got no answer may be loaded, and so may any adapter before the first report.
-func (s *State) isLoadTooLate(now time.Time, t Ticket) bool {
+func (s *State) cannotLoadInTime(now time.Time, t Ticket) bool {
 	if !s.cfg.Scarce || !s.cfg.Policy.IsEnabled(policy.InTimeStarts) || s.awaitingReport {
 		return false
 	}
--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -24,7 +24,7 @@
 			s.start(now, t)
 		case !now.Before(t.StartBy):
 			s.refuse(t, result.New(result.DeadlineUnmet, "not started after %s", now.Sub(t.Arrived).Round(time.Millisecond)))
-		case s.isLoadTooLate(now, t):
+		case s.cannotLoadInTime(now, t):
 			s.refuseBeforeLoad(now, t)
 		default:
 			return true
@@ -99,7 +99,7 @@
 // mostUrgentMissing returns the most urgent waiting ticket whose adapter is missing and can be loaded in time.
 func (s *State) mostUrgentMissing(now time.Time) (Ticket, bool) {
 	for _, t := range s.waiting {
-		if s.isMissing(now, t.Ref) && !s.isLoadTooLate(now, t) {
+		if s.isMissing(now, t.Ref) && !s.cannotLoadInTime(now, t) {
 			return t, true
 		}
 	}
--- a/internal/owner/spare.go
+++ b/internal/owner/spare.go
@@ -73,7 +73,7 @@
 		switch {
 		case !needRoom && isLoaded && s.hasRoom(t) && s.hasGapRoom(now, t):
 			s.start(now, t)
-		case s.isLoadTooLate(now, t):
+		case s.cannotLoadInTime(now, t):
 			s.refuseBeforeLoad(now, t)
 		case needRoom || isLoaded || (needLoad && s.isMissing(now, t.Ref)) || !now.Before(t.StartBy):
 			s.refuseSpare(t)
--- a/internal/responsetime/estimator.go
+++ b/internal/responsetime/estimator.go
@@ -24,8 +24,8 @@
 type Answer struct {
 	// Took is the time from the start of the answered attempt to its answer.
 	Took time.Duration
-	// Resent is true if an earlier attempt of the same order got no answer. It is unknown then which attempt was answered, so that Took is not
-	// a sample.
+	// Resent is true if an earlier attempt of the same order got no answer. Took is not a sample then, since the engine may have been slow with
+	// all attempts.
 	Resent bool
 }
 
