--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -60,7 +60,7 @@
 }
 
 // startsAfter reports whether a waiting ticket that is ahead of t is expected to start after t, because t's adapter is loaded and the other one
-// will not be loaded within startWait. Without this, busy engines expected waits up to 0.2 s too long and refused requests that could start in
+// will not be loaded within startWait. Without this, expected waits of busy engines were too long, which refused requests that could start in
 // time.
 func (s *State) startsAfter(now time.Time, waiting, t Ticket, startWait time.Duration) bool {
 	if !s.cfg.Scarce || !s.cfg.Policy.IsEnabled(policy.LoadedFirst) || !s.IsLoaded(t.Ref) || s.IsLoaded(waiting.Ref) {
