Relay: failing tests of an age that is read after the table

A route or key is looked up in one configuration, and the age that decides whether the answer is certain is read later, when a newer one may be in force.

--- a/internal/relay/identify_test.go
+++ b/internal/relay/identify_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -104,3 +106,54 @@
 		})
 	}
 }
+
+// delayedHeadWire reads the headers of a request after other work of the box.
+type delayedHeadWire struct {
+	plainWire
+	before func()
+}
+
+// ReadHead implements Wire.
+func (w delayedHeadWire) ReadHead(h http.Header) (Head, error) {
+	w.before()
+	head, err := w.plainWire.ReadHead(h)
+	head.Key = h.Get("Key")
+	return head, err
+}
+
+// TestUnknownRouteIsNotJudgedByLaterConfirmation guards against a 404 for a route that exists: a new configuration comes into force
+// while a request is read, and its age is taken for that of the table in which the route was looked up.
+func TestUnknownRouteIsNotJudgedByLaterConfirmation(t *testing.T) {
+	c := qt.New(t)
+	cat := catalog.New()
+	putObject(c, cat, 1, string(resource.KindRouting), catalog.RoutingName, &resource.Routing{Version: 1})
+	confirmedAt := time.Now().Add(-time.Minute)
+	wire := delayedHeadWire{before: func() {
+		putObject(c, cat, 2, string(resource.KindRouting), catalog.RoutingName, keyedRouting(nil))
+		confirmedAt = time.Now()
+	}}
+	r := New(Config{Catalog: cat, Wire: wire, AgeLimits: ConfigAgeLimits{MaxForUnknown: 3 * time.Second, ConfirmedAt: func() time.Time { return confirmedAt }}})
+	request := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+	_, rerr := r.readRequest(r.cfg.Callers.NewCaller(httptest.NewRecorder()), request)
+	c.Assert(rerr, qt.IsNotNil)
+	c.Check(rerr.Code, qt.Not(qt.Equals), result.NoRoute)
+}
+
+// TestRevokedKeyIsNotJudgedByLaterConfirmation guards against running a request with a revoked key: the key is found in an old
+// configuration, whose age is then read after a newer one has come into force.
+func TestRevokedKeyIsNotJudgedByLaterConfirmation(t *testing.T) {
+	c := qt.New(t)
+	cat := catalog.New()
+	putObject(c, cat, 1, string(resource.KindRouting), catalog.RoutingName, keyedRouting(map[string]string{"k1": "mill"}))
+	confirmedAt := time.Now().Add(-time.Minute)
+	wire := delayedHeadWire{before: func() {
+		putObject(c, cat, 2, string(resource.KindRouting), catalog.RoutingName, keyedRouting(nil))
+		confirmedAt = time.Now()
+	}}
+	r := New(Config{Catalog: cat, Wire: wire, AgeLimits: ConfigAgeLimits{MaxForKeys: 5 * time.Second, MaxForUnknown: 3 * time.Second, ConfirmedAt: func() time.Time { return confirmedAt }}})
+	request := httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+	request.Header.Set("Key", "k1")
+	_, rerr := r.readRequest(r.cfg.Callers.NewCaller(httptest.NewRecorder()), request)
+	c.Assert(rerr, qt.IsNotNil)
+	c.Check(rerr.Code, qt.Equals, result.ConfigOld)
+}
