Follow: a late answer of the store no longer lowers the known revision

What callers saw: 404 for a route that was acknowledged 4.1 s before, from a box in touch, on a site with aggregators. Cause: when a box's own call ended, its known revision was set to that of the call, also if another box had sent a later one meanwhile. The later confirmation stayed. The box told the boxes behind it that age with the lower revision; a box that held just that revision got no change and counted as confirmed. That this was the reported case is not shown: the record has no logs. Why it works: the known revision only rises, so it is never below the one that a confirmation covers.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -347,7 +347,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	status := f.statusOf(k.Name)
-	status.knownRevision, status.keptObjects = k.revision, len(k.missing)
+	// Another box may have sent later changes during the call. confirmedAt covers these.
+	status.knownRevision, status.keptObjects = max(status.knownRevision, k.revision), len(k.missing)
 	f.lateChanges = appendLateDeletions(f.lateChanges, k, ch, clock.Now())
 }
 
