Relay: the age of a configuration is read before its table

Cause: the route was looked up in one table, and the age that makes "no route" certain was read afterwards. If a newer configuration came into force in between, its age was taken for that of the old table. The log line hid it: it named the version in force when it was written. It names the version and age that decided now. Why it works: age and table are read in one place, the age first, so a table can only get an age that is too high.

--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -48,7 +48,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				q := &request{receivedAt: now, incoming: in, route: rt, head: Head{Key: "key-7", Prompt: 1460, Output: 80, HasTokenCounts: true}}
-				if rerr := r.identifyCustomer(q, table); rerr != nil {
+				if rerr := r.identifyCustomer(q, confirmedRouting{table: table, confirmedAt: now}); rerr != nil {
 					b.Fatal(rerr)
 				}
 				if rerr := r.chargeUnits(q); rerr != nil {
--- a/internal/relay/identify.go
+++ b/internal/relay/identify.go
@@ -10,7 +10,8 @@
 
 // ConfigAgeLimits limits the age of the configuration on which a box may base its decisions.
 type ConfigAgeLimits struct {
-	// ConfirmedAt returns the time up to which this box's configuration is known to be current, zero if it has none.
+	// ConfirmedAt returns the time up to which this box's configuration is known to be current, zero if it has none. If it is nil,
+	// no time is known.
 	ConfirmedAt func() time.Time
 	// MaxForKeys is the maximum age for requests that need a key, which may have been revoked since. Zero sets no limit.
 	MaxForKeys time.Duration
@@ -23,54 +24,69 @@
 // Within this time the box contacts a lost store again.
 const staleRetryAfter = 500 * time.Millisecond
 
-// configAge returns how old the configuration was when the request arrived. The time that a request waits afterwards
+// confirmedRouting is a routing configuration with the time up to which it is known to be current.
+type confirmedRouting struct {
+	table       *route.Table
+	confirmedAt time.Time
+}
+
+// currentRouting returns the routing configuration in force.
+func (r *Relay) currentRouting() confirmedRouting {
+	// The time is read first. If a newer configuration comes into force in between, its table gets the time of the previous one.
+	var at time.Time
+	if r.cfg.AgeLimits.ConfirmedAt != nil {
+		at = r.cfg.AgeLimits.ConfirmedAt()
+	}
+	return confirmedRouting{table: r.cfg.Catalog.Topology().Routes, confirmedAt: at}
+}
+
+// ageFor returns how old the configuration was when the request arrived. The time that a request waits afterwards
 // does not count.
-func (r *Relay) configAge(q *request) time.Duration {
-	at := r.cfg.AgeLimits.ConfirmedAt()
-	if at.IsZero() {
+func (c confirmedRouting) ageFor(q *request) time.Duration {
+	if c.confirmedAt.IsZero() {
 		return time.Duration(1<<63 - 1)
 	}
-	return q.receivedAt.Sub(at)
+	return q.receivedAt.Sub(c.confirmedAt)
 }
 
 // refuseUnknown returns rerr, which states that a route or key is unknown. If the configuration is too old to be
 // sure, it returns an error that states this instead.
-func (r *Relay) refuseUnknown(q *request, rerr *result.Error) *result.Error {
-	if r.cfg.AgeLimits.MaxForUnknown == 0 || r.configAge(q) <= r.cfg.AgeLimits.MaxForUnknown {
+func (r *Relay) refuseUnknown(q *request, current confirmedRouting, rerr *result.Error) *result.Error {
+	if r.cfg.AgeLimits.MaxForUnknown == 0 || current.ageFor(q) <= r.cfg.AgeLimits.MaxForUnknown {
 		return rerr
 	}
-	return r.staleConfigError(q, rerr.Detail)
+	return staleConfigError(q, current, rerr.Detail)
 }
 
 // staleConfigError returns the error for a decision that needs a newer configuration.
-func (r *Relay) staleConfigError(q *request, detail string) *result.Error {
-	rerr := result.New(result.ConfigOld, "%s: configuration confirmed %s before the request", detail, r.configAge(q).Round(time.Millisecond))
+func staleConfigError(q *request, current confirmedRouting, detail string) *result.Error {
+	rerr := result.New(result.ConfigOld, "%s: configuration confirmed %s before the request", detail, current.ageFor(q).Round(time.Millisecond))
 	rerr.RetryAfter = staleRetryAfter
 	return rerr
 }
 
 // identifyCustomer finds the customer of a request. It refuses the request if its key is unknown or may have been
 // revoked.
-func (r *Relay) identifyCustomer(q *request, table *route.Table) *result.Error {
-	if !table.RequiresKey() || q.route.Open {
+func (r *Relay) identifyCustomer(q *request, current confirmedRouting) *result.Error {
+	if !current.table.RequiresKey() || q.route.Open {
 		return nil
 	}
 	if q.head.Key != "" {
 		q.keyDigest = customer.NewDigest(q.head.Key)
 	}
-	return r.checkKey(q, table)
+	return r.checkKey(q, current)
 }
 
 // checkKey finds the customer of the request's key in the given configuration. It refuses the request if there is
 // none.
-func (r *Relay) checkKey(q *request, table *route.Table) *result.Error {
-	found, ok := table.Customers().ByDigest(q.keyDigest)
+func (r *Relay) checkKey(q *request, current confirmedRouting) *result.Error {
+	found, ok := current.table.Customers().ByDigest(q.keyDigest)
 	if !ok {
-		return r.refuseUnknown(q, result.New(result.Unauthorized, "no customer has this key"))
+		return r.refuseUnknown(q, current, result.New(result.Unauthorized, "no customer has this key"))
 	}
 	q.customer = found
-	if r.cfg.AgeLimits.MaxForKeys > 0 && r.configAge(q) > r.cfg.AgeLimits.MaxForKeys {
-		return r.staleConfigError(q, "keys")
+	if r.cfg.AgeLimits.MaxForKeys > 0 && current.ageFor(q) > r.cfg.AgeLimits.MaxForKeys {
+		return staleConfigError(q, current, "keys")
 	}
 	return nil
 }
@@ -81,7 +97,7 @@
 	if q.customer == nil {
 		return nil
 	}
-	return r.checkKey(q, r.cfg.Catalog.Topology().Routes)
+	return r.checkKey(q, r.currentRouting())
 }
 
 // customerName returns the name of the request's customer, empty if it has none.
--- a/internal/relay/identify_test.go
+++ b/internal/relay/identify_test.go
@@ -57,10 +57,10 @@
 				}
 				return now.Add(-test.confirmedBefore)
 			}}})
-			table := cat.Topology().Routes
-			route, _ := table.Lookup("h", "/x")
+			current := r.currentRouting()
+			route, _ := current.table.Lookup("h", "/x")
 			q := &request{receivedAt: now, route: route, head: Head{Key: test.key}}
-			rerr := r.identifyCustomer(q, table)
+			rerr := r.identifyCustomer(q, current)
 			if test.want == result.OK {
 				c.Assert(rerr == nil, qt.IsTrue, qt.Commentf("%v", rerr))
 				c.Check(q.customerName(), qt.Equals, "mill")
@@ -90,10 +90,10 @@
 			cat := catalog.New()
 			putObject(c, cat, 1, string(resource.KindRouting), catalog.RoutingName, keyedRouting(map[string]string{"k1": "mill"}))
 			r := New(Config{Catalog: cat, AgeLimits: ConfigAgeLimits{ConfirmedAt: time.Now}})
-			table := cat.Topology().Routes
-			route, _ := table.Lookup("h", "/x")
+			current := r.currentRouting()
+			route, _ := current.table.Lookup("h", "/x")
 			q := &request{receivedAt: time.Now(), route: route, head: Head{Key: "k1"}}
-			c.Assert(r.identifyCustomer(q, table) == nil, qt.IsTrue)
+			c.Assert(r.identifyCustomer(q, current) == nil, qt.IsTrue)
 			putObject(c, cat, 2, string(resource.KindRouting), catalog.RoutingName, keyedRouting(test.keysAfter))
 			rerr := r.recheckKey(q)
 			if test.customerAfter == "" {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -134,10 +134,12 @@
 
 // request is one request of a caller, with its complete body and its checked headers.
 type request struct {
-	head       Head
-	incoming   *http.Request
-	body       []byte
-	caller     *slowpeer.Caller
+	head     Head
+	incoming *http.Request
+	body     []byte
+	caller   *slowpeer.Caller
+	// routing is the configuration in which the route was looked up.
+	routing    confirmedRouting
 	route      *resource.Route
 	service    string
 	receivedAt time.Time
@@ -267,7 +269,9 @@
 // readRequest reads the headers and the body of a request, and finds its route and customer.
 func (r *Relay) readRequest(w *slowpeer.Caller, req *http.Request) (*request, *result.Error) {
 	q := &request{incoming: req, caller: w, receivedAt: clock.Now()}
-	table := r.cfg.Catalog.Topology().Routes
+	current := r.currentRouting()
+	table := current.table
+	q.routing = current
 	if table == nil {
 		return q, result.New(result.NotReady, "%s has no routes yet", r.cfg.Box)
 	}
@@ -278,7 +282,7 @@
 	q.head = head
 	rt, ok := table.Lookup(req.Host, req.URL.Path)
 	if !ok {
-		return q, r.refuseUnknown(q, result.New(result.NoRoute, "%s%s", req.Host, req.URL.Path))
+		return q, r.refuseUnknown(q, current, result.New(result.NoRoute, "%s%s", req.Host, req.URL.Path))
 	}
 	q.route, q.service = rt, route.PickService(rt, head.ID)
 	timeout := time.Duration(rt.Timeout)
@@ -286,7 +290,7 @@
 		timeout = min(timeout, head.Deadline)
 	}
 	q.deadline = q.receivedAt.Add(timeout)
-	if rerr := r.identifyCustomer(q, table); rerr != nil {
+	if rerr := r.identifyCustomer(q, current); rerr != nil {
 		return q, rerr
 	}
 	w.Describe(q.customerName(), rt.Name)
--- a/internal/relay/telemetry.go
+++ b/internal/relay/telemetry.go
@@ -44,10 +44,10 @@
 	if q.route != nil {
 		routeName = q.route.Name
 	}
-	if t := r.cfg.Catalog.Topology().Routes; t != nil {
-		configVersion = t.Version()
+	if q.routing.table != nil {
+		configVersion = q.routing.table.Version()
 	}
-	klog.InfoS("request", "request", q.head.ID, "fingerprint", q.suspect.Fingerprint, "result", rerr.Code.String(), "detail", rerr.Detail, "route", routeName, "config", configVersion,
+	klog.InfoS("request", "request", q.head.ID, "fingerprint", q.suspect.Fingerprint, "result", rerr.Code.String(), "detail", rerr.Detail, "route", routeName, "config", configVersion, "config_age", q.routing.ageFor(q),
 		"service", q.service, "customer", q.customerName(), "adapter", q.head.Adapter, "ref", q.ref, "tries", q.tries, "endpoint", q.lastEndpoint, "arrivals", q.arrivals,
 		"waited", q.untilSent, "first", q.untilAnswered, "gap", q.longestGap, "took", clock.Since(q.receivedAt), "left", q.timeLeft(), "store_age", r.cfg.StoreAge(), "left_out", skipped)
 }
