--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -55,7 +55,7 @@
 					b.Fatal(rerr)
 				}
 				if !open {
-					if rerr := r.checkKey(q, table); rerr != nil {
+					if rerr := r.checkKey(q, confirmedRouting{table: table, confirmedAt: now}); rerr != nil {
 						b.Fatal(rerr)
 					}
 				}
