Streams stay at the software version that began them

Cause: the design was missing. The version of an endpoint was not read, the attempt that a caller resumes was not read, and a continuation could go to any endpoint. Why it works: a request is bound to the version of the endpoint that wrote its first event. Where nobody knows it, a stream goes on only if one version is in service; else it is refused at once as not run.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -29,6 +29,7 @@
 	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
+	"github.com/bellgap/bellgap/internal/origin"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/peer"
 	"github.com/bellgap/bellgap/internal/places"
@@ -123,6 +124,9 @@
 	// demand counts the requests for scarce services and holds the shares in force. gate admits requests by these shares.
 	demand *demand.Exchange
 	gate   *share.Gate
+	// origins records the software versions at which streams began. originRegister holds the records of this box.
+	origins        *origin.Client
+	originRegister *origin.Register
 	// quarantine blocks requests that have crashed endpoints.
 	quarantine        *quarantine.Client
 	listeners         listeners
@@ -185,6 +189,7 @@
 	b.buildShares()
 	b.buildFigures()
 	b.buildNode(peers)
+	b.buildOrigins()
 	b.buildRelay(grants)
 	b.addParts(grants, scheduler)
 	return b, nil
@@ -328,6 +333,16 @@
 	b.node = member.New(cfg)
 }
 
+// buildOrigins builds the records of the software versions at which streams began.
+func (b *Routed) buildOrigins() {
+	s := b.cfg.Settings
+	b.originRegister = origin.NewRegister(origin.RegisterConfig{MaxRecords: s.Streams.Origins, TTL: s.Streams.OriginTTL})
+	b.origins = origin.NewClient(origin.ClientConfig{
+		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerOriginPeer)}, Register: b.originRegister,
+		Fleet: originFleet{catalog: b.catalog, box: s.Box.Name}, Scope: b.metrics.Scope,
+	})
+}
+
 func (b *Routed) buildRelay(grants *grant.Client) {
 	s := b.cfg.Settings
 	cfg := relay.Config{
@@ -337,6 +352,7 @@
 		Policy:    s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
 		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
 		Places: b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
+		Origins: b.origins,
 		AgeLimits: relay.ConfigAgeLimits{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
@@ -359,12 +375,14 @@
 	notice.NewServer(notice.ServerConfig{Board: b.notices}).Register(peerMux)
 	quarantine.NewServer(quarantine.ServerConfig{Client: b.quarantine}).Register(peerMux)
 	places.NewServer(places.ServerConfig{Keeper: b.keeper, Rates: b.rates}).Register(peerMux)
+	origin.NewServer(origin.ServerConfig{Register: b.originRegister}).Register(peerMux)
 	b.links.addTo(b.root, peerMux)
 	quota.NewServer(quota.ServerConfig{Ledger: b.ledger, Accountable: b.locator, Customer: b.customer}).Register(peerMux)
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, RecentRequests: record.New(),
 		Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, LastRestore: b.follower.LastRestore, EngineLoads: b.EngineLoads, Shortages: b.gate.Shortages, SlowPeers: b.callers.Status, Reach: b.links.reach.Status, Detours: b.links.status,
+		StreamOrigins: b.origins.Len,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
@@ -377,6 +395,7 @@
 	b.root.Add(b.places)
 	b.root.Add(b.noticeClient)
 	b.root.Add(b.quarantine)
+	b.root.Add(b.origins)
 	b.root.Add(delayedNode{b.follower.Ready(), b.node})
 }
 
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -101,6 +101,9 @@
 	if d := st.Detours; d.Used+d.Carried > 0 {
 		_, _ = fmt.Fprintf(w, "connections to endpoints through other boxes: %d; carried for other boxes: %d\n", d.Used, d.Carried)
 	}
+	if st.StreamOrigins > 0 {
+		_, _ = fmt.Fprintf(w, "streams whose software version is recorded here: %d\n", st.StreamOrigins)
+	}
 	fleet := summarize(topology, st.Member.Coordinator, st.Member.Cell)
 	fleet.addRateLimits(st.RateLimits)
 	fleet.addBrittle(st.BrittleEndpoints)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -63,6 +63,9 @@
 	Reach func() reach.Status
 	// Detours returns the open connections to endpoints through other boxes. It is nil on boxes that use none.
 	Detours func() detour.Status
+	// StreamOrigins returns how many records of the software versions at which streams began the box keeps. It is nil on boxes that keep
+	// none.
+	StreamOrigins func() int
 }
 
 // Quarantine lists the requests that have crashed endpoints and allows an operator to release them.
@@ -110,6 +113,8 @@
 	Reach reach.Status `json:"reach"`
 	// Detours counts the open connections to endpoints through other boxes.
 	Detours detour.Status `json:"detours"`
+	// StreamOrigins counts the records of the software versions at which streams began.
+	StreamOrigins int `json:"stream_origins"`
 }
 
 // EngineLoad is the known load of a scarce engine.
@@ -155,7 +160,7 @@
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), BrittleEndpoints: o.cfg.BrittleEndpoints(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
 		EngineLoads: o.engineLoads(), Shortages: o.shortages(),
-		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(),
+		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(), StreamOrigins: o.streamOrigins(),
 	})
 }
 
@@ -173,6 +178,13 @@
 	return o.cfg.Detours()
 }
 
+func (o *Operator) streamOrigins() int {
+	if o.cfg.StreamOrigins == nil {
+		return 0
+	}
+	return o.cfg.StreamOrigins()
+}
+
 func (o *Operator) shortages() []share.Shortage {
 	if o.cfg.Shortages == nil {
 		return nil
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -32,7 +32,9 @@
 	address netip.AddrPort
 	// started is when the engine started, in Unix milliseconds, zero if the engine does not report it.
 	started int64
-	owner   coordinator.Member
+	// softwareVersion is the version of the engine's software.
+	softwareVersion string
+	owner           coordinator.Member
 	// holdsVersion is set if the engine holds the adapter version according to discovery or to earlier answers.
 	holdsVersion bool
 	// failedRecently is set if requests recently failed at the engine, sameZone if the engine is in this box's zone.
@@ -83,7 +85,8 @@
 	available := make([]candidate, 0, len(t.Endpoints[q.service]))
 	for _, e := range t.Endpoints[q.service] {
 		view, declared := t.Engines[e.Name]
-		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model || r.isPaused(e) {
+		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model || r.isPaused(e) ||
+			!q.binding.allows(e.Spec.SoftwareVersion) {
 			continue
 		}
 		if r.isRateExhausted(q, e.Name) {
@@ -92,7 +95,7 @@
 		}
 		_, failures := r.health.load(e.Name, now)
 		available = append(available, candidate{
-			name: e.Name, address: e.Spec.Address, started: e.Spec.Started, owner: view.Owner, failedRecently: failures >= avoidThreshold && r.cfg.Policy.IsEnabled(policy.FailureAvoidance),
+			name: e.Name, address: e.Spec.Address, started: e.Spec.Started, softwareVersion: e.Spec.SoftwareVersion, owner: view.Owner, failedRecently: failures >= avoidThreshold && r.cfg.Policy.IsEnabled(policy.FailureAvoidance),
 			holdsVersion: listsVersion(e, ref) || r.holdings.has(ref, e.Name, now), sameZone: e.Spec.Zone == r.cfg.Zone && r.cfg.Policy.IsEnabled(policy.OwnZoneFirst),
 		})
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -45,6 +45,8 @@
 	name    string
 	address netip.AddrPort
 	started int64
+	// softwareVersion is the version of the engine's software.
+	softwareVersion string
 	// reportFirstToken notifies the owner that the first token has arrived. release notifies the owner that the request
 	// has ended.
 	reportFirstToken func()
@@ -54,7 +56,9 @@
 }
 
 // destination returns the endpoint that the request is sent to.
-func (c *chosenEngine) destination() destination { return destination{c.name, c.address, c.started} }
+func (c *chosenEngine) destination() destination {
+	return destination{c.name, c.address, c.started, c.softwareVersion}
+}
 
 // chooseEngine finds an engine for a request. While no owner can be asked, for example right after a start or during
 // a change of ownership, it tries again for a limited time. So it does if half of the asked engines or more have no owner
@@ -291,7 +295,7 @@
 		}
 		return nil, rerr
 	}
-	return &chosenEngine{name: c.name, address: c.address, started: c.started, reportFirstToken: g.ReportFirstToken, release: g.End, recordGap: g.RecordGap}, nil
+	return &chosenEngine{name: c.name, address: c.address, started: c.started, softwareVersion: c.softwareVersion, reportFirstToken: g.ReportFirstToken, release: g.End, recordGap: g.RecordGap}, nil
 }
 
 // acquireLocal asks for a grant for an engine that this box owns.
@@ -304,7 +308,7 @@
 	if err != nil {
 		return nil, result.From(err, result.QueueFull)
 	}
-	return &chosenEngine{name: c.name, address: c.address, started: c.started, reportFirstToken: g.RecordFirstToken, release: g.Release, recordGap: g.RecordGap}, nil
+	return &chosenEngine{name: c.name, address: c.address, started: c.started, softwareVersion: c.softwareVersion, reportFirstToken: g.RecordFirstToken, release: g.Release, recordGap: g.RecordGap}, nil
 }
 
 // chooseWithoutOwner picks an engine that is listed as holding the adapter version, if no owner has granted or offered
@@ -336,5 +340,5 @@
 		return r.chooseWithoutOwner(candidates, ref)
 	}
 	r.cfg.Scope.Counter("sent_without_owner").Inc(1)
-	return &chosenEngine{name: best.name, address: best.address, started: best.started, reportFirstToken: func() {}, release: func(owner.End) {}, recordGap: func(time.Duration) {}}
+	return &chosenEngine{name: best.name, address: best.address, started: best.started, softwareVersion: best.softwareVersion, reportFirstToken: func() {}, release: func(owner.End) {}, recordGap: func(time.Duration) {}}
 }
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -135,10 +135,12 @@
 // one. It cancels the exchange only when another engine has granted the continuation. A search runs in the callback of the timer,
 // so that a stream without a stall needs no goroutine.
 type streamWatch struct {
-	relay     *Relay
-	engine    string
-	cancelRun context.CancelFunc
-	askCtx    context.Context
+	relay  *Relay
+	engine string
+	// softwareVersion is the version of the engine's software. After the first event the stream continues only at that version.
+	softwareVersion string
+	cancelRun       context.CancelFunc
+	askCtx          context.Context
 	// asker is a copy of the request, which only the searches use. avoid lists the engines that they do not ask.
 	asker *request
 	avoid map[string]bool
@@ -160,16 +162,16 @@
 }
 
 // startStreamWatch starts to watch a stream that is sent to an engine. cancelRun cancels the exchange.
-func (r *Relay) startStreamWatch(ctx context.Context, q *request, engine string, avoid map[string]bool, cancelRun context.CancelFunc) *streamWatch {
+func (r *Relay) startStreamWatch(ctx context.Context, q *request, engine *chosenEngine, avoid map[string]bool, cancelRun context.CancelFunc) *streamWatch {
 	now := clock.Now()
-	w := &streamWatch{relay: r, engine: engine, cancelRun: cancelRun, askCtx: ctx, stream: continuity.NewStream(q.streamConfig(now))}
+	w := &streamWatch{relay: r, engine: engine.name, softwareVersion: engine.softwareVersion, cancelRun: cancelRun, askCtx: ctx, stream: continuity.NewStream(q.streamConfig(now))}
 	if !r.cfg.Policy.IsEnabled(policy.StallDetection) || !q.route.Idempotent() || q.possibleRuns+1 >= q.route.Attempts || q.arrivals+1 >= maxArrivals {
 		return w
 	}
 	asker := *q
 	asker.tries, w.firstTry = slices.Clone(q.tries), len(q.tries)
 	asker.needsGrant = true
-	w.asker, w.avoid = &asker, map[string]bool{engine: true}
+	w.asker, w.avoid = &asker, map[string]bool{engine.name: true}
 	for name, avoided := range avoid {
 		if avoided {
 			w.avoid[name] = true
@@ -259,6 +261,9 @@
 		return nil, false
 	}
 	w.stream.BeginAsk(now)
+	if !w.stream.ForwardedAt().IsZero() {
+		w.asker.bindTo(w.softwareVersion)
+	}
 	w.asker.continueBy = w.stream.UsefulUntil()
 	ctx, cancel := context.WithTimeout(w.askCtx, w.asker.startIn())
 	w.cancelAsk = cancel
@@ -281,7 +286,8 @@
 	w.cancelAsk()
 	w.cancelAsk = nil
 	now := clock.Now()
-	if next != nil && !w.stopped && w.stream.ShouldSwitch(now) && w.relay.spendRetry(w.asker, result.New(result.StreamCut, "")) {
+	isAllowed := next != nil && (w.stream.ForwardedAt().IsZero() || next.engine.softwareVersion == w.softwareVersion)
+	if isAllowed && !w.stopped && w.stream.ShouldSwitch(now) && w.relay.spendRetry(w.asker, result.New(result.StreamCut, "")) {
 		w.cut, w.next = true, next
 		w.cancelRun()
 		return true
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -322,7 +322,7 @@
 	}
 	ctx, cancel := context.WithCancel(c.Context())
 	defer cancel()
-	watch := w.relay.startStreamWatch(c.Context(), q, "e0", nil, cancel)
+	watch := w.relay.startStreamWatch(c.Context(), q, &chosenEngine{name: "e0"}, nil, cancel)
 	watch.recordArrival()
 	watch.recordForwarded()
 	select {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -13,6 +13,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/detour"
 	"github.com/bellgap/bellgap/internal/httpx"
@@ -51,6 +52,13 @@
 	address netip.AddrPort
 	// started is when the endpoint started, in Unix milliseconds, zero if the endpoint does not report it.
 	started int64
+	// softwareVersion is the version of the endpoint's software, empty if its entry names none.
+	softwareVersion string
+}
+
+// endpointDestination returns the destination for an endpoint of a plain service.
+func endpointDestination(e catalog.EndpointView) destination {
+	return destination{e.Name, e.Spec.Address, e.Spec.Started, e.Spec.SoftwareVersion}
 }
 
 // exchange sends a request to one endpoint and returns the answer after checking its head. The result code of the
@@ -90,6 +98,7 @@
 	r.cfg.Wire.WriteAttempt(outgoing.Header, a)
 	outgoing.Body, outgoing.ContentLength = singleUseBody{content}, int64(len(q.body))
 	q.arrivals++
+	r.recordOrigin(q, to)
 	q.lastEndpoint, q.untilSent = to.name, clock.Since(q.receivedAt)
 	traced := httpx.NewSendTrace(outgoing)
 	resp, err := r.cfg.Endpoints.Do(traced.Request)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -79,6 +79,14 @@
 			avoid[c.name] = true
 			continue
 		}
+		if !q.binding.allows(c.softwareVersion) {
+			// The search for this engine began before the first event.
+			r.logVersionMismatch(q, c)
+			c.release(owner.EndUnused)
+			r.refundRetry(q)
+			avoid[c.name] = true
+			continue
+		}
 		q.ref = next.ref.String()
 		if q.possibleRuns > 0 && q.route.Kind == resource.RouteStream {
 			r.logContinuation(q, previous, c, lastEvent)
@@ -158,7 +166,7 @@
 func (r *Relay) sendToEngine(ctx context.Context, out *output, q *request, c *chosenEngine, avoid map[string]bool, a Attempt) (string, *result.Error) {
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := r.startStreamWatch(ctx, q, c.name, avoid, cancel)
+	watch := r.startStreamWatch(ctx, q, c, avoid, cancel)
 	r.health.begin(c.name)
 	place := r.unanswered.Add(func() { c.release(owner.EndBroken) })
 	resp, rerr := r.exchange(place.Trace(runCtx), q, c.destination(), a)
@@ -191,6 +199,9 @@
 		out.onEvent, out.onForwarded = watch.newArrivalCallback(c), watch.recordForwarded
 		lastEvent, rerr = out.copyEvents(r.cfg.Wire, resp, a.LastEvent)
 		watch.stop(q)
+		if out.started {
+			q.bindTo(c.softwareVersion)
+		}
 	}
 	rerr = watch.stallError(rerr)
 	cut := rerr != nil && rerr.Code == result.StreamCut && !out.isExcused(rerr)
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -88,6 +88,9 @@
 		if view, ok := t.Engines[e.Name]; ok && q.head.Model != "" && view.Spec.BaseModel != q.head.Model {
 			continue
 		}
+		if !q.binding.allows(e.Spec.SoftwareVersion) {
+			continue
+		}
 		total++
 		if e.Spec.Leaving {
 			continue
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -71,7 +71,7 @@
 	if rerr == nil {
 		rerr = r.forwardPlain(out, resp, e, q)
 	}
-	r.reportOutcome(ctx, q, destination{e.Name, e.Spec.Address, e.Spec.Started}, rerr)
+	r.reportOutcome(ctx, q, endpointDestination(e), rerr)
 	if rerr == nil || out.started {
 		return false, rerr
 	}
@@ -145,7 +145,7 @@
 func (r *Relay) placeOutcome(q *request, e catalog.EndpointView, sentAt time.Time, resp *http.Response, rerr *result.Error) places.Outcome {
 	o := places.Outcome{Latency: answerTime(sentAt, resp)}
 	if rerr != nil {
-		o.Rejected, o.Down = r.isRoomRejection(q, destination{e.Name, e.Spec.Address, e.Spec.Started}, rerr), rerr.Code == result.NotListening
+		o.Rejected, o.Down = r.isRoomRejection(q, endpointDestination(e), rerr), rerr.Code == result.NotListening
 	}
 	return o
 }
@@ -192,7 +192,7 @@
 	sharedEndpoint := r.endpointOfFirst(q)
 	var scoredEndpoints []scoredEndpoint
 	for _, e := range r.cfg.Catalog.Topology().Endpoints[q.service] {
-		if e.Spec.Leaving || tried[e.Name] || r.isPaused(e) {
+		if e.Spec.Leaving || tried[e.Name] || r.isPaused(e) || !q.binding.allows(e.Spec.SoftwareVersion) {
 			continue
 		}
 		if e.Name == sharedEndpoint {
@@ -223,7 +223,7 @@
 func (r *Relay) callPlain(ctx context.Context, q *request, e catalog.EndpointView) (*http.Response, *result.Error) {
 	r.health.begin(e.Name)
 	ctx, stopTimer := r.withTryTimeout(ctx, q)
-	resp, rerr := r.exchange(ctx, q, destination{e.Name, e.Spec.Address, e.Spec.Started}, Attempt{})
+	resp, rerr := r.exchange(ctx, q, endpointDestination(e), Attempt{})
 	if timedOut := stopTimer(); timedOut && rerr != nil {
 		rerr = result.New(result.AnswerLost, "no answer within the objective")
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"github.com/bellgap/bellgap/internal/demand"
 	"github.com/bellgap/bellgap/internal/grant"
 	"github.com/bellgap/bellgap/internal/notice"
+	"github.com/bellgap/bellgap/internal/origin"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/policy"
@@ -87,6 +88,8 @@
 	Demand *demand.Exchange
 	// Callers bounds what is held for callers and endpoints that do not read. New sets one with default limits if it is nil.
 	Callers *slowpeer.Tracker
+	// Origins holds the software versions at which resumable streams began. If it is nil, none are recorded or known.
+	Origins Origins
 	// Loads holds the load that the owners of engines report, nil if none is known. It is used for scarce engines.
 	Loads EngineLoads
 }
@@ -108,7 +111,9 @@
 	firstRequests  *firstRequests
 	sends          *sends
 	speeds         *speeds
-	unanswered     *unanswered.Set
+	// serviceVersions remembers which software versions served which services.
+	serviceVersions *serviceVersions
+	unanswered      *unanswered.Set
 }
 
 // New returns a Relay that uses the given configuration.
@@ -118,7 +123,7 @@
 	}
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
-		sends: newSends(), speeds: newSpeeds(), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
+		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
 	}
 }
@@ -188,6 +193,10 @@
 	needsGrant bool
 	// next is where the stream continues.
 	next *continuation
+	// binding is the software version of a stream that has begun. origin is the record of the stream that the request resumes, zero if
+	// it resumes none or no record is known.
+	binding versionBinding
+	origin  origin.Record
 }
 
 // timeLeft returns the time until the deadline of the request.
@@ -227,6 +236,9 @@
 	if rerr == nil {
 		rerr = r.checkQuarantine(q)
 	}
+	if rerr == nil {
+		rerr = r.bindResumed(req.Context(), q)
+	}
 	if rerr == nil {
 		rerr = r.chargeUnits(q)
 	}
--- /dev/null
+++ b/internal/relay/softwareversion.go
@@ -0,0 +1,180 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/origin"
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+)
+
+// Origins records and finds the software versions at which resumable streams began. It is an interface because its calls cross the
+// network.
+type Origins interface {
+	Record(r origin.Record)
+	Find(ctx context.Context, attempt string) (origin.Record, bool)
+}
+
+// versionBinding restricts a request to endpoints of one software version. The zero value allows all.
+type versionBinding struct {
+	bound   bool
+	version string
+}
+
+// allows reports whether a request may go to an endpoint of a software version.
+func (b versionBinding) allows(version string) bool { return !b.bound || b.version == version }
+
+// bindTo restricts the rest of a request to a software version.
+func (q *request) bindTo(version string) { q.binding = versionBinding{bound: true, version: version} }
+
+// isResumable reports whether the request is for a stream that may be resumed.
+func (q *request) isResumable() bool {
+	return q.route.Kind == resource.RouteStream && q.route.Idempotent()
+}
+
+// bindResumed binds a request that resumes a stream to the software version at which the stream began. It refuses the request if that
+// version is unknown, while several are in service, or has no endpoint.
+func (r *Relay) bindResumed(ctx context.Context, q *request) *result.Error {
+	if q.head.LastEvent == "" || !q.isResumable() {
+		return nil
+	}
+	if r.cfg.Origins != nil {
+		if found, ok := r.cfg.Origins.Find(ctx, q.head.Resumes); ok && q.moveTo(found.Service) {
+			q.origin = found
+			q.bindTo(found.Version)
+			r.countResumption("recorded")
+			return r.refuseIfVersionGone(q)
+		}
+	}
+	versions := r.serviceVersions.inService(clock.Now(), q.service, r.endpointVersions(q.service))
+	if len(versions) > 1 {
+		r.countResumption("unknown")
+		return result.New(result.StreamVersionUnknown, "attempt %q; %s has versions %q", q.head.Resumes, q.service, versions)
+	}
+	for _, version := range versions {
+		q.bindTo(version)
+	}
+	r.countResumption("only_version")
+	return nil
+}
+
+// moveTo sets the service of the request if it is one of those that the route leads to, and reports whether it is.
+func (q *request) moveTo(service string) bool {
+	if !slices.ContainsFunc(q.route.Targets, func(t resource.Target) bool { return t.Service == service }) {
+		return false
+	}
+	q.service = service
+	return true
+}
+
+// refuseIfVersionGone refuses a request that is bound to a software version none of whose endpoints takes new requests.
+func (r *Relay) refuseIfVersionGone(q *request) *result.Error {
+	for _, e := range r.cfg.Catalog.Topology().Endpoints[q.service] {
+		if q.binding.allows(e.Spec.SoftwareVersion) && !e.Spec.Leaving {
+			return nil
+		}
+	}
+	r.countResumption("gone")
+	return result.New(result.StreamVersionGone, "version %q of %s", q.binding.version, q.service)
+}
+
+func (r *Relay) countResumption(outcome string) {
+	r.cfg.Scope.Tagged(map[string]string{"origin": outcome}).Counter("stream_resumptions").Inc(1)
+}
+
+// recordOrigin records the software version of the endpoint that a resumable stream is sent to.
+func (r *Relay) recordOrigin(q *request, to destination) {
+	if !q.isResumable() || r.cfg.Origins == nil {
+		return
+	}
+	r.serviceVersions.add(clock.Now(), q.service, to.softwareVersion)
+	record := q.origin
+	if record.Attempt == "" {
+		if q.binding.bound {
+			// Another endpoint continues the stream, at the version that is already recorded.
+			return
+		}
+		record = origin.Record{Attempt: q.head.ID, Service: q.service, Version: to.softwareVersion, Sequence: q.arrivals}
+	}
+	r.cfg.Origins.Record(record)
+}
+
+// endpointVersions returns the software versions of the endpoints of a service, including those that are leaving.
+func (r *Relay) endpointVersions(service string) []string {
+	var versions []string
+	for _, e := range r.cfg.Catalog.Topology().Endpoints[service] {
+		if !slices.Contains(versions, e.Spec.SoftwareVersion) {
+			versions = append(versions, e.Spec.SoftwareVersion)
+		}
+	}
+	return versions
+}
+
+// logVersionMismatch records that a granted engine was not used because its software version differs from that of the stream.
+func (r *Relay) logVersionMismatch(q *request, c *chosenEngine) {
+	r.cfg.Scope.Counter("stream_version_mismatches").Inc(1)
+	klog.InfoS("engine not used, its software version differs from that of the stream", "request", q.head.ID, "engine", c.name,
+		"version", c.softwareVersion, "stream_version", q.binding.version)
+}
+
+const (
+	// versionMemory is how long a software version counts as in service after its last endpoint is gone: as long as a stream may last.
+	versionMemory = time.Minute
+	// maxRememberedVersions limits the software versions that are remembered, over all services.
+	maxRememberedVersions = 256
+)
+
+// serviceVersion is a software version of a service.
+type serviceVersion struct{ service, version string }
+
+// serviceVersions remembers which software versions served which services.
+type serviceVersions struct {
+	mu     sync.Mutex
+	seenAt map[serviceVersion]time.Time
+}
+
+func newServiceVersions() *serviceVersions {
+	return &serviceVersions{seenAt: map[serviceVersion]time.Time{}}
+}
+
+// add records that a version serves a service now.
+func (s *serviceVersions) add(now time.Time, service, version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addLocked(now, serviceVersion{service, version})
+}
+
+func (s *serviceVersions) addLocked(now time.Time, v serviceVersion) {
+	s.seenAt[v] = now
+	if len(s.seenAt) <= maxRememberedVersions {
+		return
+	}
+	for known, at := range s.seenAt {
+		if now.Sub(at) > versionMemory {
+			delete(s.seenAt, known)
+		}
+	}
+}
+
+// inService returns the given present versions of a service and those that served it within versionMemory.
+func (s *serviceVersions) inService(now time.Time, service string, present []string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, version := range present {
+		s.addLocked(now, serviceVersion{service, version})
+	}
+	var versions []string
+	for v, at := range s.seenAt {
+		if v.service == service && now.Sub(at) <= versionMemory {
+			versions = append(versions, v.version)
+		}
+	}
+	slices.Sort(versions)
+	return versions
+}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -32,6 +32,8 @@
 	SharedParts []string
 	// LastEvent is the id of the last event that the caller received, if it resumes a broken stream.
 	LastEvent string
+	// Resumes is the ID of the attempt that brought the first event of the stream that the caller resumes, empty if the caller names none.
+	Resumes string
 }
 
 // expectedOutput returns the expected number of tokens in the answer.
--- a/internal/resource/endpoint.go
+++ b/internal/resource/endpoint.go
@@ -20,6 +20,9 @@
 	// Started is the start time in Unix milliseconds, zero if the endpoint does not report it. An instance that restarts under the same
 	// name has nothing loaded.
 	Started int64 `json:"started,omitempty"`
+	// SoftwareVersion is the version of the endpoint's software, empty if the endpoint does not report it. Endpoints of several versions
+	// may serve side by side, but a stream that began at one version cannot continue at another.
+	SoftwareVersion string `json:"software_version,omitempty"`
 }
 
 // Check implements Spec.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -36,6 +36,7 @@
 	Quarantine Quarantine `toml:"quarantine"`
 	Capacity   Capacity   `toml:"capacity"`
 	Detours    Detours    `toml:"detours"`
+	Streams    Streams    `toml:"streams"`
 }
 
 // Box identifies the box and its place in the fleet.
@@ -150,6 +151,13 @@
 	QuotaTolerance float64       `toml:"quota_tolerance"`
 }
 
+// Streams limits the records of the software versions at which resumable streams began.
+type Streams struct {
+	// Origins is the maximum number of records on this box. OriginTTL is how long a record is kept.
+	Origins   int           `toml:"origins"`
+	OriginTTL time.Duration `toml:"origin_ttl"`
+}
+
 // Detours limits the connections to endpoints through other boxes.
 type Detours struct {
 	// MaxConns is the maximum number of connections that the box carries for other boxes. With zero, it carries none and uses none.
@@ -247,6 +255,7 @@
 
 		Quarantine: Quarantine{Endpoints: 3, Hold: 10 * time.Minute},
 		Detours:    Detours{MaxConns: 256},
+		Streams:    Streams{Origins: 16384, OriginTTL: time.Minute},
 	}
 }
 
@@ -394,6 +403,14 @@
 			"detours.max_connections", "How many connections to endpoints the box carries for boxes that cannot connect to them; zero: it carries none and uses none.", fmt.Sprint(d.Detours.MaxConns),
 			func(s *Settings) string { return checkRange(s.Detours.MaxConns, 0, 4096) },
 		},
+		{
+			"streams.origins", "How many records the box keeps of the software versions at which streams began; zero: none, and it finds those of other boxes only.", fmt.Sprint(d.Streams.Origins),
+			func(s *Settings) string { return checkRange(s.Streams.Origins, 0, 1<<20) },
+		},
+		{
+			"streams.origin_ttl", "How long such a record is kept: as long as a stream may last.", d.Streams.OriginTTL.String(),
+			func(s *Settings) string { return checkRange(s.Streams.OriginTTL, time.Second, time.Hour) },
+		},
 		{
 			"quarantine.endpoints", "How many endpoints end under a request, over all boxes, before it reaches no more of them.", fmt.Sprint(d.Quarantine.Endpoints),
 			func(s *Settings) string { return checkRange(s.Quarantine.Endpoints, 1, 16) },
