--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -339,7 +339,7 @@
 	b.originRegister = origin.NewRegister(origin.RegisterConfig{MaxRecords: s.Streams.Origins, TTL: s.Streams.OriginTTL})
 	b.origins = origin.NewClient(origin.ClientConfig{
 		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerOriginPeer)}, Register: b.originRegister,
-		Fleet: originFleet{catalog: b.catalog, box: s.Box.Name}, Scope: b.metrics.Scope,
+		Fleet: newOriginFleet(b.catalog, s.Box.Name), Scope: b.metrics.Scope,
 	})
 }
 
@@ -352,7 +352,7 @@
 		Policy:    s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
 		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
 		Places: b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
-		Origins: b.origins,
+		Origins: b.origins, StreamMemory: s.Streams.OriginTTL,
 		AgeLimits: relay.ConfigAgeLimits{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -90,6 +90,8 @@
 	Callers *slowpeer.Tracker
 	// Origins holds the software versions at which resumable streams began. If it is nil, none are recorded or known.
 	Origins Origins
+	// StreamMemory is how long a stream may be resumed after it began.
+	StreamMemory time.Duration
 	// Loads holds the load that the owners of engines report, nil if none is known. It is used for scarce engines.
 	Loads EngineLoads
 }
@@ -123,7 +125,7 @@
 	}
 	return &Relay{
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
-		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
+		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
 	}
 }
--- a/internal/relay/softwareversion.go
+++ b/internal/relay/softwareversion.go
@@ -57,10 +57,11 @@
 		r.countResumption("unknown")
 		return result.New(result.StreamVersionUnknown, "attempt %q; %s has versions %q", q.head.Resumes, q.service, versions)
 	}
-	for _, version := range versions {
-		q.bindTo(version)
-	}
 	r.countResumption("only_version")
+	if len(versions) == 1 {
+		q.bindTo(versions[0])
+		q.origin = origin.Record{Attempt: q.head.Resumes, Service: q.service, Version: versions[0]}
+	}
 	return nil
 }
 
@@ -100,7 +101,7 @@
 			// Another endpoint continues the stream, at the version that is already recorded.
 			return
 		}
-		record = origin.Record{Attempt: q.head.ID, Service: q.service, Version: to.softwareVersion, Sequence: q.arrivals}
+		record = origin.Record{Attempt: q.head.ID, Service: q.service, Version: to.softwareVersion, Sequence: q.arrivals + q.connectFailures}
 	}
 	r.cfg.Origins.Record(record)
 }
@@ -123,24 +124,22 @@
 		"version", c.softwareVersion, "stream_version", q.binding.version)
 }
 
-const (
-	// versionMemory is how long a software version counts as in service after its last endpoint is gone: as long as a stream may last.
-	versionMemory = time.Minute
-	// maxRememberedVersions limits the software versions that are remembered, over all services.
-	maxRememberedVersions = 256
-)
+// maxRememberedVersions limits the software versions that are remembered, over all services.
+const maxRememberedVersions = 256
 
 // serviceVersion is a software version of a service.
 type serviceVersion struct{ service, version string }
 
 // serviceVersions remembers which software versions served which services.
 type serviceVersions struct {
+	// memory is how long a version counts as in service after its last endpoint is gone.
+	memory time.Duration
 	mu     sync.Mutex
 	seenAt map[serviceVersion]time.Time
 }
 
-func newServiceVersions() *serviceVersions {
-	return &serviceVersions{seenAt: map[serviceVersion]time.Time{}}
+func newServiceVersions(memory time.Duration) *serviceVersions {
+	return &serviceVersions{memory: memory, seenAt: map[serviceVersion]time.Time{}}
 }
 
 // add records that a version serves a service now.
@@ -156,13 +155,13 @@
 		return
 	}
 	for known, at := range s.seenAt {
-		if now.Sub(at) > versionMemory {
+		if now.Sub(at) > s.memory {
 			delete(s.seenAt, known)
 		}
 	}
 }
 
-// inService returns the given present versions of a service and those that served it within versionMemory.
+// inService returns the given present versions of a service and those that served it within its memory.
 func (s *serviceVersions) inService(now time.Time, service string, present []string) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,7 +170,7 @@
 	}
 	var versions []string
 	for v, at := range s.seenAt {
-		if v.service == service && now.Sub(at) <= versionMemory {
+		if v.service == service && now.Sub(at) <= s.memory {
 			versions = append(versions, v.version)
 		}
 	}
