--- a/internal/follow/confirm_random_test.go
+++ b/internal/follow/confirm_random_test.go
@@ -247,7 +247,7 @@
 func (tree *randomTree) disturb(ctx context.Context) {
 	for sleepFor(ctx, tree.store.draw(1500*time.Millisecond)) {
 		s := tree.store
-		kind := s.draw(6)
+		kind := int(s.draw(6))
 		s.update(func(f *fakeStore) {
 			switch kind {
 			case 0:
