--- a/internal/box/origins.go
+++ b/internal/box/origins.go
@@ -34,7 +34,7 @@
 // in another one.
 func (f *originFleet) Keepers(attempt string, n int) []netip.AddrPort {
 	t, candidates := f.currentCandidates()
-	var first, others []netip.AddrPort
+	var onePerZone, others []netip.AddrPort
 	zones := map[string]bool{}
 	for _, name := range placement.Top(attempt, candidates, keeperCandidates) {
 		m := t.Boxes[name]
@@ -44,10 +44,10 @@
 			others = append(others, m.Peer)
 		default:
 			zones[m.Zone] = true
-			first = append(first, m.Peer)
+			onePerZone = append(onePerZone, m.Peer)
 		}
 	}
-	all := append(first, others...)
+	all := append(onePerZone, others...)
 	return all[:min(n, len(all))]
 }
 
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -98,8 +98,8 @@
 	if attempt == "" || len(attempt) > maxTextBytes {
 		return Record{}, false
 	}
-	best, first, found := c.cfg.Register.Find(clock.Now(), attempt)
-	if first {
+	best, firsthand, found := c.cfg.Register.Find(clock.Now(), attempt)
+	if firsthand {
 		return best, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -143,9 +143,9 @@
 	client.Record(record("a", "v1", 0))
 	for deadline := time.Now().Add(5 * time.Second); kept.Len() == 0 && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
 	}
-	found, first, known := kept.Find(time.Now(), "a")
+	found, firsthand, known := kept.Find(time.Now(), "a")
 	c.Check(known, qt.IsTrue)
-	c.Check(first, qt.IsFalse)
+	c.Check(firsthand, qt.IsFalse)
 	c.Check(found, qt.Equals, record("a", "v1", 0))
 	cancel()
 	c.Check(group.Wait(), qt.ErrorIs, context.Canceled)
--- a/internal/origin/register.go
+++ b/internal/origin/register.go
@@ -46,8 +46,8 @@
 type entry struct {
 	service, version string
 	sequence         int
-	// first is set if this box serves the attempt.
-	first bool
+	// firsthand is set if this box serves the attempt.
+	firsthand bool
 }
 
 // NewRegister returns an empty Register.
@@ -55,9 +55,9 @@
 	return &Register{cfg: cfg, current: map[string]entry{}}
 }
 
-// Put keeps a record unless a later one of the attempt is known. It ignores an invalid record. first is set if this box serves the
+// Put keeps a record unless a later one of the attempt is known. It ignores an invalid record. firsthand is set if this box serves the
 // attempt.
-func (g *Register) Put(now time.Time, r Record, first bool) {
+func (g *Register) Put(now time.Time, r Record, firsthand bool) {
 	if !r.isValid() || g.cfg.MaxRecords == 0 {
 		return
 	}
@@ -67,16 +67,16 @@
 	if known, ok := g.lookup(r.Attempt); ok && known.sequence > r.Sequence {
 		return
 	}
-	g.current[r.Attempt] = entry{service: r.Service, version: r.Version, sequence: r.Sequence, first: first}
+	g.current[r.Attempt] = entry{service: r.Service, version: r.Version, sequence: r.Sequence, firsthand: firsthand}
 }
 
-// Find returns the record of an attempt. first reports whether this box serves or served the attempt.
-func (g *Register) Find(now time.Time, attempt string) (r Record, first, ok bool) {
+// Find returns the record of an attempt. firsthand reports whether this box serves or served the attempt.
+func (g *Register) Find(now time.Time, attempt string) (r Record, firsthand, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rotate(now)
 	e, ok := g.lookup(attempt)
-	return Record{Attempt: attempt, Service: e.service, Version: e.version, Sequence: e.sequence}, e.first, ok
+	return Record{Attempt: attempt, Service: e.service, Version: e.version, Sequence: e.sequence}, e.firsthand, ok
 }
 
 // Len returns the number of records.
