CONFIG: cases of crashes are told in one batch at a time

What callers saw: a configuration in force 2.8 to 3.2 s late at a box in touch while 22 engines crashed (grown Downs).

Cause: the two boxes that keep the cases of all prompt parts sent each changed case to all 90 boxes as soon as a report came, however many such messages were under way: messages grew with broken requests times boxes. That box had thousands of calls open, so that its heartbeats and its calls to the store timed out.

Change: a box sends cases to a receiver in one batch at a time (gather.Combiner); what is added meanwhile forms the next, each case once and as it is then. "All other boxes" is one receiver, with ten messages and 500 KB a second at most. The cases of parts have eight groups with keepers of their own. A keeper answers a report within 400 ms, so that a slow one is not taken for lost and doubled. A case that another call has just changed is waited for as well; before, that caller got its error earlier.

Why it works: what a box sends no longer depends on how many requests broke.

--- a/internal/quarantine/client.go
+++ b/internal/quarantine/client.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -40,14 +44,21 @@
 	maxConcurrentCalls = 32
 	// repairInterval is the interval at which a box sends the coordinator the held requests that are missing from the cell map.
 	repairInterval = time.Second
-	// clearedQueueSize limits the queued cases of requests that have run successfully. clearedBatchWindow is how long they are
-	// collected before they are sent. If one is lost, its crashes count on until they expire.
-	clearedQueueSize   = 256
-	clearedBatchWindow = 50 * time.Millisecond
-	maxMessageBytes    = 256 << 10
+	// maxBatch limits the cases of a message, maxQueued those that wait for a receiver.
+	maxBatch  = 64
+	maxQueued = 512
+	// minNotifyInterval and maxNotifyRate limit the messages and the bytes per second that a box sends to all others.
+	minNotifyInterval = 100 * time.Millisecond
+	maxNotifyRate     = 500 << 10
+	// maxNotifyRounds limits how often cases are sent again because the replies to them contained more.
+	maxNotifyRounds = 2
+	// maxNotifyWait is how long a box that keeps a case waits for the other boxes to be notified before it replies to a report. The
+	// sender would otherwise take it for lost and notify all boxes as well.
+	maxNotifyWait   = 400 * time.Millisecond
+	maxMessageBytes = 256 << 10
 )
 
-// allOtherBoxes is the destination in clearedQueue that stands for all other boxes.
+// allOtherBoxes is the receiver of batches that stands for all other boxes.
 var allOtherBoxes netip.AddrPort
 
 // Fleet provides the boxes of the fleet and the held requests that they publish. It separates this package from the membership.
@@ -80,9 +91,10 @@
 // keep each case, so that all boxes share one count, which survives the loss of a box. From the second crash on, every box knows
 // the case. Once the request is held, the cell map contains it, so that it stays held after a restart of all boxes.
 type Client struct {
-	cfg          ClientConfig
-	clearedQueue *gather.Gatherer[netip.AddrPort, Case]
-	done         chan struct{}
+	cfg  ClientConfig
+	done chan struct{}
+	// batches sends the cases with the given fingerprints to boxes that keep them, and to all others.
+	batches *gather.Combiner[netip.AddrPort, Fingerprint]
 	// probes combines concurrent probes of the same endpoint.
 	probes singleflight.Group
 	// mapsMu is locked while the newest cell maps are applied.
@@ -92,10 +104,7 @@
 // NewClient returns a Client. The caller must run its Serve method.
 func NewClient(cfg ClientConfig) *Client {
 	c := &Client{cfg: cfg, done: make(chan struct{})}
-	c.clearedQueue = gather.New(gather.Config[netip.AddrPort, Case]{
-		QueueSize: clearedQueueSize, BatchWindow: clearedBatchWindow, Send: c.sendCleared,
-		OnDrop: func() { cfg.Scope.Counter("quarantine_clears_dropped").Inc(1) },
-	})
+	c.batches = gather.NewCombiner(gather.CombinerConfig[netip.AddrPort, Fingerprint]{MaxBatch: maxBatch, MaxQueued: maxQueued, Send: c.sendBatch})
 	return c
 }
 
@@ -153,7 +162,7 @@
 		"request", s.Description, "endpoint", e.Name, "ended", merged.CrashCount())
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
-	c.report(ctx, s.Fingerprint, []Case{merged})
+	c.report(ctx, s.Fingerprint, s.Fingerprint)
 }
 
 // recordPartCrashes does for the parts of a request's prompt what RecordCrash does for the request.
@@ -165,22 +174,50 @@
 	for _, merged := range grown {
 		klog.V(1).InfoS("endpoint crashed while it ran a request with the prompt part", "part", merged.Part, "endpoint", e.Name, "ended", merged.CrashCount())
 	}
+	byKey := map[Fingerprint][]Fingerprint{}
+	for _, merged := range grown {
+		key := partKeeperKey(merged.Fingerprint)
+		byKey[key] = append(byKey[key], merged.Fingerprint)
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
 	defer cancel()
-	c.report(ctx, partKeeperKey, grown)
+	var group errgroup.Group
+	for key, parts := range byKey {
+		group.Go(func() error {
+			c.report(ctx, key, parts...)
+			return nil
+		})
+	}
+	// The functions of the group return no errors.
+	_ = group.Wait()
 }
 
-// partKeeperKey selects the boxes that keep the cases of all parts, so that a crash takes one message to each of them.
-var partKeeperKey = Identity{Method: partMethod}.Fingerprint()
+// partKeeperGroups is the number of groups of parts whose cases the same boxes keep.
+const partKeeperGroups = 8
+
+// partKeeperKey returns the fingerprint that selects the boxes that keep the case of a part.
+func partKeeperKey(part Fingerprint) Fingerprint {
+	return Identity{Method: partMethod, Query: strconv.Itoa(int(part[0] % partKeeperGroups))}.Fingerprint()
+}
 
 // report sends cases to the boxes that keep them, which notify all others if necessary. If this box keeps them or no keeper answers, it notifies them
 // itself.
-func (c *Client) report(ctx context.Context, keeperKey Fingerprint, cases []Case) {
+func (c *Client) report(ctx context.Context, keeperKey Fingerprint, cases ...Fingerprint) {
 	others, here := c.cfg.Fleet.Keepers(keeperKey)
-	answered := c.send(ctx, others, pathReport, cases)
-	merged := c.mergedState(cases)
-	if here || answered == 0 {
-		c.notifyAll(ctx, merged)
+	var lost atomic.Int64
+	var group errgroup.Group
+	for _, address := range others {
+		group.Go(func() error {
+			if err := c.batches.Send(ctx, address, cases...); errors.Is(err, gather.ErrNotDelivered) {
+				lost.Add(1)
+			}
+			return nil
+		})
+	}
+	// The functions of the group return no errors.
+	_ = group.Wait()
+	if here || int(lost.Load()) == len(others) {
+		c.notifyAll(ctx, cases)
 	}
 }
 
@@ -194,16 +231,18 @@
 
 // recordSuccess records a complete answer to a request or to one with a part. keeperKey selects the boxes that keep the case.
 func (c *Client) recordSuccess(f, keeperKey Fingerprint) {
-	cleared, ok := c.cfg.Register.RecordSuccess(clock.Now(), f)
-	if !ok {
+	if _, cleared := c.cfg.Register.RecordSuccess(clock.Now(), f); !cleared {
 		return
 	}
 	others, here := c.cfg.Fleet.Keepers(keeperKey)
-	for _, address := range others {
-		c.clearedQueue.Add(address, cleared)
-	}
 	if here {
-		c.clearedQueue.Add(allOtherBoxes, cleared)
+		others = append(others, allOtherBoxes)
+	}
+	for _, address := range others {
+		if c.batches.Add(address, f) != nil {
+			// The crashes count on until they expire.
+			c.cfg.Scope.Counter("quarantine_clears_dropped").Inc(1)
+		}
 	}
 }
 
@@ -231,51 +270,76 @@
 // mergeAndNotify merges cases that another box reported to this box, which keeps them. It notifies all boxes of the changed cases
 // and returns the merged cases.
 func (c *Client) mergeAndNotify(ctx context.Context, received []Case) []Case {
-	merged, changed := c.merge(received)
-	c.notifyAll(ctx, changed)
-	return c.mergedState(merged)
+	merged := c.merge(received)
+	fingerprints := make([]Fingerprint, len(merged))
+	for i := range merged {
+		fingerprints[i] = merged[i].Fingerprint
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxNotifyWait)
+	defer cancel()
+	c.notifyAll(ctx, fingerprints)
+	return c.cfg.Register.Lookup(clock.Now(), fingerprints)
 }
 
-// merge merges received cases into the register. It returns all the merged cases, and those of them that changed.
-func (c *Client) merge(received []Case) (merged, changed []Case) {
+// merge merges received cases into the register and returns the merged cases.
+func (c *Client) merge(received []Case) (merged []Case) {
 	for _, update := range received {
-		current, grew := c.cfg.Register.Merge(clock.Now(), update)
+		current, _ := c.cfg.Register.Merge(clock.Now(), update)
 		merged = append(merged, current)
-		if grew {
-			changed = append(changed, current)
-		}
 	}
-	return merged, changed
-}
-
-// mergedState merges cases into the register and returns the merged cases.
-func (c *Client) mergedState(cases []Case) []Case {
-	merged, _ := c.merge(cases)
 	return merged
 }
 
-// notifyAll sends every other box the cases with at least minCrashesToNotifyAll crashes. If a request recently ran successfully
-// at one of these boxes, the reply clears its case. notifyAll then sends the cleared case to all boxes.
-func (c *Client) notifyAll(ctx context.Context, cases []Case) {
-	var due []Case
-	for _, candidate := range cases {
-		if len(candidate.Crashed) >= minCrashesToNotifyAll {
-			due = append(due, candidate)
-		}
-	}
+// notifyAll returns after all other boxes have been notified of the cases with at least minCrashesToNotifyAll crashes.
+func (c *Client) notifyAll(ctx context.Context, cases []Fingerprint) {
+	due := c.cfg.Register.Untold(clock.Now(), cases)
 	if len(due) == 0 {
 		return
 	}
-	c.send(ctx, c.cfg.Fleet.OtherBoxes(), pathNotify, due)
-	var cleared []Case
-	for i, current := range c.mergedState(due) {
-		if len(current.Cleared) > len(due[i].Cleared) {
-			cleared = append(cleared, current)
+	fingerprints := make([]Fingerprint, len(due))
+	for i := range due {
+		fingerprints[i] = due[i].Fingerprint
+	}
+	if err := c.batches.Send(ctx, allOtherBoxes, fingerprints...); err != nil {
+		c.cfg.Scope.Counter("quarantine_untold").Inc(1)
+		klog.V(1).InfoS("quarantine cases not delivered in time", "cases", len(due), "err", err)
+	}
+}
+
+// sendBatch sends the cases with some fingerprints, as they are now, to a box that keeps them or to all other boxes.
+func (c *Client) sendBatch(ctx context.Context, to netip.AddrPort, fingerprints []Fingerprint) (delivered bool, pause time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if to == allOtherBoxes {
+		return true, c.sendToAll(ctx, fingerprints)
+	}
+	return c.send(ctx, []netip.AddrPort{to}, pathReport, c.cfg.Register.Lookup(clock.Now(), fingerprints)) == 1, 0
+}
+
+// sendToAll sends all other boxes those cases of which they have not been notified, and returns the time until the next such message. A box
+// at which a request recently ran successfully clears its case in the reply. sendToAll then sends the cleared case to all boxes.
+func (c *Client) sendToAll(ctx context.Context, fingerprints []Fingerprint) (pause time.Duration) {
+	start := clock.Now()
+	for range maxNotifyRounds {
+		due := c.cfg.Register.Untold(clock.Now(), fingerprints)
+		if len(due) == 0 {
+			break
 		}
+		others := c.cfg.Fleet.OtherBoxes()
+		c.send(ctx, others, pathNotify, due)
+		c.cfg.Register.MarkTold(due)
+		pause += max(minNotifyInterval, time.Duration(len(others)*sizeOf(due))*time.Second/maxNotifyRate)
 	}
-	if len(cleared) > 0 {
-		c.send(ctx, c.cfg.Fleet.OtherBoxes(), pathNotify, cleared)
+	return pause - clock.Now().Sub(start)
+}
+
+// sizeOf returns the number of bytes of a message with cases.
+func sizeOf(cases []Case) int {
+	encoded, err := json.Marshal(cases)
+	if err != nil {
+		return 0
 	}
+	return len(encoded)
 }
 
 // send sends cases to boxes and merges the cases of their replies. It returns the number of boxes that replied.
@@ -315,22 +379,12 @@
 	return reply, eris.Wrap(err, "quarantine: call to another box failed")
 }
 
-func (c *Client) sendCleared(ctx context.Context, to netip.AddrPort, all []Case) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reportTimeout)
-	defer cancel()
-	if to == allOtherBoxes {
-		c.notifyAll(ctx, all)
-		return
-	}
-	c.send(ctx, []netip.AddrPort{to}, pathReport, all)
-}
-
-// Serve sends cleared cases, reports held requests that are missing from the cell map, and removes expired cases until ctx is
+// Serve sends cases to other boxes, reports held requests that are missing from the cell map, and removes expired cases until ctx is
 // done.
 func (c *Client) Serve(ctx context.Context) error {
 	defer part.CloseIfEnded(ctx, c.done)
 	var group errgroup.Group
-	group.Go(func() error { return c.clearedQueue.Serve(ctx) })
+	group.Go(func() error { return c.batches.Serve(ctx) })
 	for part.Sleep(ctx, repairInterval) {
 		c.reportUnpublished(ctx)
 	}
--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -127,7 +127,7 @@
 		return
 	}
 	for _, part := range s.Parts {
-		c.recordSuccess(part.Fingerprint, partKeeperKey)
+		c.recordSuccess(part.Fingerprint, partKeeperKey(part.Fingerprint))
 	}
 }
 
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -56,6 +56,8 @@
 	published bool
 	// crashedAt is the time of the last crash.
 	crashedAt time.Time
+	// toldCrashed and toldCleared are the lengths of the lists that this box last sent to all others.
+	toldCrashed, toldCleared int
 }
 
 // NewRegister returns an empty Register.
@@ -280,6 +282,42 @@
 	return all
 }
 
+// Lookup returns the cases with some fingerprints.
+func (r *Register) Lookup(now time.Time, fingerprints []Fingerprint) []Case {
+	return r.lookup(now, fingerprints, func(*entry) bool { return true })
+}
+
+// Untold returns those cases with some fingerprints that have at least minCrashesToNotifyAll crashes and that this box has not sent to all
+// others as they are now.
+func (r *Register) Untold(now time.Time, fingerprints []Fingerprint) []Case {
+	return r.lookup(now, fingerprints, func(e *entry) bool {
+		return len(e.Crashed) >= minCrashesToNotifyAll && (len(e.Crashed) > e.toldCrashed || len(e.Cleared) > e.toldCleared)
+	})
+}
+
+func (r *Register) lookup(now time.Time, fingerprints []Fingerprint, isIncluded func(*entry) bool) []Case {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Case
+	for _, f := range fingerprints {
+		if e := r.cases[f]; e != nil && isIncluded(e) {
+			found = append(found, e.toSend(now))
+		}
+	}
+	return found
+}
+
+// MarkTold records that this box has sent cases to all others.
+func (r *Register) MarkTold(told []Case) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, sent := range told {
+		if e := r.cases[sent.Fingerprint]; e != nil {
+			e.toldCrashed, e.toldCleared = max(e.toldCrashed, len(sent.Crashed)), max(e.toldCleared, len(sent.Cleared))
+		}
+	}
+}
+
 // Expire removes cases that have not changed for the hold time. Cases in the newest cell map stay.
 func (r *Register) Expire(now time.Time) {
 	r.mu.Lock()
--- a/internal/quarantine/server.go
+++ b/internal/quarantine/server.go
@@ -23,7 +23,7 @@
 func (s *Server) Register(mux *http.ServeMux) {
 	mux.HandleFunc("POST "+pathReport, func(w http.ResponseWriter, r *http.Request) { s.handle(w, r, s.cfg.Client.mergeAndNotify) })
 	mux.HandleFunc("POST "+pathNotify, func(w http.ResponseWriter, r *http.Request) {
-		s.handle(w, r, func(_ context.Context, received []Case) []Case { return s.cfg.Client.mergedState(received) })
+		s.handle(w, r, func(_ context.Context, received []Case) []Case { return s.cfg.Client.merge(received) })
 	})
 }
 
