RECOVER: detours end once the endpoint can be reached directly again

Cause: connections through another box go back to the idle ones of the transport and are used for as long as requests follow each other. They are closed when a box is attached again; a box that misses one endpoint is never detached, and connections that are in use at that moment become idle later.

Change: while detours are open, a direct connection is tried every 500 ms to up to four of their endpoints. If one succeeds within 150 ms, idle connections are closed and the next requests go directly.

Why it works: a request leads through another box only while a direct connection takes long or fails.

--- a/internal/detour/carrier.go
+++ b/internal/detour/carrier.go
@@ -152,7 +152,7 @@
 }
 
 // addDetour returns the carrier at an address, with one more open detour.
-func (c *Client) addDetour(address netip.AddrPort) *carrier {
+func (c *Client) addDetour(address, endpoint netip.AddrPort) *carrier {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	of := c.carriers[address]
@@ -161,14 +161,18 @@
 		c.carriers[address] = of
 	}
 	of.open++
+	c.detours[endpoint]++
 	return of
 }
 
-// removeDetour removes an open detour through a carrier.
-func (c *Client) removeDetour(of *carrier) {
+// removeDetour removes an open detour to an endpoint through a carrier.
+func (c *Client) removeDetour(of *carrier, endpoint netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if of.open--; of.open == 0 {
 		delete(c.carriers, of.address)
 	}
+	if c.detours[endpoint]--; c.detours[endpoint] == 0 {
+		delete(c.detours, endpoint)
+	}
 }
--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,9 +38,13 @@
 	silentTTL = time.Second
 	// directHeadStart is how long a direct connection attempt may take before another box is asked as well.
 	directHeadStart = 150 * time.Millisecond
-	// closeInterval is the interval at which detours through leaving boxes are looked for, watchInterval that for detours through silent ones.
-	closeInterval = 200 * time.Millisecond
-	watchInterval = 50 * time.Millisecond
+	// closeInterval is the interval at which detours through leaving boxes are looked for, returnInterval that for detours to endpoints that can be
+	// reached directly again, watchInterval that for detours through silent boxes.
+	closeInterval  = 200 * time.Millisecond
+	returnInterval = 500 * time.Millisecond
+	watchInterval  = 50 * time.Millisecond
+	// maxReturnDials limits the endpoints to which a direct connection is tried at one time.
+	maxReturnDials = 4
 )
 
 // Box is another box that may carry connections.
@@ -74,14 +79,16 @@
 	done   chan struct{}
 
 	mu sync.Mutex
-	// carriers are the boxes through which detours are open, by their addresses.
+	// carriers are the boxes through which detours are open, by their addresses. detours is the number of open detours to each endpoint.
 	carriers map[netip.AddrPort]*carrier
+	detours  map[netip.AddrPort]int
 }
 
 // NewClient returns a Client. The caller must run its Serve method.
 func NewClient(cfg ClientConfig) *Client {
 	return &Client{
-		cfg: cfg, failed: recent.New[netip.AddrPort](failedTTL), down: recent.New[netip.AddrPort](downTTL), silent: recent.New[netip.AddrPort](silentTTL), done: make(chan struct{}), carriers: map[netip.AddrPort]*carrier{},
+		cfg: cfg, failed: recent.New[netip.AddrPort](failedTTL), down: recent.New[netip.AddrPort](downTTL), silent: recent.New[netip.AddrPort](silentTTL), done: make(chan struct{}),
+		carriers: map[netip.AddrPort]*carrier{}, detours: map[netip.AddrPort]int{},
 	}
 }
 
@@ -295,8 +302,8 @@
 		_ = conn.Close()
 		return nil, rerr
 	}
-	through := c.addDetour(b.Address)
-	return &framedConn{Conn: conn, reader: reader, through: through, onClose: func() { c.removeDetour(through) }}, nil
+	through := c.addDetour(b.Address, endpoint)
+	return &framedConn{Conn: conn, reader: reader, through: through, onClose: func() { c.removeDetour(through, endpoint) }}, nil
 }
 
 // upgrade turns a connection to another box into one to an endpoint.
@@ -330,8 +337,8 @@
 	return nil, result.New(code, "status %d", resp.StatusCode)
 }
 
-// Serve watches the boxes through which detours are open until ctx is done. It closes idle connections that lead through leaving boxes, which wait for
-// their detours to end, and through those that no longer connect to endpoints.
+// Serve watches open detours until ctx is done. It closes idle connections if some lead through leaving boxes, which wait for their detours to end,
+// through boxes that no longer connect to endpoints, or to endpoints that can be reached directly again.
 func (c *Client) Serve(ctx context.Context) error {
 	defer part.CloseIfEnded(ctx, c.done)
 	var group, asking errgroup.Group
@@ -342,6 +349,14 @@
 		}
 		return asking.Wait()
 	})
+	group.Go(func() error {
+		for part.Sleep(ctx, returnInterval) {
+			if c.reachesDetouredEndpoint(ctx) {
+				c.cfg.CloseIdle()
+			}
+		}
+		return nil
+	})
 	for part.Sleep(ctx, closeInterval) {
 		if c.usesLeavingBox() {
 			c.cfg.CloseIdle()
@@ -366,3 +381,39 @@
 	}
 	return false
 }
+
+// reachesDetouredEndpoint reports whether a direct connection to an endpoint to which a detour is open succeeds as fast as one that needs no detour.
+func (c *Client) reachesDetouredEndpoint(ctx context.Context) bool {
+	if c.cfg.Reach.IsDetached() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, directHeadStart)
+	defer cancel()
+	var reached atomic.Bool
+	var group errgroup.Group
+	for _, endpoint := range c.detouredEndpoints() {
+		group.Go(func() error {
+			if conn, err := c.cfg.Reach.Dial(ctx, "tcp", endpoint.String()); err == nil {
+				reached.Store(true)
+				return conn.Close()
+			}
+			return nil
+		})
+	}
+	// An endpoint that was reached counts even if the connection to it was not closed in order.
+	_ = group.Wait()
+	return reached.Load()
+}
+
+// detouredEndpoints returns up to maxReturnDials endpoints to which detours are open.
+func (c *Client) detouredEndpoints() []netip.AddrPort {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []netip.AddrPort
+	for endpoint := range c.detours {
+		if len(all) < maxReturnDials && !c.cfg.Reach.IsAvoided(endpoint) {
+			all = append(all, endpoint)
+		}
+	}
+	return all
+}
