Directory: boxes of a restored cell map are left out

Cause: the only cell map that such a box can read is from the older copy. It lists as shown what was shown then. A coordinator treats these boxes as silent until they beat, but its directory went by the map until its first own one was stored, and so did the directory of every other box that had just started.

Change: the catalog marks a cell map that was written in an earlier era than that of its version, unless this box knew it or a newer one before the restore. Its boxes are `unconfirmed` and left out of the directory. A box that is ready names itself; one that is not yet answers without addresses, and callers ask the next. What the boxes do among each other is as before.

Why it works: a map from before a restore says nothing about the present, and the first map of the new era comes from boxes that were heard of since.

--- a/internal/box/directory.go
+++ b/internal/box/directory.go
@@ -15,14 +15,16 @@
 type directoryView struct {
 	// addresses are the sorted addresses to which callers may connect.
 	addresses []netip.AddrPort
-	// silent and leaving are the names of the boxes that are omitted because they are silent or leaving.
-	silent, leaving []string
-	// noneStaying is set if every box is silent or leaving, so that all boxes are listed.
+	// silent, leaving and unconfirmed are the names of the boxes that are omitted because they are silent or leaving, or known only from a cell
+	// map of before a restore of the store: they may be gone for long.
+	silent, leaving, unconfirmed []string
+	// noneStaying is set if every box is omitted, so that all boxes but the unconfirmed ones are listed.
 	noneStaying bool
 }
 
 func (v directoryView) equal(other directoryView) bool {
-	return slices.Equal(v.addresses, other.addresses) && slices.Equal(v.silent, other.silent) && slices.Equal(v.leaving, other.leaving)
+	return slices.Equal(v.addresses, other.addresses) && slices.Equal(v.silent, other.silent) && slices.Equal(v.leaving, other.leaving) &&
+		slices.Equal(v.unconfirmed, other.unconfirmed)
 }
 
 // lastView holds the last view that callers received.
@@ -40,7 +42,8 @@
 	return previous, !previous.equal(view)
 }
 
-// Addresses returns the addresses to which callers may connect: the boxes that are neither silent nor leaving or, if there are none, all boxes.
+// Addresses returns the addresses to which callers may connect: the boxes that are neither silent nor leaving nor unconfirmed or, if there are none, all
+// but the unconfirmed ones. Callers that get no address ask another box.
 // This box is always included while it is ready. Each change of the addresses is logged.
 func (b *Routed) Addresses() []netip.AddrPort {
 	view := b.computeDirectory()
@@ -49,7 +52,7 @@
 		b.metrics.Scope.Counter("directory_changes").Inc(1)
 		m, _, _ := b.catalog.Map(b.cfg.Settings.Box.Cell)
 		klog.InfoS("directory changed", "named", len(view.addresses), "added", addressesNotIn(view.addresses, previous.addresses),
-			"dropped", addressesNotIn(previous.addresses, view.addresses), "silent", view.silent, "leaving", view.leaving, "nobody_stays", view.noneStaying,
+			"dropped", addressesNotIn(previous.addresses, view.addresses), "silent", view.silent, "leaving", view.leaving, "unconfirmed", view.unconfirmed, "nobody_stays", view.noneStaying,
 			"generation", m.Generation, "coordinator", m.Coordinator, "lease", m.Lease, "store_age", b.follower.StoreAge())
 	}
 	return view.addresses
@@ -58,26 +61,32 @@
 // computeDirectory computes the view for callers from the cell maps that this box has.
 func (b *Routed) computeDirectory() directoryView {
 	var view directoryView
-	var all []netip.AddrPort
-	for _, m := range b.catalog.Topology().Boxes {
-		all = append(all, m.Caller)
-		view.add(m)
+	var omitted []netip.AddrPort
+	t := b.catalog.Topology()
+	for name, m := range t.Boxes {
+		switch {
+		case t.Unconfirmed[name]:
+			view.unconfirmed = append(view.unconfirmed, name)
+		case !view.add(m):
+			omitted = append(omitted, m.Caller)
+		}
 	}
 	if len(view.addresses) == 0 {
-		view.addresses, view.noneStaying = all, true
+		view.addresses, view.noneStaying = omitted, true
 	}
 	self := b.CallerAddress()
 	if b.leavingDuration() == 0 && !slices.Contains(view.addresses, self) && b.Ready() {
 		view.addresses = append(view.addresses, self)
 	}
+	slices.SortFunc(view.unconfirmed, strings.Compare)
 	slices.SortFunc(view.addresses, netip.AddrPort.Compare)
 	slices.SortFunc(view.silent, strings.Compare)
 	slices.SortFunc(view.leaving, strings.Compare)
 	return view
 }
 
-// add adds a box to the addresses, or to the silent or leaving boxes.
-func (v *directoryView) add(m coordinator.Member) {
+// add adds a box to the addresses, or to the silent or leaving boxes, and reports whether it is listed.
+func (v *directoryView) add(m coordinator.Member) bool {
 	switch {
 	case m.Leaving:
 		v.leaving = append(v.leaving, m.Box)
@@ -85,7 +94,9 @@
 		v.silent = append(v.silent, m.Box)
 	default:
 		v.addresses = append(v.addresses, m.Caller)
+		return true
 	}
+	return false
 }
 
 // maxLoggedAddresses limits the number of addresses in a log value.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,6 +13,7 @@
 	"unique"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/route"
@@ -44,6 +45,8 @@
 	// newerThanStore is set if the store, restored from an older copy, last returned an older form of the object. Other boxes may hold
 	// that older form.
 	newerThanStore bool
+	// fromRestore is set for a cell map that a restore of the store has brought back, unless this box knew it or a newer one before.
+	fromRestore bool
 	// value is a resource.Spec or a *coordinator.Map.
 	value any
 }
@@ -213,11 +216,17 @@
 	}
 	c.add(k, entry{
 		version: o.Version, changedAt: o.Version, generation: generation, lastListing: c.listingCount,
-		size: messageSize(o), value: v, newerThanStore: keptLeaving,
+		size: messageSize(o), value: v, newerThanStore: keptLeaving, fromRestore: isFromEarlierEra(v, o.Version) && (!exists || current.fromRestore),
 	})
 	return false
 }
 
+// isFromEarlierEra reports whether a value is a cell map that was written in an earlier era of the store than that of its version.
+func isFromEarlierEra(value any, version objects.Position) bool {
+	m, ok := value.(*coordinator.Map)
+	return ok && lease.EraOf(m.Lease) < version.Era()
+}
+
 // keepLeaving marks the updated endpoint as leaving if the previous one was leaving and is the same incarnation. It reports whether
 // it changed the updated endpoint. Leaving is final, and a restored copy of the store may be older than the time at which the
 // endpoint began to leave.
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -40,6 +40,9 @@
 	ByModel map[string][]string
 	// Boxes holds the members of all cell maps by name, including leaving and silent boxes.
 	Boxes map[string]coordinator.Member
+	// Unconfirmed holds the names of the boxes whose cell map the store has brought back from an older copy. No coordinator has written the map since,
+	// and this box had none that was newer.
+	Unconfirmed map[string]bool
 	// Endpoints lists the endpoints of each service, sorted by name.
 	Endpoints map[string][]EndpointView
 	// Routes is the routing configuration in force. It is nil until one has been received.
@@ -135,7 +138,7 @@
 func (c *Catalog) computeTopology() *Topology {
 	t := &Topology{
 		Engines: map[string]EngineView{}, ByModel: map[string][]string{},
-		Boxes: map[string]coordinator.Member{}, Serving: map[string]*resource.Serving{}, Endpoints: map[string][]EndpointView{},
+		Boxes: map[string]coordinator.Member{}, Unconfirmed: map[string]bool{}, Serving: map[string]*resource.Serving{}, Endpoints: map[string][]EndpointView{},
 		Routes: c.routeTable(), scarceSlots: c.scarceSlots, allSlots: c.allSlots,
 	}
 	owners := map[string]coordinator.Ownership{}
@@ -186,6 +189,9 @@
 	}
 	for _, b := range m.Members {
 		t.Boxes[b.Box] = b
+		if e.fromRestore {
+			t.Unconfirmed[b.Box] = true
+		}
 	}
 	for _, o := range m.Owners {
 		owners[o.Engine] = o
