Quarantine: held requests reach the map in bounded messages

What callers would see: after a box has come to hold very many requests, none of them reaches the cell map, so that other boxes run them and a restart of all forgets them. Found by reading while messages of cases were bounded.

Cause: each second a box sends the coordinator all held cases that the map lacks, in one message. Beyond 256 KB, some 1,000 cases, the coordinator refuses it, each time.

--- a/internal/quarantine/client.go
+++ b/internal/quarantine/client.go
@@ -398,6 +398,7 @@
 	c.cfg.Register.Expire(clock.Now())
 	missing := c.cfg.Register.UnpublishedCases()
 	if address, ok := c.cfg.Fleet.Coordinator(); ok && len(missing) > 0 {
-		c.send(ctx, []netip.AddrPort{address}, pathNotify, missing)
+		// The rest follows with the next reports.
+		c.send(ctx, []netip.AddrPort{address}, pathNotify, missing[:min(len(missing), maxBatch)])
 	}
 }
--- a/internal/quarantine/client_test.go
+++ b/internal/quarantine/client_test.go
@@ -374,3 +374,21 @@
 	}
 	c.Fatal("condition not met in time")
 }
+
+// TestManyHeldRequestsReachTheMap guards against a box that holds so many requests that are missing from the cell map that the coordinator refuses the
+// message with them, each time.
+func TestManyHeldRequestsReachTheMap(t *testing.T) {
+	// 1,500 cases exceed the size limit of a message.
+	const held, published = 1500, 200
+	c := qt.New(t)
+	f := startFleet(c, "a", "b")
+	var all []quarantine.Held
+	for n := range held {
+		all = append(all, quarantine.Held{Fingerprint: fingerprintOf(n), Description: "POST example.com/a-route/of-the-usual-length customer-" + fmt.Sprint(n), Crashed: "engine-with-a-name-1/1 engine-with-a-name-2/1 engine-with-a-name-3/1"})
+	}
+	f.box("b").Inherit(all)
+	waitUntil(c, func() bool {
+		f.publishMap()
+		return len(f.publishedHeld) >= published
+	})
+}
