Grants: no data race when a grant is given up while its answer arrives

What callers would see: nothing certain; the longest pause of a stream that is told to the owner may be wrong.

Cause: a box that is cut off gives up the places of unanswered requests from another goroutine, which reads the longest pause of a stream while the request's own goroutine writes it.

--- a/internal/grant/client.go
+++ b/internal/grant/client.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/textproto"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -168,12 +169,15 @@
 	if err := json.Unmarshal(b, &answer); err != nil {
 		return nil, result.New(result.OwnerSilent, "%v", err)
 	}
-	var gap time.Duration
+	// A grant may be given up while its answer still arrives.
+	var gap atomic.Int64
 	return &Grant{
-		RecordGap:        func(longest time.Duration) { gap = longest },
+		RecordGap:        func(longest time.Duration) { gap.Store(int64(longest)) },
 		Stalled:          answer.Stalled,
 		ReportFirstToken: func() { c.queueUpdate(grantUpdate{address: address, end: grantEnd{ID: answer.ID}, firstToken: true}) },
-		End:              func(e owner.End) { c.queueUpdate(grantUpdate{address: address, end: grantEnd{answer.ID, e, gap}}) },
+		End: func(e owner.End) {
+			c.queueUpdate(grantUpdate{address: address, end: grantEnd{answer.ID, e, time.Duration(gap.Load())}})
+		},
 	}, nil
 }
 
--- a/internal/grant/client_test.go
+++ b/internal/grant/client_test.go
@@ -161,3 +161,17 @@
 		c.Check(!ok || r.PrefillRate == 9000, qt.IsTrue)
 	}
 }
+
+// TestGrantEndsWhileItsAnswerArrives guards against a data race between a box that gives a grant up, as it is cut off, and an answer that ends just then.
+func TestGrantEndsWhileItsAnswerArrives(t *testing.T) {
+	c := qt.New(t)
+	address := startServer(c, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		httpx.WriteJSON(w, http.StatusOK, map[string]any{"id": 7})
+	}))
+	g, err := newClient().Acquire(c.Context(), address, grant.Request{Engine: "e-1"})
+	c.Assert(err, qt.IsNil)
+	var group errgroup.Group
+	group.Go(func() error { g.RecordGap(time.Millisecond); return nil })
+	g.End(owner.EndBroken)
+	c.Check(group.Wait(), qt.IsNil)
+}
