--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,7 +30,8 @@
 	logs := flag.Bool("keep-logs", false, "keep the logs of the boxes")
 	flag.Parse()
 	cases := map[string]func(context.Context, *world, bool) (verdict, error){
-		"late-rejection": playLateRejection,
+		"late-rejection":   playLateRejection,
+		"upgrade-in-place": playUpgrade,
 	}
 	play, ok := cases[*name]
 	if !ok {
