TWICE, REFUSED: a rejection of another request proves nothing about this one

Callers saw unsafe requests run at two endpoints, or got 503 for requests that ran.

Cause: checkAnswer looked at Not-Executed and status 421 before it compared the Attempt-Id of the answer with that of the request. A late second copy of another request's rejection, in the place of the answer due, counted as a proof that this request had not run.

Evidence: TestRejectionOfAnotherRequestIsNoProof writes an answer of another request before a worker serves one.

Fix: the ids are compared first. wasRun, from which the quarantine learns, and notices in a 421 are taken from answers that belong to the request only.

A request that a surplus answer precedes still loses its own answer (502 wrong_answer), and its connection stays one answer behind if the surplus answer has no body; that is the next matter.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -116,9 +116,9 @@
 		return nil, rerr
 	}
 	q.untilAnswered = clock.Since(q.receivedAt)
-	q.wasRun = resp.StatusCode < http.StatusMultipleChoices
 	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
 	rerr := checkAnswer(q, resp.StatusCode, head)
+	q.wasRun = rerr == nil && resp.StatusCode < http.StatusMultipleChoices
 	r.handleNotice(q, to, head, rerr == nil)
 	if rerr != nil {
 		q.recordTry(to.name, rerr.Code.String()+":"+rerr.Detail)
@@ -164,17 +164,20 @@
 	}
 }
 
-// checkAnswer returns an error if an answer is a refusal or does not belong to this request.
+// checkAnswer returns an error if an answer is a refusal or does not belong to this request. A refusal of another request proves nothing
+// about this one, so the ids are compared first.
 func checkAnswer(q *request, status int, head AnswerHead) *result.Error {
 	switch {
+	case head.ID != "" && head.ID != q.head.ID:
+		return result.New(result.WrongAnswer, "request has id %q, answer has id %q", q.head.ID, head.ID)
 	case head.Misdirected:
 		return result.New(result.NotHeld, "status %d", status)
 	case head.NotRun:
 		return result.New(result.BackendRefused, "status %d", status)
 	case impliesNotRun(status) && !head.Signed:
 		return result.New(result.AnswerLost, "status %d does not show whether the request ran", status)
-	case head.ID != q.head.ID:
-		return result.New(result.WrongAnswer, "request has id %q, answer has id %q", q.head.ID, head.ID)
+	case head.ID == "":
+		return result.New(result.WrongAnswer, "request has id %q, answer has none", q.head.ID)
 	case !head.Signed && status < http.StatusMultipleChoices:
 		return result.New(result.WrongAnswer, "status %d without a signature", status)
 	}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -29,10 +29,13 @@
 // isFromDestination reports whether an answer comes from the endpoint that the request was sent to. Answers from another
 // endpoint at its address, surplus answers, and answers from proxies in between say nothing about the endpoint.
 func isFromDestination(q *request, to destination, head AnswerHead) bool {
+	if head.ID != "" && head.ID != q.head.ID {
+		return false
+	}
 	if head.Misdirected {
 		return head.Instance == to.name
 	}
-	return head.ID != "" && head.ID == q.head.ID
+	return head.ID != ""
 }
 
 // handleNotice records the notice in the head of an answer. It ignores notices that do not come from the endpoint
