Pairing: answers that belong to other requests are dropped, and each request gets its own

Callers whose request was preceded by an endpoint's answer to another one got 502, although their own answer was on its way. Where that answer had no body, callers of later requests on the same connection lost theirs as well.

Cause: net/http takes the next answer on a connection for the one due. It returns a connection to its pool before the caller sees the head of an answer without a body, so the answer still due comes to the next request, and the connection stays one answer behind while it is busy.

Fix: package pairing reads the answers on connections to endpoints and passes on only what belongs to the request in flight, by the id that answers carry. Surplus bytes are bounded (endpoints.max_surplus_kb); above the limit the connection is closed and the request ends with the new result code 4012, which does not say whether it ran. Orders and reports are paired too.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -31,6 +31,7 @@
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/origin"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/pairing"
 	"github.com/bellgap/bellgap/internal/peer"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/policy"
@@ -104,8 +105,9 @@
 	node     *member.Node
 	relay    *relay.Relay
 	callers  *slowpeer.Tracker
-	// links are the connections to endpoints.
-	links *links
+	// links are the connections to endpoints. pairing drops answers on them that belong to no request.
+	links   *links
+	pairing *pairing.Pairing
 	// ledger counts the quota use of the customers for which this box is accountable.
 	ledger  *quota.Ledger
 	locator *locator
@@ -162,6 +164,7 @@
 		Settings: cfg.Settings, Catalog: b.catalog, Dial: cfg.Deployment.DialEndpoint, IsLeaving: func() bool { return b.leavingDuration() > 0 }, OnDetached: func() { b.relay.GiveUpUnanswered() },
 		OnCarrierLost: func(box netip.AddrPort) { b.relay.GiveUpUnansweredThrough(box) }, Scope: b.metrics.Scope,
 	})
+	b.pairing = pairing.New(pairing.Config{ID: cfg.Deployment.Wire.ID, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
 	b.catalog.SetScarceSlots(cfg.Settings.Capacity.ScarceSlots)
 	b.catalog.SetAllSlots(cfg.Settings.Policy.Build().IsEnabled(policy.AllSlots))
 	b.ledger, b.locator = quota.NewLedger(quota.LedgerConfig{Bounds: quota.Bounds{
@@ -198,8 +201,8 @@
 // engineClients returns the clients for orders and reports.
 func (b *Routed) engineClients() EngineClients {
 	return EngineClients{
-		Orders:  &http.Client{Transport: b.links.transport(httpx.NewTransport(connsPerOwnedEngine), b.links.detours.DialDirect)},
-		Reports: &http.Client{Transport: b.links.anyWay(connsPerOwnedEngine)},
+		Orders:  &http.Client{Transport: b.pairing.Transport(b.links.transport(httpx.NewTransport(connsPerOwnedEngine), b.links.detours.DialDirect))},
+		Reports: &http.Client{Transport: b.pairing.Transport(b.links.anyWay(connsPerOwnedEngine))},
 		OnRate:  b.recordRate,
 		Scope:   b.metrics.Scope,
 	}
@@ -347,7 +350,7 @@
 	s := b.cfg.Settings
 	cfg := relay.Config{
 		Box: s.Box.Name, Zone: s.Box.Zone, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
-		Endpoints: &http.Client{Transport: slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), s.Callers.StallTimeout), CheckRedirect: noRedirect},
+		Endpoints: &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
 		Budget:    relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
 		Policy:    s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
 		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
@@ -382,7 +385,7 @@
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, RecentRequests: record.New(),
 		Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, LastRestore: b.follower.LastRestore, EngineLoads: b.EngineLoads, Shortages: b.gate.Shortages, SlowPeers: b.callers.Status, Reach: b.links.reach.Status, Detours: b.links.status,
-		StreamOrigins: b.origins.Len,
+		StreamOrigins: b.origins.Len, SurplusAnswers: b.pairing.Status,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -104,6 +104,9 @@
 	if st.StreamOrigins > 0 {
 		_, _ = fmt.Fprintf(w, "streams whose software version is recorded here: %d\n", st.StreamOrigins)
 	}
+	for _, e := range st.SurplusAnswers {
+		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes), the last %s ago\n", e.Name, e.Answers, e.Bytes, e.Ago.Round(time.Second))
+	}
 	fleet := summarize(topology, st.Member.Coordinator, st.Member.Cell)
 	fleet.addRateLimits(st.RateLimits)
 	fleet.addBrittle(st.BrittleEndpoints)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/pairing"
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/reach"
@@ -66,6 +67,8 @@
 	// StreamOrigins returns how many records of the software versions at which streams began the box keeps. It is nil on boxes that keep
 	// none.
 	StreamOrigins func() int
+	// SurplusAnswers lists the endpoints that recently sent answers that belong to no request. It is nil on boxes that do not count them.
+	SurplusAnswers func(now time.Time) []pairing.Endpoint
 }
 
 // Quarantine lists the requests that have crashed endpoints and allows an operator to release them.
@@ -115,6 +118,8 @@
 	Detours detour.Status `json:"detours"`
 	// StreamOrigins counts the records of the software versions at which streams began.
 	StreamOrigins int `json:"stream_origins"`
+	// SurplusAnswers lists the endpoints that recently sent answers that belong to no request.
+	SurplusAnswers []pairing.Endpoint `json:"surplus_answers,omitempty"`
 }
 
 // EngineLoad is the known load of a scarce engine.
@@ -160,7 +165,7 @@
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), BrittleEndpoints: o.cfg.BrittleEndpoints(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
 		EngineLoads: o.engineLoads(), Shortages: o.shortages(),
-		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(), StreamOrigins: o.streamOrigins(),
+		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(), StreamOrigins: o.streamOrigins(), SurplusAnswers: o.surplusAnswers(),
 	})
 }
 
@@ -171,6 +176,13 @@
 	return o.cfg.Reach()
 }
 
+func (o *Operator) surplusAnswers() []pairing.Endpoint {
+	if o.cfg.SurplusAnswers == nil {
+		return nil
+	}
+	return o.cfg.SurplusAnswers(clock.Now())
+}
+
 func (o *Operator) detours() detour.Status {
 	if o.cfg.Detours == nil {
 		return detour.Status{}
--- /dev/null
+++ b/internal/pairing/pairing.go
@@ -0,0 +1,170 @@
+// Package pairing pairs the answers on connections to endpoints with the requests that were sent over them. An endpoint may send an
+// answer that belongs to another request in the place of the one due; such surplus answers are dropped, so that the request still
+// receives its own. See docs/design/answer-pairing.md.
+package pairing
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/recent"
+)
+
+const (
+	// defaultMaxSurplusBytes applies where the configuration sets no limit.
+	defaultMaxSurplusBytes = 1 << 20
+	// logInterval is the time between two log lines on the surplus answers of one endpoint.
+	logInterval = 10 * time.Second
+	// statusTTL is how long an endpoint is listed in the status after its last surplus answer. maxListedEndpoints bounds the list.
+	statusTTL          = time.Minute
+	maxListedEndpoints = 256
+)
+
+// Config configures a Pairing.
+type Config struct {
+	// ID returns the id that the headers of a request, or of the answer to it, carry. It is empty if they carry none.
+	ID func(http.Header) string
+	// MaxSurplusBytes limits the bytes of surplus answers before one answer that is due. Above it the connection is closed.
+	MaxSurplusBytes int64
+	Scope           tally.Scope
+}
+
+// Pairing pairs the answers on the connections of all its transports.
+type Pairing struct {
+	cfg    Config
+	logged *recent.Set[string]
+
+	mu sync.Mutex
+	// endpoints counts the surplus answers of endpoints, by name.
+	endpoints map[string]Endpoint
+}
+
+// Endpoint describes the surplus answers of one endpoint within the last minute or longer.
+type Endpoint struct {
+	Name    string        `json:"name"`
+	Answers int64         `json:"answers"`
+	Bytes   int64         `json:"bytes"`
+	Ago     time.Duration `json:"ago"`
+	last    time.Time
+}
+
+// New returns a Pairing.
+func New(cfg Config) *Pairing {
+	cfg.MaxSurplusBytes = cmp.Or(cfg.MaxSurplusBytes, defaultMaxSurplusBytes)
+	if cfg.Scope == nil {
+		cfg.Scope = tally.NoopScope
+	}
+	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), endpoints: map[string]Endpoint{}}
+}
+
+// Transport makes t pair the answers on its connections. Requests must be sent with the returned transport.
+func (p *Pairing) Transport(t *http.Transport) http.RoundTripper {
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(p, c), nil
+	}
+	return &transport{p, t}
+}
+
+// Status lists the endpoints that recently sent surplus answers, those with the most first.
+func (p *Pairing) Status(now time.Time) []Endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []Endpoint
+	for name, e := range p.endpoints {
+		e.Ago = now.Sub(e.last)
+		if e.Ago > statusTTL {
+			delete(p.endpoints, name)
+			continue
+		}
+		all = append(all, e)
+	}
+	slices.SortFunc(all, func(a, b Endpoint) int { return cmp.Or(cmp.Compare(b.Answers, a.Answers), cmp.Compare(a.Name, b.Name)) })
+	return all
+}
+
+// surplus is an answer that belongs to no request in flight on its connection.
+type surplus struct {
+	// endpoint and requestID are those of the last request that was sent over the connection, answerID is the id in the answer.
+	endpoint, requestID, answerID string
+	status                        int
+	bytes                         int64
+	// isIdle is set if no request was in flight on the connection.
+	isIdle bool
+}
+
+// record counts a surplus answer and logs it, for each endpoint at most once in logInterval.
+func (p *Pairing) record(s surplus) {
+	now := clock.Now()
+	p.cfg.Scope.Counter("surplus_answers").Inc(1)
+	p.cfg.Scope.Counter("surplus_bytes").Inc(s.bytes)
+	if level := p.logLevel(s.endpoint, now); klog.V(level).Enabled() {
+		klog.V(level).InfoS("dropped an answer that belongs to another request", "endpoint", s.endpoint, "asked_as", s.requestID, "answered_as", s.answerID, "status", s.status,
+			"bytes", s.bytes, "idle", s.isIdle)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.endpoints) >= maxListedEndpoints {
+		clear(p.endpoints)
+	}
+	e := p.endpoints[s.endpoint]
+	p.endpoints[s.endpoint] = Endpoint{Name: s.endpoint, Answers: e.Answers + 1, Bytes: e.Bytes + s.bytes, last: now}
+}
+
+// logLevel returns the level for a log line on an endpoint, which is higher if the endpoint was logged recently.
+func (p *Pairing) logLevel(endpoint string, now time.Time) klog.Level {
+	if p.logged.Has(endpoint, now) {
+		return 1
+	}
+	p.logged.Add(endpoint, now)
+	return 0
+}
+
+// exchange is a request on a connection.
+type exchange struct {
+	id       string
+	method   string
+	endpoint string
+}
+
+// endpointKey is the key of the endpoint's name in a context.
+type endpointKey struct{}
+
+// WithEndpoint returns a context for a request to the endpoint with the given name, for log lines and the status. Without it, the address
+// stands for the name.
+func WithEndpoint(ctx context.Context, name string) context.Context {
+	return context.WithValue(ctx, endpointKey{}, name)
+}
+
+// transport sends requests over connections that know them.
+type transport struct {
+	pairing *Pairing
+	base    *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	ctx := req.Context()
+	name, _ := ctx.Value(endpointKey{}).(string)
+	e := exchange{id: t.pairing.cfg.ID(req.Header), method: req.Method, endpoint: cmp.Or(name, req.URL.Host)}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*conn); ok {
+			c.begin(e)
+		}
+	}}
+	return t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+}
--- a/internal/relay/choose_test.go
+++ b/internal/relay/choose_test.go
@@ -35,6 +35,7 @@
 func (plainWire) ReadHead(h http.Header) (Head, error) {
 	return Head{ID: h.Get("Id"), Deadline: 5 * time.Second, Model: "base", Adapter: "a", Prompt: 10, Output: 10}, nil
 }
+func (plainWire) ID(h http.Header) string           { return h.Get("Id") }
 func (plainWire) WriteAttempt(http.Header, Attempt) {}
 func (plainWire) ReadAnswer(int, http.Header) AnswerHead {
 	return AnswerHead{ID: "id", Signed: true}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -17,6 +17,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/detour"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/pairing"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/slowpeer"
 )
@@ -78,7 +79,7 @@
 	}
 	sendCtx, content, endSend := q.caller.Send(ctx, bytes.NewReader(q.body))
 	defer endSend()
-	outgoing, err := http.NewRequestWithContext(sendCtx, q.incoming.Method, "http://"+to.address.String(), nil)
+	outgoing, err := http.NewRequestWithContext(pairing.WithEndpoint(sendCtx, to.name), q.incoming.Method, "http://"+to.address.String(), nil)
 	if err != nil {
 		return nil, result.New(result.BadRequest, "%v", err)
 	}
@@ -157,6 +158,8 @@
 		return result.New(result.BackendUnreachable, "%v", err)
 	case errors.Is(err, slowpeer.ErrEndpointNotReading):
 		return result.New(result.EndpointNotReading, "%v", err)
+	case errors.Is(err, pairing.ErrSurplus):
+		return result.New(result.TooMuchSurplus, "%v", err)
 	case ctx.Err() != nil:
 		return result.New(result.TimedOut, "%v", context.Cause(ctx))
 	default:
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -84,6 +84,8 @@
 	ReadHead(h http.Header) (Head, error)
 	// WriteAttempt sets the headers for an endpoint and removes headers that callers must not set.
 	WriteAttempt(h http.Header, a Attempt)
+	// ID returns the id of the caller's attempt that the headers of a request, or of the answer to it, carry.
+	ID(h http.Header) string
 	// ReadAnswer reads the headers of an endpoint's answer.
 	ReadAnswer(status int, h http.Header) AnswerHead
 	// WriteRetryAfter sets the header that states when the caller may retry.
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -59,6 +59,7 @@
 	NotListening       Code = 4009
 	EndpointNotReading Code = 4010
 	NoPath             Code = 4011
+	TooMuchSurplus     Code = 4012
 
 	Conflict            Code = 5001
 	InvalidResource     Code = 5002
@@ -161,6 +162,7 @@
 	{NotListening, "not_listening", http.StatusBadGateway, RanNo, time.Second, "nothing listens at the back end's address"},
 	{EndpointNotReading, "endpoint_not_reading", http.StatusBadGateway, RanUnknown, 0, "the back end did not read the request body in time"},
 	{NoPath, "no_path", http.StatusServiceUnavailable, RanNo, 200 * time.Millisecond, "this box reaches no endpoint, and no other box could connect it to one"},
+	{TooMuchSurplus, "too_much_surplus", http.StatusBadGateway, RanUnknown, 0, "the back end sent too many bytes that belong to no request before the answer"},
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, RanNo, time.Second, "no endpoint of the service can take the request"},
 
 	{Conflict, "conflict", http.StatusConflict, RanNo, 0, "the resource has changed since it was read"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,7 @@
 	Capacity   Capacity   `toml:"capacity"`
 	Detours    Detours    `toml:"detours"`
 	Streams    Streams    `toml:"streams"`
+	Endpoints  Endpoints  `toml:"endpoints"`
 }
 
 // Box identifies the box and its place in the fleet.
@@ -206,6 +207,16 @@
 	StallTimeout time.Duration `toml:"stall_timeout"`
 }
 
+// Endpoints bounds what endpoints may send.
+type Endpoints struct {
+	// MaxSurplusKB limits the answers to other requests that an endpoint may send before an answer that is due, in KB. Above it, the box
+	// closes the connection.
+	MaxSurplusKB int64 `toml:"max_surplus_kb"`
+}
+
+// MaxSurplusBytes returns MaxSurplusKB in bytes.
+func (e Endpoints) MaxSurplusBytes() int64 { return e.MaxSurplusKB << 10 }
+
 // Process configures the Go runtime and the memory of the process.
 type Process struct {
 	// GCPercent is the heap growth, in percent, after which the next garbage collection starts. A lower value saves memory and
@@ -256,6 +267,7 @@
 		Quarantine: Quarantine{Endpoints: 3, Hold: 10 * time.Minute},
 		Detours:    Detours{MaxConns: 256},
 		Streams:    Streams{Origins: 16384, OriginTTL: time.Minute},
+		Endpoints:  Endpoints{MaxSurplusKB: 1024},
 	}
 }
 
@@ -411,6 +423,10 @@
 			"streams.origin_ttl", "How long such a record is kept: as long as a stream may last.", d.Streams.OriginTTL.String(),
 			func(s *Settings) string { return checkRange(s.Streams.OriginTTL, time.Second, time.Hour) },
 		},
+		{
+			"endpoints.max_surplus_kb", "How many KB of answers to other requests an endpoint may send before an answer that is due; above it the box closes the connection.", fmt.Sprint(d.Endpoints.MaxSurplusKB),
+			func(s *Settings) string { return checkRange(s.Endpoints.MaxSurplusKB, 1, 1<<20) },
+		},
 		{
 			"quarantine.endpoints", "How many endpoints end under a request, over all boxes, before it reaches no more of them.", fmt.Sprint(d.Quarantine.Endpoints),
 			func(s *Settings) string { return checkRange(s.Quarantine.Endpoints, 1, 16) },
