TWICE: a second try at the same engine uses a new connection

A request that an engine had rejected with 421 and that came back to it ran three times and was answered with 503, when the engine sent its rejection a second time in the place of the answer to the next try.

Cause: all tries of a request carry the caller's Attempt-Id, so the copy of the earlier rejection cannot be told from the answer due.

Fix: a request that its endpoint has received before is sent over a new connection, over which no copy of an earlier answer can come. Plain endpoints are tried once each; only an engine that lacked the adapter is tried again, so such connections are rare.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -350,9 +350,10 @@
 	s := b.cfg.Settings
 	cfg := relay.Config{
 		Box: s.Box.Name, Zone: s.Box.Zone, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
-		Endpoints: &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
-		Budget:    relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
-		Policy:    s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
+		Endpoints:      &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
+		FreshEndpoints: &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.transport(httpx.NewSingleUseTransport(), b.links.detours.Dial), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
+		Budget:         relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
+		Policy:         s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
 		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
 		Places: b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
 		Origins: b.origins, StreamMemory: s.Streams.OriginTTL,
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"net/textproto"
+	"slices"
 	"strings"
 	"syscall"
 
@@ -102,7 +103,7 @@
 	r.recordOrigin(q, to)
 	q.lastEndpoint, q.untilSent = to.name, clock.Since(q.receivedAt)
 	traced := httpx.NewSendTrace(outgoing)
-	resp, err := r.cfg.Endpoints.Do(traced.Request)
+	resp, err := r.clientFor(q, to).Do(traced.Request)
 	if err != nil {
 		rerr := r.classifySendError(ctx, traced.MayHaveSent(), slowpeer.SendError(sendCtx, err))
 		if rerr.Code == result.EndpointNotReading {
@@ -130,6 +131,15 @@
 	return resp, nil
 }
 
+// clientFor returns the client for a request to an endpoint, and records that the request is sent there.
+func (r *Relay) clientFor(q *request, to destination) *http.Client {
+	if slices.Contains(q.receivers, to.name) && r.cfg.FreshEndpoints != nil {
+		return r.cfg.FreshEndpoints
+	}
+	q.receivers = append(q.receivers, to.name)
+	return r.cfg.Endpoints
+}
+
 // recordSlowEndpoint counts and logs a request that ended because the endpoint did not read its body.
 func (r *Relay) recordSlowEndpoint(q *request, to destination) {
 	r.cfg.Scope.Counter("slow_endpoints_ended").Inc(1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,8 +56,11 @@
 	Grants *grant.Client
 	// Endpoints sends requests to endpoints. Its transport must never send a request twice.
 	Endpoints *http.Client
-	Wire      Wire
-	Budget    BudgetConfig
+	// FreshEndpoints does the same over new connections only. It is used for a request that its endpoint has received before: a late copy of
+	// that answer carries the id of the new try as well. If it is nil, Endpoints is used.
+	FreshEndpoints *http.Client
+	Wire           Wire
+	Budget         BudgetConfig
 	// PrefillRate is the configured number of prompt tokens that an engine processes per second.
 	PrefillRate float64
 	Scope       tally.Scope
@@ -155,6 +158,8 @@
 	// possibleRuns counts the endpoints that may have run the request. arrivals counts all endpoints that received it.
 	possibleRuns int
 	arrivals     int
+	// receivers are the names of the endpoints that the request was sent to.
+	receivers []string
 	// connectFailures counts the endpoints that could not be reached, for example because nothing listened there.
 	connectFailures int
 	// rateLimited counts the endpoints that were skipped because of their rate limits. rateLimitedAsks counts those of
