Own interface: answers of engines and services to other calls are dropped

On bellgap's own interface a refusal that belonged to another call counted as the refusal of the call in flight: the request ran at a second engine, or its caller got 502 while it ran. A service's answer to another call was forwarded as it was.

Evidence: TestRefusalOfAnotherCallIsNoProof and TestServiceAnswerOfAnotherCallIsNotForwarded. Before the change all callers of the first get 502, and those of the second the bytes of the other call. Both pass after it.

Fix: boxes send Bellgap-Call-Id, a new one with each call, and pair the answers that return it. A second try at the same engine has an id of its own. Answers without the header count as before, so engines and services of other builds are served as they were.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -32,6 +32,7 @@
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/owner"
+	"github.com/bellgap/bellgap/internal/pairing"
 	"github.com/bellgap/bellgap/internal/peer"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/quarantine"
@@ -79,6 +80,8 @@
 	callers   *slowpeer.Tracker
 	// links are the connections to engines and services.
 	links *links
+	// pairing drops answers of engines and services that belong to no call.
+	pairing *pairing.Pairing
 	// quarantine blocks requests that have crashed back ends.
 	quarantine *quarantine.Client
 	// keeper counts the calls of the service addresses that are assigned to this box. places acquires places at all service addresses.
@@ -108,7 +111,8 @@
 		root: suture.New("box", suture.Spec{EventHook: logSupervisorEvent}),
 	}
 	b.links = newLinks(linksConfig{Settings: cfg.Settings, Catalog: b.catalog, Dial: cfg.DialEndpoint, IsLeaving: func() bool { return b.node.Leaving() }, OnDetached: func() { b.gateway.GiveUpUnanswered() }, Scope: b.metrics.Scope})
-	b.engines = engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), cfg.Settings.Callers.StallTimeout)}})
+	b.pairing = pairing.New(pairing.Config{ID: engine.CallID, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
+	b.engines = engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), cfg.Settings.Callers.StallTimeout))}})
 	api := objects.NewClient(objects.ClientConfig{
 		Address: cfg.Settings.Platform.Address.String(), HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
 	})
@@ -265,7 +269,7 @@
 		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Callers: b.callers, Record: records, Scope: b.metrics.Scope, NewID: rand.Text,
 		Engines:              b.engines,
 		PeerClient:           &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
-		Services:             &http.Client{Transport: slowpeer.BoundWrites(b.links.anyWay(connsPerService), s.Callers.StallTimeout), CheckRedirect: noRedirect},
+		Services:             &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerService), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
 		UnrepeatableServices: &http.Client{Transport: slowpeer.BoundWrites(b.links.transport(httpx.NewSingleUseTransport(), b.links.detours.Dial), s.Callers.StallTimeout), CheckRedirect: noRedirect},
 		Limits: gateway.Limits{
 			BodyBytes: s.Request.BodyBytes, BodyTime: s.Request.BodyTime, DefaultWait: s.Request.DefaultWait,
@@ -298,7 +302,7 @@
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.feed.IsReady,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope,
-		RecentRequests: records, Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, SlowPeers: b.callers.Status,
+		RecentRequests: records, Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, SlowPeers: b.callers.Status, SurplusAnswers: b.pairing.Status,
 		Reach: b.links.reach.Status, Detours: b.links.status,
 	})
 	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
--- a/internal/box/harness_test.go
+++ b/internal/box/harness_test.go
@@ -43,6 +43,8 @@
 	engines  []*fakeengine.Engine
 	service  *fakeservice.Service
 	boxes    []*runningBox
+	// surplus returns what engines and services write to the connection of a request before they serve it, nil for nothing.
+	surplus atomic.Pointer[func(r *http.Request) string]
 }
 
 type runningBox struct {
@@ -86,8 +88,23 @@
 	return fakeengine.Config{Slots: 4, Batch: 8, Step: time.Millisecond, ChecksEpochs: true}
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
 func (f *fleet) startServer(h http.Handler) netip.AddrPort {
-	s := httptest.NewServer(h)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if surplus := f.surplus.Load(); surplus != nil {
+			if conn, ok := r.Context().Value(connKey{}).(net.Conn); ok {
+				// If the connection is broken, the answer that follows fails as well.
+				_, _ = io.WriteString(conn, (*surplus)(r))
+			}
+		}
+		h.ServeHTTP(w, r)
+	}))
+	s.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	s.Start()
 	f.c.Cleanup(s.CloseClientConnections)
 	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 }
--- /dev/null
+++ b/internal/box/surplus_test.go
@@ -0,0 +1,69 @@
+package box_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bellgap/bellgap/internal/engine"
+	"github.com/bellgap/bellgap/internal/fakeengine"
+)
+
+// TestRefusalOfAnotherCallIsNoProof guards against a request on bellgap's own interface that runs twice, or is refused though it runs,
+// because an engine's refusal of another call came in the place of its answer.
+func TestRefusalOfAnotherCallIsNoProof(t *testing.T) {
+	for _, refusal := range []string{engine.RefusalNotLoaded, engine.RefusalBusy} {
+		t.Run(refusal, func(t *testing.T) {
+			c := qt.New(t)
+			f := startFleet(c, fleetConfig{boxes: 1, engines: []fakeengine.Config{smallEngine(), smallEngine()}})
+			c.Assert(f.post(f.boxes[0], "/v1/completions", completionBody(modelName, 1, false)).status, qt.Equals, http.StatusOK)
+			before := f.countRuns()
+			body := fmt.Sprintf(`{"error":{"type":%q,"message":"of another call"}}`, refusal)
+			surplus := func(r *http.Request) string {
+				if !strings.HasPrefix(r.URL.Path, "/v1/") {
+					return ""
+				}
+				return fmt.Sprintf("HTTP/1.1 409 Conflict\r\nBellgap-Call-Id: another\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+			f.surplus.Store(&surplus)
+			const requests = 10
+			for i := range requests {
+				a := f.post(f.boxes[0], "/v1/completions", completionBody(modelName, 4, i%2 == 0))
+				c.Check(a.status, qt.Equals, http.StatusOK, qt.Commentf("%s", a.body))
+			}
+			c.Check(f.countRuns()-before, qt.Equals, requests)
+		})
+	}
+}
+
+// countRuns returns the number of requests that all engines have run.
+func (f *fleet) countRuns() int {
+	n := 0
+	for _, e := range f.engines {
+		for _, runs := range e.History().Runs {
+			n += runs
+		}
+	}
+	return n
+}
+
+// TestServiceAnswerOfAnotherCallIsNotForwarded guards against a caller of a service that receives the answer to another call.
+func TestServiceAnswerOfAnotherCallIsNotForwarded(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(c, fleetConfig{boxes: 1})
+	surplus := func(r *http.Request) string {
+		if !strings.HasPrefix(r.URL.Path, "/lots") {
+			return ""
+		}
+		return "HTTP/1.1 200 OK\r\nBellgap-Call-Id: another\r\nContent-Length: 15\r\n\r\nanother's bytes"
+	}
+	f.surplus.Store(&surplus)
+	for range 10 {
+		a := f.post(f.boxes[0], "/services/titles/lots", "call", "Bellgap-Repeatable", "yes")
+		c.Check(a.status, qt.Equals, http.StatusOK)
+		c.Check(a.body, qt.Contains, `"service":"titles"`)
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/notice"
+	"github.com/bellgap/bellgap/internal/pairing"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/slowpeer"
@@ -55,6 +57,9 @@
 // NewClient returns a Client that sends its calls with cfg.HTTP.
 func NewClient(cfg ClientConfig) *Client { return &Client{http: cfg.HTTP} }
 
+// CallID returns the id of the call that the headers of a call to an engine, or of the answer to it, carry. It is empty if there is none.
+func CallID(h http.Header) string { return h.Get(result.HeaderCall) }
+
 // SendOrder sends an order and waits until the engine has executed it.
 func (c *Client) SendOrder(ctx context.Context, to Target, o Order) error {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -67,6 +72,7 @@
 	if err != nil {
 		return eris.Wrap(err, "engine: create order request")
 	}
+	req.Header.Set(result.HeaderCall, rand.Text())
 	sent := httpx.NewSendTrace(req)
 	resp, err := c.http.Do(sent.Request)
 	switch {
@@ -92,6 +98,7 @@
 	if err != nil {
 		return r, eris.Wrap(err, "engine: create report request")
 	}
+	req.Header.Set(result.HeaderCall, rand.Text())
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return r, eris.Wrap(err, "engine: fetch report")
@@ -129,6 +136,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(result.HeaderRequest, call.RunID)
 	req.Header.Set("X-Priority", call.Urgency)
+	req.Header.Set(result.HeaderCall, rand.Text())
 	sent := httpx.NewSendTrace(req)
 	resp, err := c.http.Do(sent.Request)
 	if err != nil {
@@ -155,6 +163,8 @@
 		return result.New(result.CallerGone, "%v", context.Cause(ctx))
 	case errors.Is(err, slowpeer.ErrEndpointNotReading):
 		return result.New(result.EndpointNotReading, "%v", err)
+	case errors.Is(err, pairing.ErrSurplus):
+		return result.New(result.TooMuchSurplus, "%v", err)
 	default:
 		return result.NewConnError(result.AnswerLost, err)
 	}
--- a/internal/fakeengine/handler.go
+++ b/internal/fakeengine/handler.go
@@ -60,7 +60,12 @@
 	mux.HandleFunc("GET /history", func(w http.ResponseWriter, _ *http.Request) { httpx.WriteJSON(w, http.StatusOK, e.History()) })
 	mux.HandleFunc("POST /restart", func(http.ResponseWriter, *http.Request) { e.Restart() })
 	mux.HandleFunc("POST /faults", e.handleFaults)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := engine.CallID(r.Header); id != "" {
+			w.Header().Set(result.HeaderCall, id)
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (e *Engine) handleFaults(w http.ResponseWriter, r *http.Request) {
--- a/internal/fakeservice/service.go
+++ b/internal/fakeservice/service.go
@@ -68,6 +68,9 @@
 }
 
 func (s *Service) handle(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(result.HeaderCall); id != "" {
+		w.Header().Set(result.HeaderCall, id)
+	}
 	if retryAfter := s.setNoticeHeaders(w.Header()); retryAfter != "" {
 		w.Header().Set("Retry-After", retryAfter)
 		http.Error(w, "resting", http.StatusServiceUnavailable)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -125,7 +125,7 @@
 	case result.NotOwner, result.TryNext, result.QueueFull, result.RateLimited, result.EndpointResting, result.EndpointLeaving,
 		result.LoadFailed, result.LoadBudget, result.Leaving, result.BackendRefused, result.BackendUnreachable, result.NotReady:
 		return true
-	case result.AnswerLost, result.StreamCut, result.WrongAnswer, result.EndpointNotReading:
+	case result.AnswerLost, result.StreamCut, result.WrongAnswer, result.EndpointNotReading, result.TooMuchSurplus:
 		return repeatable
 	default:
 		return false
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"errors"
 	"io"
 	"math"
@@ -14,6 +15,7 @@
 
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/pairing"
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/places"
 	"github.com/bellgap/bellgap/internal/quarantine"
@@ -209,6 +211,7 @@
 		return nil, result.New(result.BadRequest, "%v", err)
 	}
 	req.Header = c.header.Clone()
+	req.Header.Set(result.HeaderCall, rand.Text())
 	req.GetBody = nil
 	client := g.cfg.Services
 	if !c.repeatable {
@@ -225,6 +228,8 @@
 	case errors.Is(err, slowpeer.ErrEndpointNotReading):
 		g.cfg.Scope.Counter("slow_endpoints_ended").Inc(1)
 		return nil, result.New(result.EndpointNotReading, "%v", err)
+	case errors.Is(err, pairing.ErrSurplus):
+		return nil, result.New(result.TooMuchSurplus, "%v", err)
 	default:
 		return nil, result.NewConnError(result.AnswerLost, err)
 	}
--- a/internal/result/error.go
+++ b/internal/result/error.go
@@ -25,6 +25,9 @@
 	// HeaderBrittle is the number of requests that an engine or a service may reject in a second for want of room. If it rejects more, it
 	// falls over.
 	HeaderBrittle = "Bellgap-Brittle"
+	// HeaderCall identifies one call of a box to an engine or a service. They return it with the answer, so that a late answer to another
+	// call can be told. An answer without it counts as the answer to the call in flight.
+	HeaderCall = "Bellgap-Call-Id"
 )
 
 // Error is a result other than OK.
