ORDER: unframed answers of endpoints that crash are not whole

Callers got a part of a stream or of a plain answer, with a proper end, when an endpoint that answers without length or chunks was killed.

Cause: such an answer ends with its connection, and the kernel closes the connections of a killed process in order. The relay took every such end for the end of the answer.

The users' 224 cases of ORDER are not in their record, so that this is their cause is only suspected.

Fix: at the end of an unframed answer the box asks whether the endpoint still accepts connections; if nothing listens there, the answer was broken off. Leaving endpoints are not asked, as they may close their listener first (TestUnframedStreamsOfLeavingEnginesAreWhole).

--- a/internal/quarantine/probe.go
+++ b/internal/quarantine/probe.go
@@ -86,6 +86,11 @@
 	return outcome
 }
 
+// HasCrashed reports whether nothing listens at the address of an endpoint any more. It returns false if that cannot be told.
+func (c *Client) HasCrashed(ctx context.Context, address netip.AddrPort) bool {
+	return c.probe(ctx, address) == probeCrashed
+}
+
 // RecordOutcome records the outcome of a request at an endpoint. rerr is nil after a complete answer. If the endpoint crashed,
 // RecordOutcome returns when RecordCrash does.
 func (c *Client) RecordOutcome(ctx context.Context, s Suspect, e Endpoint, rerr *result.Error) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -207,6 +207,14 @@
 	}
 }
 
+// crashCheck returns a function that reports whether an endpoint has crashed. An endpoint that leaves may stop accepting connections before
+// its last answers end, so it does not count as crashed.
+func (r *Relay) crashCheck(ctx context.Context, q *request, to destination) func() bool {
+	return func() bool {
+		return !r.isLeavingOrGone(q.service, to.name) && r.cfg.Quarantine.HasCrashed(ctx, to.address)
+	}
+}
+
 // writeHead starts the answer to the caller with the endpoint's status and headers. It does nothing if the answer has
 // already been started.
 func (o *output) writeHead(resp *http.Response) {
@@ -230,6 +238,9 @@
 	defer o.w.ReleaseAnswer()
 	start, err := o.w.ReadAnswer(resp.Body, answerBuffer)
 	whole := errors.Is(err, io.EOF)
+	if whole && o.isCutByCrash(resp) {
+		whole, err = false, io.ErrUnexpectedEOF
+	}
 	if err != nil && !whole {
 		return result.NewConnError(result.StreamCut, err)
 	}
@@ -245,6 +256,9 @@
 		return o.flushLong(len(start))
 	}
 	readErr, writeErr := o.w.Copy(resp.Body)
+	if readErr == nil && writeErr == nil && o.isCutByCrash(resp) {
+		readErr = io.ErrUnexpectedEOF
+	}
 	switch {
 	case writeErr != nil:
 		return writeError(writeErr)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -191,6 +191,7 @@
 	q.possibleRuns++
 	r.countTaken(q)
 	lastEvent := a.LastEvent
+	out.hasCrashed = r.crashCheck(ctx, q, c.destination())
 	if resp.StatusCode != http.StatusOK || q.route.Kind != resource.RouteStream {
 		out.onEvent = watch.recordArrival
 		rerr = r.forwardNonStream(out, q, resp)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -69,6 +69,7 @@
 	resp, rerr := r.callPlain(held.Trace(ctx), q, e)
 	held.End(func() { place.End(r.placeOutcome(q, e, sentAt, resp, rerr)) })
 	if rerr == nil {
+		out.hasCrashed = r.crashCheck(ctx, q, endpointDestination(e))
 		rerr = r.forwardPlain(out, resp, e, q)
 	}
 	r.reportOutcome(ctx, q, endpointDestination(e), rerr)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -387,6 +387,8 @@
 	// forwarded. onForwarded is called when an event has been written.
 	onEvent     func()
 	onForwarded func()
+	// hasCrashed reports whether the endpoint of the current answer has crashed.
+	hasCrashed func() bool
 	// unreadCut is the error of the last stream that its endpoint broke off after a pause of the caller, nil if there was none.
 	unreadCut *result.Error
 }
