Bytes without end: the endpoint is named

Endpoints may send bytes without end until the caller closes.

answers_unfinished counts answers that had begun and not ended when the time of their request was over, and a log line names the endpoint with the bytes. Blank lines alone no longer count as progress of a stream.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -414,6 +414,9 @@
 // CallerAddress returns the address to which callers connect.
 func (b *Routed) CallerAddress() netip.AddrPort { return listenerAddress(b.listeners.caller) }
 
+// OperatorAddress returns the address to which operators connect.
+func (b *Routed) OperatorAddress() netip.AddrPort { return listenerAddress(b.listeners.operator) }
+
 // DirectoryAddress returns the address at which callers request the addresses of boxes.
 func (b *Routed) DirectoryAddress() netip.AddrPort { return listenerAddress(b.directoryListener) }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -128,6 +128,9 @@
 		_ = resp.Body.Close()
 		return nil, rerr
 	}
+	if resp.Body != http.NoBody {
+		resp.Body = countedBody{resp.Body, &q.answerBytes}
+	}
 	return resp, nil
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -278,6 +278,7 @@
 	} else {
 		rerr = out.copyAnswer(resp)
 	}
+	r.recordUnfinished(q, endpointDestination(e), rerr)
 	r.health.end(e.Name, clock.Now(), failed || (rerr != nil && rerr.Code == result.StreamCut))
 	return rerr
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -119,6 +119,8 @@
 	// serviceVersions remembers which software versions served which services.
 	serviceVersions *serviceVersions
 	unanswered      *unanswered.Set
+	// loggedUnfinished holds the endpoints with a recent log line on an unfinished answer.
+	loggedUnfinished *recent.Set[string]
 }
 
 // New returns a Relay that uses the given configuration.
@@ -130,6 +132,7 @@
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
 		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
+		loggedUnfinished: recent.New[string](unfinishedLogInterval),
 	}
 }
 
@@ -179,6 +182,8 @@
 	overShare   share.Reason
 	// suspect identifies the request if it is sent again.
 	suspect quarantine.Suspect
+	// answerBytes is the number of bytes that were read from the bodies of its answers.
+	answerBytes int64
 	// wasRun is set if the status of the last answer shows that the endpoint ran the request.
 	wasRun bool
 	// ref is the adapter version that the request needs. tries lists the owners and endpoints that were tried, with the
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -83,7 +83,8 @@
 			return lastID, o.cutError(err)
 		}
 		isEmpty = false
-		if o.onEvent != nil {
+		// A blank line alone is no event, and shows no progress of the stream.
+		if o.onEvent != nil && !isBlank(event) {
 			o.onEvent()
 		}
 		o.writeHead(resp)
