ORDER: streams do not go on at plain endpoints that were upgraded in place

Cause: a box trusts its copy of an endpoint's entry, which is up to half a second old, also after the endpoint has closed its connections; and a box without connections to it cannot see that it restarted.

Fix: a continuation goes first to endpoints that a connection of 2 s or more proves to be the same process, not to those that ended or refused a connection within 2 s, and at the others only after their entry has been read from the store (150 ms at most; if the store does not answer, it goes there as before).

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -68,6 +68,8 @@
 	Source follow.Source
 	// NewEngines returns the client of the engines.
 	NewEngines func(EngineClients) owner.Engines
+	// ReadEndpoint reads the current entry of an endpoint from the store. Nil reads none.
+	ReadEndpoint func(ctx context.Context, name string) (resource.Endpoint, error)
 	// DialEndpoint opens connections to endpoints, nil uses TCP.
 	DialEndpoint reach.DialFunc
 	Wire         relay.Wire
@@ -352,8 +354,9 @@
 		Box: s.Box.Name, Zone: s.Box.Zone, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
 		Endpoints:      &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
 		FreshEndpoints: &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.transport(httpx.NewSingleUseTransport(), b.links.detours.Dial), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
-		Budget:         relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
-		Policy:         s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
+		Connections:    b.pairing, ReadEndpoint: b.cfg.Deployment.ReadEndpoint,
+		Budget: relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
+		Policy: s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
 		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
 		Places: b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
 		Origins: b.origins, StreamMemory: s.Streams.OriginTTL,
--- a/internal/cli/routed.go
+++ b/internal/cli/routed.go
@@ -41,7 +41,7 @@
 	store := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address, HTTP: &http.Client{Transport: httpx.NewTransport(maxIdleStoreConns)}})
 	locateKeep := s.Request.LocateKeep
 	b, err := box.NewRouted(box.RoutedConfig{Settings: s, Deployment: box.Deployment{
-		API: store, Source: store, Wire: platform.Wire{}, DialEndpoint: dialEndpoint,
+		API: store, Source: store, Wire: platform.Wire{}, DialEndpoint: dialEndpoint, ReadEndpoint: store.Endpoint,
 		NewEngines: func(c box.EngineClients) owner.Engines {
 			return platform.NewWorkers(platform.WorkersConfig{Box: s.Box.Name, HTTP: c.Reports, Orders: c.Orders, OnRate: c.OnRate, Policy: s.Policy.Build(), Scope: c.Scope})
 		},
--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -32,6 +32,8 @@
 type conn struct {
 	net.Conn
 	pairing *Pairing
+	// address is that of the endpoint, also if the connection leads through another box.
+	address string
 	in      *bufio.Reader
 	// head is the buffer of the last head. pending is what has been read and is to be returned next.
 	head    []byte
@@ -49,10 +51,31 @@
 	// last is the last request sent over the connection, isOpen is set until its answer has been passed on.
 	last   exchange
 	isOpen bool
+	// isClosed is set once this side has closed the connection.
+	isClosed bool
 }
 
-func newConn(p *Pairing, c net.Conn) *conn {
-	return &conn{Conn: c, pairing: p, in: bufio.NewReaderSize(c, readBuffer)}
+func newConn(p *Pairing, address string, c net.Conn) *conn {
+	return &conn{Conn: c, pairing: p, address: address, in: bufio.NewReaderSize(c, readBuffer)}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.isClosed = true
+	c.mu.Unlock()
+	c.pairing.remove(c)
+	return c.Conn.Close()
+}
+
+// recordIfEnded records that the endpoint's side ended the connection. The end of an answer that ends with its connection does not count.
+func (c *conn) recordIfEnded(err error) {
+	c.mu.Lock()
+	isEnded := !c.isClosed && (!c.isRaw || !errors.Is(err, io.EOF))
+	c.mu.Unlock()
+	if isEnded {
+		c.pairing.recordEnd(c.address)
+	}
 }
 
 // begin records a request that is about to be sent.
@@ -78,6 +101,14 @@
 
 // Read implements net.Conn. It returns the bytes of the answers that belong to the requests.
 func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.readPaired(p)
+	if err != nil {
+		c.recordIfEnded(err)
+	}
+	return n, err
+}
+
+func (c *conn) readPaired(p []byte) (int, error) {
 	for len(p) > 0 {
 		switch {
 		case len(c.pending) > 0:
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -6,11 +6,15 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -28,6 +32,8 @@
 	// statusTTL is how long an endpoint is listed in the status after its last surplus answer. maxListedEndpoints bounds the list.
 	statusTTL          = time.Minute
 	maxListedEndpoints = 256
+	// maxContacts bounds the addresses whose contacts are kept, apart from those with open connections.
+	maxContacts = 4096
 )
 
 // Config configures a Pairing.
@@ -47,6 +53,16 @@
 	mu sync.Mutex
 	// endpoints counts the surplus answers of endpoints, by name.
 	endpoints map[string]Endpoint
+	// contacts holds what the connections to endpoints show, by address.
+	contacts map[string]*contact
+}
+
+// contact is what the connections to one address show.
+type contact struct {
+	// open holds when the open connections were established.
+	open map[*conn]time.Time
+	// endedAt is when the endpoint last ended or refused a connection.
+	endedAt time.Time
 }
 
 // Endpoint describes the surplus answers of one endpoint within the last minute or longer.
@@ -64,7 +80,7 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
-	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), endpoints: map[string]Endpoint{}}
+	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
 }
 
 // Transport makes t pair the answers on its connections. Requests must be sent with the returned transport.
@@ -72,14 +88,73 @@
 	dial := t.DialContext
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.recordEnd(address)
+		}
 		if err != nil {
 			return nil, err
 		}
-		return newConn(p, c), nil
+		return p.open(address, c), nil
 	}
 	return &transport{p, t}
 }
 
+// open adds a connection that has been established.
+func (p *Pairing) open(address string, c net.Conn) *conn {
+	paired := newConn(p, address, c)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.contactOf(address).open[paired] = clock.Now()
+	return paired
+}
+
+// remove removes a connection that has been closed.
+func (p *Pairing) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.contacts[c.address]; known != nil {
+		delete(known.open, c)
+	}
+}
+
+// recordEnd records that the endpoint at an address ended or refused a connection.
+func (p *Pairing) recordEnd(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.contactOf(address).endedAt = clock.Now()
+}
+
+// contactOf returns the contact of an address, which it creates if there is none. The caller holds mu.
+func (p *Pairing) contactOf(address string) *contact {
+	if known := p.contacts[address]; known != nil {
+		return known
+	}
+	if len(p.contacts) >= maxContacts {
+		maps.DeleteFunc(p.contacts, func(_ string, known *contact) bool { return len(known.open) == 0 })
+	}
+	added := &contact{open: map[*conn]time.Time{}}
+	p.contacts[address] = added
+	return added
+}
+
+// Contact returns when the oldest open connection to an address was established, and when the endpoint there last ended or refused one. The
+// times are zero if there is none. A process that ends closes its connections, so the process at the address is the one that accepted the
+// oldest open connection.
+func (p *Pairing) Contact(address netip.AddrPort) (connectedSince, endedAt time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.contacts[address.String()]
+	if known == nil {
+		return time.Time{}, time.Time{}
+	}
+	for _, at := range known.open {
+		if connectedSince.IsZero() || at.Before(connectedSince) {
+			connectedSince = at
+		}
+	}
+	return connectedSince, known.endedAt
+}
+
 // Status lists the endpoints that recently sent surplus answers, those with the most first.
 func (p *Pairing) Status(now time.Time) []Endpoint {
 	p.mu.Lock()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -63,6 +63,11 @@
 		return false, rerr
 	}
 	tried[e.Name] = true
+	if !r.confirmVersion(ctx, q, e) {
+		place.End(places.Outcome{})
+		r.refundRetry(q)
+		return true, lastErr
+	}
 	r.firstRequests.setEndpoint(q.suspect.Fingerprint, e.Name)
 	sentAt := clock.Now()
 	held := r.unanswered.Add(func() { place.End(places.Outcome{}) })
@@ -183,10 +188,12 @@
 
 // choosePlainEndpoint chooses among the endpoints that have not been tried and are neither leaving nor paused. While no
 // request with the same fingerprint has run well, it prefers the endpoint of the first such request in flight.
-// Otherwise it returns the endpoint with the fewest failures and requests in flight.
+// Otherwise it returns the endpoint with the fewest failures and requests in flight. A request that continues a stream goes to no endpoint that
+// may have restarted with another version, and first to those that have surely not.
 func (r *Relay) choosePlainEndpoint(q *request, tried map[string]bool) (catalog.EndpointView, bool) {
 	type scoredEndpoint struct {
 		view  catalog.EndpointView
+		trust versionTrust
 		score float64
 	}
 	now := clock.Now()
@@ -196,17 +203,26 @@
 		if e.Spec.Leaving || tried[e.Name] || r.isPaused(e) || !q.binding.allows(e.Spec.SoftwareVersion) {
 			continue
 		}
+		trust := versionAssumed
+		if q.binding.bound {
+			trust = r.trustVersion(now, e.Spec.Address)
+		}
+		if trust == versionDoubted {
+			continue
+		}
 		if e.Name == sharedEndpoint {
 			return e, true
 		}
 		inFlight, failures := r.health.load(e.Name, now)
 		// The hash breaks ties. It sends requests with the same fingerprint to the same endpoint, whichever box sends them.
-		scoredEndpoints = append(scoredEndpoints, scoredEndpoint{e, float64(inFlight) + failures*float64(max(1, e.Spec.Slots)) + hashFraction(q.suspect.Fingerprint, e.Name)})
+		scoredEndpoints = append(scoredEndpoints, scoredEndpoint{e, trust, float64(inFlight) + failures*float64(max(1, e.Spec.Slots)) + hashFraction(q.suspect.Fingerprint, e.Name)})
 	}
 	if len(scoredEndpoints) == 0 {
 		return catalog.EndpointView{}, false
 	}
-	best := slices.MinFunc(scoredEndpoints, func(a, b scoredEndpoint) int { return cmp.Compare(a.score, b.score) })
+	best := slices.MinFunc(scoredEndpoints, func(a, b scoredEndpoint) int {
+		return cmp.Or(cmp.Compare(b.trust, a.trust), cmp.Compare(a.score, b.score))
+	})
 	return best.view, true
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -59,8 +59,12 @@
 	// FreshEndpoints does the same over new connections only. It is used for a request that its endpoint has received before: a late copy of
 	// that answer carries the id of the new try as well. If it is nil, Endpoints is used.
 	FreshEndpoints *http.Client
-	Wire           Wire
-	Budget         BudgetConfig
+	// Connections tells what the connections to endpoints show. If it is nil, nothing is known.
+	Connections Connections
+	// ReadEndpoint reads the current entry of an endpoint from the store. If it is nil, none is read.
+	ReadEndpoint func(ctx context.Context, name string) (resource.Endpoint, error)
+	Wire         Wire
+	Budget       BudgetConfig
 	// PrefillRate is the configured number of prompt tokens that an engine processes per second.
 	PrefillRate float64
 	Scope       tally.Scope
--- a/internal/relay/softwareversion.go
+++ b/internal/relay/softwareversion.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/origin"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
@@ -33,6 +37,72 @@
 // bindTo restricts the rest of a request to a software version.
 func (q *request) bindTo(version string) { q.binding = versionBinding{bound: true, version: version} }
 
+// Connections tells what the connections to endpoints show. It separates this package from the transport.
+type Connections interface {
+	// Contact returns when the oldest open connection to an address was established, and when the endpoint there last ended or refused
+	// one. The times are zero if there is none.
+	Contact(address netip.AddrPort) (connectedSince, endedAt time.Time)
+}
+
+// entryLag is the longest time until this box knows the entry of an endpoint that has started. The users promise to write it at once.
+const entryLag = 2 * time.Second
+
+// versionTrust tells how sure it is that the process at an endpoint's address is the one whose software version its entry names.
+type versionTrust int
+
+const (
+	// versionDoubted: the endpoint may have restarted since its entry was written.
+	versionDoubted versionTrust = iota
+	// versionAssumed: nothing speaks against the entry.
+	versionAssumed
+	// versionProven: the process has been connected to for longer than a newer entry would take to arrive.
+	versionProven
+)
+
+// trustVersion returns how sure the software version of the endpoint at an address is.
+func (r *Relay) trustVersion(now time.Time, address netip.AddrPort) versionTrust {
+	if r.cfg.Connections == nil {
+		return versionAssumed
+	}
+	connectedSince, endedAt := r.cfg.Connections.Contact(address)
+	switch {
+	case !connectedSince.IsZero() && now.Sub(connectedSince) >= entryLag:
+		return versionProven
+	case !endedAt.IsZero() && now.Sub(endedAt) < entryLag:
+		return versionDoubted
+	default:
+		return versionAssumed
+	}
+}
+
+// entryReadTimeout limits the read of an endpoint's entry.
+const entryReadTimeout = 150 * time.Millisecond
+
+// confirmVersion reports whether a request may go to an endpoint as far as its software version is concerned. If the request continues a
+// stream and nothing proves the version in this box's copy of the entry, the entry is read again.
+func (r *Relay) confirmVersion(ctx context.Context, q *request, e catalog.EndpointView) bool {
+	if !q.binding.bound || r.cfg.ReadEndpoint == nil || r.trustVersion(clock.Now(), e.Spec.Address) == versionProven {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, entryReadTimeout)
+	defer cancel()
+	current, err := r.cfg.ReadEndpoint(ctx, e.Name)
+	if errors.Is(err, objects.ErrNotFound) {
+		return false
+	}
+	if err != nil {
+		r.cfg.Scope.Counter("stream_version_reads_failed").Inc(1)
+		klog.V(1).InfoS("entry of an endpoint not read before a stream continues there", "request", q.head.ID, "endpoint", e.Name, "err", err)
+		return true
+	}
+	if current.Started == e.Spec.Started && current.SoftwareVersion == e.Spec.SoftwareVersion {
+		return true
+	}
+	r.cfg.Scope.Counter("stream_version_mismatches").Inc(1)
+	klog.InfoS("endpoint not used, it has restarted with another software version", "request", q.head.ID, "endpoint", e.Name, "version", current.SoftwareVersion, "stream_version", q.binding.version)
+	return false
+}
+
 // isResumable reports whether the request is for a stream that may be resumed.
 func (q *request) isResumable() bool {
 	return q.route.Kind == resource.RouteStream && q.route.Idempotent()
