--- a/internal/heapmeter/heapmeter.go
+++ b/internal/heapmeter/heapmeter.go
@@ -34,7 +34,7 @@
 		close(done)
 		// The function of the group returns no error.
 		_ = group.Wait()
-		return largest
+		return max(largest, allocated()-before)
 	}
 }
 
