ORDER: engines are not doubted after a connection ends

The change for plain endpoints upgraded in place also kept continuations from engines that had ended a connection within two seconds. Plain endpoints keep the check. TestStreamStaysAtItsSoftwareVersion, TestStreamAvoidsPlainEndpointUpgradedInPlace and TestBrokenStreams pass.

--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -79,8 +79,8 @@
 			avoid[c.name] = true
 			continue
 		}
-		if !q.binding.allows(c.softwareVersion) || (q.binding.bound && r.trustVersion(clock.Now(), c.address) == versionDoubted) {
-			// The search for this engine began before the first event, or the engine may have restarted.
+		if !q.binding.allows(c.softwareVersion) {
+			// The search for this engine began before the first event.
 			r.logVersionMismatch(q, c)
 			c.release(owner.EndUnused)
 			r.refundRetry(q)
