--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -213,6 +213,8 @@
 	// it resumes none or no record is known.
 	binding versionBinding
 	origin  origin.Record
+	// resumption states how the software version of a resumed stream was found, empty if the request resumes none.
+	resumption string
 }
 
 // timeLeft returns the time until the deadline of the request.
--- a/internal/relay/softwareversion.go
+++ b/internal/relay/softwareversion.go
@@ -118,16 +118,16 @@
 		if found, ok := r.cfg.Origins.Find(ctx, q.head.Resumes); ok && q.moveTo(found.Service) {
 			q.origin = found
 			q.bindTo(found.Version)
-			r.countResumption("recorded")
+			r.recordResumption(q, "recorded")
 			return r.refuseIfVersionGone(q)
 		}
 	}
 	versions := r.serviceVersions.inService(clock.Now(), q.service, r.endpointVersions(q.service))
 	if len(versions) > 1 {
-		r.countResumption("unknown")
+		r.recordResumption(q, "unknown")
 		return result.New(result.StreamVersionUnknown, "attempt %q; %s has versions %q", q.head.Resumes, q.service, versions)
 	}
-	r.countResumption("only_version")
+	r.recordResumption(q, "only_version")
 	if len(versions) == 1 {
 		q.bindTo(versions[0])
 		q.origin = origin.Record{Attempt: q.head.Resumes, Service: q.service, Version: versions[0]}
@@ -151,11 +151,13 @@
 			return nil
 		}
 	}
-	r.countResumption("gone")
+	r.recordResumption(q, "gone")
 	return result.New(result.StreamVersionGone, "version %q of %s", q.binding.version, q.service)
 }
 
-func (r *Relay) countResumption(outcome string) {
+// recordResumption counts how the software version of a resumed stream was found, and keeps it for the log line of the request.
+func (r *Relay) recordResumption(q *request, outcome string) {
+	q.resumption = outcome
 	r.cfg.Scope.Tagged(map[string]string{"origin": outcome}).Counter("stream_resumptions").Inc(1)
 }
 
