--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -45,6 +45,7 @@
 	"github.com/bellgap/bellgap/internal/settings"
 	"github.com/bellgap/bellgap/internal/share"
 	"github.com/bellgap/bellgap/internal/slowpeer"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 const (
@@ -318,12 +319,16 @@
 	b.figures = figures.New(figures.Config{Box: b.cfg.Settings.Box.Name, OwnLoads: b.owners.Loads, Loads: b.engineLoads, Demand: b.demand, Scope: b.metrics.Scope})
 }
 
+// versionRetentions is how long the cell map lists a software version after its last endpoint is gone, in longest streams: one may have
+// begun at the endpoint just before, and boxes may have known the endpoint for longer than the coordinator.
+const versionRetentions = 2
+
 func (b *Routed) buildNode(peers *peer.Client) {
 	s := b.cfg.Settings
 	t := s.Timing
 	cfg := member.Config{
 		Cell: s.Box.Cell, Region: s.Box.Region, API: b.cfg.Deployment.API, Peers: peers, Catalog: b.catalog, Holder: b.owners, Scope: b.metrics.Scope, NewToken: rand.Text, Spread: b.follower,
-		Quarantine: b.quarantine,
+		Quarantine: b.quarantine, SoftwareVersions: softwareversion.NewTracker(softwareversion.TrackerConfig{Retention: versionRetentions * s.Streams.OriginTTL}),
 		Self: coordinator.Member{
 			Box: s.Box.Name, Zone: s.Box.Zone, Incarnation: rand.Text(), Caller: listenerAddress(b.listeners.caller), Peer: b.listeners.advertisedAddress(s.Listen),
 		},
@@ -360,6 +365,7 @@
 		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
 		Places: b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
 		Origins: b.origins, StreamMemory: s.Streams.OriginTTL,
+		VersionHistory: newVersionHistory(versionHistoryConfig{Catalog: b.catalog, API: b.cfg.Deployment.API, Cell: s.Box.Cell}),
 		AgeLimits: relay.ConfigAgeLimits{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -9,6 +9,7 @@
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/route"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 // EngineView is an engine with its owner, if it has one.
@@ -52,8 +53,10 @@
 	// Schedulers holds, for each region, the box that schedules adapter loads: the coordinator of the region's first cell by name.
 	Schedulers map[string]coordinator.Member
 	// Quarantined lists the requests that, according to the cell maps, must not reach any endpoint.
-	Quarantined  []quarantine.Held
-	leavingBoxes map[string]bool
+	Quarantined []quarantine.Held
+	// SoftwareVersions holds, for each cell map, the software versions that have served lately. It is nil for a map of an earlier build.
+	SoftwareVersions []*softwareversion.History
+	leavingBoxes     map[string]bool
 	// scarceSlots is the largest number of adapter slots with which the engines of a service are scarce.
 	scarceSlots int
 	// allSlots is set if scarce engines have no spare slot.
@@ -203,6 +206,39 @@
 		t.leavingBoxes[box] = true
 	}
 	t.Quarantined = append(t.Quarantined, m.Quarantined...)
+	versions := m.SoftwareVersions
+	if versions != nil && e.fromRestore {
+		// A later map, which is lost, may have listed more.
+		versions = &softwareversion.History{Services: versions.Services}
+	}
+	t.SoftwareVersions = append(t.SoftwareVersions, versions)
+}
+
+// EndpointVersions returns the software versions of the endpoints of each service, including those that are leaving.
+func (t *Topology) EndpointVersions() map[string][]string {
+	all := make(map[string][]string, len(t.Endpoints))
+	for service, endpoints := range t.Endpoints {
+		for _, e := range endpoints {
+			if !slices.Contains(all[service], e.Spec.SoftwareVersion) {
+				all[service] = append(all[service], e.Spec.SoftwareVersion)
+			}
+		}
+	}
+	return all
+}
+
+// ListedVersions returns the software versions of a service that the cell maps list, and whether no version is missing.
+func (t *Topology) ListedVersions(service string) (versions []string, isComplete bool) {
+	isComplete = len(t.SoftwareVersions) > 0
+	for _, h := range t.SoftwareVersions {
+		if h == nil {
+			isComplete = false
+			continue
+		}
+		isComplete = isComplete && h.Complete
+		versions = append(versions, h.Versions(service)...)
+	}
+	return versions, isComplete
 }
 
 // addEndpoint adds an endpoint. It also adds an endpoint as an engine if its service runs models.
--- a/internal/coordinator/delta.go
+++ b/internal/coordinator/delta.go
@@ -43,7 +43,7 @@
 // Size returns the approximate size of the encoded delta in bytes, without encoding it.
 func (d Delta) Size() int {
 	return approxHeadSize + approxMemberSize*len(d.Members) + approxOwnerSize*len(d.Owners) +
-		approxNameSize*(len(d.MembersGone)+len(d.OwnersGone)+len(d.Head.Leaving)) + approxQuarantinedSize*len(d.Head.Quarantined)
+		approxNameSize*(len(d.MembersGone)+len(d.OwnersGone)+len(d.Head.Leaving)) + approxQuarantinedSize*len(d.Head.Quarantined) + d.Head.SoftwareVersions.Size()
 }
 
 // diffLists returns the entries of to that are new or differ from the entry of the same key in from, and the keys that only from has.
--- a/internal/coordinator/message.go
+++ b/internal/coordinator/message.go
@@ -10,6 +10,7 @@
 	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 // MapKind is the object kind of cell maps.
@@ -71,6 +72,8 @@
 	UnreportedGrants bool `json:"unreported_grants,omitempty"`
 	// Quarantined lists the quarantined requests, which are sent to no endpoint. The list is sorted.
 	Quarantined []quarantine.Held `json:"quarantined,omitempty"`
+	// SoftwareVersions lists the software versions that have served each service lately. It is nil in maps of earlier builds.
+	SoftwareVersions *softwareversion.History `json:"software_versions,omitempty"`
 }
 
 // Release returns one grant to the coordinator. Epoch identifies the grant, as a later grant of the same engine may be in transit.
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -17,6 +17,7 @@
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 // checkLease reads the lease and acquires it if it is free.
@@ -113,6 +114,9 @@
 	epoch := n.lease.Record().Epoch
 	_, _, known := n.cfg.Catalog.Map(n.cfg.Cell)
 	restored := lease.EraOf(lastMap.Lease) < lease.EraOf(epoch) && (version.HasRevision() || known)
+	if n.cfg.SoftwareVersions != nil {
+		n.cfg.SoftwareVersions.Inherit(clock.Now(), inheritedVersions(lastMap, version), !restored)
+	}
 	n.mu.Lock()
 	n.history.Reset()
 	if !restored {
@@ -197,15 +201,34 @@
 	return n.cfg.Quarantine.ToPublish()
 }
 
+// inheritedVersions returns the software versions in the last map. Before the first map of a cell none has served.
+func inheritedVersions(lastMap coordinator.Map, version objects.Position) *softwareversion.History {
+	if !version.HasRevision() {
+		return &softwareversion.History{Complete: true}
+	}
+	return lastMap.SoftwareVersions
+}
+
+// softwareVersions returns the history of software versions to list in the cell map, with those of all present endpoints.
+func (n *Node) softwareVersions() *softwareversion.History {
+	if n.cfg.SoftwareVersions == nil {
+		return nil
+	}
+	now := clock.Now()
+	n.cfg.SoftwareVersions.Observe(now, n.cfg.Catalog.Topology().EndpointVersions())
+	return n.cfg.SoftwareVersions.History(now)
+}
+
 // nextMap advances the coordinator's state to the present time and returns the resulting map.
 func (n *Node) nextMap(state *coordinator.State) coordinator.Map {
 	engines := n.cellEngines()
 	quarantined := n.quarantinedRequests()
+	versions := n.softwareVersions()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	state.Tick(clock.Now(), engines)
 	m := state.Map()
-	m.Quarantined = quarantined
+	m.Quarantined, m.SoftwareVersions = quarantined, versions
 	return m
 }
 
@@ -282,7 +305,7 @@
 func equalMaps(a, b coordinator.Map) bool {
 	return a.Cell == b.Cell && a.Lease == b.Lease && a.Coordinator == b.Coordinator &&
 		slices.Equal(a.Members, b.Members) && slices.Equal(a.Owners, b.Owners) && slices.Equal(a.Leaving, b.Leaving) &&
-		slices.Equal(a.Quarantined, b.Quarantined)
+		slices.Equal(a.Quarantined, b.Quarantined) && a.SoftwareVersions.Equal(b.SoftwareVersions)
 }
 
 // cellEngines returns the declared engines of the cell, sorted by name.
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -20,6 +20,7 @@
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/part"
 	"github.com/bellgap/bellgap/internal/quarantine"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 // Peers sends heartbeats to other boxes. It is an interface because calls cross the network.
@@ -80,6 +81,8 @@
 	Figures Figures
 	// Quarantine provides the quarantined requests of the cell map; nil publishes none.
 	Quarantine Quarantine
+	// SoftwareVersions follows the software versions that the cell map lists; nil publishes none.
+	SoftwareVersions *softwareversion.Tracker
 	// IsDetached reports whether this box reaches endpoints too poorly to own engines; nil means that it never does.
 	IsDetached func() bool
 	// NewToken returns a token that is unique to one write.
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -86,7 +86,7 @@
 	for _, e := range t.Endpoints[q.service] {
 		view, declared := t.Engines[e.Name]
 		if !declared || e.Spec.Leaving || avoid[e.Name] || view.Spec.BaseModel != q.head.Model || r.isPaused(e) ||
-			!q.binding.allows(e.Spec.SoftwareVersion) {
+			!r.allowsVersion(q, e.Spec.SoftwareVersion) {
 			continue
 		}
 		if r.isRateExhausted(q, e.Name) {
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -91,7 +91,7 @@
 		if view, ok := t.Engines[e.Name]; ok && q.head.Model != "" && view.Spec.BaseModel != q.head.Model {
 			continue
 		}
-		if !q.binding.allows(e.Spec.SoftwareVersion) {
+		if !r.allowsVersion(q, e.Spec.SoftwareVersion) {
 			continue
 		}
 		total++
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -200,7 +200,7 @@
 	sharedEndpoint := r.endpointOfFirst(q)
 	var scoredEndpoints []scoredEndpoint
 	for _, e := range r.cfg.Catalog.Topology().Endpoints[q.service] {
-		if e.Spec.Leaving || tried[e.Name] || r.isPaused(e) || !q.binding.allows(e.Spec.SoftwareVersion) {
+		if e.Spec.Leaving || tried[e.Name] || r.isPaused(e) || !r.allowsVersion(q, e.Spec.SoftwareVersion) {
 			continue
 		}
 		trust := versionAssumed
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,6 +97,8 @@
 	Callers *slowpeer.Tracker
 	// Origins holds the software versions at which resumable streams began. If it is nil, none are recorded or known.
 	Origins Origins
+	// VersionHistory holds the software versions that have served each service. If it is nil, this box knows all of them.
+	VersionHistory VersionHistory
 	// StreamMemory is how long a stream may be resumed after it began.
 	StreamMemory time.Duration
 	// Loads holds the load that the owners of engines report, nil if none is known. It is used for scarce engines.
--- a/internal/relay/softwareversion.go
+++ b/internal/relay/softwareversion.go
@@ -25,6 +25,14 @@
 	Find(ctx context.Context, attempt string) (origin.Record, bool)
 }
 
+// VersionHistory tells which software versions have served a service lately. It is an interface because Read crosses the network.
+type VersionHistory interface {
+	// Known returns the versions of a service that this box knows of, and whether none is missing.
+	Known(service string) (versions []string, isComplete bool)
+	// Read returns the versions as they are stored now. A resumable stream begins only at a version that has been stored.
+	Read(ctx context.Context, service string) (versions []string, isComplete bool, err error)
+}
+
 // versionBinding restricts a request to endpoints of one software version. The zero value allows all.
 type versionBinding struct {
 	bound   bool
@@ -122,10 +130,10 @@
 			return r.refuseIfVersionGone(q)
 		}
 	}
-	versions := r.serviceVersions.inService(clock.Now(), q.service, r.endpointVersions(q.service))
-	if len(versions) > 1 {
+	versions, isComplete := r.versionsInService(ctx, q.service)
+	if len(versions) > 1 || !isComplete {
 		r.recordResumption(q, "unknown")
-		return result.New(result.StreamVersionUnknown, "attempt %q; %s has versions %q", q.head.Resumes, q.service, versions)
+		return result.New(result.StreamVersionUnknown, "attempt %q; %s has versions %q, all of them: %t", q.head.Resumes, q.service, versions, isComplete)
 	}
 	r.recordResumption(q, "only_version")
 	if len(versions) == 1 {
@@ -135,6 +143,48 @@
 	return nil
 }
 
+// versionsInService returns the software versions that have served a service lately, and whether none is missing. A box that has just
+// started, or was cut off from the others, does not know all of them. If it knows of one only, it reads the history from the store.
+func (r *Relay) versionsInService(ctx context.Context, service string) (versions []string, isComplete bool) {
+	present := r.endpointVersions(service)
+	if r.cfg.VersionHistory == nil {
+		return r.serviceVersions.inService(clock.Now(), service, present), true
+	}
+	listed, _ := r.cfg.VersionHistory.Known(service)
+	versions = r.serviceVersions.inService(clock.Now(), service, union(present, listed))
+	if len(versions) > 1 {
+		return versions, true
+	}
+	listed, isComplete, err := r.cfg.VersionHistory.Read(ctx, service)
+	if err != nil {
+		r.cfg.Scope.Counter("stream_version_history_reads_failed").Inc(1)
+		klog.V(1).InfoS("history of software versions not read", "service", service, "err", err)
+		return versions, false
+	}
+	return union(versions, listed), isComplete
+}
+
+// union returns the texts that are in a or b.
+func union(a, b []string) []string {
+	all := slices.Clone(a)
+	for _, text := range b {
+		if !slices.Contains(all, text) {
+			all = append(all, text)
+		}
+	}
+	return all
+}
+
+// allowsVersion reports whether a request may go to an endpoint of a software version. A resumable stream begins only at a version that
+// the stored history lists: after the loss of all boxes the history tells which versions the streams can have begun at.
+func (r *Relay) allowsVersion(q *request, version string) bool {
+	if q.binding.bound || !q.isResumable() || r.cfg.VersionHistory == nil {
+		return q.binding.allows(version)
+	}
+	listed, isComplete := r.cfg.VersionHistory.Known(q.service)
+	return !isComplete || slices.Contains(listed, version)
+}
+
 // moveTo sets the service of the request if it is one of those that the route leads to, and reports whether it is.
 func (q *request) moveTo(service string) bool {
 	if !slices.ContainsFunc(q.route.Targets, func(t resource.Target) bool { return t.Service == service }) {
