LOST: the versions of streams outlive all boxes in the store

Cause: the version at which a stream began was kept only in the memory of boxes.

While a service has had several versions lately, the record of each resumable stream also goes to an archivist (one in 24 boxes), which writes some 170 of them to one object of the store, at most every 50 ms; a record is sent when the request is sent, before the first event. A box that knows of no record, and whose keepers know none, reads the archive, at most once a second (in fleets of over 24 boxes it asks two archivists). When a second version appears, boxes archive what they have served within the last minute.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -132,6 +132,8 @@
 	// origins records the software versions at which streams began. originRegister holds the records of this box.
 	origins        *origin.Client
 	originRegister *origin.Register
+	// streamArchive keeps these records in the platform's store.
+	streamArchive *origin.Archive
 	// quarantine blocks requests that have crashed endpoints.
 	quarantine        *quarantine.Client
 	listeners         listeners
@@ -347,9 +349,14 @@
 func (b *Routed) buildOrigins() {
 	s := b.cfg.Settings
 	b.originRegister = origin.NewRegister(origin.RegisterConfig{MaxRecords: s.Streams.Origins, TTL: s.Streams.OriginTTL})
+	fleet := newOriginFleet(b.catalog, s.Box.Name)
+	b.streamArchive = origin.NewArchive(origin.ArchiveConfig{
+		API: b.cfg.Deployment.API, Box: s.Box.Name, Interval: s.Streams.ArchiveInterval, Retention: versionRetentions * s.Streams.OriginTTL,
+		IsCleaner: fleet.IsArchivist, Scope: b.metrics.Scope,
+	})
 	b.origins = origin.NewClient(origin.ClientConfig{
 		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerOriginPeer)}, Register: b.originRegister,
-		Fleet: newOriginFleet(b.catalog, s.Box.Name), Scope: b.metrics.Scope,
+		Fleet: fleet, Archive: b.streamArchive, Scope: b.metrics.Scope,
 	})
 }
 
@@ -388,14 +395,14 @@
 	notice.NewServer(notice.ServerConfig{Board: b.notices}).Register(peerMux)
 	quarantine.NewServer(quarantine.ServerConfig{Client: b.quarantine}).Register(peerMux)
 	places.NewServer(places.ServerConfig{Keeper: b.keeper, Rates: b.rates}).Register(peerMux)
-	origin.NewServer(origin.ServerConfig{Register: b.originRegister}).Register(peerMux)
+	origin.NewServer(origin.ServerConfig{Register: b.originRegister, Archive: b.streamArchive}).Register(peerMux)
 	b.links.addTo(b.root, peerMux)
 	quota.NewServer(quota.ServerConfig{Ledger: b.ledger, Accountable: b.locator, Customer: b.customer}).Register(peerMux)
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope, RecentRequests: record.New(),
 		Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, LastRestore: b.follower.LastRestore, EngineLoads: b.EngineLoads, Shortages: b.gate.Shortages, SlowPeers: b.callers.Status, Reach: b.links.reach.Status, Detours: b.links.status,
-		StreamOrigins: b.origins.Len, SurplusAnswers: b.pairing.Status,
+		StreamOrigins: b.origins.Len, WaitingOrigins: b.streamArchive.Len, SurplusAnswers: b.pairing.Status,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
@@ -409,6 +416,7 @@
 	b.root.Add(b.noticeClient)
 	b.root.Add(b.quarantine)
 	b.root.Add(b.origins)
+	b.root.Add(b.streamArchive)
 	b.root.Add(delayedNode{b.follower.Ready(), b.node})
 }
 
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/bellgap/bellgap/internal/coordinator"
+	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/placement"
 	"github.com/bellgap/bellgap/internal/quarantine"
 	"github.com/bellgap/bellgap/internal/resource"
@@ -56,7 +57,9 @@
 	Quarantined []quarantine.Held
 	// SoftwareVersions holds, for each cell map, the software versions that have served lately. It is nil for a map of an earlier build.
 	SoftwareVersions []*softwareversion.History
-	leavingBoxes     map[string]bool
+	// MapEra is the latest era of the store in which a cell map was written.
+	MapEra       int64
+	leavingBoxes map[string]bool
 	// scarceSlots is the largest number of adapter slots with which the engines of a service are scarce.
 	scarceSlots int
 	// allSlots is set if scarce engines have no spare slot.
@@ -206,6 +209,7 @@
 		t.leavingBoxes[box] = true
 	}
 	t.Quarantined = append(t.Quarantined, m.Quarantined...)
+	t.MapEra = max(t.MapEra, lease.EraOf(m.Lease))
 	versions := m.SoftwareVersions
 	if versions != nil && e.fromRestore {
 		// A later map, which is lost, may have listed more.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -104,6 +104,7 @@
 	if st.StreamOrigins > 0 {
 		_, _ = fmt.Fprintf(w, "streams whose software version is recorded here: %d\n", st.StreamOrigins)
 	}
+	printSoftwareVersions(w, st)
 	for _, e := range st.SurplusAnswers {
 		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes), the last %s ago\n", e.Name, e.Answers, e.Bytes, e.Ago.Round(time.Second))
 	}
@@ -211,3 +212,24 @@
 		},
 	}
 }
+
+// printSoftwareVersions prints the services of which several software versions have served lately, and whether versions may be missing.
+func printSoftwareVersions(w io.Writer, st operator.Status) {
+	for _, h := range st.SoftwareVersions {
+		if h == nil {
+			_, _ = fmt.Fprintln(w, "software versions: not listed by the coordinator")
+			continue
+		}
+		if !h.Complete {
+			_, _ = fmt.Fprintln(w, "software versions: some that served lately may be missing")
+		}
+		for _, s := range h.Services {
+			if len(s.Versions) > 1 {
+				_, _ = fmt.Fprintf(w, "software versions of %s: %q\n", s.Service, s.Versions)
+			}
+		}
+	}
+	if st.WaitingOrigins > 0 {
+		_, _ = fmt.Fprintf(w, "records of streams that wait for the archive: %d\n", st.WaitingOrigins)
+	}
+}
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -280,6 +280,9 @@
 		n.expiredHolder = ""
 		n.takeoverGraceEnd = clock.Now().Add(takeoverGraceBeats*n.cfg.Timing.Beat + time.Millisecond)
 	}
+	if !before.SoftwareVersions.Equal(m.SoftwareVersions) && m.SoftwareVersions != nil {
+		klog.InfoS("software versions listed", "cell", n.cfg.Cell, "complete", m.SoftwareVersions.Complete, "services", m.SoftwareVersions.Services)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.logVisibilityChanges(before, m, state)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -27,6 +27,7 @@
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/share"
 	"github.com/bellgap/bellgap/internal/slowpeer"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 // Config configures an Operator.
@@ -67,6 +68,8 @@
 	// StreamOrigins returns how many records of the software versions at which streams began the box keeps. It is nil on boxes that keep
 	// none.
 	StreamOrigins func() int
+	// WaitingOrigins returns how many of these records wait to be written to the stream archive. It is nil on boxes without an archive.
+	WaitingOrigins func() int
 	// SurplusAnswers lists the endpoints that recently sent answers that belong to no request. It is nil on boxes that do not count them.
 	SurplusAnswers func(now time.Time) []pairing.Endpoint
 }
@@ -118,6 +121,10 @@
 	Detours detour.Status `json:"detours"`
 	// StreamOrigins counts the records of the software versions at which streams began.
 	StreamOrigins int `json:"stream_origins"`
+	// WaitingOrigins counts those that wait to be written to the stream archive.
+	WaitingOrigins int `json:"waiting_origins,omitempty"`
+	// SoftwareVersions lists, for each cell, the software versions that have served lately. An entry is nil if its map does not list them.
+	SoftwareVersions []*softwareversion.History `json:"software_versions,omitempty"`
 	// SurplusAnswers lists the endpoints that recently sent answers that belong to no request.
 	SurplusAnswers []pairing.Endpoint `json:"surplus_answers,omitempty"`
 }
@@ -165,7 +172,7 @@
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), BrittleEndpoints: o.cfg.BrittleEndpoints(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
 		EngineLoads: o.engineLoads(), Shortages: o.shortages(),
-		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(), StreamOrigins: o.streamOrigins(), SurplusAnswers: o.surplusAnswers(),
+		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(), StreamOrigins: o.streamOrigins(), WaitingOrigins: o.waitingOrigins(), SoftwareVersions: o.cfg.Catalog.Topology().SoftwareVersions, SurplusAnswers: o.surplusAnswers(),
 	})
 }
 
@@ -197,6 +204,13 @@
 	return o.cfg.StreamOrigins()
 }
 
+func (o *Operator) waitingOrigins() int {
+	if o.cfg.WaitingOrigins == nil {
+		return 0
+	}
+	return o.cfg.WaitingOrigins()
+}
+
 func (o *Operator) shortages() []share.Shortage {
 	if o.cfg.Shortages == nil {
 		return nil
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -44,6 +44,13 @@
 	// Keepers returns up to n boxes for the records of an attempt, best first and without this box. All boxes with the same cell map
 	// select from the same order.
 	Keepers(attempt string, n int) []netip.AddrPort
+	// IsArchived reports whether the records of a service are archived, in the given era of the store. With an empty name it reports
+	// whether those of any service are.
+	IsArchived(service string) (archived bool, era int64)
+	// Archivist returns the box that archives the record of an attempt, and whether that is this box. It returns false if there is none.
+	Archivist(attempt string) (box netip.AddrPort, isHere, ok bool)
+	// ArchiveReaders returns the other boxes that read the archive for an attempt. There are none if this box reads it itself.
+	ArchiveReaders(attempt string) []netip.AddrPort
 }
 
 // ClientConfig configures a Client.
@@ -51,7 +58,9 @@
 	HTTP     *http.Client
 	Register *Register
 	Fleet    Fleet
-	Scope    tally.Scope
+	// Archive keeps records in the platform's store; nil keeps none.
+	Archive *Archive
+	Scope   tally.Scope
 }
 
 // Client records the origins of this box's streams, here and at other boxes, and finds those of other boxes' streams. Serve must run
@@ -60,11 +69,15 @@
 	cfg          ClientConfig
 	unresponsive *recent.Set[netip.AddrPort]
 	records      *gather.Gatherer[netip.AddrPort, Record]
+
+	mu sync.Mutex
+	// archivedEras holds the services whose records are archived, with the era of the store since whose beginning they are.
+	archivedEras map[string]int64
 }
 
 // NewClient returns a Client.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{cfg: cfg, unresponsive: recent.New[netip.AddrPort](unresponsivePeriod)}
+	c := &Client{cfg: cfg, unresponsive: recent.New[netip.AddrPort](unresponsivePeriod), archivedEras: map[string]int64{}}
 	c.records = gather.New(gather.Config[netip.AddrPort, Record]{
 		QueueSize: queueSize, BatchWindow: batchWindow, Send: c.sendRecords,
 		OnDrop: func() { cfg.Scope.Counter("stream_origins_dropped").Inc(1) },
@@ -87,31 +100,112 @@
 		return
 	}
 	c.cfg.Register.Put(clock.Now(), r, true)
+	archivist := c.archive(r)
 	for _, box := range c.cfg.Fleet.Keepers(r.Attempt, keepers) {
+		if box != archivist {
+			c.records.Add(box, r)
+		}
+	}
+}
+
+// archive sends a record to its archivist, and returns the address of that box if it is another one. If the records of its service have
+// not been archived until now, those of earlier attempts are sent too.
+func (c *Client) archive(r Record) netip.AddrPort {
+	if c.cfg.Archive == nil {
+		return netip.AddrPort{}
+	}
+	isArchived, era := c.cfg.Fleet.IsArchived(r.Service)
+	c.mu.Lock()
+	lastEra, wasArchived := c.archivedEras[r.Service]
+	if isArchived {
+		c.archivedEras[r.Service] = era
+	} else {
+		delete(c.archivedEras, r.Service)
+	}
+	c.mu.Unlock()
+	if !isArchived {
+		return netip.AddrPort{}
+	}
+	if !wasArchived || lastEra != era {
+		earlier := c.cfg.Register.Firsthand(clock.Now(), r.Service)
+		klog.InfoS("archiving the software versions of streams", "service", r.Service, "records", len(earlier))
+		for _, e := range earlier {
+			c.sendToArchivist(e)
+		}
+		return netip.AddrPort{}
+	}
+	return c.sendToArchivist(r)
+}
+
+// sendToArchivist adds a record to the archive, here or at the box that archives it, whose address it then returns.
+func (c *Client) sendToArchivist(r Record) netip.AddrPort {
+	box, isHere, ok := c.cfg.Fleet.Archivist(r.Attempt)
+	switch {
+	case !ok:
+		return netip.AddrPort{}
+	case isHere:
+		c.cfg.Archive.Add(r)
+		return netip.AddrPort{}
+	default:
+		r.Archive = true
 		c.records.Add(box, r)
+		return box
 	}
 }
 
-// Find returns the record of an attempt. It asks other boxes unless this box served the attempt. If their answers differ, the record
-// of the last endpoint counts.
+// Find returns the record of an attempt. It asks other boxes unless this box served the attempt, and then the archive. If the answers of
+// other boxes differ, the record of the last endpoint counts.
 func (c *Client) Find(ctx context.Context, attempt string) (Record, bool) {
 	if attempt == "" || len(attempt) > maxTextBytes {
 		return Record{}, false
 	}
-	best, firsthand, found := c.cfg.Register.Find(clock.Now(), attempt)
+	own, firsthand, found := c.cfg.Register.Find(clock.Now(), attempt)
 	if firsthand {
+		return own, true
+	}
+	best, ok := c.askAll(ctx, c.cfg.Fleet.Keepers(attempt, askedBoxes), findQuestion{Attempt: attempt})
+	if found && (!ok || own.Sequence >= best.Sequence) {
+		return own, true
+	}
+	if ok {
 		return best, true
 	}
+	return c.findArchived(ctx, attempt)
+}
+
+// findArchived returns the archived record of an attempt, if any records are archived.
+func (c *Client) findArchived(ctx context.Context, attempt string) (Record, bool) {
+	if c.cfg.Archive == nil {
+		return Record{}, false
+	}
+	if isArchived, _ := c.cfg.Fleet.IsArchived(""); !isArchived {
+		return Record{}, false
+	}
+	if readers := c.cfg.Fleet.ArchiveReaders(attempt); len(readers) > 0 {
+		return c.askAll(ctx, readers, findQuestion{Attempt: attempt, Archive: true})
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	r, ok, err := c.cfg.Archive.Find(ctx, attempt)
+	if err != nil {
+		klog.V(1).InfoS("stream archive not read for a stream", "err", err)
+		c.cfg.Scope.Counter("stream_origin_questions_failed").Inc(1)
+	}
+	return r, ok
+}
+
+// askAll asks boxes for the record of an attempt, all at once. If their answers differ, the record of the last endpoint counts.
+func (c *Client) askAll(ctx context.Context, boxes []netip.AddrPort, q findQuestion) (best Record, found bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var group errgroup.Group
-	for _, box := range c.cfg.Fleet.Keepers(attempt, askedBoxes) {
+	for _, box := range boxes {
 		if c.unresponsive.Has(box, clock.Now()) {
 			continue
 		}
 		group.Go(func() error {
-			r, ok := c.ask(ctx, box, attempt)
+			r, ok := c.ask(ctx, box, q)
 			mu.Lock()
 			defer mu.Unlock()
 			if ok && (!found || r.Sequence > best.Sequence) {
@@ -127,9 +221,9 @@
 
 // ask asks one box for the record of an attempt. A box that answers with an error, for example because it is of an older release,
 // knows none.
-func (c *Client) ask(ctx context.Context, box netip.AddrPort, attempt string) (Record, bool) {
+func (c *Client) ask(ctx context.Context, box netip.AddrPort, q findQuestion) (Record, bool) {
 	var answer findAnswer
-	err := httpx.CallOnce(ctx, c.cfg.HTTP, "http://"+box.String()+pathFind, findQuestion{attempt}, &answer)
+	err := httpx.CallOnce(ctx, c.cfg.HTTP, "http://"+box.String()+pathFind, q, &answer)
 	if httpx.IsUnanswered(err) {
 		c.unresponsive.Add(box, clock.Now())
 	}
@@ -138,7 +232,7 @@
 		c.cfg.Scope.Counter("stream_origin_questions_failed").Inc(1)
 		return Record{}, false
 	}
-	return answer.Record, answer.Known && answer.Record.Attempt == attempt && answer.Record.isValid()
+	return answer.Record, answer.Known && answer.Record.Attempt == q.Attempt && answer.Record.isValid()
 }
 
 // sendRecords sends records to one box. A box that does not receive them knows less; the others still keep them.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -73,6 +73,17 @@
 // Keepers implements origin.Fleet.
 func (f fixedFleet) Keepers(_ string, n int) []netip.AddrPort { return f[:min(n, len(f))] }
 
+// IsArchived implements origin.Fleet.
+func (f fixedFleet) IsArchived(string) (archived bool, era int64) { return false, 0 }
+
+// Archivist implements origin.Fleet.
+func (f fixedFleet) Archivist(string) (box netip.AddrPort, isHere, ok bool) {
+	return netip.AddrPort{}, false, false
+}
+
+// ArchiveReaders implements origin.Fleet.
+func (f fixedFleet) ArchiveReaders(string) []netip.AddrPort { return nil }
+
 // TestFind asks keepers that know different records, none, or do not answer.
 func TestFind(t *testing.T) {
 	oldRelease := http.NotFoundHandler()
--- a/internal/origin/register.go
+++ b/internal/origin/register.go
@@ -18,6 +18,8 @@
 	Version string `json:"version"`
 	// Sequence counts the endpoints to which the attempt was sent. A higher one replaces a lower one.
 	Sequence int `json:"sequence"`
+	// Archive asks the receiver to write the record to the stream archive.
+	Archive bool `json:"archive,omitempty"`
 }
 
 // isValid reports whether a record may be kept.
@@ -79,6 +81,22 @@
 	return Record{Attempt: attempt, Service: e.service, Version: e.version, Sequence: e.sequence}, e.firsthand, ok
 }
 
+// Firsthand returns the records of a service's attempts that this box serves or served.
+func (g *Register) Firsthand(now time.Time, service string) []Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rotate(now)
+	var all []Record
+	for _, entries := range []map[string]entry{g.previous, g.current} {
+		for attempt, e := range entries {
+			if e.firsthand && e.service == service {
+				all = append(all, Record{Attempt: attempt, Service: e.service, Version: e.version, Sequence: e.sequence})
+			}
+		}
+	}
+	return all
+}
+
 // Len returns the number of records.
 func (g *Register) Len() int {
 	g.mu.Lock()
--- a/internal/origin/server.go
+++ b/internal/origin/server.go
@@ -23,6 +23,8 @@
 // findQuestion asks for the record of an attempt.
 type findQuestion struct {
 	Attempt string `json:"attempt"`
+	// Archive asks the receiver to read the stream archive if it knows no record.
+	Archive bool `json:"archive,omitempty"`
 }
 
 // findAnswer answers a findQuestion.
@@ -34,6 +36,8 @@
 // ServerConfig holds the dependencies of a Server.
 type ServerConfig struct {
 	Register *Register
+	// Archive receives the records that other boxes want to be archived, and is read for them; nil archives none.
+	Archive *Archive
 }
 
 // Server handles the messages of other boxes.
@@ -56,6 +60,9 @@
 	now := clock.Now()
 	for _, record := range m.Records[:min(len(m.Records), maxRecordsPerMessage)] {
 		s.cfg.Register.Put(now, record, false)
+		if record.Archive && s.cfg.Archive != nil {
+			s.cfg.Archive.Add(record)
+		}
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -66,5 +73,12 @@
 		return
 	}
 	record, _, ok := s.cfg.Register.Find(clock.Now(), q.Attempt)
+	if !ok && q.Archive && s.cfg.Archive != nil {
+		var err error
+		if record, ok, err = s.cfg.Archive.Find(r.Context(), q.Attempt); err != nil {
+			result.New(result.PlatformUnavailable, "%v", err).Write(w, "")
+			return
+		}
+	}
 	httpx.WriteJSON(w, http.StatusOK, findAnswer{Known: ok, Record: record})
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -157,6 +157,8 @@
 	// Origins is the maximum number of records on this box. OriginTTL is how long a record is kept.
 	Origins   int           `toml:"origins"`
 	OriginTTL time.Duration `toml:"origin_ttl"`
+	// ArchiveInterval is the shortest time between two writes of an object of the stream archive that is not full.
+	ArchiveInterval time.Duration `toml:"archive_interval"`
 }
 
 // Detours limits the connections to endpoints through other boxes.
@@ -266,7 +268,7 @@
 
 		Quarantine: Quarantine{Endpoints: 3, Hold: 10 * time.Minute},
 		Detours:    Detours{MaxConns: 256},
-		Streams:    Streams{Origins: 16384, OriginTTL: time.Minute},
+		Streams:    Streams{Origins: 16384, OriginTTL: time.Minute, ArchiveInterval: 50 * time.Millisecond},
 		Endpoints:  Endpoints{MaxSurplusKB: 1024},
 	}
 }
@@ -423,6 +425,12 @@
 			"streams.origin_ttl", "How long such a record is kept: as long as a stream may last.", d.Streams.OriginTTL.String(),
 			func(s *Settings) string { return checkRange(s.Streams.OriginTTL, time.Second, time.Hour) },
 		},
+		{
+			"streams.archive_interval", "How long such records are collected before they are written to the platform's store, while endpoints of several software versions serve or served lately. Streams that began within it are not resumed if all boxes end at once.", d.Streams.ArchiveInterval.String(),
+			func(s *Settings) string {
+				return checkRange(s.Streams.ArchiveInterval, 10*time.Millisecond, time.Minute)
+			},
+		},
 		{
 			"endpoints.max_surplus_kb", "How many KB of answers to other requests an endpoint may send before an answer that is due; above it the box closes the connection.", fmt.Sprint(d.Endpoints.MaxSurplusKB),
 			func(s *Settings) string { return checkRange(s.Endpoints.MaxSurplusKB, 1, 1<<20) },
