--- a/internal/box/origins.go
+++ b/internal/box/origins.go
@@ -114,6 +114,12 @@
 	return slices.Contains(archivists, f.box)
 }
 
+// Archivists returns the number of boxes that write the stream archive.
+func (f *originFleet) Archivists() int {
+	_, _, archivists := f.current()
+	return len(archivists)
+}
+
 // current returns the topology, the boxes in it that may keep records, and those among them that write the stream archive.
 func (f *originFleet) current() (t *catalog.Topology, candidates, archivists []string) {
 	t = f.catalog.Topology()
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -352,7 +352,7 @@
 	fleet := newOriginFleet(b.catalog, s.Box.Name)
 	b.streamArchive = origin.NewArchive(origin.ArchiveConfig{
 		API: b.cfg.Deployment.API, Box: s.Box.Name, Interval: s.Streams.ArchiveInterval, Retention: versionRetentions * s.Streams.OriginTTL,
-		IsCleaner: fleet.IsArchivist, Scope: b.metrics.Scope,
+		Writers: fleet.Archivists, IsCleaner: fleet.IsArchivist, Scope: b.metrics.Scope,
 	})
 	b.origins = origin.NewClient(origin.ClientConfig{
 		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerOriginPeer)}, Register: b.originRegister,
--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -36,6 +36,8 @@
 	writeRetryDelay = 500 * time.Millisecond
 	// finalWriteTimeout limits the last write of a box that stops.
 	finalWriteTimeout = 500 * time.Millisecond
+	// maxWriteRate limits the writes per second of all boxes together, without those of full objects.
+	maxWriteRate = 320
 	// sweepsPerRetention is how often expired objects are looked for within the retention time.
 	sweepsPerRetention = 4
 )
@@ -45,10 +47,12 @@
 	API objects.API
 	// Box names this box. It is the prefix of the names of the objects that the box writes.
 	Box string
-	// Interval is the shortest time between two writes of an object that is not full.
+	// Interval is the shortest time between two writes of an object that is not full. It is longer in a fleet with many archives.
 	Interval time.Duration
 	// Retention is how long records are kept in the store at least.
 	Retention time.Duration
+	// Writers returns the number of boxes that write the archive; nil means that only this box does.
+	Writers func() int
 	// IsCleaner reports whether this box deletes expired objects of other boxes; nil means that it does not.
 	IsCleaner func() bool
 	Scope     tally.Scope
@@ -200,10 +204,12 @@
 	for {
 		select {
 		case <-a.added:
-			if !a.writeQueued(ctx) && !part.Sleep(ctx, writeRetryDelay) {
-				break
+			begun := clock.Now()
+			pause := a.interval()
+			if !a.writeQueued(ctx) {
+				pause = writeRetryDelay
 			}
-			_ = part.Sleep(ctx, a.cfg.Interval)
+			_ = part.Sleep(ctx, pause-clock.Since(begun))
 		case <-sweep.C:
 			a.deleteExpired(ctx)
 		case <-ctx.Done():
@@ -215,6 +221,14 @@
 	}
 }
 
+// interval returns the shortest time between two writes of an object that is not full.
+func (a *Archive) interval() time.Duration {
+	if a.cfg.Writers == nil {
+		return a.cfg.Interval
+	}
+	return max(a.cfg.Interval, time.Duration(a.cfg.Writers())*time.Second/maxWriteRate)
+}
+
 // writeQueued writes all queued records. It returns false if a write failed; the records are then written with the next ones.
 func (a *Archive) writeQueued(ctx context.Context) bool {
 	if !a.hasSlots && !a.adoptSlots(ctx) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -268,7 +268,7 @@
 
 		Quarantine: Quarantine{Endpoints: 3, Hold: 10 * time.Minute},
 		Detours:    Detours{MaxConns: 256},
-		Streams:    Streams{Origins: 16384, OriginTTL: time.Minute, ArchiveInterval: 50 * time.Millisecond},
+		Streams:    Streams{Origins: 16384, OriginTTL: time.Minute, ArchiveInterval: 25 * time.Millisecond},
 		Endpoints:  Endpoints{MaxSurplusKB: 1024},
 	}
 }
