--- a/internal/origin/archive_faults_test.go
+++ b/internal/origin/archive_faults_test.go
@@ -6,11 +6,13 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/origin"
@@ -138,3 +140,40 @@
 	_, known = client.Find(t.Context(), "kept")
 	c.Check(known, qt.IsTrue)
 }
+
+// releaseFleet is a fleet of one box. Its records are archived once a second version serves.
+type releaseFleet struct{ hasTwoVersions *atomic.Bool }
+
+func (f releaseFleet) Keepers(string, int) []netip.AddrPort { return nil }
+func (f releaseFleet) IsArchived(string) (archived bool, era int64) {
+	return f.hasTwoVersions.Load(), 1
+}
+func (f releaseFleet) ArchiveReaders(string) []netip.AddrPort { return nil }
+func (f releaseFleet) Archivist(string) (netip.AddrPort, bool, bool) {
+	return netip.AddrPort{}, true, true
+}
+
+// TestEarlierStreamsAreArchivedWithoutNewOnes guards against streams that are lost with all boxes because their box begins no other stream of
+// the service after the second version has appeared. A box of a large fleet serves some services once in ten seconds.
+func TestEarlierStreamsAreArchivedWithoutNewOnes(t *testing.T) {
+	c := qt.New(t)
+	store := newMemoryStore()
+	archive, stop := runArchive(store, "box-1", time.Minute)
+	defer stop()
+	fleet := releaseFleet{&atomic.Bool{}}
+	client := origin.NewClient(origin.ClientConfig{
+		HTTP: http.DefaultClient, Scope: tally.NoopScope, Fleet: fleet, Archive: archive,
+		Register: origin.NewRegister(origin.RegisterConfig{MaxRecords: 100, TTL: time.Minute}),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error { return client.Serve(ctx) })
+	client.Record(record("a", "v1", 0))
+	fleet.hasTwoVersions.Store(true)
+	time.Sleep(time.Second)
+	_, known, err := findAnew(store, "a")
+	c.Assert(err, qt.IsNil)
+	c.Check(known, qt.IsTrue)
+	cancel()
+	_ = group.Wait()
+}
