BUDGET: a box starts with what its former process may have left of the allowance

A box uses seven tenths of its share, so it starts with the other three tenths and earns the rest with its requests.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -17,6 +17,9 @@
 // own requests, and because shares overlap while boxes join and leave.
 const budgetSafetyFactor = 0.7
 
+// initialBudgetFactor is the fraction of its share with which a box starts: what its former process may have used and this add up to one.
+const initialBudgetFactor = 1 - budgetSafetyFactor
+
 // budgets limits the retries to each service, so that retries cannot multiply an overload.
 type budgets struct {
 	cfg    BudgetConfig
@@ -31,13 +34,18 @@
 	return max(1, budgetSafetyFactor*b.cfg.Allowance/float64(max(1, b.cfg.Boxes())))
 }
 
+// initialTokens returns how many retries a box has when it serves the first request of a service.
+func (b *budgets) initialTokens() float64 {
+	return min(b.maxTokens(), initialBudgetFactor*b.cfg.Allowance/float64(max(1, b.cfg.Boxes())))
+}
+
 // earn adds to the budget of a service the fraction of a retry that one request allows.
 func (b *budgets) earn(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	balance, known := b.tokens[service]
 	if !known {
-		balance = b.maxTokens()
+		balance = b.initialTokens()
 	}
 	b.tokens[service] = min(balance+budgetSafetyFactor*b.cfg.RetriesPerRequest, b.maxTokens())
 }
