Version history: read from the maps of all cells, at a limited rate

A box decided by the map of its own cell, while streams may begin at what any map lists (TestHistoryOfSeveralCells: 3 of 4 cases failed). All stored maps are read now, and the history is complete only if it is in each. And a box read the map for each resumed stream (TestHistoryReadsAreLimited: 20 reads in a second): 370 boxes would have used up what the store allows after the loss of all of them. Callers wait for the next read now, of which all boxes make 500 a second at most. Both tests pass.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -372,7 +372,7 @@
 		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
 		Places: b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
 		Origins: b.origins, StreamMemory: s.Streams.OriginTTL,
-		VersionHistory: newVersionHistory(versionHistoryConfig{Catalog: b.catalog, API: b.cfg.Deployment.API, Cell: s.Box.Cell}),
+		VersionHistory: newVersionHistory(versionHistoryConfig{Catalog: b.catalog, API: b.cfg.Deployment.API}),
 		AgeLimits: relay.ConfigAgeLimits{
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
--- a/internal/box/version_history.go
+++ b/internal/box/version_history.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
@@ -14,18 +13,21 @@
 	"github.com/bellgap/bellgap/internal/coordinator"
 	"github.com/bellgap/bellgap/internal/lease"
 	"github.com/bellgap/bellgap/internal/objects"
+	"github.com/bellgap/bellgap/internal/part"
 	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
-// historyReadTimeout limits a read of the version history. A store that works answers in some milliseconds.
-const historyReadTimeout = 150 * time.Millisecond
+const (
+	// historyReadTimeout limits a read of the version history. A store that works answers in some milliseconds.
+	historyReadTimeout = 150 * time.Millisecond
+	// maxHistoryReadRate limits the reads per second of all boxes together.
+	maxHistoryReadRate = 500
+)
 
 // versionHistoryConfig configures a versionHistory.
 type versionHistoryConfig struct {
 	Catalog *catalog.Catalog
 	API     objects.API
-	// Cell names the cell whose map is read from the store.
-	Cell string
 }
 
 // versionHistory provides the software versions that the cell maps list.
@@ -34,7 +36,7 @@
 
 	mu sync.Mutex
 	// last and lastErr are the result of the last read, which began at lastBegun.
-	last      *softwareversion.History
+	last      []*softwareversion.History
 	lastErr   error
 	lastBegun time.Time
 }
@@ -46,39 +48,53 @@
 	return h.cfg.Catalog.Topology().ListedVersions(service)
 }
 
-// Read implements relay.VersionHistory. It waits for a read that began after the call; callers that wait share one.
+// Read implements relay.VersionHistory. It waits for a read that began after the call; callers that wait share one. The rate of reads is
+// limited over all boxes.
 func (h *versionHistory) Read(ctx context.Context, service string) (versions []string, isComplete bool, err error) {
 	calledAt := clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.lastBegun.After(calledAt) {
+		if !part.Sleep(ctx, h.readInterval()-clock.Since(h.lastBegun)) {
+			return nil, false, eris.Wrap(ctx.Err(), "box: read the cell maps")
+		}
 		h.lastBegun = clock.Now()
-		h.last, h.lastErr = h.readMap(context.WithoutCancel(ctx))
+		h.last, h.lastErr = h.readMaps(context.WithoutCancel(ctx))
 	}
 	if h.lastErr != nil {
 		return nil, false, h.lastErr
 	}
-	return h.last.Versions(service), h.last.Complete, nil
+	versions, isComplete = softwareversion.Merge(h.last, service)
+	return versions, isComplete, nil
+}
+
+// readInterval returns the shortest time between two reads of this box.
+func (h *versionHistory) readInterval() time.Duration {
+	return time.Duration(len(h.cfg.Catalog.Topology().Boxes)) * time.Second / maxHistoryReadRate
 }
 
-// readMap returns the history in the stored map. The history is empty and not complete if the map is of an earlier build, or was restored
-// from an older copy of the store and not written since.
-func (h *versionHistory) readMap(ctx context.Context) (*softwareversion.History, error) {
+// readMaps returns the histories in the stored maps of all cells. A history is nil if the map is of an earlier build, or was restored from an
+// older copy of the store and not written since.
+func (h *versionHistory) readMaps(ctx context.Context) ([]*softwareversion.History, error) {
 	ctx, cancel := context.WithTimeout(ctx, historyReadTimeout)
 	defer cancel()
-	o, err := h.cfg.API.Get(ctx, coordinator.MapKind, h.cfg.Cell)
-	if errors.Is(err, objects.ErrNotFound) {
-		return &softwareversion.History{}, nil
-	}
-	if err != nil {
-		return nil, eris.Wrap(err, "box: read the cell map")
-	}
-	var m coordinator.Map
-	if err := json.Unmarshal(o.Value, &m); err != nil {
-		return nil, eris.Wrap(err, "box: decode the cell map")
-	}
-	if m.SoftwareVersions == nil || lease.EraOf(m.Lease) < o.Version.Era() {
-		return &softwareversion.History{}, nil
+	var all []*softwareversion.History
+	for after, isFirst := "", true; isFirst || after != ""; isFirst = false {
+		page, err := h.cfg.API.List(ctx, []string{coordinator.MapKind}, after)
+		if err != nil {
+			return nil, eris.Wrap(err, "box: read the cell maps")
+		}
+		for _, o := range page.Objects {
+			var m coordinator.Map
+			if err := json.Unmarshal(o.Value, &m); err != nil {
+				return nil, eris.Wrapf(err, "box: decode the map of cell %s", o.Name)
+			}
+			if lease.EraOf(m.Lease) < o.Version.Era() {
+				m.SoftwareVersions = nil
+			}
+			all = append(all, m.SoftwareVersions)
+		}
+		after = page.Next
 	}
-	return m.SoftwareVersions, nil
+	return all, nil
 }
--- a/internal/box/version_history_test.go
+++ b/internal/box/version_history_test.go
@@ -49,7 +49,7 @@
 			}
 			all.Apply(store.Snapshot())
 			for _, cell := range []string{"a", "b"} {
-				h := newVersionHistory(versionHistoryConfig{Catalog: all, API: store, Cell: cell})
+				h := newVersionHistory(versionHistoryConfig{Catalog: all, API: store})
 				known, isKnownComplete := h.Known("s")
 				read, isReadComplete, err := h.Read(ctx, "s")
 				c.Assert(err, qt.IsNil)
@@ -71,12 +71,12 @@
 	reads    int
 }
 
-func (a *countingAPI) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+func (a *countingAPI) List(ctx context.Context, kinds []string, after string) (objects.Changes, error) {
 	a.mu.Lock()
 	a.reads++
 	a.mu.Unlock()
 	time.Sleep(a.readTime)
-	return a.API.Get(ctx, kind, name)
+	return a.API.List(ctx, kinds, after)
 }
 
 // TestHistoryReadsAreLimited guards against boxes that read the cell map, which is large in a large fleet, as often as the store answers
@@ -97,7 +97,7 @@
 	_, err = store.Put(context.Background(), coordinator.MapKind, "a", 0, value)
 	c.Assert(err, qt.IsNil)
 	api := &countingAPI{API: store, readTime: readTime}
-	h := newVersionHistory(versionHistoryConfig{Catalog: catalog.New(), API: api, Cell: "a"})
+	h := newVersionHistory(versionHistoryConfig{Catalog: catalogOfBoxes(t, 370), API: api})
 	var callers errgroup.Group
 	for range int(period.Seconds() * perS) {
 		callers.Go(func() error {
@@ -107,5 +107,6 @@
 		time.Sleep(period / perS)
 	}
 	c.Check(callers.Wait(), qt.IsNil)
+	c.Check(api.reads > 0, qt.IsTrue)
 	c.Check(api.reads <= maxReads, qt.IsTrue, qt.Commentf("%s", fmt.Sprint(api.reads, " reads in a second")))
 }
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -233,16 +233,7 @@
 
 // ListedVersions returns the software versions of a service that the cell maps list, and whether no version is missing.
 func (t *Topology) ListedVersions(service string) (versions []string, isComplete bool) {
-	isComplete = len(t.SoftwareVersions) > 0
-	for _, h := range t.SoftwareVersions {
-		if h == nil {
-			isComplete = false
-			continue
-		}
-		isComplete = isComplete && h.Complete
-		versions = append(versions, h.Versions(service)...)
-	}
-	return versions, isComplete
+	return softwareversion.Merge(t.SoftwareVersions, service)
 }
 
 // addEndpoint adds an endpoint. It also adds an endpoint as an engine if its service runs models.
--- a/internal/softwareversion/history.go
+++ b/internal/softwareversion/history.go
@@ -40,6 +40,25 @@
 	return h.Services[i].Versions
 }
 
+// Merge returns the versions of a service in the histories of all cells, and whether none is missing. A history is nil if its map does not
+// list versions.
+func Merge(all []*History, service string) (versions []string, isComplete bool) {
+	isComplete = len(all) > 0
+	for _, h := range all {
+		if h == nil {
+			isComplete = false
+			continue
+		}
+		isComplete = isComplete && h.Complete
+		for _, v := range h.Versions(service) {
+			if !slices.Contains(versions, v) {
+				versions = append(versions, v)
+			}
+		}
+	}
+	return versions, isComplete
+}
+
 // Equal reports whether two histories, which may be nil, list the same.
 func (h *History) Equal(other *History) bool {
 	if h == nil || other == nil {
