Stream archive: records of streams that have begun, shorter pauses

Found by review, each shown by a test that failed and passes now: - The record of the first endpoint could be stored and that of the second one, which wrote the events, be lost with all boxes, so that the stream went on at the wrong version (TestMovedStreamIsNotFoundAtItsFirstVersion). Records are archived when the first event is forwarded; from then on the version cannot change. The test drives the client now, as the archive takes only such records. - A failed write stopped the archive for 0.5 s (TestArchiveGoesOnAfterAFailedWrite); 0.1 s now. - A read of the archive that takes long made a box count as unresponsive, which hid what it keeps (TestSlowReadOfTheArchiveHidesNoRecords). - Streams that had begun before the second version appeared were archived only when their box began another one (TestEarlierStreamsAreArchivedWithoutNewOnes); each box checks every 200 ms now. - A reader did not find for a second what was archived after its last read (TestRecentRecordIsFound); 250 ms now. A refusal because the store cannot be read names a wait of 0.5 s.

--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -31,9 +31,9 @@
 	archiveCallTimeout = time.Second
 	readTimeout        = 3 * time.Second
 	// readInterval is the shortest time between two reads of the archive.
-	readInterval = time.Second
+	readInterval = 250 * time.Millisecond
 	// writeRetryDelay is how long the archive waits after a failed write.
-	writeRetryDelay = 500 * time.Millisecond
+	writeRetryDelay = 100 * time.Millisecond
 	// finalWriteTimeout limits the last write of a box that stops.
 	finalWriteTimeout = 500 * time.Millisecond
 	// maxWriteRate limits the writes per second of all boxes together, without those of full objects.
@@ -207,7 +207,7 @@
 			begun := clock.Now()
 			pause := a.interval()
 			if !a.writeQueued(ctx) {
-				pause = writeRetryDelay
+				pause = max(pause, writeRetryDelay)
 			}
 			_ = part.Sleep(ctx, pause-clock.Since(begun))
 		case <-sweep.C:
--- a/internal/origin/archive_faults_test.go
+++ b/internal/origin/archive_faults_test.go
@@ -38,10 +38,19 @@
 	c := qt.New(t)
 	store := newMemoryStore()
 	archive, stop := runArchive(store, "box-1", time.Minute)
-	archive.Add(record("a", "v1", 0))
-	waitStored(c, store, "a")
+	fleet := releaseFleet{&atomic.Bool{}}
+	fleet.hasTwoVersions.Store(true)
+	client := origin.NewClient(origin.ClientConfig{
+		HTTP: http.DefaultClient, Scope: tally.NoopScope, Fleet: fleet, Archive: archive,
+		Register: origin.NewRegister(origin.RegisterConfig{MaxRecords: 100, TTL: time.Minute}),
+	})
+	client.Record(record("a", "v1", 0))
+	client.Record(record("b", "v1", 0))
+	client.Begin(record("b", "v1", 0))
+	waitStored(c, store, "b")
 	store.withLock(func() { store.down = true })
-	archive.Add(record("a", "v2", 1))
+	client.Record(record("a", "v2", 1))
+	client.Begin(record("a", "v2", 1))
 	time.Sleep(200 * time.Millisecond)
 	stop()
 	store.withLock(func() { store.down = false })
@@ -169,6 +178,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return client.Serve(ctx) })
 	client.Record(record("a", "v1", 0))
+	client.Begin(record("a", "v1", 0))
 	fleet.hasTwoVersions.Store(true)
 	time.Sleep(time.Second)
 	_, known, err := findAnew(store, "a")
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/gather"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/part"
 	"github.com/bellgap/bellgap/internal/recent"
 )
 
@@ -37,6 +40,9 @@
 	queueSize   = 4096
 	// unresponsivePeriod is how long a box that did not answer is not asked again.
 	unresponsivePeriod = time.Second
+	// archiveCheckInterval is how often a box checks for which services it has to archive records. maxServices limits the services.
+	archiveCheckInterval = 200 * time.Millisecond
+	maxServices          = 1024
 )
 
 // Fleet selects the boxes that keep records. The interface separates this package from cluster membership.
@@ -71,13 +77,19 @@
 	records      *gather.Gatherer[netip.AddrPort, Record]
 
 	mu sync.Mutex
-	// archivedEras holds the services whose records are archived, with the era of the store since whose beginning they are.
-	archivedEras map[string]int64
+	// services tells, for each service whose streams this box has served, whether their records are archived.
+	services map[string]archiving
+}
+
+// archiving is the state of the records of one service: whether they are archived, in which era of the store.
+type archiving struct {
+	isOn bool
+	era  int64
 }
 
 // NewClient returns a Client.
 func NewClient(cfg ClientConfig) *Client {
-	c := &Client{cfg: cfg, unresponsive: recent.New[netip.AddrPort](unresponsivePeriod), archivedEras: map[string]int64{}}
+	c := &Client{cfg: cfg, unresponsive: recent.New[netip.AddrPort](unresponsivePeriod), services: map[string]archiving{}}
 	c.records = gather.New(gather.Config[netip.AddrPort, Record]{
 		QueueSize: queueSize, BatchWindow: batchWindow, Send: c.sendRecords,
 		OnDrop: func() { cfg.Scope.Counter("stream_origins_dropped").Inc(1) },
@@ -89,7 +101,26 @@
 func (c *Client) Done() <-chan struct{} { return c.records.Done() }
 
 // Serve sends records until ctx ends.
-func (c *Client) Serve(ctx context.Context) error { return c.records.Serve(ctx) }
+func (c *Client) Serve(ctx context.Context) error {
+	var group errgroup.Group
+	group.Go(func() error { return c.records.Serve(ctx) })
+	group.Go(func() error {
+		for c.cfg.Archive != nil && part.Sleep(ctx, archiveCheckInterval) {
+			for _, service := range c.servedServices() {
+				c.checkArchived(service)
+			}
+		}
+		return nil
+	})
+	return group.Wait()
+}
+
+// servedServices returns the services whose streams this box has served.
+func (c *Client) servedServices() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.services))
+}
 
 // Len returns the number of records that this box keeps.
 func (c *Client) Len() int { return c.cfg.Register.Len() }
@@ -100,56 +131,58 @@
 		return
 	}
 	c.cfg.Register.Put(clock.Now(), r, true)
-	archivist := c.archive(r)
 	for _, box := range c.cfg.Fleet.Keepers(r.Attempt, keepers) {
-		if box != archivist {
-			c.records.Add(box, r)
-		}
+		c.records.Add(box, r)
 	}
 }
 
-// archive sends a record to its archivist, and returns the address of that box if it is another one. If the records of its service have
-// not been archived until now, those of earlier attempts are sent too.
-func (c *Client) archive(r Record) netip.AddrPort {
-	if c.cfg.Archive == nil {
-		return netip.AddrPort{}
+// Begin archives the record of a stream whose first event is forwarded, if the records of its service are archived. It does not block.
+func (c *Client) Begin(r Record) {
+	if !r.isValid() {
+		return
+	}
+	c.cfg.Register.MarkBegun(clock.Now(), r.Attempt)
+	if c.cfg.Archive != nil && !c.checkArchived(r.Service) && c.isArchived(r.Service) {
+		c.sendToArchivist(r)
 	}
-	isArchived, era := c.cfg.Fleet.IsArchived(r.Service)
+}
+
+func (c *Client) isArchived(service string) bool {
+	isArchived, _ := c.cfg.Fleet.IsArchived(service)
+	return isArchived
+}
+
+// checkArchived begins to archive the records of a service if it is time to. It then sends those of all streams that have begun, and reports
+// so.
+func (c *Client) checkArchived(service string) (sent bool) {
+	isArchived, era := c.cfg.Fleet.IsArchived(service)
 	c.mu.Lock()
-	lastEra, wasArchived := c.archivedEras[r.Service]
-	if isArchived {
-		c.archivedEras[r.Service] = era
-	} else {
-		delete(c.archivedEras, r.Service)
+	last, isKnown := c.services[service]
+	if isKnown || len(c.services) < maxServices {
+		c.services[service] = archiving{isArchived, era}
 	}
 	c.mu.Unlock()
-	if !isArchived {
-		return netip.AddrPort{}
-	}
-	if !wasArchived || lastEra != era {
-		earlier := c.cfg.Register.Firsthand(clock.Now(), r.Service)
-		klog.InfoS("archiving the software versions of streams", "service", r.Service, "records", len(earlier))
-		for _, e := range earlier {
-			c.sendToArchivist(e)
-		}
-		return netip.AddrPort{}
+	if !isArchived || last == (archiving{true, era}) {
+		return false
+	}
+	earlier := c.cfg.Register.Begun(clock.Now(), service)
+	klog.InfoS("archiving the software versions of streams", "service", service, "records", len(earlier))
+	for _, e := range earlier {
+		c.sendToArchivist(e)
 	}
-	return c.sendToArchivist(r)
+	return true
 }
 
-// sendToArchivist adds a record to the archive, here or at the box that archives it, whose address it then returns.
-func (c *Client) sendToArchivist(r Record) netip.AddrPort {
+// sendToArchivist adds a record to the archive, here or at the box that archives it.
+func (c *Client) sendToArchivist(r Record) {
 	box, isHere, ok := c.cfg.Fleet.Archivist(r.Attempt)
 	switch {
 	case !ok:
-		return netip.AddrPort{}
 	case isHere:
 		c.cfg.Archive.Add(r)
-		return netip.AddrPort{}
 	default:
 		r.Archive = true
 		c.records.Add(box, r)
-		return box
 	}
 }
 
@@ -224,7 +257,8 @@
 func (c *Client) ask(ctx context.Context, box netip.AddrPort, q findQuestion) (Record, bool) {
 	var answer findAnswer
 	err := httpx.CallOnce(ctx, c.cfg.HTTP, "http://"+box.String()+pathFind, q, &answer)
-	if httpx.IsUnanswered(err) {
+	// A slow read of the archive does not tell whether the box answers other questions.
+	if httpx.IsUnanswered(err) && !q.Archive {
 		c.unresponsive.Add(box, clock.Now())
 	}
 	if err != nil {
--- a/internal/origin/register.go
+++ b/internal/origin/register.go
@@ -48,8 +48,8 @@
 type entry struct {
 	service, version string
 	sequence         int
-	// firsthand is set if this box serves the attempt.
-	firsthand bool
+	// firsthand is set if this box serves the attempt, begun if the stream has also begun here.
+	firsthand, begun bool
 }
 
 // NewRegister returns an empty Register.
@@ -81,15 +81,26 @@
 	return Record{Attempt: attempt, Service: e.service, Version: e.version, Sequence: e.sequence}, e.firsthand, ok
 }
 
-// Firsthand returns the records of a service's attempts that this box serves or served.
-func (g *Register) Firsthand(now time.Time, service string) []Record {
+// MarkBegun marks the record of a stream that has begun at this box.
+func (g *Register) MarkBegun(now time.Time, attempt string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rotate(now)
+	if e, ok := g.lookup(attempt); ok {
+		e.begun = true
+		g.current[attempt] = e
+	}
+}
+
+// Begun returns the records of a service's streams that have begun at this box.
+func (g *Register) Begun(now time.Time, service string) []Record {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.rotate(now)
 	var all []Record
 	for _, entries := range []map[string]entry{g.previous, g.current} {
 		for attempt, e := range entries {
-			if e.firsthand && e.service == service {
+			if e.begun && e.service == service {
 				all = append(all, Record{Attempt: attempt, Service: e.service, Version: e.version, Sequence: e.sequence})
 			}
 		}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -101,6 +101,7 @@
 	outgoing.Body, outgoing.ContentLength = singleUseBody{content}, int64(len(q.body))
 	q.arrivals++
 	r.recordOrigin(q, to)
+	q.sentVersion = to.softwareVersion
 	q.lastEndpoint, q.untilSent = to.name, clock.Since(q.receivedAt)
 	traced := httpx.NewSendTrace(outgoing)
 	resp, err := r.clientFor(q, to).Do(traced.Request)
@@ -230,6 +231,9 @@
 		h[name] = values
 	}
 	o.w.WriteHeader(resp.StatusCode)
+	if o.onStarted != nil && resp.StatusCode == http.StatusOK {
+		o.onStarted()
+	}
 }
 
 // answerBuffer is how many bytes of an answer are read before its head is forwarded. If the answer breaks off within
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -215,6 +215,8 @@
 	// it resumes none or no record is known.
 	binding versionBinding
 	origin  origin.Record
+	// sentVersion is the software version of the last endpoint that the request was sent to.
+	sentVersion string
 	// resumption states how the software version of a resumed stream was found, empty if the request resumes none.
 	resumption string
 }
@@ -271,7 +273,7 @@
 	defer cancel()
 	defer r.refundUnits(q)
 	r.budgets.earn(q.service)
-	out := &output{w: caller}
+	out := &output{w: caller, onStarted: func() { r.recordBegin(q) }}
 	if r.isModelRequest(q) {
 		rerr = r.serveModel(ctx, out, q)
 	} else {
@@ -400,6 +402,8 @@
 	// forwarded. onForwarded is called when an event has been written.
 	onEvent     func()
 	onForwarded func()
+	// onStarted, if set, is called when the head of a successful answer has been forwarded.
+	onStarted func()
 	// hasCrashed reports whether the endpoint of the current answer has crashed.
 	hasCrashed func() bool
 	// unreadCut is the error of the last stream that its endpoint broke off after a pause of the caller, nil if there was none.
--- a/internal/relay/softwareversion.go
+++ b/internal/relay/softwareversion.go
@@ -21,7 +21,10 @@
 // Origins records and finds the software versions at which resumable streams began. It is an interface because its calls cross the
 // network.
 type Origins interface {
+	// Record keeps the version of the endpoint that a stream is sent to. A later endpoint may replace it until the stream begins.
 	Record(r origin.Record)
+	// Begin records that a stream has begun. Its version does not change any more.
+	Begin(r origin.Record)
 	Find(ctx context.Context, attempt string) (origin.Record, bool)
 }
 
@@ -123,17 +126,31 @@
 		return nil
 	}
 	if r.cfg.Origins != nil {
-		if found, ok := r.cfg.Origins.Find(ctx, q.head.Resumes); ok && q.moveTo(found.Service) {
+		if found, ok := r.cfg.Origins.Find(ctx, q.head.Resumes); ok {
+			if !q.moveTo(found.Service) {
+				r.recordResumption(q, "gone")
+				return result.New(result.StreamVersionGone, "the route no longer leads to service %q", found.Service)
+			}
 			q.origin = found
 			q.bindTo(found.Version)
 			r.recordResumption(q, "recorded")
 			return r.refuseIfVersionGone(q)
 		}
 	}
-	versions, isComplete := r.versionsInService(ctx, q.service)
+	if len(q.route.Targets) > 1 {
+		r.recordResumption(q, "unknown")
+		return result.New(result.StreamVersionUnknown, "attempt %q; the route leads to several services", q.head.Resumes)
+	}
+	versions, isComplete, err := r.versionsInService(ctx, q.service)
+	if err != nil {
+		r.recordResumption(q, "unknown")
+		rerr := result.New(result.StreamVersionUnknown, "attempt %q; the software versions of %s could not be read: %v", q.head.Resumes, q.service, err)
+		rerr.RetryAfter = versionReadRetryDelay
+		return rerr
+	}
 	if len(versions) > 1 || !isComplete {
 		r.recordResumption(q, "unknown")
-		return result.New(result.StreamVersionUnknown, "attempt %q; %s has versions %q, all of them: %t", q.head.Resumes, q.service, versions, isComplete)
+		return result.New(result.StreamVersionUnknown, "attempt %q; %s has versions %q, complete=%t", q.head.Resumes, q.service, versions, isComplete)
 	}
 	r.recordResumption(q, "only_version")
 	if len(versions) == 1 {
@@ -143,25 +160,28 @@
 	return nil
 }
 
+// versionReadRetryDelay is when a caller should resume its stream again if the store could not be read.
+const versionReadRetryDelay = 500 * time.Millisecond
+
 // versionsInService returns the software versions that have served a service lately, and whether none is missing. A box that has just
 // started, or was cut off from the others, does not know all of them. If it knows of one only, it reads the history from the store.
-func (r *Relay) versionsInService(ctx context.Context, service string) (versions []string, isComplete bool) {
+func (r *Relay) versionsInService(ctx context.Context, service string) (versions []string, isComplete bool, err error) {
 	present := r.endpointVersions(service)
 	if r.cfg.VersionHistory == nil {
-		return r.serviceVersions.inService(clock.Now(), service, present), true
+		return r.serviceVersions.inService(clock.Now(), service, present), true, nil
 	}
 	listed, _ := r.cfg.VersionHistory.Known(service)
 	versions = r.serviceVersions.inService(clock.Now(), service, union(present, listed))
 	if len(versions) > 1 {
-		return versions, true
+		return versions, true, nil
 	}
-	listed, isComplete, err := r.cfg.VersionHistory.Read(ctx, service)
+	listed, isComplete, err = r.cfg.VersionHistory.Read(ctx, service)
 	if err != nil {
 		r.cfg.Scope.Counter("stream_version_history_reads_failed").Inc(1)
 		klog.V(1).InfoS("history of software versions not read", "service", service, "err", err)
-		return versions, false
+		return versions, false, err
 	}
-	return union(versions, listed), isComplete
+	return union(versions, listed), isComplete, nil
 }
 
 // union returns the texts that are in a or b.
@@ -228,6 +248,18 @@
 	r.cfg.Origins.Record(record)
 }
 
+// recordBegin records the software version of a resumable stream whose first event is forwarded.
+func (r *Relay) recordBegin(q *request) {
+	if !q.isResumable() || r.cfg.Origins == nil {
+		return
+	}
+	record := q.origin
+	if record.Attempt == "" {
+		record = origin.Record{Attempt: q.head.ID, Service: q.service, Version: q.sentVersion}
+	}
+	r.cfg.Origins.Begin(record)
+}
+
 // endpointVersions returns the software versions of the endpoints of a service, including those that are leaving.
 func (r *Relay) endpointVersions(service string) []string {
 	var versions []string
