ORDER: streams do not move to another service of their route

Found by review: a resumed attempt is sent to the service that the hash of its own id picks, and only the versions of that service were counted; a record of a service to which the route no longer leads counted as none.

--- a/internal/box/origins.go
+++ b/internal/box/origins.go
@@ -63,8 +63,8 @@
 	return all[:min(n, len(all))]
 }
 
-// IsArchived implements origin.Fleet. Records are archived while more than one software version has served lately, or while versions may
-// be missing in the list.
+// IsArchived implements origin.Fleet. Records are archived while more than one software version has served lately, while versions may be
+// missing in the list, and if a stream may be resumed at another service of its route.
 func (f *originFleet) IsArchived(service string) (archived bool, era int64) {
 	t, _, _ := f.current()
 	for _, h := range t.SoftwareVersions {
@@ -78,6 +78,7 @@
 			archived = archived || (service == "" || s.Service == service) && len(s.Versions) > 1
 		}
 	}
+	archived = archived || len(t.SoftwareVersions) > 0 && t.Routes != nil && t.Routes.IsSplit(service)
 	return archived, t.MapEra
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,6 +14,8 @@
 
 // Table is an immutable index of one version of the routing configuration.
 type Table struct {
+	// split holds the services of resumable routes that lead to several services.
+	split        map[string]bool
 	version      int64
 	routesByHost map[string][]*resource.Route
 	services     map[string]*resource.RouteService
@@ -27,10 +29,11 @@
 func New(r *resource.Routing) *Table {
 	t := &Table{
 		version: r.Version, routesByHost: map[string][]*resource.Route{}, services: map[string]*resource.RouteService{}, limits: r.Limits,
-		keyed: r.RequiresKey, customers: customer.NewTable(r.Customers),
+		split: map[string]bool{}, keyed: r.RequiresKey, customers: customer.NewTable(r.Customers),
 	}
 	for i := range r.Routes {
 		rt := &r.Routes[i]
+		t.addSplit(rt)
 		host := strings.ToLower(rt.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], rt)
 	}
@@ -45,6 +48,21 @@
 	return t
 }
 
+// addSplit adds the services of a route to which streams may move when they are resumed.
+func (t *Table) addSplit(r *resource.Route) {
+	if len(r.Targets) < 2 || r.Kind != resource.RouteStream || !r.Idempotent() {
+		return
+	}
+	for _, target := range r.Targets {
+		t.split[target.Service] = true
+	}
+}
+
+// IsSplit reports whether a service is one of several to which a resumable route leads. With an empty name it reports whether any is.
+func (t *Table) IsSplit(service string) bool {
+	return t.split[service] || service == "" && len(t.split) > 0
+}
+
 // Version returns the version number that the operator gave the configuration.
 func (t *Table) Version() int64 { return t.version }
 
