Owner: no older version of an adapter is loaded after a newer one

The owner ordered whatever a ticket named, also two versions at a time. By the users' page the engine replaces the newer version once its runs have ended and refuses requests for the adapter until then. Completion is awaited by sending the order again with the current count, so the poll for the older version is a new order once the engine has the newer one.

Change: an engine that replaces versions gets one load of an adapter at a time, and none of a version older than one that it has or may get. Tickets for an older version that is not loaded are refused with TryNext at once, spare ones as well. The expected wait counts the load of the other version.

--- a/internal/owner/loading.go
+++ b/internal/owner/loading.go
@@ -98,8 +98,9 @@
 	if next == nil {
 		return s.schedule(now)
 	}
-	if existing := s.slots[next.Ref]; len(s.slots) >= s.cfg.Slots || (existing != nil && existing.phase != uncertain) {
-		// Reports have shown more loaded adapters in the meantime, so there is still no free slot, or the adapter is already loaded.
+	if existing := s.slots[next.Ref]; len(s.slots) >= s.cfg.Slots || (existing != nil && existing.phase != uncertain) || s.isSuperseded(next.Ref) {
+		// Reports have shown more loaded adapters in the meantime, so there is still no free slot, or the adapter or a newer version of it is
+		// already loaded.
 		s.emit(ReturnPermit{})
 		return s.schedule(now)
 	}
--- a/internal/owner/schedule.go
+++ b/internal/owner/schedule.go
@@ -23,6 +23,8 @@
 		switch {
 		case ready && !held:
 			s.start(now, t)
+		case !s.IsLoaded(t.Ref) && s.isSuperseded(t.Ref):
+			s.refuseSuperseded(t)
 		case !now.Before(t.StartBy):
 			s.refuse(t, result.New(result.DeadlineUnmet, "not started after %s", now.Sub(t.Arrived).Round(time.Millisecond)))
 		case s.cannotLoadInTime(now, t):
@@ -114,7 +116,8 @@
 // isMissing reports whether ref is neither loaded nor being loaded and may be loaded now.
 func (s *State) isMissing(now time.Time, ref resource.Ref) bool {
 	sl := s.slots[ref]
-	return !ref.IsBase() && (sl == nil || sl.phase == uncertain) && !s.isBackedOff(now, ref) && !s.isNextLoad(ref)
+	return !ref.IsBase() && (sl == nil || sl.phase == uncertain) && !s.isBackedOff(now, ref) && !s.isNextLoad(ref) &&
+		!s.isBlockedByOtherVersion(ref)
 }
 
 // needsSlot reports whether ref has no slot and gets none before one is free.
--- a/internal/owner/spare.go
+++ b/internal/owner/spare.go
@@ -31,7 +31,7 @@
 	if s.IsLoaded(ref) {
 		return true
 	}
-	if s.awaitingReport || s.stopped || s.isBackedOff(now, ref) {
+	if s.awaitingReport || s.stopped || s.isBackedOff(now, ref) || s.isBlockedByOtherVersion(ref) {
 		return false
 	}
 	if sl := s.slots[ref]; sl != nil {
@@ -73,6 +73,8 @@
 		switch {
 		case !needRoom && isLoaded && s.hasRoom(now, t) && s.hasGapRoom(now, t):
 			s.start(now, t)
+		case !isLoaded && s.isSuperseded(t.Ref):
+			s.refuseSuperseded(t)
 		case s.cannotLoadInTime(now, t):
 			s.refuseBeforeLoad(now, t)
 		case needRoom || isLoaded || (needLoad && s.isMissing(now, t.Ref)) || !now.Before(t.StartBy):
--- a/internal/owner/versions_test.go
+++ b/internal/owner/versions_test.go
@@ -69,6 +69,19 @@
 	}
 }
 
+// TestSpareTicketForOlderVersionIsRefused guards against spare tickets that wait for an older version until their time is over.
+func TestSpareTicketForOlderVersionIsRefused(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	s := newDiscoveredState(4)
+	spare := owner.Ticket{ID: 1, Ref: versionRef("1"), Arrived: now, StartBy: now.Add(time.Minute), Last: true, Spare: true}
+	c.Assert(actionsOf[owner.RequestPermit](s.Submit(now, spare)), qt.HasLen, 1)
+	s.Adopt([]resource.Ref{versionRef("2")}, false)
+	c.Check(actionsOf[owner.Refuse](s.Tick(now)), qt.HasLen, 1)
+	spare.ID = 2
+	c.Check(actionsOf[owner.Refuse](s.Submit(now, spare)), qt.HasLen, 1)
+}
+
 // TestNewerVersionIsLoadedAfterLoadOfOlderOneEnded guards against two loads of one adapter at the same time. The completion of a load is
 // awaited by sending its order again, and the engine takes the order for the older version as a new one once it has the newer version.
 func TestNewerVersionIsLoadedAfterLoadOfOlderOneEnded(t *testing.T) {
--- a/internal/owner/wait.go
+++ b/internal/owner/wait.go
@@ -86,7 +86,7 @@
 	if sl := s.slots[t.Ref]; sl != nil && sl.phase == loading {
 		return max(0, s.expectedLoadTime(now)-now.Sub(sl.loadStarted))
 	}
-	return max(s.slotWait(now, t), s.paceWait(now, t)) + s.newLoadTime(now, t.Ref)
+	return max(s.slotWait(now, t), s.paceWait(now, t), s.otherVersionLoadWait(now, t.Ref)) + s.newLoadTime(now, t.Ref)
 }
 
 // newLoadTime returns the expected time of a load of ref that starts now.
