--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -141,22 +141,38 @@
 		return Record{}, false, errNotRead
 	}
 	if !isRecent {
-		// The read goes on if ctx ends: its result serves the next caller.
-		result := a.reads.DoChan("", func() (any, error) { return a.read(context.WithoutCancel(ctx)) })
-		select {
-		case r := <-result:
-			if r.Err != nil {
-				return Record{}, false, r.Err
-			}
-			last = r.Val.(*snapshot)
-		case <-ctx.Done():
-			return Record{}, false, eris.Wrap(ctx.Err(), "origin: read the archive")
+		var err error
+		if last, err = a.readShared(ctx); err != nil {
+			return Record{}, false, err
 		}
 	}
 	r, ok := last.find(attempt)
 	return r, ok, nil
 }
 
+// readShared reads the archive together with other callers, and waits for it until ctx ends. The read goes on then: its result serves the
+// next caller.
+func (a *Archive) readShared(ctx context.Context) (*snapshot, error) {
+	result := a.reads.DoChan("", func() (any, error) {
+		_, err := a.read(context.WithoutCancel(ctx))
+		return nil, err
+	})
+	select {
+	case r := <-result:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+	case <-ctx.Done():
+		return nil, eris.Wrap(ctx.Err(), "origin: read the archive")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.snapshot == nil {
+		return nil, errNotRead
+	}
+	return a.snapshot, nil
+}
+
 // read reads all objects of the archive.
 func (a *Archive) read(ctx context.Context) (*snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
--- a/internal/origin/archive_test.go
+++ b/internal/origin/archive_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -95,7 +96,7 @@
 	if fails {
 		s.failures--
 	}
-	if fails && s.failure != objects.ErrOutcomeUnknown {
+	if fails && !errors.Is(s.failure, objects.ErrOutcomeUnknown) {
 		return 0, s.failure
 	}
 	s.revision++
