A keeper that returns deducts what other keepers have granted

Cause: each box that can be the keeper of an endpoint has its own token bucket, which goes on filling while another box is the keeper. If the keeper changes and returns (a box whose heartbeats are late is hidden and shown again), the returning one grants up to four requests that the other one has granted already; two that take turns grant twice the rate.

Answers of keepers now contain how many requests they have granted and what they have left; requests for places pass the counts of the last 10 s on. A keeper deducts what others have granted since their last counts. If its own bucket has been full meanwhile, so that it can't tell how much of that was its own surplus, or if it has no earlier count, it begins with what the newest other keeper has left. No message more; the fields are there only for endpoints with a rate limit.

--- a/internal/places/client.go
+++ b/internal/places/client.go
@@ -112,8 +112,11 @@
 	if !ok || (!here && c.unresponsive.Has(address, clock.Now())) {
 		return c.acquireUncounted(req)
 	}
+	sentAt := clock.Now()
+	req.Counts = c.cfg.Rates.RecentCounts(sentAt, req.Endpoint)
 	if here {
-		answer := c.cfg.Keeper.Acquire(clock.Now(), req)
+		answer := c.cfg.Keeper.Acquire(sentAt, req)
+		c.recordCount(sentAt, req.Endpoint, answer)
 		return c.placeOrRefusal(req, answer, func(e EndReport) {
 			c.cfg.Keeper.UpdateRate(clock.Now(), e.Endpoint, e.Rate)
 			c.cfg.Keeper.End(clock.Now(), e)
@@ -128,9 +131,17 @@
 	if answer.Rate != nil {
 		c.cfg.Rates.Record(clock.Now(), req.Endpoint, *answer.Rate)
 	}
+	c.recordCount(sentAt, req.Endpoint, answer)
 	return c.placeOrRefusal(req, answer, func(e EndReport) { c.ends.Add(address, e) })
 }
 
+// recordCount stores the count in a keeper's answer, for the next keeper.
+func (c *Client) recordCount(sentAt time.Time, endpoint string, answer Answer) {
+	if answer.Count != nil {
+		c.cfg.Rates.RecordCount(sentAt, endpoint, *answer.Count)
+	}
+}
+
 // knownRate returns the latest known rate limit of the endpoint, or nil if none is known.
 func (c *Client) knownRate(req Request) *ratelimit.Report {
 	if !c.cfg.Rates.HasReports() {
--- a/internal/places/keeper.go
+++ b/internal/places/keeper.go
@@ -24,6 +24,8 @@
 	maxWait = 2 * time.Second
 	// maxEndpoints is the number of endpoints at which a Keeper evicts the idle ones before it adds another.
 	maxEndpoints = 4096
+	// maxOtherCounts limits the keepers whose counts are stored for one endpoint. When it is reached, all are discarded.
+	maxOtherCounts = 16
 	// maxHold is the longest time until a place expires whose request is never reported as ended.
 	maxHold = time.Minute
 )
@@ -44,6 +46,8 @@
 	// them.
 	Started int64             `json:"started,omitempty"`
 	Rate    *ratelimit.Report `json:"rate,omitempty"`
+	// Counts are from the latest answers of the endpoint's keepers.
+	Counts []ratelimit.KeeperCount `json:"counts,omitempty"`
 	// Careful is true if another endpoint of the service is brittle. It matters while nothing is known of this one.
 	Careful bool `json:"careful,omitempty"`
 }
@@ -61,6 +65,9 @@
 	// has none.
 	RateLimited bool              `json:"limited,omitempty"`
 	Rate        *ratelimit.Report `json:"rate,omitempty"`
+	// Count is the number of requests that this keeper has granted. It is nil if the endpoint has no rate limit, or if the request was
+	// refused for another reason.
+	Count *ratelimit.KeeperCount `json:"count,omitempty"`
 	// Brittle is true if the request was refused because the endpoint is brittle.
 	Brittle bool `json:"brittle,omitempty"`
 }
@@ -80,6 +87,8 @@
 
 // Keeper counts the requests at the endpoints that this box is responsible for.
 type Keeper struct {
+	// id identifies this incarnation of the box.
+	id        uint64
 	mu        sync.Mutex
 	nextID    uint64
 	endpoints map[string]*endpointCount
@@ -97,6 +106,9 @@
 	// limiter enforces the rate limit that the endpoint reports. The keeper receives the limit in the Request and EndReport
 	// messages, so the limit needs no messages of its own. It also applies to boxes that don't know it.
 	limiter ratelimit.Limiter
+	// granted is the number of requests that were granted so far, otherCounts that of other keepers as far as known.
+	granted     uint64
+	otherCounts map[uint64]uint64
 	// brittle limits the requests at the endpoint while it is brittle. start is the start time of the run for which it does so, and
 	// answered is set once a request has been answered by that run.
 	brittle  brittle.Limiter
@@ -115,7 +127,7 @@
 // NewKeeper returns a Keeper that numbers its places after firstID. Each incarnation of a box must use a different firstID: an
 // EndReport for a place that a previous incarnation granted must not end a place that this incarnation granted.
 func NewKeeper(firstID uint64) *Keeper {
-	return &Keeper{nextID: firstID, endpoints: map[string]*endpointCount{}}
+	return &Keeper{id: firstID, nextID: firstID, endpoints: map[string]*endpointCount{}}
 }
 
 // Acquire grants a place if the endpoint's rate limit allows the request, and if the endpoint has a free slot or its response is
@@ -126,6 +138,7 @@
 	c := k.getOrCreate(now, req.Endpoint)
 	c.limiter.SetStart(req.Started)
 	c.limiter.ApplyReport(now, req.Rate)
+	k.applyCounts(now, c, req.Counts)
 	c.slots = max(1, req.Slots)
 	c.expirePlaces(now)
 	c.updateBrittle(now, req)
@@ -140,12 +153,46 @@
 		return Answer{Wait: max(c.serviceTime, c.retryTurns.NextDelay(now, interval, maxWait)), Rate: c.limiter.CurrentReport(now)}
 	}
 	if wait, ok := c.limiter.Check(now, ratelimit.Request{Urgency: req.Urgency, Customer: req.Customer}); !ok {
-		return Answer{Wait: wait, RateLimited: true, Rate: c.limiter.CurrentReport(now)}
+		return Answer{Wait: wait, RateLimited: true, Rate: c.limiter.CurrentReport(now), Count: k.count(c)}
 	}
 	c.limiter.Use(now, req.Customer)
+	c.granted++
 	k.nextID++
 	c.held[k.nextID] = place{expiresAt: now.Add(min(max(req.Hold, 0), maxHold)), grantedAt: now, concurrency: concurrency}
-	return Answer{Granted: true, ID: k.nextID, Rate: c.limiter.CurrentReport(now)}
+	return Answer{Granted: true, ID: k.nextID, Rate: c.limiter.CurrentReport(now), Count: k.count(c)}
+}
+
+// count returns the number of granted requests at an endpoint, or nil if the endpoint has no rate limit.
+func (k *Keeper) count(c *endpointCount) *ratelimit.KeeperCount {
+	if !c.limiter.IsLimited() {
+		return nil
+	}
+	return &ratelimit.KeeperCount{Keeper: k.id, Granted: c.granted, Tokens: c.limiter.Tokens()}
+}
+
+// applyCounts deducts the requests that other keepers have granted since their last known counts. Without this, a box that becomes the
+// keeper again would also grant what has accrued while another one granted the whole rate.
+func (k *Keeper) applyCounts(now time.Time, c *endpointCount, counts []ratelimit.KeeperCount) {
+	var newest *ratelimit.KeeperCount
+	granted, complete := uint64(0), true
+	for _, other := range counts {
+		before, isKnown := c.otherCounts[other.Keeper]
+		if other.Keeper == k.id || isKnown && other.Granted <= before {
+			continue
+		}
+		if c.otherCounts == nil || !isKnown && len(c.otherCounts) >= maxOtherCounts {
+			c.otherCounts = map[uint64]uint64{}
+		}
+		c.otherCounts[other.Keeper] = other.Granted
+		granted += other.Granted - before
+		complete = complete && isKnown
+		if newest == nil || other.Age < newest.Age {
+			newest = &other
+		}
+	}
+	if newest != nil {
+		c.limiter.UseElsewhere(now, granted, *newest, complete)
+	}
 }
 
 // updateBrittle begins or ends the limit of a brittle endpoint according to what the endpoint and others of its service reported.
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -36,6 +36,10 @@
 	// sumInterval is the time for which the sum of the rates of a service's endpoints is reused. There may be thousands of
 	// endpoints, and thousands of refused requests per second.
 	sumInterval = time.Second
+	// countRetention is how long a keeper's count is passed on to other keepers. maxCounts limits the keepers whose counts are stored for
+	// one endpoint. Usually there is only one.
+	countRetention = 10 * time.Second
+	maxCounts      = 8
 	// maxServices limits the services with a retry schedule. When it is reached, all schedules are discarded.
 	maxServices = 1024
 )
@@ -104,10 +108,18 @@
 	limitedSince, lastLogged time.Time
 	// brittleSince is when the endpoint began to report that it is brittle.
 	brittleSince time.Time
+	// counts contains the latest count of each keeper of the endpoint.
+	counts []timedCount
 	// ownLimiter enforces this box's own share of the rate while the keeper of the endpoint cannot be reached.
 	ownLimiter Limiter
 }
 
+// timedCount is a count from the answer to a request that was sent at sentAt.
+type timedCount struct {
+	KeeperCount
+	sentAt time.Time
+}
+
 // NewRegistry returns a Registry without any reports.
 func NewRegistry(cfg RegistryConfig) *Registry {
 	return &Registry{cfg: cfg, recentlyIgnored: recent.New[string](ignoredLogInterval), entries: map[string]*entry{}, retrySchedules: map[string]*retrySchedule{}, logLimit: logline.RateLimiter{MaxPerSecond: maxLinesPerSecond}}
@@ -230,6 +242,51 @@
 	return &report
 }
 
+// RecordCount stores the count in a keeper's answer to a request that was sent at sentAt. It is dropped if the endpoint has not reported
+// anything.
+func (r *Registry) RecordCount(sentAt time.Time, endpoint string, count KeeperCount) {
+	if !r.HasReports() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[endpoint]
+	if e == nil {
+		return
+	}
+	e.counts = slices.DeleteFunc(e.counts, func(c timedCount) bool {
+		if c.Keeper == count.Keeper && c.Granted > count.Granted {
+			// The answers have overtaken each other.
+			count, sentAt = c.KeeperCount, c.sentAt
+		}
+		return c.Keeper == count.Keeper || sentAt.Sub(c.sentAt) >= countRetention
+	})
+	if len(e.counts) >= maxCounts {
+		e.counts = slices.Delete(e.counts, 0, 1)
+	}
+	e.counts = append(e.counts, timedCount{count, sentAt})
+}
+
+// RecentCounts returns the counts of an endpoint's keepers that were received within countRetention.
+func (r *Registry) RecentCounts(now time.Time, endpoint string) []KeeperCount {
+	if !r.HasReports() {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[endpoint]
+	if e == nil {
+		return nil
+	}
+	var counts []KeeperCount
+	for _, c := range e.counts {
+		if c.Age = max(0, now.Sub(c.sentAt)); c.Age < countRetention {
+			counts = append(counts, c.KeeperCount)
+		}
+	}
+	return counts
+}
+
 // TakeOwnShare reports whether a request fits in this box's own share of an endpoint's rate, and consumes a part of the share if
 // it does. It is used while the keeper of the endpoint cannot be reached. Without a rate limit all requests are allowed. If the
 // share is used up, wait is the time after which the request may be retried.
--- a/internal/ratelimit/book_test.go
+++ b/internal/ratelimit/book_test.go
@@ -86,3 +86,22 @@
 		registry.Record(base, "e", *limitedReport(1, 1))
 	}
 }
+
+// TestRegistryPassesRecentCounts guards against counts that stay for ever, that an answer which was overtaken takes back, or that are
+// stored without limit.
+func TestRegistryPassesRecentCounts(t *testing.T) {
+	c := qt.New(t)
+	registry := newRegistry(3)
+	registry.RecordCount(base, "e", KeeperCount{Keeper: 1, Granted: 1})
+	c.Check(registry.RecentCounts(base, "e"), qt.HasLen, 0, qt.Commentf("no limit is known"))
+	registry.Record(base, "e", *limitedReport(5, 0))
+	registry.RecordCount(base.Add(time.Second), "e", KeeperCount{Keeper: 1, Granted: 8, Tokens: 2})
+	registry.RecordCount(base.Add(2*time.Second), "e", KeeperCount{Keeper: 1, Granted: 7, Tokens: 3})
+	now := base.Add(5 * time.Second)
+	c.Check(registry.RecentCounts(now, "e"), qt.DeepEquals, []KeeperCount{{Keeper: 1, Granted: 8, Tokens: 2, Age: 4 * time.Second}})
+	c.Check(registry.RecentCounts(base.Add(time.Second+countRetention), "e"), qt.HasLen, 0)
+	for i := range uint64(2 * maxCounts) {
+		registry.RecordCount(now, "e", KeeperCount{Keeper: i, Granted: 9})
+	}
+	c.Check(registry.RecentCounts(now, "e"), qt.HasLen, maxCounts)
+}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -152,6 +152,25 @@
 	}
 }
 
+// UseElsewhere consumes the tokens of requests that other keepers have granted since their last counts. newest is the latest of the new
+// counts. With complete set, requests includes all requests that were granted while this box was not the keeper.
+func (l *Limiter) UseElsewhere(now time.Time, requests uint64, newest KeeperCount, complete bool) {
+	if !l.observed.Limited {
+		return
+	}
+	l.refill(now)
+	if !complete || l.tokens >= l.capacity() {
+		// Tokens beyond the capacity were lost, so the requests cannot be deducted: the other keeper's tokens replace the own ones.
+		l.tokens = min(l.tokens, max(0, newest.Tokens+l.refillRate()*newest.Age.Seconds()))
+		return
+	}
+	lowest := -max(1, l.observed.Rate*burstPeriod.Seconds())
+	l.tokens = max(l.tokens-float64(requests), min(l.tokens, lowest))
+}
+
+// Tokens returns the number of requests that may be sent.
+func (l *Limiter) Tokens() float64 { return l.tokens }
+
 // setOwnShare adds the tokens that are due and switches between the whole rate (zero) and a part of it.
 func (l *Limiter) setOwnShare(now time.Time, ownShare float64) {
 	l.refill(now)
--- a/internal/ratelimit/word.go
+++ b/internal/ratelimit/word.go
@@ -69,6 +69,18 @@
 	return rate, nil
 }
 
+// KeeperCount is what one keeper has granted at an endpoint. Boxes pass it on to the next keeper.
+type KeeperCount struct {
+	// Keeper identifies the keeper.
+	Keeper uint64 `json:"keeper"`
+	// Granted is the number of requests that the keeper has granted so far.
+	Granted uint64 `json:"granted"`
+	// Tokens is the number of further requests that the keeper would have granted at once.
+	Tokens float64 `json:"tokens"`
+	// Age is the time since then. It is set in messages between boxes.
+	Age time.Duration `json:"age,omitempty"`
+}
+
 // maxTolerated bounds the rejections per second that an endpoint may tolerate. More count as so many.
 const maxTolerated = 1_000_000
 
