--- a/internal/origin/archive.go
+++ b/internal/origin/archive.go
@@ -37,7 +37,7 @@
 	// finalWriteTimeout limits the last write of a box that stops.
 	finalWriteTimeout = 500 * time.Millisecond
 	// maxWriteRate limits the writes per second of all boxes together, without those of full objects.
-	maxWriteRate = 320
+	maxWriteRate = 60
 	// sweepsPerRetention is how often expired objects are looked for within the retention time.
 	sweepsPerRetention = 4
 )
