Relay: rejections that prove nothing are counted and logged

A box logged backend_refused or not_held alike for rejections of the request, of another one, and of none. The line and the counter rejections_unproven tell by reason: no id, or only the status of a rejection. No logic changes.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -120,6 +120,7 @@
 	}
 	q.untilAnswered = clock.Since(q.receivedAt)
 	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
+	r.recordUnproven(q, to, resp.StatusCode, head)
 	rerr := checkAnswer(q, resp.StatusCode, head)
 	q.wasRun = rerr == nil && resp.StatusCode < http.StatusMultipleChoices
 	r.handleNotice(q, to, head, rerr == nil)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -127,6 +127,8 @@
 	unanswered      *unanswered.Set
 	// loggedUnfinished holds the endpoints with a recent log line on an unfinished answer.
 	loggedUnfinished *recent.Set[string]
+	// loggedUnproven holds the endpoints with a recent log line on an unproven rejection.
+	loggedUnproven *recent.Set[string]
 }
 
 // New returns a Relay that uses the given configuration.
@@ -138,7 +140,7 @@
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
 		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
-		loggedUnfinished: recent.New[string](unfinishedLogInterval),
+		loggedUnfinished: recent.New[string](unfinishedLogInterval), loggedUnproven: recent.New[string](unprovenLogInterval),
 	}
 }
 
