TWICE, REFUSED: a rejection that names no request proves nothing

Cause: answers to orders, reports and probes carry no id. checkAnswer compared ids only if the answer had one, so a copy of such a rejection counted as that of the request in flight.

Change: a rejection without the id of its request ends the try as answer_lost, which does not say whether it ran.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -182,12 +182,14 @@
 	}
 }
 
-// checkAnswer returns an error if an answer is a refusal or does not belong to this request. A refusal of another request proves nothing
-// about this one, so the ids are compared first.
+// checkAnswer returns an error if an answer is a refusal or does not belong to this request. A refusal of another request, or one that names
+// none, proves nothing about this one, so the ids are compared first.
 func checkAnswer(q *request, status int, head AnswerHead) *result.Error {
 	switch {
 	case head.ID != "" && head.ID != q.head.ID:
 		return result.New(result.WrongAnswer, "request has id %q, answer has id %q", q.head.ID, head.ID)
+	case unprovenReason(q, status, head) == unprovenNoID:
+		return result.New(result.AnswerLost, "status %d names no request, so it does not show whether this one ran", status)
 	case head.Misdirected:
 		return result.New(result.NotHeld, "status %d", status)
 	case head.NotRun:
