REFUSED: a status alone is no promise that a request did not run

What callers saw: a request that ran at a worker ended with 503, 429 or 408, which promise that it did not run, if the worker signed such a failure without saying Not-Executed.

Cause: the box asked for a statement of the worker only if the answer was unsigned. A signature shows who answered, not that nothing ran.

Change: such an answer ends as answer_lost (502, or another try where the request may run again), without the signature.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -185,17 +185,16 @@
 // checkAnswer returns an error if an answer is a refusal or does not belong to this request. A refusal of another request, or one that names
 // none, proves nothing about this one, so the ids are compared first.
 func checkAnswer(q *request, status int, head AnswerHead) *result.Error {
+	unproven := unprovenReason(q, status, head)
 	switch {
 	case head.ID != "" && head.ID != q.head.ID:
 		return result.New(result.WrongAnswer, "request has id %q, answer has id %q", q.head.ID, head.ID)
-	case unprovenReason(q, status, head) == unprovenNoID:
-		return result.New(result.AnswerLost, "status %d names no request, so it does not show whether this one ran", status)
+	case unproven != "":
+		return result.New(result.AnswerLost, "status %d does not show whether the request ran: %s", status, unproven)
 	case head.Misdirected:
 		return result.New(result.NotHeld, "status %d", status)
 	case head.NotRun:
 		return result.New(result.BackendRefused, "status %d", status)
-	case impliesNotRun(status) && !head.Signed:
-		return result.New(result.AnswerLost, "status %d does not show whether the request ran", status)
 	case head.ID == "":
 		return result.New(result.WrongAnswer, "request has id %q, answer has none", q.head.ID)
 	case !head.Signed && status < http.StatusMultipleChoices:
