--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/jsonlist"
 )
 
 // Limits of one call.
@@ -53,9 +55,9 @@
 // List implements API.
 func (c *Client) List(ctx context.Context, kinds []string, after string) (Changes, error) {
 	q := url.Values{"kinds": {strings.Join(kinds, ",")}, "after": {after}}
-	var ch Changes
-	err := c.call(ctx, http.MethodGet, "/objects?"+q.Encode(), nil, 0, &ch)
-	return ch, err
+	var body changesBody
+	err := c.call(ctx, http.MethodGet, "/objects?"+q.Encode(), nil, 0, &body)
+	return body.Changes, err
 }
 
 // IsAuthoritative returns true: the objects come from the platform itself and not from another box.
@@ -64,9 +66,9 @@
 // Watch implements API.
 func (c *Client) Watch(ctx context.Context, kinds []string, from Position, wait time.Duration) (Changes, error) {
 	q := url.Values{"kinds": {strings.Join(kinds, ",")}, "from": {formatPosition(from)}, "wait": {wait.String()}}
-	var ch Changes
-	err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, wait, &ch)
-	return ch, err
+	var body changesBody
+	err := c.call(ctx, http.MethodGet, "/watch?"+q.Encode(), nil, wait, &body)
+	return body.Changes, err
 }
 
 // Put implements API.
@@ -120,12 +122,40 @@
 	if err != nil {
 		return NewTransportError(method, true, err)
 	}
-	if err := json.Unmarshal(b, result); err != nil {
+	decode := func(b []byte) error { return json.Unmarshal(b, result) }
+	if body, ok := result.(*changesBody); ok {
+		decode = body.decode
+	}
+	if err := decode(b); err != nil {
 		return NewTransportError(method, true, err)
 	}
 	return nil
 }
 
+// changesBody is the body of a response with Changes.
+type changesBody struct{ Changes }
+
+// decode decodes the body. It leaves out objects that cannot be decoded, which another program may have written.
+func (c *changesBody) decode(b []byte) error {
+	elements, err := jsonlist.Decode(b, "objects", &c.Changes)
+	if err != nil {
+		return err
+	}
+	unreadable := 0
+	for _, raw := range elements {
+		var o Object
+		if jsonlist.IsTooDeep(raw) || json.Unmarshal(raw, &o) != nil {
+			unreadable++
+			continue
+		}
+		c.Objects = append(c.Objects, o)
+	}
+	if unreadable > 0 {
+		klog.InfoS("objects of a response could not be decoded", "unreadable", unreadable, "of", len(elements))
+	}
+	return nil
+}
+
 // NewTransportError returns the error for a call without a usable response: ErrOutcomeUnknown for a write that was sent,
 // ErrUnavailable for any other call.
 func NewTransportError(method string, sent bool, err error) error {
