Tests: answers torn in the head or the body are not whole

A report of a system like ours: a worker stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body that is framed as whole.

--- a/internal/box/harness_test.go
+++ b/internal/box/harness_test.go
@@ -45,6 +45,9 @@
 	boxes    []*runningBox
 	// surplus returns what engines and services write to the connection of a request before they serve it, nil for nothing.
 	surplus atomic.Pointer[func(r *http.Request) string]
+	// torn returns the first bytes of the answers of engines and services, which then close the connection. Requests for which it returns
+	// none are served.
+	torn atomic.Pointer[func(r *http.Request) string]
 }
 
 type runningBox struct {
@@ -99,6 +102,12 @@
 				_, _ = io.WriteString(conn, (*surplus)(r))
 			}
 		}
+		if torn := f.torn.Load(); torn != nil {
+			if answer := (*torn)(r); answer != "" {
+				f.writeTorn(w, r, answer)
+				return
+			}
+		}
 		h.ServeHTTP(w, r)
 	}))
 	s.Config.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
@@ -109,6 +118,16 @@
 	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
 }
 
+// writeTorn writes the first bytes of an answer and closes the connection.
+func (f *fleet) writeTorn(w http.ResponseWriter, r *http.Request, answer string) {
+	_, err := io.Copy(io.Discard, r.Body)
+	f.c.Check(err, qt.IsNil)
+	conn, _, err := http.NewResponseController(w).Hijack()
+	f.c.Check(err, qt.IsNil)
+	_, _ = io.WriteString(conn, answer)
+	_ = conn.Close()
+}
+
 func (f *fleet) declare(name string, spec resource.Spec) {
 	kinds := map[string]resource.Kind{
 		"*resource.Adapter": resource.KindAdapter, "*resource.AdapterVersion": resource.KindAdapterVersion,
