--- a/internal/box/torn_test.go
+++ b/internal/box/torn_test.go
@@ -4,12 +4,16 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bellgap/bellgap/internal/fakeengine"
+	"github.com/bellgap/bellgap/internal/resource"
 )
 
 // TestTornAnswersAreNotWhole guards against callers of bellgap's own interface that take an answer for whole though its engine or service
@@ -81,3 +85,46 @@
 		}
 	}
 }
+
+// TestUnframedAnswerOfCrashedServiceIsNotWhole guards against callers of bellgap's own interface that take an answer for whole though its
+// service crashed in the middle of it: without length or chunks it ends like a whole one.
+func TestUnframedAnswerOfCrashedServiceIsNotWhole(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		crashes   bool
+		wantWhole bool
+	}{
+		{"service crashes", true, false},
+		{"service closes the connection", false, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := startFleet(c, fleetConfig{boxes: 1})
+			var server *httptest.Server
+			server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				c.Check(err, qt.IsNil)
+				if tt.crashes {
+					_ = server.Listener.Close()
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBellgap-Call-Id: %s\r\nConnection: close\r\n\r\nthe first half", r.Header.Get("Bellgap-Call-Id"))
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			f.declare("lists", &resource.Service{Addresses: []netip.AddrPort{netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}, Timeout: resource.Duration(time.Minute)})
+			url := "http://" + f.boxes[0].CallerAddress().String() + "/services/lists/all"
+			var got []byte
+			var err error
+			f.waitUntil(func() bool {
+				var resp *http.Response
+				if resp, err = http.Get(url); err != nil {
+					return true
+				}
+				defer func() { _ = resp.Body.Close() }()
+				got, err = io.ReadAll(resp.Body)
+				return resp.StatusCode == http.StatusOK
+			})
+			c.Check(err == nil, qt.Equals, tt.wantWhole, qt.Commentf("answered with %q", got))
+		})
+	}
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -76,6 +76,14 @@
 		return
 	}
 	rerr = g.copyServiceAnswer(w, resp, requestID)
+	if rerr == nil && httpx.EndsWithConnection(resp) && g.cfg.Quarantine.HasCrashed(ctx, endpoint.Address) {
+		rerr = result.NewConnError(result.StreamCut, io.ErrUnexpectedEOF)
+	}
+	if rerr == nil {
+		g.countResult(result.OK)
+	} else {
+		g.countResult(rerr.Code)
+	}
 	g.cfg.Quarantine.RecordOutcome(ctx, c.suspect, endpoint, rerr)
 	if rerr != nil {
 		// Aborting the connection shows the caller that the answer is incomplete.
@@ -267,10 +275,5 @@
 		h.Set("Content-Length", strconv.FormatInt(resp.ContentLength, 10))
 	}
 	w.WriteHeader(resp.StatusCode)
-	if rerr := copyBody(w, resp.Body); rerr != nil {
-		g.countResult(rerr.Code)
-		return rerr
-	}
-	g.countResult(result.OK)
-	return nil
+	return copyBody(w, resp.Body)
 }
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -85,6 +85,12 @@
 	_ = body.Close()
 }
 
+// EndsWithConnection reports whether a response has neither a length nor chunks, so that the end of its connection ends it, also if the server
+// crashes.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
 // WriteJSON sends v as a JSON response with the given status.
 func WriteJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 
+	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -55,15 +56,10 @@
 	return len(line) == 1 || (len(line) == 2 && line[0] == '\r')
 }
 
-// endsWithConnection reports whether an answer has neither a length nor chunks, so that the end of its connection ends it, also if the endpoint crashes.
-func endsWithConnection(resp *http.Response) bool {
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
-}
-
 // isCutByCrash reports whether an answer that has ended without an error was cut short. If an endpoint is killed, its connections end as they
 // do after an answer without length or chunks.
 func (o *output) isCutByCrash(resp *http.Response) bool {
-	return endsWithConnection(resp) && o.hasCrashed != nil && o.hasCrashed()
+	return httpx.EndsWithConnection(resp) && o.hasCrashed != nil && o.hasCrashed()
 }
 
 // copyEvents forwards a stream event by event and returns the id of the last forwarded event.
@@ -72,7 +68,7 @@
 	isEmpty := lastID == ""
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) && ((isEmpty && endsWithConnection(resp)) || o.isCutByCrash(resp)) {
+		if errors.Is(err, io.EOF) && ((isEmpty && httpx.EndsWithConnection(resp)) || o.isCutByCrash(resp)) {
 			return lastID, o.cutError(io.ErrUnexpectedEOF)
 		}
 		if errors.Is(err, io.EOF) {
