LOST: a request is not held for crashes that a held part of others explains, whichever is recorded first

What callers saw: a request that many callers send alike is refused as quarantined for the whole hold time, though it crashed no endpoint: endpoints crashed three times while they ran it beside requests with a harmful prompt part, before any box had seen an answer to it.

Cause: crashes that a held part explains do not count while a case is not held. If the third crash of the request was recorded just before that of the part, the request was held first and stayed so; as it reaches no endpoint, no answer can clear it. Requests (not parts, which could release each other) are now counted anew when a part is held. TestHeldPartClearsRequestsInItsCompany: one case failed before.

--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -95,11 +95,12 @@
 	return ok && (e.Part == "" || at.After(e.crashedAt))
 }
 
-// crashCount returns the number of crashes that count against a case. While the case is not held, crashes that a held part explains do not count: other
-// requests that ran on the endpoint when it crashed, and their parts, are not to blame.
+// crashCount returns the number of crashes that count against a case. Crashes that a held part explains do not count: other requests that ran on the
+// endpoint when it crashed, and their parts, are not to blame. A part that is held itself keeps its crashes, as two held parts would otherwise
+// release each other.
 func (r *Register) crashCount(e *entry) int {
 	counted := e.countedCrashes()
-	if !e.heldAt.IsZero() || len(counted) == 0 {
+	if (e.Part != "" && !e.heldAt.IsZero()) || len(counted) == 0 {
 		return len(counted)
 	}
 	for _, held := range r.heldParts {
@@ -356,14 +357,15 @@
 		}
 		if e.Part != "" {
 			r.heldParts = append(r.heldParts, e)
+			r.updateOthers(now)
 		}
 	}
 }
 
-// updateOthers updates the hold of all cases that are not held.
+// updateOthers updates the hold of all cases but held parts, after the set of held parts has changed.
 func (r *Register) updateOthers(now time.Time) {
 	for _, e := range r.cases {
-		if e.heldAt.IsZero() && len(e.Crashed) > 0 {
+		if (e.Part == "" || e.heldAt.IsZero()) && len(e.Crashed) > 0 {
 			r.updateHeld(now, e)
 		}
 	}
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -421,3 +421,43 @@
 		})
 	}
 }
+
+// TestHeldPartClearsRequestsInItsCompany guards against a request that stays held because endpoints crashed while they ran it beside requests with
+// a harmful part, if its last crash was recorded before that of the part. While it is held it cannot run well, so nothing else would clear it.
+func TestHeldPartClearsRequestsInItsCompany(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		partFirst bool
+		// own is set if the request has also crashed an endpoint by itself.
+		own      bool
+		wantHeld bool
+	}{
+		{name: "crash of the part recorded first", partFirst: true},
+		{name: "crash of the request recorded first"},
+		{name: "request crashes as many endpoints by itself", own: true, wantHeld: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRegister()
+			harmful := quarantine.Suspect{Fingerprint: fingerprintOf(2), Description: "POST h/y", Parts: quarantine.PartsOf([]string{"dead"})}
+			at := startTime
+			for i := range crashLimit {
+				at = at.Add(time.Second)
+				e := quarantine.Endpoint{Name: fmt.Sprint("e", i), Started: int64(i + 1)}
+				if tt.partFirst {
+					r.RecordPartCrashes(at, harmful, e)
+				}
+				r.RecordCrash(at, suspect(1), e)
+				if tt.own {
+					r.RecordCrash(at, suspect(1), quarantine.Endpoint{Name: fmt.Sprint("own", i), Started: int64(i + 1)})
+				}
+				r.RecordPartCrashes(at, harmful, e)
+			}
+			_, held := r.CheckHeld(at, harmful.Parts[0].Fingerprint)
+			c.Assert(held, qt.IsTrue)
+			_, held = r.CheckHeld(at, fingerprintOf(1))
+			c.Check(held, qt.Equals, tt.wantHeld)
+			c.Check(r.ToPublish(at), qt.HasLen, 1+boolToInt(tt.wantHeld))
+		})
+	}
+}
