--- a/internal/objects/client.go
+++ b/internal/objects/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/tidwall/gjson"
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/httpx"
@@ -135,7 +136,8 @@
 // changesBody is the body of a response with Changes.
 type changesBody struct{ Changes }
 
-// decode decodes the body. It leaves out objects that cannot be decoded, which another program may have written.
+// decode decodes the body. Objects that cannot be decoded, which another program may have written, are listed without a value if they
+// have a kind and a name, so that they do not count as deleted.
 func (c *changesBody) decode(b []byte) error {
 	elements, err := jsonlist.Decode(b, "objects", &c.Changes)
 	if err != nil {
@@ -146,9 +148,13 @@
 		var o Object
 		if jsonlist.IsTooDeep(raw) || json.Unmarshal(raw, &o) != nil {
 			unreadable++
-			continue
+			o = Object{
+				Kind: gjson.GetBytes(raw, "kind").String(), Name: gjson.GetBytes(raw, "name").String(), Version: Position(gjson.GetBytes(raw, "version").Int()),
+			}
+		}
+		if o.Kind != "" && o.Name != "" {
+			c.Objects = append(c.Objects, o)
 		}
-		c.Objects = append(c.Objects, o)
 	}
 	if unreadable > 0 {
 		klog.InfoS("objects of a response could not be decoded", "unreadable", unreadable, "of", len(elements))
