Member: a missing cell map in a restored store may have existed

What callers saw: a box stands still while workers of a new version join, the store comes back from a copy that is older than the cell's first map, and the box wakes first.

Cause: a coordinator that finds no map, and knows none, took the cell for a new one: no version had served before, so the only one it sees counted as complete, and no engine had an owner, so it gave all of them away at once while other boxes still owned them. In a store that has been restored, a missing object is no proof that it never existed.

Change: such a coordinator takes the map for lost, as it does with a map of an earlier era: boxes report what they own first, unclaimed engines wait until earlier grants have expired, the history of versions is not complete. A store counts as restored from its second era on. A new cell in such a store therefore starts as slowly as after a takeover.

TestAuthorityAfterRestoreToBeforeFirstMap fails on (two boxes have authority over an engine at the same time), passes now.

--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -113,7 +113,8 @@
 	}
 	epoch := n.lease.Record().Epoch
 	_, _, known := n.cfg.Catalog.Map(n.cfg.Cell)
-	restored := lease.EraOf(lastMap.Lease) < lease.EraOf(epoch) && (version.HasRevision() || known)
+	mayHaveMap := version.HasRevision() || version.IsRestored() || known
+	restored := lease.EraOf(lastMap.Lease) < lease.EraOf(epoch) && mayHaveMap
 	if n.cfg.SoftwareVersions != nil {
 		n.cfg.SoftwareVersions.Inherit(clock.Now(), inheritedVersions(lastMap, version), !restored)
 	}
--- a/internal/member/restore_test.go
+++ b/internal/member/restore_test.go
@@ -42,6 +42,37 @@
 	}
 }
 
+// TestAuthorityAfterRestoreToBeforeFirstMap restores the store to a copy without a cell map while only a box that has just started reaches it. It
+// guards against a coordinator that takes the cell for a new one, and gives engines away that other boxes still own.
+func TestAuthorityAfterRestoreToBeforeFirstMap(t *testing.T) {
+	for _, cutTime := range []time.Duration{100 * time.Millisecond, 400 * time.Millisecond, time.Second, 3 * time.Second} {
+		t.Run(fmt.Sprint(cutTime), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newTimedCluster(t, 5, 12, 0, routedTiming())
+				defer cl.stopAll()
+				backup := cl.platform.Snapshot()
+				cl.platform.RestoreInNewEra(backup)
+				cl.waitUntil(30*time.Second, func() bool { return cl.countOwned() == len(cl.engines) })
+				cl.advance(8 * time.Second)
+				owners := cl.runningNodes()
+				for _, n := range owners {
+					n.setDisconnected(true, false)
+				}
+				cl.platform.RestoreInNewEra(backup)
+				cl.startBox("box-006", 6)
+				cl.advance(cutTime)
+				for _, n := range owners {
+					n.setDisconnected(false, false)
+				}
+				cl.waitUntil(40*time.Second, func() bool { return cl.countOwned() == len(cl.engines) })
+				cl.advance(10 * time.Second)
+				cl.checkInvariants()
+				cl.checkOrderGaps()
+			})
+		})
+	}
+}
+
 // TestAuthorityAfterLeavingCoordinatorContinues restores the store while its coordinator is leaving, and ends that coordinator's process
 // soon after it has acquired the lease again. It guards against a successor that gives an engine to a box before the authority of the
 // former owner, which is lost or disconnected, has ended for the order gap.
--- a/internal/objects/position.go
+++ b/internal/objects/position.go
@@ -16,6 +16,13 @@
 // them. The zero Position is before all others. Only clients of the store use revisions without an era.
 type Position int64
 
+// firstEra is the last era in which a store has never been restored: 0 if it reports no eras, otherwise 1.
+const firstEra = 1
+
+// IsRestored reports whether the store has been restored from an older copy before the position. Objects that are missing then may have
+// existed.
+func (p Position) IsRestored() bool { return p.Era() > firstEra }
+
 // NewPosition returns the position of a revision in an era.
 func NewPosition(era, revision int64) Position { return Position(era<<eraShift | revision) }
 
