Pairing: count and log heads that hold a second status line

Callers of an endpoint that answers twice got a status that was not the one of their answer. Nothing told whether a head was made of two answers, whether a whole second answer was taken for the next one, or whether the box mixed two tries: the line on surplus answers names the second case alone.

No answer is treated differently.

--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -154,6 +154,7 @@
 		return err
 	}
 	request, isOpen := c.current()
+	c.pairing.recordIfMerged(head, request, isOpen)
 	if err != nil {
 		return c.passRaw(head, request, isOpen)
 	}
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -47,8 +47,9 @@
 
 // Pairing pairs the answers on the connections of all its transports.
 type Pairing struct {
-	cfg    Config
-	logged *recent.Set[string]
+	cfg Config
+	// logged holds the endpoints whose surplus answers were logged recently, loggedMerged those whose merged heads were.
+	logged, loggedMerged *recent.Set[string]
 
 	mu sync.Mutex
 	// endpoints counts the surplus answers of endpoints, by name.
@@ -80,7 +81,7 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
-	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
+	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), loggedMerged: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
 }
 
 // Transport makes t pair the answers on its connections. Requests must be sent with the returned transport.
@@ -187,7 +188,7 @@
 	now := clock.Now()
 	p.cfg.Scope.Counter("surplus_answers").Inc(1)
 	p.cfg.Scope.Counter("surplus_bytes").Inc(s.bytes)
-	if level := p.logLevel(s.endpoint, now); klog.V(level).Enabled() {
+	if level := logLevel(p.logged, s.endpoint, now); klog.V(level).Enabled() {
 		klog.V(level).InfoS("dropped an answer that belongs to another request", "endpoint", s.endpoint, "asked_as", s.requestID, "answered_as", s.answerID, "status", s.status,
 			"bytes", s.bytes, "idle", s.isIdle)
 	}
@@ -200,12 +201,26 @@
 	p.endpoints[s.endpoint] = Endpoint{Name: s.endpoint, Answers: e.Answers + 1, Bytes: e.Bytes + s.bytes, last: now}
 }
 
+// recordIfMerged counts and logs a head that holds more than one status line, for each endpoint at most once in logInterval.
+func (p *Pairing) recordIfMerged(head []byte, request exchange, isOpen bool) {
+	offset, status := statusLineAt(head, 1)
+	if offset < 0 {
+		return
+	}
+	p.cfg.Scope.Counter("merged_heads").Inc(1)
+	if level := logLevel(p.loggedMerged, request.endpoint, clock.Now()); klog.V(level).Enabled() {
+		_, first := statusLineAt(head[:offset], 0)
+		klog.V(level).InfoS("head of an answer holds a second status line", "endpoint", request.endpoint, "request", request.id, "first", first, "second", status,
+			"offset", offset, "bytes", len(head), "idle", !isOpen)
+	}
+}
+
 // logLevel returns the level for a log line on an endpoint, which is higher if the endpoint was logged recently.
-func (p *Pairing) logLevel(endpoint string, now time.Time) klog.Level {
-	if p.logged.Has(endpoint, now) {
+func logLevel(logged *recent.Set[string], endpoint string, now time.Time) klog.Level {
+	if logged.Has(endpoint, now) {
 		return 1
 	}
-	p.logged.Add(endpoint, now)
+	logged.Add(endpoint, now)
 	return 0
 }
 
