Believe a head only if it is of one answer

What callers saw: an endpoint that breaks off a second answer in its head made them get the status of that answer with the id, seal and body of their own, or be refused, or run twice, since Not-Executed of the piece stood beside their id.

Cause: a piece and the answer due were read as one head, and the id alone was compared.

A head that begins with a piece holds the status line of the answer due after its first byte. So a head with a second status line is believed only if the id stands before that line and none after it (a quote). If the head began before the request was sent and just one status line follows from there on, with the id after it, the answer due begins there and is passed on. Otherwise the connection is closed and the try ends as answer_lost, which may have run. What began before a request was sent is never its answer.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -106,7 +106,8 @@
 	}
 	printSoftwareVersions(w, st)
 	for _, e := range st.SurplusAnswers {
-		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes), the last %s ago\n", e.Name, e.Answers, e.Bytes, e.Ago.Round(time.Second))
+		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes) and %d heads of more than one answer, the last %s ago\n",
+			e.Name, e.Answers, e.Bytes, e.MergedHeads, e.Ago.Round(time.Second))
 	}
 	fleet := summarize(topology, st.Member.Coordinator, st.Member.Cell)
 	fleet.addRateLimits(st.RateLimits)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -165,6 +165,8 @@
 		return result.New(result.EndpointNotReading, "%v", err)
 	case errors.Is(err, pairing.ErrSurplus):
 		return result.New(result.TooMuchSurplus, "%v", err)
+	case errors.Is(err, pairing.ErrMergedHead):
+		return result.New(result.AnswerLost, "%v", err)
 	default:
 		return result.NewConnError(result.AnswerLost, err)
 	}
--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httputil"
 	"sync"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 )
@@ -24,6 +25,8 @@
 var (
 	// ErrSurplus is the error of a connection on which more surplus bytes came than the configured limit.
 	ErrSurplus = errors.New("pairing: too many bytes of answers to other requests")
+	// ErrMergedHead is the error of a connection on which a head came that is not proved to be of one answer.
+	ErrMergedHead = errors.New("pairing: head of more than one answer")
 	// errUnsolicited is the error of a connection on which bytes came that are no answer with an id while no request was in flight.
 	errUnsolicited = errors.New("pairing: bytes without a request in flight")
 )
@@ -35,6 +38,8 @@
 	// address is that of the endpoint, also if the connection leads through another box.
 	address string
 	in      *bufio.Reader
+	// received counts the bytes that have been read from the endpoint.
+	received atomic.Int64
 	// head is the buffer of the last head. pending is what has been read and is to be returned next.
 	head    []byte
 	pending []byte
@@ -56,7 +61,19 @@
 }
 
 func newConn(p *Pairing, address string, c net.Conn) *conn {
-	return &conn{Conn: c, pairing: p, address: address, in: bufio.NewReaderSize(c, readBuffer)}
+	paired := &conn{Conn: c, pairing: p, address: address}
+	paired.in = bufio.NewReaderSize(receiver{paired}, readBuffer)
+	return paired
+}
+
+// receiver reads the bytes of a connection as the endpoint sends them, and counts them.
+type receiver struct{ conn *conn }
+
+// Read implements io.Reader.
+func (r receiver) Read(p []byte) (int, error) {
+	n, err := r.conn.Conn.Read(p)
+	r.conn.received.Add(int64(n))
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -71,7 +88,7 @@
 // recordIfEnded records that the endpoint's side ended the connection. The end of an answer that ends with its connection does not count.
 func (c *conn) recordIfEnded(err error) {
 	c.mu.Lock()
-	isEnded := !c.isClosed && (!c.isRaw || !errors.Is(err, io.EOF))
+	isEnded := !c.isClosed && !errors.Is(err, ErrMergedHead) && (!c.isRaw || !errors.Is(err, io.EOF))
 	c.mu.Unlock()
 	if isEnded {
 		c.pairing.recordEnd(c.address)
@@ -82,6 +99,7 @@
 func (c *conn) begin(e exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	e.receivedBefore = c.received.Load()
 	c.last, c.isOpen = e, true
 }
 
@@ -148,20 +166,27 @@
 
 // readHead reads the head of the next answer. If the answer is due, it prepares it to be passed on, otherwise it drops it.
 func (c *conn) readHead() error {
+	start := c.received.Load() - int64(c.in.Buffered())
 	head, err := readLines(c.in, c.head[:0])
 	c.head = head[:0]
 	if len(head) == 0 && err != nil {
 		return err
 	}
 	request, isOpen := c.current()
-	c.pairing.recordIfMerged(head, request, isOpen)
 	if err != nil {
 		return c.passRaw(head, request, isOpen)
 	}
+	due, err := c.proveHead(answerHead{head, start}, request, isOpen)
+	if err != nil {
+		return err
+	}
+	head = due.bytes
 	resp, err := parseHead(head, request.method)
 	if err != nil {
 		return c.passRaw(head, request, isOpen)
 	}
+	// What began before the request was sent is no answer to it.
+	isOpen = isOpen && due.start >= request.receivedBefore
 	answerID := c.pairing.cfg.ID(resp.Header)
 	if answerID != "" && (!isOpen || answerID != request.id) {
 		return c.drop(resp, head, surplus{endpoint: request.endpoint, requestID: request.id, answerID: answerID, status: resp.StatusCode, isIdle: !isOpen})
@@ -178,9 +203,7 @@
 // again.
 func (c *conn) passRaw(head []byte, request exchange, isOpen bool) error {
 	if !isOpen {
-		c.pairing.cfg.Scope.Counter("surplus_connections_closed").Inc(1)
-		klog.V(1).InfoS("connection closed, bytes came without a request in flight", "endpoint", request.endpoint, "bytes", len(head))
-		return errUnsolicited
+		return c.closeUnsolicited(len(head), request)
 	}
 	c.pending, c.isRaw = head, true
 	return nil
--- a/internal/pairing/merged_test.go
+++ b/internal/pairing/merged_test.go
@@ -115,6 +115,8 @@
 	cut    int
 	// withoutID is set if the second request carries no id.
 	withoutID bool
+	// mustServe is set if the second request must get its answer.
+	mustServe bool
 	// answered is closed once the endpoint has answered the second request.
 	answered     chan struct{}
 	answeredOnce sync.Once
@@ -142,7 +144,9 @@
 		go func() {
 			select {
 			case <-r.answered:
-				time.AfterFunc(pieceTimeout, cancel)
+				if !r.mustServe {
+					time.AfterFunc(pieceTimeout, cancel)
+				}
 			case <-ctx.Done():
 			}
 		}()
@@ -193,6 +197,8 @@
 	mu sync.Mutex
 	// own counts those that got their own answer, none those that got no answer that is believed, mixed those that got another one.
 	own, none, mixed int
+	// lostOwn counts those that got no answer though it is known where their own begins.
+	lostOwn int
 	// lostNext counts the requests after them that were not served.
 	lostNext int
 	examples []string
@@ -221,6 +227,10 @@
 	switch {
 	case err != nil || (!r.withoutID && resp.Header.Get(idHeader) != "second"):
 		n.none++
+		if r.mustServe {
+			n.lostOwn++
+			n.addExample(fmt.Sprintf("cut at %d: %v", r.cut, err))
+		}
 	case resp.StatusCode != wantResp.StatusCode || !maps.EqualFunc(resp.Header, wantResp.Header, slices.Equal) || body != wantBody:
 		n.mixed++
 		n.addExample(fmt.Sprintf("cut at %d: %d %v %q", r.cut, resp.StatusCode, resp.Header, body))
@@ -265,6 +275,8 @@
 					group.SetLimit(parallel)
 					for cut := range runs {
 						runs[cut] = w.newPieceRun(cut, withoutID)
+						// The answer due begins with the only status line that comes after the request was sent.
+						runs[cut].mustServe = !withoutID && idleBytes(cut) > 0 && cut < headEnd(otherText) && strings.Count(otherText[idleBytes(cut):cut]+dueText, "HTTP/") == 1
 					}
 					for cut := range runs {
 						group.Go(func() error {
@@ -275,6 +287,7 @@
 					_ = group.Wait()
 					t.Logf("own %d, none %d, mixed %d, next lost %d, merged %d", counts.own, counts.none, counts.mixed, counts.lostNext, w.count("merged_heads"))
 					c.Check(counts.mixed, qt.Equals, 0, qt.Commentf("%q", counts.examples))
+					c.Check(counts.lostOwn, qt.Equals, 0, qt.Commentf("%q", counts.examples))
 					c.Check(counts.lostNext, qt.Equals, 0, qt.Commentf("%q", counts.examples))
 				})
 			}
@@ -283,7 +296,7 @@
 }
 
 // TestPieceOfAnotherAnswer guards against an answer with the status, a field or the body of another answer, of which a piece of any size
-// came before it on the same connection.
+// came before it on the same connection. It also guards against an answer that is lost though the piece began before its request was sent.
 func TestPieceOfAnotherAnswer(t *testing.T) {
 	testPieces(t, dueAnswers, false, func(other string) int { return len(other) + 1 })
 }
@@ -296,3 +309,33 @@
 	}
 	testPieces(t, due, true, headEnd)
 }
+
+// TestQuotedStatusLine guards against the answer of a sound endpoint that is lost because a field after its id quotes a status line.
+func TestQuotedStatusLine(t *testing.T) {
+	for _, tt := range []struct {
+		name, text string
+		served     bool
+	}{
+		{"after the id", "HTTP/1.1 502 Bad Gateway\r\nId: ID\r\nUpstream: HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nme", true},
+		{"twice after the id", "HTTP/1.1 502 Bad Gateway\r\nId: ID\r\nA: HTTP/1.1 200 OK\r\nB: HTTP/1.0 500\r\nContent-Length: 2\r\n\r\nme", true},
+		{"in the body", "HTTP/1.1 502 Bad Gateway\r\nId: ID\r\nContent-Length: 12\r\n\r\nHTTP/1.1 200", true},
+		{"before the id", "HTTP/1.1 502 Bad Gateway\r\nUpstream: HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nme", false},
+		{"between two ids", "HTTP/1.1 502 Bad Gateway\r\nId: ID\r\nUpstream: HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 2\r\n\r\nme", false},
+		{"no status", "HTTP/1.1 502 Bad Gateway\r\nVia: HTTP/1.1 proxy\r\nA: HTTP/1.1 2000\r\nId: ID\r\nContent-Length: 2\r\n\r\nme", true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c, func(conn net.Conn, req *http.Request) {
+				_, _ = io.WriteString(conn, text{bytes: tt.text}.forID(req.Header.Get(idHeader)))
+			})
+			for i := range 3 {
+				_, err := w.get(fmt.Sprint("request-", i))
+				if tt.served {
+					c.Check(err, qt.IsNil)
+				} else {
+					c.Check(err, qt.ErrorIs, pairing.ErrMergedHead)
+				}
+			}
+		})
+	}
+}
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -66,13 +66,15 @@
 	endedAt time.Time
 }
 
-// Endpoint describes the surplus answers of one endpoint within the last minute or longer.
+// Endpoint describes the surplus answers and merged heads of one endpoint within the last minute or longer.
 type Endpoint struct {
-	Name    string        `json:"name"`
-	Answers int64         `json:"answers"`
-	Bytes   int64         `json:"bytes"`
-	Ago     time.Duration `json:"ago"`
-	last    time.Time
+	Name    string `json:"name"`
+	Answers int64  `json:"answers"`
+	Bytes   int64  `json:"bytes"`
+	// MergedHeads counts the heads made of more than one answer.
+	MergedHeads int64         `json:"merged_heads,omitempty"`
+	Ago         time.Duration `json:"ago"`
+	last        time.Time
 }
 
 // New returns a Pairing.
@@ -169,7 +171,9 @@
 		}
 		all = append(all, e)
 	}
-	slices.SortFunc(all, func(a, b Endpoint) int { return cmp.Or(cmp.Compare(b.Answers, a.Answers), cmp.Compare(a.Name, b.Name)) })
+	slices.SortFunc(all, func(a, b Endpoint) int {
+		return cmp.Or(cmp.Compare(b.Answers+b.MergedHeads, a.Answers+a.MergedHeads), cmp.Compare(a.Name, b.Name))
+	})
 	return all
 }
 
@@ -192,26 +196,37 @@
 		klog.V(level).InfoS("dropped an answer that belongs to another request", "endpoint", s.endpoint, "asked_as", s.requestID, "answered_as", s.answerID, "status", s.status,
 			"bytes", s.bytes, "idle", s.isIdle)
 	}
+	p.list(s.endpoint, now, func(e *Endpoint) {
+		e.Answers++
+		e.Bytes += s.bytes
+	})
+}
+
+// list changes what the status says of an endpoint.
+func (p *Pairing) list(name string, now time.Time, change func(*Endpoint)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.endpoints) >= maxListedEndpoints {
 		clear(p.endpoints)
 	}
-	e := p.endpoints[s.endpoint]
-	p.endpoints[s.endpoint] = Endpoint{Name: s.endpoint, Answers: e.Answers + 1, Bytes: e.Bytes + s.bytes, last: now}
+	e := p.endpoints[name]
+	e.Name, e.last = name, now
+	change(&e)
+	p.endpoints[name] = e
 }
 
-// recordIfMerged counts and logs a head that holds more than one status line, for each endpoint at most once in logInterval.
-func (p *Pairing) recordIfMerged(head []byte, request exchange, isOpen bool) {
-	offset, status := statusLineAt(head, 1)
-	if offset < 0 {
-		return
+// recordMerged counts and logs a head that holds more than one status line, for each endpoint at most once in logInterval.
+func (p *Pairing) recordMerged(head answerHead, request exchange, outcome mergedOutcome) {
+	now := clock.Now()
+	p.cfg.Scope.Tagged(map[string]string{"outcome": string(outcome)}).Counter("merged_heads").Inc(1)
+	if level := logLevel(p.loggedMerged, request.endpoint, now); klog.V(level).Enabled() {
+		offset, second := statusLineAt(head.bytes, 1)
+		_, first := statusLineAt(head.bytes[:offset], 0)
+		klog.V(level).InfoS("head of an answer holds a second status line", "endpoint", request.endpoint, "request", request.id, "first", first, "second", second,
+			"offset", offset, "bytes", len(head.bytes), "received_before", max(0, request.receivedBefore-head.start), "outcome", outcome)
 	}
-	p.cfg.Scope.Counter("merged_heads").Inc(1)
-	if level := logLevel(p.loggedMerged, request.endpoint, clock.Now()); klog.V(level).Enabled() {
-		_, first := statusLineAt(head[:offset], 0)
-		klog.V(level).InfoS("head of an answer holds a second status line", "endpoint", request.endpoint, "request", request.id, "first", first, "second", status,
-			"offset", offset, "bytes", len(head), "idle", !isOpen)
+	if outcome != mergedOne {
+		p.list(request.endpoint, now, func(e *Endpoint) { e.MergedHeads++ })
 	}
 }
 
@@ -229,6 +244,8 @@
 	id       string
 	method   string
 	endpoint string
+	// receivedBefore is how many bytes had been read from the connection before the request was sent.
+	receivedBefore int64
 }
 
 // endpointKey is the key of the endpoint's name in a context.
--- a/internal/pairing/pairing_test.go
+++ b/internal/pairing/pairing_test.go
@@ -97,13 +97,15 @@
 	return string(b), err
 }
 
+// count returns the sum of the counters with the given name.
 func (w *world) count(name string) int64 {
+	n := int64(0)
 	for _, counter := range w.scope.Snapshot().Counters() {
 		if counter.Name() == name {
-			return counter.Value()
+			n += counter.Value()
 		}
 	}
-	return 0
+	return n
 }
 
 // Forms of an answer.
--- a/internal/pairing/statusline.go
+++ b/internal/pairing/statusline.go
@@ -40,6 +40,9 @@
 			return ""
 		}
 	}
+	if len(code) > statusSize && !bytes.ContainsRune([]byte(" \r\n"), rune(code[statusSize])) {
+		return ""
+	}
 	return string(code[:statusSize])
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -175,6 +175,8 @@
 		return result.New(result.EndpointNotReading, "%v", err)
 	case errors.Is(err, pairing.ErrSurplus):
 		return result.New(result.TooMuchSurplus, "%v", err)
+	case errors.Is(err, pairing.ErrMergedHead):
+		return result.New(result.AnswerLost, "%v", err)
 	case ctx.Err() != nil:
 		return result.New(result.TimedOut, "%v", context.Cause(ctx))
 	default:
