--- a/internal/box/harness_test.go
+++ b/internal/box/harness_test.go
@@ -1,6 +1,7 @@
 package box_test
 
 import (
+	"cmp"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -43,6 +44,8 @@
 	engines  []*fakeengine.Engine
 	service  *fakeservice.Service
 	boxes    []*runningBox
+	// leave, if set, is the setting timing.leave of every box that is added.
+	leave time.Duration
 	// surplus returns what engines and services write to the connection of a request before they serve it, nil for nothing.
 	surplus atomic.Pointer[func(r *http.Request) string]
 	// torn returns the first bytes of the answers of engines and services, which then close the connection. Requests for which it returns
@@ -62,10 +65,12 @@
 type fleetConfig struct {
 	boxes   int
 	engines []fakeengine.Config
+	// leave, if set, is the time of a planned stop.
+	leave time.Duration
 }
 
 func startFleet(c *qt.C, cfg fleetConfig) *fleet {
-	f := &fleet{c: c, platform: fakeplatform.New(), service: fakeservice.New("titles")}
+	f := &fleet{c: c, platform: fakeplatform.New(), service: fakeservice.New("titles"), leave: cfg.leave}
 	f.address = f.startServer(f.platform.Handler())
 	f.declare("downs", &resource.Cooperative{MaxInFlight: 1000})
 	f.declare("gate", &resource.Priority{Urgency: 50, MaxWait: resource.Duration(time.Minute)})
@@ -159,6 +164,7 @@
 	s.Listen = settings.Listen{Caller: anyPort, Peer: anyPort, Operator: anyPort}
 	s.Platform.Address = f.address
 	s.Timing.Beat, s.Timing.LeaseTTL, s.Timing.Term = 50*time.Millisecond, 500*time.Millisecond, 500*time.Millisecond
+	s.Timing.Leave = cmp.Or(f.leave, s.Timing.Leave)
 	s.Loads = settings.Loads{PerSecond: 1000, MaxConcurrent: 16}
 	s.Request.BodyBytes, s.Request.BodyTime = 64<<10, 200*time.Millisecond
 	return s
@@ -228,14 +234,31 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	r, err := doRequest(req)
 	f.c.Assert(err, qt.IsNil)
+	return r
+}
+
+// trySend sends a request whose connection may end without an answer.
+func (f *fleet) trySend(method, url string, body io.Reader) (response, error) {
+	req, err := http.NewRequest(method, url, body)
+	if err != nil {
+		return response{}, err
+	}
+	return doRequest(req)
+}
+
+func doRequest(req *http.Request) (response, error) {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return response{}, err
+	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
 	if err != nil {
 		b = append(b, []byte("\nbroken: "+err.Error())...)
 	}
-	return response{resp.StatusCode, resp.Header, string(b)}
+	return response{resp.StatusCode, resp.Header, string(b)}, nil
 }
 
 func completionBody(model string, tokens int, stream bool) string {
--- a/internal/box/leave_test.go
+++ b/internal/box/leave_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +16,7 @@
 
 	"github.com/bellgap/bellgap/internal/fakeengine"
 	"github.com/bellgap/bellgap/internal/objects"
+	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 )
 
@@ -111,3 +115,56 @@
 	c.Assert(group.Wait(), qt.IsNil)
 	c.Check(strings.HasSuffix(streamed.body, "data: [DONE]\n\n"), qt.IsTrue, qt.Commentf("%s", streamed.body))
 }
+
+// TestPlannedStopAnswersCallsThatOutlastIt guards against calls of bellgap's own interface that get no answer at all when their box ends before they do.
+func TestPlannedStopAnswersCallsThatOutlastIt(t *testing.T) {
+	c := qt.New(t)
+	engine := smallEngine()
+	engine.Step = 20 * time.Millisecond
+	f := startFleet(c, fleetConfig{boxes: 2, engines: []fakeengine.Config{engine}, leave: 2 * time.Second})
+	arrived := make(chan struct{}, 1)
+	hanging := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if b, _ := io.ReadAll(r.Body); string(b) == "probe" {
+			return
+		}
+		arrived <- struct{}{}
+		<-r.Context().Done()
+	}))
+	c.Cleanup(hanging.Close)
+	f.declare("hanging", &resource.Service{Addresses: []netip.AddrPort{netip.MustParseAddrPort(hanging.Listener.Addr().String())}, Timeout: resource.Duration(time.Minute)})
+	leaving := f.boxes[0]
+	f.waitUntil(func() bool { return f.post(leaving, "/services/hanging/x", "probe").status != http.StatusNotFound })
+	const tooManyTokens = 400
+	calls := []struct{ name, path, body string }{
+		{"completion", "/v1/completions", completionBody(modelName, tooManyTokens, false)},
+		{"stream", "/v1/completions", completionBody(modelName, tooManyTokens, true)},
+		{"service", "/services/hanging/x", "order"},
+	}
+	answers := make([]response, len(calls))
+	errs := make([]error, len(calls))
+	var group errgroup.Group
+	for i, call := range calls {
+		group.Go(func() error {
+			answers[i], errs[i] = f.trySend(http.MethodPost, "http://"+leaving.CallerAddress().String()+call.path, strings.NewReader(call.body))
+			return nil
+		})
+	}
+	f.waitUntil(func() bool { return f.engines[0].Report().Running == 2 })
+	<-arrived
+	stoppedAt := time.Now()
+	leaving.stop()
+	c.Check(leaving.group.Wait(), qt.IsNil)
+	c.Check(time.Since(stoppedAt) < 2*time.Second, qt.IsTrue)
+	c.Assert(group.Wait(), qt.IsNil)
+	for i, call := range calls {
+		a := answers[i]
+		c.Check(errs[i], qt.IsNil, qt.Commentf("%s", call.name))
+		if call.name == "stream" {
+			c.Check(strings.Contains(a.body, "[DONE]"), qt.IsFalse)
+			c.Check(a.body, qt.Contains, `"ran":"unknown"`)
+			continue
+		}
+		c.Check(a.status, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s: %s", call.name, a.body))
+		c.Check(a.header.Get(result.HeaderRan), qt.Equals, "unknown")
+	}
+}
