A leaving box takes what can end in time and answers all it took

What callers saw: in a planned stop, requests that came late in the grace were passed on and cut without an answer at its end, among them requests that may not be repeated. Cause: until when requests were taken was a constant, 1.7 s before the end of the grace, whose comment said that plain requests take at most 1.5 s. The time of a route is the operator's. What was still in flight at the end was cut. Calls of bellgap's own interface were cut at timing.leave in the same way. Change: a leaving box refuses a request, before each attempt, if its run may not end before the box ends its answers: its own deadline, or a tenth more than the longest recent run of its service and kind (50 or more in 30 to 60 s) or the oldest in flight. What waits for a body, a place or a grant is ended once its run would be too late. 0.7 s before the end of the grace all that is in flight gets a final answer: 4013 left_unfinished (504, may have run) if it was sent, 3005 if not; an answer that has begun is aborted. timing.last_stream is a further limit, and zero now means none, as its description said; before, zero refused all new streams.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -397,13 +397,16 @@
 	return err
 }
 
-// leave waits until no requests are in flight and the engines are handed over, at most for the configured leave time.
+// leave waits until no requests are in flight and the engines are handed over, at most until shortly before the end of the configured leave time.
+// Requests that are still in flight then get a final answer.
 // If the handover is not complete two terms after the last request, there is no box that can take the engines, and leave returns.
 func (b *Box) leave(ctx context.Context) {
 	timing := b.cfg.Settings.Timing
 	klog.InfoS("leaving", "box", b.cfg.Settings.Box.Name)
 	b.node.Leave()
-	limit := time.NewTimer(timing.Leave)
+	endCalls := time.NewTimer(answersEnd(timing.Leave))
+	defer endCalls.Stop()
+	limit := time.NewTimer(answersEnd(timing.Leave) + answerMargin)
 	defer limit.Stop()
 	tick := time.NewTicker(leavePollInterval)
 	defer tick.Stop()
@@ -416,8 +419,11 @@
 		}
 		select {
 		case <-tick.C:
+		case <-endCalls.C:
+			klog.InfoS("leave time expires, ending the requests in flight", "in_flight", b.InFlight())
+			b.gateway.EndCalls()
 		case <-limit.C:
-			klog.InfoS("leave time expired with requests in flight", "in_flight", b.InFlight())
+			klog.InfoS("leave time expired", "in_flight", b.InFlight(), "unfinished", b.gateway.LeftUnfinished())
 			return
 		case <-ctx.Done():
 			return
--- a/internal/box/harness_test.go
+++ b/internal/box/harness_test.go
@@ -1,8 +1,8 @@
 package box_test
 
 import (
-	"cmp"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
--- a/internal/box/leaving.go
+++ b/internal/box/leaving.go
@@ -10,15 +10,20 @@
 )
 
 const (
-	// refusalPeriod is the final part of the leave time, during which a box refuses new requests. Plain requests take at most 1.5 s.
-	refusalPeriod = 1700 * time.Millisecond
 	// leaveLogInterval is how often a leaving box logs the number of its requests in flight. If something else ends the process early, the last
 	// log line shows when that happened and how many requests were in flight.
 	leaveLogInterval = 500 * time.Millisecond
 	// killMargin is the time between the end of a leaving box and the moment at which the platform would kill it.
 	killMargin = 500 * time.Millisecond
+	// answerMargin is the time before the end of a leaving box in which the final answers of requests in flight reach their callers.
+	answerMargin = 200 * time.Millisecond
 )
 
+// answersEnd returns how long after it began to leave a box ends the requests in flight.
+func answersEnd(leave time.Duration) time.Duration {
+	return max(0, leave-killMargin-answerMargin)
+}
+
 // leavingDuration returns how long this box has been leaving, or zero if it is not leaving.
 func (b *Routed) leavingDuration() time.Duration {
 	at := b.leavingSince.Load()
@@ -40,7 +45,7 @@
 }
 
 // leave keeps serving callers that do not know yet that the box is leaving. It returns when no requests are in flight, or shortly before the end of
-// the configured leave time.
+// the configured leave time. Requests that are still in flight then have got a final answer.
 func (b *Routed) leave(ctx context.Context) {
 	timing := b.cfg.Settings.Timing
 	startedAt := clock.Now()
@@ -59,9 +64,11 @@
 		case <-logTick.C:
 			klog.InfoS("still leaving", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight(), "after", clock.Since(startedAt))
 		case <-pollTick.C:
+			b.relay.EndLate()
 		case <-ctx.Done():
 			return
 		}
 	}
-	klog.InfoS("gone", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight(), "after", clock.Since(startedAt))
+	left := b.relay.LeaveStatus()
+	klog.InfoS("gone", "box", b.cfg.Settings.Box.Name, "in_flight", b.InFlight(), "refused", left.Refused, "unfinished", left.Unfinished, "after", clock.Since(startedAt))
 }
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -377,7 +377,7 @@
 			ConfirmedAt: func() time.Time { return b.follower.ConfirmedAt(string(resource.KindRouting)) },
 			MaxForKeys:  s.Customers.RevokedWithin, MaxForUnknown: s.Customers.InForceWithin,
 		},
-		StoreAge: b.follower.StoreAge, Leaving: b.leavingDuration, Closing: b.closed.Load, LastStream: s.Timing.LastStream, LastRequest: max(0, s.Timing.Leave-refusalPeriod),
+		StoreAge: b.follower.StoreAge, Leaving: b.leavingDuration, Closing: b.closed.Load, LastStream: s.Timing.LastStream, AnswersEnd: answersEnd(s.Timing.Leave),
 	}
 	if b.engineLoads != nil {
 		cfg.Loads = b.engineLoads
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -33,10 +32,11 @@
 	}
 	defer endRequest()
 	j.suspect = newSuspect(r, j.cooperative, j.body)
-	ctx, cancel := context.WithTimeout(r.Context(), g.cfg.Limits.MaxDuration)
+	ctx, cancel := g.callContext(r.Context(), g.cfg.Limits.MaxDuration)
 	defer cancel()
 	a, rerr := g.runJob(ctx, j)
 	if rerr != nil {
+		rerr = g.endedResult(rerr)
 		g.recordEnd(j, nil, rerr, receivedAt)
 		g.refuse(w, requestID, rerr)
 		return
@@ -46,7 +46,7 @@
 	h.Set(result.HeaderBox, g.cfg.Box)
 	h.Set(result.HeaderEngine, a.engine)
 	h.Set(result.HeaderCode, strconv.Itoa(int(result.OK)))
-	rerr = copyAnswer(w, a.answer)
+	rerr = g.copyAnswer(w, a.answer)
 	a.finish(rerr)
 	g.recordEnd(j, a, rerr, receivedAt)
 	if rerr != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,8 +3,10 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -82,6 +84,11 @@
 	unresponsive *recent.Set[string]
 	retryBudget  *retryBudget
 	unanswered   *unanswered.Set
+	// ending is done when this box ends its calls in flight, since it is about to end itself. endCalls ends it.
+	ending   context.Context
+	endCalls context.CancelFunc
+	// leftUnfinished counts the calls that this has ended.
+	leftUnfinished atomic.Int64
 }
 
 // New returns a Gateway.
@@ -89,8 +96,9 @@
 	if cfg.Callers == nil {
 		cfg.Callers = slowpeer.New(slowpeer.Config{Scope: cfg.Scope})
 	}
+	ending, endCalls := context.WithCancel(context.Background())
 	return &Gateway{
-		cfg: cfg, inFlight: map[string]int{}, unresponsive: recent.New[string](unresponsivePeriod), retryBudget: newRetryBudget(),
+		cfg: cfg, ending: ending, endCalls: endCalls, inFlight: map[string]int{}, unresponsive: recent.New[string](unresponsivePeriod), retryBudget: newRetryBudget(),
 		unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 	}
 }
@@ -98,6 +106,31 @@
 // GiveUpUnanswered gives back the grants of all requests to engines that have no answer yet, while the requests go on waiting.
 func (g *Gateway) GiveUpUnanswered() { g.unanswered.GiveUpAll() }
 
+// EndCalls ends the calls in flight, each with a final answer, because this box is about to end.
+func (g *Gateway) EndCalls() { g.endCalls() }
+
+// LeftUnfinished returns the number of calls that EndCalls has ended although they may have run.
+func (g *Gateway) LeftUnfinished() int64 { return g.leftUnfinished.Load() }
+
+// callContext returns the context of a call, which ends after limit or when this box ends its calls.
+func (g *Gateway) callContext(parent context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(parent, limit)
+	stop := context.AfterFunc(g.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// endedResult returns the result of a call that ended with rerr. A call that may have run and ended because this box ends its calls is unfinished.
+func (g *Gateway) endedResult(rerr *result.Error) *result.Error {
+	if rerr == nil || g.ending.Err() == nil || rerr.Code.Info().Ran == result.RanNo || rerr.Code == result.CallerNotReading {
+		return rerr
+	}
+	g.leftUnfinished.Add(1)
+	return result.New(result.LeftUnfinished, "%s: %s", g.cfg.Box, rerr.Error())
+}
+
 // Handler returns the HTTP handler for callers.
 func (g *Gateway) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -165,7 +165,7 @@
 		rerr.Write(w, "")
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), g.cfg.Limits.MaxDuration)
+	ctx, cancel := g.callContext(r.Context(), g.cfg.Limits.MaxDuration)
 	defer cancel()
 	if rerr := g.checkPause(runner.Name()); rerr != nil {
 		rerr.Write(w, j.requestID)
@@ -184,11 +184,12 @@
 	}
 	a, rerr := g.runGranted(ctx, j, granted)
 	if rerr != nil {
+		rerr = g.endedResult(rerr)
 		rerr.Write(w, j.requestID)
 		return
 	}
 	w.Header().Set(headerStalled, a.adapterWait.String())
-	a.finish(copyAnswer(w, a.answer))
+	a.finish(g.copyAnswer(w, a.answer))
 }
 
 // readHop decodes the header of a hop and returns the job and the runner of its engine.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -68,11 +68,11 @@
 		return
 	}
 	defer endRequest()
-	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(s.Timeout))
+	ctx, cancel := g.callContext(r.Context(), time.Duration(s.Timeout))
 	defer cancel()
 	resp, endpoint, rerr := g.callService(ctx, c, s)
 	if rerr != nil {
-		g.refuse(w, requestID, rerr)
+		g.refuse(w, requestID, g.endedResult(rerr))
 		return
 	}
 	rerr = g.copyServiceAnswer(w, resp, requestID)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -13,11 +13,11 @@
 
 // copyAnswer copies a validated answer to the caller. It writes nothing before the first event of a stream or the whole answer is
 // validated. An error before that is sent as the complete answer. A later error ends the stream with an error event.
-func copyAnswer(w http.ResponseWriter, a *engine.Answer) *result.Error {
+func (g *Gateway) copyAnswer(w http.ResponseWriter, a *engine.Answer) *result.Error {
 	if !a.IsStream {
 		b, err := a.ReadAll()
 		if err != nil {
-			rerr := result.From(err, result.StreamCut)
+			rerr := g.endedResult(result.From(err, result.StreamCut))
 			rerr.Write(w, "")
 			return rerr
 		}
@@ -29,17 +29,17 @@
 	}
 	first, err := a.NextEvent()
 	if err != nil {
-		rerr := result.From(err, result.StreamCut)
+		rerr := g.endedResult(result.From(err, result.StreamCut))
 		rerr.Write(w, "")
 		return rerr
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
-	return copyEvents(w, a, first)
+	return g.copyEvents(w, a, first)
 }
 
 // copyEvents copies the events of a stream to the caller, beginning with event.
-func copyEvents(w http.ResponseWriter, a *engine.Answer, event []byte) *result.Error {
+func (g *Gateway) copyEvents(w http.ResponseWriter, a *engine.Answer, event []byte) *result.Error {
 	rc := http.NewResponseController(w)
 	for {
 		if _, err := w.Write(event); err != nil {
@@ -54,7 +54,7 @@
 			return nil
 		}
 		if err != nil {
-			rerr := cutError(w, result.From(err, result.StreamCut))
+			rerr := g.endedResult(cutError(w, result.From(err, result.StreamCut)))
 			writeErrorEvent(w, rerr)
 			return rerr
 		}
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -232,7 +232,7 @@
 	}
 	if tt.leaving {
 		began := time.Now()
-		w.relay.cfg.LastStream, w.relay.cfg.LastRequest, w.relay.cfg.Closing = time.Second, time.Minute, func() bool { return false }
+		w.relay.cfg.LastStream, w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = time.Second, time.Minute, func() bool { return false }
 		w.relay.cfg.Leaving = func() time.Duration { return time.Since(began) }
 	}
 	if tt.noBudget {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -78,6 +78,10 @@
 		q.recordTry(to.name, rerr.Code.String())
 		return nil, rerr
 	}
+	if rerr := r.refuseLateRun(q); rerr != nil {
+		q.recordTry(to.name, rerr.Code.String())
+		return nil, rerr
+	}
 	sendCtx, content, endSend := q.caller.Send(ctx, bytes.NewReader(q.body))
 	defer endSend()
 	outgoing, err := http.NewRequestWithContext(pairing.WithEndpoint(sendCtx, to.name), q.incoming.Method, "http://"+to.address.String(), nil)
@@ -100,6 +104,7 @@
 	r.cfg.Wire.WriteAttempt(outgoing.Header, a)
 	outgoing.Body, outgoing.ContentLength = singleUseBody{content}, int64(len(q.body))
 	q.arrivals++
+	q.pending.beginRun()
 	r.recordOrigin(q, to)
 	q.sentVersion = to.softwareVersion
 	q.lastEndpoint, q.untilSent = to.name, clock.Since(q.receivedAt)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -93,6 +93,7 @@
 		}
 		var rerr *result.Error
 		lastEvent, rerr = r.sendToEngine(ctx, out, q, c, avoid, Attempt{Version: next.version, LastEvent: lastEvent})
+		q.pending.endRun()
 		r.reportOutcome(ctx, q, c.destination(), rerr)
 		r.recordHolding(next.ref, c.name, rerr)
 		if rerr == nil {
@@ -114,7 +115,7 @@
 // chooseNext chooses the engine for the next try, and takes a retry from the budget if the request has arrived at an engine
 // before. lastErr is the error of the previous try, which chooseNext returns if there is no next one.
 func (r *Relay) chooseNext(ctx context.Context, q *request, avoid map[string]bool, lastErr *result.Error) (*continuation, *result.Error) {
-	if q.arrivals > 0 && !r.spendRetry(q, lastErr) {
+	if q.arrivals > 0 && (r.refuseLateRun(q) != nil || !r.spendRetry(q, lastErr)) {
 		return nil, lastErr
 	}
 	// The version is looked up for each try, because a newer one may have been published since.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -52,7 +52,7 @@
 		return false, rerr
 	}
 	defer release()
-	if q.arrivals > 0 && !r.spendRetry(q, lastErr) {
+	if q.arrivals > 0 && (r.refuseLateRun(q) != nil || !r.spendRetry(q, lastErr)) {
 		return false, lastErr
 	}
 	e, place, rerr := r.reserveEndpoint(ctx, q, tried)
@@ -77,6 +77,7 @@
 		out.hasCrashed = r.crashCheck(ctx, q, endpointDestination(e))
 		rerr = r.forwardPlain(out, resp, e, q)
 	}
+	q.pending.endRun()
 	r.reportOutcome(ctx, q, endpointDestination(e), rerr)
 	if rerr == nil || out.started {
 		return false, rerr
@@ -177,7 +178,7 @@
 
 // canTryNext reports whether another endpoint may be tried after rerr.
 func (r *Relay) canTryNext(q *request, rerr *result.Error) bool {
-	if q.timeLeft() <= 0 || rerr.Code == result.Quarantined {
+	if q.timeLeft() <= 0 || rerr.Code == result.Quarantined || rerr.Code == result.Leaving || q.pending.isEnded() {
 		return false
 	}
 	if rerr.Code.Info().Ran == result.RanNo {
@@ -276,7 +277,7 @@
 // isEndpointFault reports whether an error counts as a failure of the endpoint.
 func isEndpointFault(rerr *result.Error) bool {
 	switch rerr.Code {
-	case result.CallerGone, result.CallerNotReading, result.NotHeld, result.Quarantined, result.EndpointLeaving, result.EndpointResting, result.NoPath:
+	case result.CallerGone, result.CallerNotReading, result.NotHeld, result.Quarantined, result.EndpointLeaving, result.EndpointResting, result.NoPath, result.Leaving:
 		return false
 	default:
 		return true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,11 +68,11 @@
 	// PrefillRate is the configured number of prompt tokens that an engine processes per second.
 	PrefillRate float64
 	Scope       tally.Scope
-	// Leaving returns how long this box has been leaving, zero if it is not leaving. From LastStream on, the box accepts
-	// no new streams. From LastRequest on, it accepts no requests at all.
-	Leaving     func() time.Duration
-	LastStream  time.Duration
-	LastRequest time.Duration
+	// Leaving returns how long this box has been leaving, zero if it is not leaving. AnswersEnd is how long after it began to leave the box ends
+	// all answers: requests that may take longer are refused. From LastStream on, it accepts no new streams; zero sets no such limit.
+	Leaving    func() time.Duration
+	AnswersEnd time.Duration
+	LastStream time.Duration
 	// Closing reports whether this box is about to close its connections. It then accepts no more requests, so that none
 	// is in flight when the connections close.
 	Closing func() bool
@@ -127,6 +127,11 @@
 	unanswered      *unanswered.Set
 	// loggedUnfinished holds the endpoints with a recent log line on an unfinished answer.
 	loggedUnfinished *recent.Set[string]
+	// pending holds the requests in flight, runTimes the longest runs of recent ones. refusedLeaving and leftUnfinished count what a leaving
+	// box has refused and ended.
+	pending                        *pendingRequests
+	runTimes                       *runTimes
+	refusedLeaving, leftUnfinished atomic.Int64
 	// loggedUnproven holds the endpoints with a recent log line on an unproven rejection.
 	loggedUnproven *recent.Set[string]
 }
@@ -140,6 +145,7 @@
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
 		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
+		pending: newPendingRequests(), runTimes: newRunTimes(),
 		loggedUnfinished: recent.New[string](unfinishedLogInterval), loggedUnproven: recent.New[string](unprovenLogInterval),
 	}
 }
@@ -159,6 +165,8 @@
 	incoming *http.Request
 	body     []byte
 	caller   *slowpeer.Caller
+	// pending is what a leaving box needs to know of the request.
+	pending *pendingRequest
 	// routing is the configuration in which the route was looked up.
 	routing    confirmedRouting
 	route      *resource.Route
@@ -251,6 +259,10 @@
 	defer caller.Close()
 	w = caller
 	q, rerr := r.readRequest(caller, req)
+	defer r.pending.remove(q.pending)
+	if rerr != nil && rerr.Code == result.SlowBody && q.pending.isEnded() {
+		rerr = r.newLeavingError()
+	}
 	if r.cfg.Leaving() > 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -273,6 +285,8 @@
 	r.restrict(q)
 	ctx, cancel := context.WithTimeout(req.Context(), q.timeLeft())
 	defer cancel()
+	q.pending.admit(cancel)
+	defer r.recordRun(q)
 	defer r.refundUnits(q)
 	r.budgets.earn(q.service)
 	out := &output{w: caller, onStarted: func() { r.recordBegin(q) }}
@@ -284,27 +298,15 @@
 	r.finish(req.Context(), out, q, rerr)
 }
 
-// refuseIfLeaving refuses requests that a leaving box could not finish.
-func (r *Relay) refuseIfLeaving(q *request) *result.Error {
-	leavingFor := r.cfg.Leaving()
-	if leavingFor == 0 {
-		return nil
-	}
-	acceptFor := r.cfg.LastRequest
-	if q.route.Kind == resource.RouteStream {
-		acceptFor = r.cfg.LastStream
-	}
-	if leavingFor < acceptFor && !r.cfg.Closing() {
-		return nil
-	}
-	rerr := result.New(result.Leaving, "%s", r.cfg.Box)
-	rerr.RetryAfter = leavingRetryAfter
-	return rerr
+// endRead ends the reading of a request body.
+func endRead(w http.ResponseWriter) {
+	// If the connection does not support deadlines, the box reads until the connection closes.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
 }
 
-// readRequest reads the headers and the body of a request, and finds its route and customer.
+// readRequest reads the headers and the body of a request, and finds its route and customer. The request is one of the pending ones from then on.
 func (r *Relay) readRequest(w *slowpeer.Caller, req *http.Request) (*request, *result.Error) {
-	q := &request{incoming: req, caller: w, receivedAt: clock.Now()}
+	q := &request{incoming: req, caller: w, pending: r.pending.add(func() { endRead(w) }), receivedAt: clock.Now()}
 	current := r.currentRouting()
 	table := current.table
 	q.routing = current
@@ -326,6 +328,7 @@
 		timeout = min(timeout, head.Deadline)
 	}
 	q.deadline = q.receivedAt.Add(timeout)
+	q.pending.describe(q.runKind(), q.deadline)
 	if rerr := r.identifyCustomer(q, current); rerr != nil {
 		return q, rerr
 	}
@@ -363,6 +366,8 @@
 	switch {
 	case rerr.Code == result.CallerNotReading:
 		// The failed write has ended the caller's context as well.
+	case q.pending.isEnded():
+		rerr = r.leavingResult(q, rerr, out.started)
 	case callerCtx.Err() != nil:
 		rerr = result.New(result.CallerGone, "%s", rerr.Error())
 	case !out.started:
@@ -374,6 +379,7 @@
 	}
 	r.countUntaken(q, rerr.Code)
 	r.countResult(rerr.Code)
+	r.countLeaving(rerr.Code)
 	r.logRequest(q, rerr)
 	// Aborting the connection shows the caller that the answer is incomplete.
 	panic(http.ErrAbortHandler)
@@ -384,6 +390,7 @@
 func (r *Relay) refuse(w http.ResponseWriter, q *request, rerr *result.Error) {
 	r.countUntaken(q, rerr.Code)
 	r.countResult(rerr.Code)
+	r.countLeaving(rerr.Code)
 	r.logRequest(q, rerr)
 	info := rerr.Code.Info()
 	if wait := rerr.RetryDelay(); info.Ran == result.RanNo && wait > 0 {
--- /dev/null
+++ b/internal/relay/runtimes.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bellgap/bellgap/internal/resource"
+)
+
+const (
+	// runWindowLength is the length of one of the two windows over which the longest runs are known.
+	runWindowLength = 30 * time.Second
+	// minKnownRuns is the number of runs in both windows from which the longest of them is a bound for others.
+	minKnownRuns = 50
+	// runMarginShare is the share of the longest run by which another run may be longer.
+	runMarginShare = 0.1
+)
+
+// runKind is a kind of requests that take similar times.
+type runKind struct {
+	service string
+	route   resource.RouteKind
+}
+
+// runWindow holds the longest runs in the current and the previous window.
+type runWindow struct {
+	startedAt                   time.Time
+	current, previous           time.Duration
+	currentCount, previousCount int
+}
+
+// advance begins a new window if the current one is over.
+func (w *runWindow) advance(now time.Time) {
+	age := now.Sub(w.startedAt)
+	if age < runWindowLength {
+		return
+	}
+	w.previous, w.previousCount = w.current, w.currentCount
+	if age >= 2*runWindowLength {
+		w.previous, w.previousCount = 0, 0
+	}
+	w.startedAt, w.current, w.currentCount = now, 0, 0
+}
+
+// runTimes holds the longest times that recent requests of each kind spent at an endpoint.
+type runTimes struct {
+	mu     sync.Mutex
+	byKind map[runKind]*runWindow
+}
+
+func newRunTimes() *runTimes { return &runTimes{byKind: map[runKind]*runWindow{}} }
+
+// record adds a run that has ended.
+func (r *runTimes) record(now time.Time, kind runKind, run time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.byKind[kind]
+	if w == nil {
+		r.dropOld(now)
+		w = &runWindow{startedAt: now}
+		r.byKind[kind] = w
+	}
+	w.advance(now)
+	w.current = max(w.current, run)
+	w.currentCount++
+}
+
+// dropOld removes the kinds without recent requests, for example those of former services. The caller holds mu.
+func (r *runTimes) dropOld(now time.Time) {
+	for kind, w := range r.byKind {
+		if now.Sub(w.startedAt) >= 2*runWindowLength {
+			delete(r.byKind, kind)
+		}
+	}
+}
+
+// longest returns the longest recent run of a kind. It returns false if there were too few.
+func (r *runTimes) longest(now time.Time, kind runKind) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.byKind[kind]
+	if w == nil {
+		return 0, false
+	}
+	w.advance(now)
+	return max(w.current, w.previous), w.currentCount+w.previousCount >= minKnownRuns
+}
--- a/internal/relay/slow_test.go
+++ b/internal/relay/slow_test.go
@@ -197,7 +197,7 @@
 			endpoint := startSmall(c, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { w.serveBig(rw, tt.cutAfter) }))
 			w = startSlowPlain(c, endpoint, slowpeer.Limits{StallTimeout: tt.stall})
 			if tt.leaving {
-				w.relay.cfg.LastRequest, w.relay.cfg.Closing = time.Minute, func() bool { return false }
+				w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = 2*time.Minute, func() bool { return false }
 				w.relay.cfg.Leaving = func() time.Duration { return time.Second }
 			}
 			conn := w.open("/", nil)
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -60,6 +60,7 @@
 	EndpointNotReading Code = 4010
 	NoPath             Code = 4011
 	TooMuchSurplus     Code = 4012
+	LeftUnfinished     Code = 4013
 
 	Conflict            Code = 5001
 	InvalidResource     Code = 5002
@@ -163,6 +164,7 @@
 	{EndpointNotReading, "endpoint_not_reading", http.StatusBadGateway, RanUnknown, 0, "the back end did not read the request body in time"},
 	{NoPath, "no_path", http.StatusServiceUnavailable, RanNo, 200 * time.Millisecond, "this box reaches no endpoint, and no other box could connect it to one"},
 	{TooMuchSurplus, "too_much_surplus", http.StatusBadGateway, RanUnknown, 0, "the back end sent too many bytes that belong to no request before the answer"},
+	{LeftUnfinished, "left_unfinished", http.StatusGatewayTimeout, RanUnknown, 0, "this box had to end before the back end had answered"},
 	{NoEndpoint, "no_endpoint", http.StatusServiceUnavailable, RanNo, time.Second, "no endpoint of the service can take the request"},
 
 	{Conflict, "conflict", http.StatusConflict, RanNo, 0, "the resource has changed since it was read"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -129,7 +129,7 @@
 	// Leave is the maximum duration of a planned stop.
 	Leave time.Duration `toml:"leave"`
 	// Linger is how long a leaving box still serves callers that do not know yet that it is leaving. LastStream is how long it
-	// accepts new streams on routes.
+	// accepts new streams on routes at most; zero sets no such limit.
 	Linger     time.Duration `toml:"linger"`
 	LastStream time.Duration `toml:"last_stream"`
 	// OrderGap is the minimum time between the last order of an engine's previous owner and the first order of the next owner.
@@ -452,7 +452,7 @@
 			func(s *Settings) string { return checkRange(s.Timing.Linger, 0, s.Timing.Leave) },
 		},
 		{
-			"timing.last_stream", "Until when a leaving box takes new streams on routes; zero: until it is gone.", d.Timing.LastStream.String(),
+			"timing.last_stream", "From when on a leaving box takes no new streams on routes, even if they could end in time; zero: no such limit.", d.Timing.LastStream.String(),
 			func(s *Settings) string { return checkRange(s.Timing.LastStream, 0, s.Timing.Leave) },
 		},
 		{
