Tests: requests in flight of a leaving box by what they wait for

Each place at which a request can be when its box has to end its answers: at its endpoint, waiting for an equal request, with a body that still arrives, after a failed attempt, in the middle of its answer.

--- a/internal/relay/leaving.go
+++ b/internal/relay/leaving.go
@@ -214,10 +214,10 @@
 
 // countLeaving counts a request that ended because the box is leaving.
 func (r *Relay) countLeaving(code result.Code) {
-	switch code {
-	case result.Leaving:
+	if code == result.Leaving {
 		r.refusedLeaving.Add(1)
-	case result.LeftUnfinished:
+	}
+	if code == result.LeftUnfinished {
 		r.leftUnfinished.Add(1)
 	}
 }
--- /dev/null
+++ b/internal/relay/leaving_test.go
@@ -0,0 +1,149 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
+)
+
+// TestLeavingBoxEndsRequestsInFlight guards against requests that get no answer, an untrue one, or a further attempt when their box leaves while they
+// wait, run or are read. Their route has a timeout of a minute; the box leaves in 0.4 s.
+func TestLeavingBoxEndsRequestsInFlight(t *testing.T) {
+	const (
+		answersEnd = 400 * time.Millisecond
+		bodyLength = 4
+	)
+	for _, tt := range []struct {
+		name string
+		// bodies holds the bodies of the requests, all of which have the same length in their heads. The last one is checked.
+		bodies []string
+		// serve answers at the endpoint.
+		serve func(rw http.ResponseWriter, r *http.Request, leave func())
+		// leaves is set if the box leaves by itself after the last request was sent, before the endpoint answers.
+		leaves     bool
+		wantStatus int
+		wantCode   result.Code
+		// wantRuns is how often the endpoints get the last request, and atOnce is set if the answer must not wait for the end of answers.
+		wantRuns int64
+		atOnce   bool
+	}{
+		{"at its endpoint", []string{"aaaa"}, hang, true, http.StatusGatewayTimeout, result.LeftUnfinished, 1, false},
+		{"waiting for an equal request", []string{"aaaa", "aaaa"}, hang, true, http.StatusServiceUnavailable, result.Leaving, 1, true},
+		{"its body arrives", []string{"aa"}, hang, true, http.StatusServiceUnavailable, result.Leaving, 0, true},
+		{"failed attempt", []string{"aaaa"}, func(rw http.ResponseWriter, _ *http.Request, leave func()) {
+			leave()
+			rw.WriteHeader(http.StatusInternalServerError)
+		}, false, http.StatusBadGateway, result.AnswerLost, 1, true},
+		{"answer has begun", []string{"aaaa"}, func(rw http.ResponseWriter, r *http.Request, leave func()) {
+			_, _ = rw.Write(make([]byte, 2*answerBuffer))
+			_ = http.NewResponseController(rw).Flush()
+			hang(rw, r, leave)
+		}, true, http.StatusOK, result.LeftUnfinished, 1, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			var runs atomic.Int64
+			var leftAt atomic.Pointer[time.Time]
+			leave := func() {
+				now := time.Now()
+				leftAt.CompareAndSwap(nil, &now)
+			}
+			serve := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				runs.Add(1)
+				rw.Header().Set("Id", r.Header.Get("Id"))
+				rw.Header().Set("Signed", "yes")
+				tt.serve(rw, r, leave)
+			})
+			w := startSlowPlain(c, startSmall(c, serve), slowpeer.Limits{})
+			second := startSmall(c, serve)
+			putObject(c, w.relay.cfg.Catalog, 13, string(resource.KindEndpoint), "plain-2", &resource.Endpoint{Service: "p", Address: second, Zone: "z", Slots: 1000})
+			w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = answersEnd, func() bool { return false }
+			w.relay.cfg.Leaving = func() time.Duration {
+				if at := leftAt.Load(); at != nil {
+					return max(1, time.Since(*at))
+				}
+				return 0
+			}
+			conns := make([]net.Conn, 0, len(tt.bodies))
+			for _, b := range tt.bodies {
+				conns = append(conns, w.openWithLength("/", []byte(b), bodyLength))
+				time.Sleep(100 * time.Millisecond)
+			}
+			if tt.leaves {
+				leave()
+			}
+			var group errgroup.Group
+			group.Go(func() error {
+				for w.relay.InFlight() > 0 {
+					w.relay.EndLate()
+					time.Sleep(10 * time.Millisecond)
+				}
+				return nil
+			})
+			resp, _, err := read(conns[len(conns)-1])
+			took := time.Since(*leftAt.Load())
+			c.Assert(resp, qt.IsNotNil, qt.Commentf("%v", err))
+			c.Check(resp.StatusCode, qt.Equals, tt.wantStatus)
+			if tt.wantStatus == http.StatusOK {
+				c.Check(err, qt.IsNotNil)
+			} else {
+				c.Check(err, qt.IsNil)
+				c.Check(resp.Header.Get(result.HeaderCode), qt.Equals, fmt.Sprint(int(tt.wantCode)))
+				c.Check(resp.Header.Get(result.HeaderRan), qt.Equals, tt.wantCode.Info().Ran.String())
+			}
+			c.Check(took < answersEnd-100*time.Millisecond, qt.Equals, tt.atOnce, qt.Commentf("%s", took))
+			c.Check(group.Wait(), qt.IsNil)
+			c.Check(w.count(tt.wantCode.String()) >= 1, qt.IsTrue)
+			c.Check(runs.Load(), qt.Equals, tt.wantRuns)
+		})
+	}
+}
+
+// hang keeps a request until its box gives it up.
+func hang(_ http.ResponseWriter, r *http.Request, _ func()) { <-r.Context().Done() }
+
+// TestLongestRun checks how long a run may take by the runs of the last minute and the oldest one in flight.
+func TestLongestRun(t *testing.T) {
+	c := qt.New(t)
+	kind := runKind{service: "s", route: resource.RouteRepeatable}
+	start := time.Now()
+	for _, tt := range []struct {
+		name string
+		runs int
+		// age is the time from the last run to the question.
+		age  time.Duration
+		want time.Duration
+		ok   bool
+	}{
+		{"none", 0, 0, 0, false},
+		{"too few", minKnownRuns - 1, 0, time.Second, false},
+		{"enough", minKnownRuns, 0, time.Second, true},
+		{"in the previous window", minKnownRuns, runWindowLength + time.Second, time.Second, true},
+		{"too old", minKnownRuns, 2*runWindowLength + time.Second, 0, false},
+	} {
+		c.Run(tt.name, func(c *qt.C) {
+			times := newRunTimes()
+			for range tt.runs {
+				times.record(start, kind, time.Second)
+			}
+			got, ok := times.longest(start.Add(tt.age), kind)
+			c.Check(ok, qt.Equals, tt.ok)
+			c.Check(got, qt.Equals, tt.want)
+			_, ok = times.longest(start, runKind{service: "other"})
+			c.Check(ok, qt.IsFalse)
+		})
+	}
+}
--- a/internal/relay/slow_test.go
+++ b/internal/relay/slow_test.go
@@ -120,10 +120,15 @@
 
 // open sends a request and returns the connection, of which nothing has been read.
 func (w *slowWorld) open(path string, body []byte) net.Conn {
+	return w.openWithLength(path, body, len(body))
+}
+
+// openWithLength does the same with a body of which only the first bytes are sent.
+func (w *slowWorld) openWithLength(path string, body []byte, length int) net.Conn {
 	conn, err := dialSmall(w.c.Context(), w.c, w.address.String())
 	w.c.Assert(err, qt.IsNil)
 	w.c.Cleanup(func() { _ = conn.Close() })
-	_, err = conn.Write(fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: h\r\nId: id\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body))
+	_, err = conn.Write(fmt.Appendf(nil, "POST %s HTTP/1.1\r\nHost: h\r\nId: id\r\nContent-Length: %d\r\n\r\n%s", path, length, body))
 	w.c.Assert(err, qt.IsNil)
 	return conn
 }
