Streams do not go on at another service when their route has moved

What callers saw: after the loss of all boxes a stream of which nothing was known went on at the service to which its route had moved meanwhile, with events of two software versions.

Cause: the history in the cell map listed versions by service; it did not know that the route had led elsewhere.

The box that gets the resumption refuses it unless the present service is the only one listed. A stream begins at a service that is new to its path only when the map lists the pair; it waits for up to 1 s, as the coordinator writes the map at once when such a configuration arrives. Services of moved routes are archived. `routes_complete` is apart from `complete`, as maps of older builds are complete and list no routes.

--- a/internal/box/origins.go
+++ b/internal/box/origins.go
@@ -63,20 +63,21 @@
 	return all[:min(n, len(all))]
 }
 
-// IsArchived implements origin.Fleet. Records are archived while more than one software version has served lately, while versions may be
-// missing in the list, and if a stream may be resumed at another service of its route.
+// IsArchived implements origin.Fleet. Records are archived while more than one software version has served lately, while versions or routes
+// may be missing in the list, and if a stream may be resumed at another service of its route.
 func (f *originFleet) IsArchived(service string) (archived bool, era int64) {
 	t, _, _ := f.current()
 	for _, h := range t.SoftwareVersions {
 		if h == nil {
 			continue
 		}
-		if !h.Complete {
-			archived = true
-		}
+		archived = archived || !h.Complete || !h.RoutesComplete
 		for _, s := range h.Services {
 			archived = archived || (service == "" || s.Service == service) && len(s.Versions) > 1
 		}
+		for _, r := range h.Moved() {
+			archived = archived || service == "" || slices.Contains(r.Services, service)
+		}
 	}
 	archived = archived || len(t.SoftwareVersions) > 0 && t.Routes != nil && t.Routes.IsSplit(service)
 	return archived, t.MapEra
--- a/internal/box/version_history.go
+++ b/internal/box/version_history.go
@@ -30,13 +30,13 @@
 	API     objects.API
 }
 
-// versionHistory provides the software versions that the cell maps list.
+// versionHistory provides the software versions and routes that the cell maps list.
 type versionHistory struct {
 	cfg versionHistoryConfig
 
 	mu sync.Mutex
 	// last and lastErr are the result of the last read, which began at lastBegun.
-	last      []*softwareversion.History
+	last      softwareversion.Histories
 	lastErr   error
 	lastBegun time.Time
 }
@@ -44,28 +44,24 @@
 func newVersionHistory(cfg versionHistoryConfig) *versionHistory { return &versionHistory{cfg: cfg} }
 
 // Known implements relay.VersionHistory.
-func (h *versionHistory) Known(service string) (versions []string, isComplete bool) {
-	return h.cfg.Catalog.Topology().ListedVersions(service)
+func (h *versionHistory) Known() softwareversion.Histories {
+	return h.cfg.Catalog.Topology().SoftwareVersions
 }
 
 // Read implements relay.VersionHistory. It waits for a read that began after the call; callers that wait share one. The rate of reads is
 // limited over all boxes.
-func (h *versionHistory) Read(ctx context.Context, service string) (versions []string, isComplete bool, err error) {
+func (h *versionHistory) Read(ctx context.Context) (softwareversion.Histories, error) {
 	calledAt := clock.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.lastBegun.After(calledAt) {
 		if !part.Sleep(ctx, h.readInterval()-clock.Since(h.lastBegun)) {
-			return nil, false, eris.Wrap(ctx.Err(), "box: read the cell maps")
+			return nil, eris.Wrap(ctx.Err(), "box: read the cell maps")
 		}
 		h.lastBegun = clock.Now()
 		h.last, h.lastErr = h.readMaps(context.WithoutCancel(ctx))
 	}
-	if h.lastErr != nil {
-		return nil, false, h.lastErr
-	}
-	versions, isComplete = softwareversion.Merge(h.last, service)
-	return versions, isComplete, nil
+	return h.last, h.lastErr
 }
 
 // readInterval returns the shortest time between two reads of this box.
@@ -75,10 +71,10 @@
 
 // readMaps returns the histories in the stored maps of all cells. A history is nil if the map is of an earlier build, or was restored from an
 // older copy of the store and not written since.
-func (h *versionHistory) readMaps(ctx context.Context) ([]*softwareversion.History, error) {
+func (h *versionHistory) readMaps(ctx context.Context) (softwareversion.Histories, error) {
 	ctx, cancel := context.WithTimeout(ctx, historyReadTimeout)
 	defer cancel()
-	var all []*softwareversion.History
+	var all softwareversion.Histories
 	for after, isFirst := "", true; isFirst || after != ""; isFirst = false {
 		page, err := h.cfg.API.List(ctx, []string{coordinator.MapKind}, after)
 		if err != nil {
--- a/internal/box/version_history_test.go
+++ b/internal/box/version_history_test.go
@@ -20,7 +20,7 @@
 )
 
 func listing(isComplete bool, versions ...string) *softwareversion.History {
-	return &softwareversion.History{Complete: isComplete, Services: []softwareversion.Service{{Service: "s", Versions: versions}}}
+	return &softwareversion.History{Complete: isComplete, RoutesComplete: isComplete, Services: []softwareversion.Service{{Service: "s", Versions: versions}}}
 }
 
 // TestHistoryOfSeveralCells guards against a stream that begins at a software version which a box of another cell does not find in the
@@ -50,9 +50,10 @@
 			all.Apply(store.Snapshot())
 			for _, cell := range []string{"a", "b"} {
 				h := newVersionHistory(versionHistoryConfig{Catalog: all, API: store})
-				known, isKnownComplete := h.Known("s")
-				read, isReadComplete, err := h.Read(ctx, "s")
+				stored, err := h.Read(ctx)
 				c.Assert(err, qt.IsNil)
+				known, isKnownComplete := h.Known().Versions("s")
+				read, isReadComplete := stored.Versions("s")
 				for _, version := range []string{"v1", "v2"} {
 					mayBegin := !isKnownComplete || slices.Contains(known, version)
 					isFound := !isReadComplete || slices.Contains(read, version)
@@ -101,7 +102,7 @@
 	var callers errgroup.Group
 	for range int(period.Seconds() * perS) {
 		callers.Go(func() error {
-			_, _, err := h.Read(context.Background(), "s")
+			_, err := h.Read(context.Background())
 			return err
 		})
 		time.Sleep(period / perS)
--- a/internal/catalog/topology.go
+++ b/internal/catalog/topology.go
@@ -56,7 +56,7 @@
 	// Quarantined lists the requests that, according to the cell maps, must not reach any endpoint.
 	Quarantined []quarantine.Held
 	// SoftwareVersions holds, for each cell map, the software versions that have served lately. It is nil for a map of an earlier build.
-	SoftwareVersions []*softwareversion.History
+	SoftwareVersions softwareversion.Histories
 	// MapEra is the latest era of the store in which a cell map was written.
 	MapEra       int64
 	leavingBoxes map[string]bool
@@ -213,7 +213,7 @@
 	versions := m.SoftwareVersions
 	if versions != nil && e.fromRestore {
 		// A later map, which is lost, may have listed more.
-		versions = &softwareversion.History{Services: versions.Services}
+		versions = &softwareversion.History{Services: versions.Services, Routes: versions.Routes}
 	}
 	t.SoftwareVersions = append(t.SoftwareVersions, versions)
 }
@@ -231,9 +231,12 @@
 	return all
 }
 
-// ListedVersions returns the software versions of a service that the cell maps list, and whether no version is missing.
-func (t *Topology) ListedVersions(service string) (versions []string, isComplete bool) {
-	return softwareversion.Merge(t.SoftwareVersions, service)
+// ResumableRoutes returns the routes whose streams may be resumed.
+func (t *Topology) ResumableRoutes() []softwareversion.Route {
+	if t.Routes == nil {
+		return nil
+	}
+	return t.Routes.Resumable()
 }
 
 // addEndpoint adds an endpoint. It also adds an endpoint as an engine if its service runs models.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -213,7 +213,8 @@
 	}
 }
 
-// printSoftwareVersions prints the services of which several software versions have served lately, and whether versions may be missing.
+// printSoftwareVersions prints the services of which several software versions have served lately, the routes that have led to several
+// services, and whether some may be missing.
 func printSoftwareVersions(w io.Writer, st operator.Status) {
 	for _, h := range st.SoftwareVersions {
 		if h == nil {
@@ -228,6 +229,12 @@
 				_, _ = fmt.Fprintf(w, "software versions of %s: %q\n", s.Service, s.Versions)
 			}
 		}
+		if !h.RoutesComplete {
+			_, _ = fmt.Fprintln(w, "routes: services to which some have led lately may be missing")
+		}
+		for _, r := range h.Moved() {
+			_, _ = fmt.Fprintf(w, "services of route %s%s: %q\n", r.Host, r.Prefix, r.Services)
+		}
 	}
 	if st.WaitingOrigins > 0 {
 		_, _ = fmt.Fprintf(w, "records of streams that wait for the archive: %d\n", st.WaitingOrigins)
--- a/internal/member/coordinate.go
+++ b/internal/member/coordinate.go
@@ -202,24 +202,37 @@
 	return n.cfg.Quarantine.ToPublish()
 }
 
-// inheritedVersions returns the software versions in the last map. Before the first map of a cell none has served.
+// inheritedVersions returns the history in the last map. Before the first map of a cell no version has served and no route has led anywhere.
 func inheritedVersions(lastMap coordinator.Map, version objects.Position) *softwareversion.History {
 	if !version.HasRevision() {
-		return &softwareversion.History{Complete: true}
+		return &softwareversion.History{Complete: true, RoutesComplete: true}
 	}
 	return lastMap.SoftwareVersions
 }
 
-// softwareVersions returns the history of software versions to list in the cell map, with those of all present endpoints.
+// softwareVersions returns the history to list in the cell map, with the versions of all present endpoints and the present routes.
 func (n *Node) softwareVersions() *softwareversion.History {
 	if n.cfg.SoftwareVersions == nil {
 		return nil
 	}
 	now := clock.Now()
-	n.cfg.SoftwareVersions.Observe(now, n.cfg.Catalog.Topology().EndpointVersions())
+	t := n.cfg.Catalog.Topology()
+	n.cfg.SoftwareVersions.Observe(now, t.EndpointVersions())
+	n.cfg.SoftwareVersions.ObserveRoutes(now, t.ResumableRoutes())
 	return n.cfg.SoftwareVersions.History(now)
 }
 
+// hasNewRoute reports, once for each configuration, whether this box coordinates and the configuration leads a route to a service that the
+// map does not list yet. Streams wait until it does.
+func (n *Node) hasNewRoute() bool {
+	t := n.cfg.Catalog.Topology()
+	if n.cfg.SoftwareVersions == nil || t.Routes == nil || t.Routes.Version() == n.checkedRouting || n.coordinatorState() == nil {
+		return false
+	}
+	n.checkedRouting = t.Routes.Version()
+	return n.cfg.SoftwareVersions.IsNewRoute(t.ResumableRoutes())
+}
+
 // nextMap advances the coordinator's state to the present time and returns the resulting map.
 func (n *Node) nextMap(state *coordinator.State) coordinator.Map {
 	engines := n.cellEngines()
@@ -282,7 +295,8 @@
 		n.takeoverGraceEnd = clock.Now().Add(takeoverGraceBeats*n.cfg.Timing.Beat + time.Millisecond)
 	}
 	if !before.SoftwareVersions.Equal(m.SoftwareVersions) && m.SoftwareVersions != nil {
-		klog.InfoS("software versions listed", "cell", n.cfg.Cell, "complete", m.SoftwareVersions.Complete, "services", m.SoftwareVersions.Services)
+		klog.InfoS("software versions listed", "cell", n.cfg.Cell, "complete", m.SoftwareVersions.Complete, "services", m.SoftwareVersions.Services,
+			"routes_complete", m.SoftwareVersions.RoutesComplete, "moved", m.SoftwareVersions.Moved())
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -148,6 +148,8 @@
 	skippedUntil map[string]time.Time
 	// isFinalBeat is set before the last heartbeat, which cannot wait to be forwarded in a batch.
 	isFinalBeat bool
+	// checkedRouting is the last version of the configuration whose routes were checked for new services.
+	checkedRouting int64
 	// takeoverGraceEnd is when, after a takeover, boxes that have sent no heartbeat are to be shown as silent.
 	takeoverGraceEnd time.Time
 
--- a/internal/member/round.go
+++ b/internal/member/round.go
@@ -14,7 +14,7 @@
 )
 
 // waitForNextRound waits until the next round is due. It returns early when a new map assigns an engine to this box for which it has
-// no grant. It returns at once when there is a coordinator to which this box has not sent a heartbeat yet.
+// no grant. It returns at once when there is a coordinator to which this box has not sent a heartbeat yet, or a route to list.
 func (n *Node) waitForNextRound(ctx context.Context) {
 	delay := n.nextRoundDelay()
 	due := clock.Now().Add(delay)
@@ -23,7 +23,7 @@
 	defer func() { n.recordSuspension(due) }()
 	for {
 		changed := n.cfg.Catalog.NextChange()
-		if n.hasNewerCoordinator() || n.hasNewLease() {
+		if n.hasNewerCoordinator() || n.hasNewLease() || n.hasNewRoute() {
 			return
 		}
 		if n.lacksGrant() {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -261,7 +261,7 @@
 		rerr = r.checkQuarantine(q)
 	}
 	if rerr == nil {
-		rerr = r.bindResumed(req.Context(), q)
+		rerr = r.bindVersion(req.Context(), q)
 	}
 	if rerr == nil {
 		rerr = r.chargeUnits(q)
--- a/internal/relay/softwareversion.go
+++ b/internal/relay/softwareversion.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/bellgap/bellgap/internal/origin"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 // Origins records and finds the software versions at which resumable streams began. It is an interface because its calls cross the
@@ -28,12 +30,14 @@
 	Find(ctx context.Context, attempt string) (origin.Record, bool)
 }
 
-// VersionHistory tells which software versions have served a service lately. It is an interface because Read crosses the network.
+// VersionHistory tells which software versions have served a service lately, and to which services routes have led. It is an interface
+// because Read crosses the network.
 type VersionHistory interface {
-	// Known returns the versions of a service that this box knows of, and whether none is missing.
-	Known(service string) (versions []string, isComplete bool)
-	// Read returns the versions as they are stored now. A resumable stream begins only at a version that has been stored.
-	Read(ctx context.Context, service string) (versions []string, isComplete bool, err error)
+	// Known returns the histories that this box knows of.
+	Known() softwareversion.Histories
+	// Read returns the histories as they are stored now. A resumable stream begins only at a version and at a service of its route that have
+	// been stored.
+	Read(ctx context.Context) (softwareversion.Histories, error)
 }
 
 // versionBinding restricts a request to endpoints of one software version. The zero value allows all.
@@ -119,12 +123,15 @@
 	return q.route.Kind == resource.RouteStream && q.route.Idempotent()
 }
 
-// bindResumed binds a request that resumes a stream to the software version at which the stream began. It refuses the request if that
-// version is unknown, while several are in service, or has no endpoint.
-func (r *Relay) bindResumed(ctx context.Context, q *request) *result.Error {
-	if q.head.LastEvent == "" || !q.isResumable() {
+// bindVersion binds a request that resumes a stream to the software version at which the stream began. It refuses the request if that
+// version is unknown, while several are in service, or has no endpoint. A request that begins a stream waits until it may.
+func (r *Relay) bindVersion(ctx context.Context, q *request) *result.Error {
+	if !q.isResumable() {
 		return nil
 	}
+	if q.head.LastEvent == "" {
+		return r.waitUntilRouteListed(ctx, q)
+	}
 	if r.cfg.Origins != nil {
 		if found, ok := r.cfg.Origins.Find(ctx, q.head.Resumes); ok {
 			if !q.moveTo(found.Service) {
@@ -137,25 +144,28 @@
 			return r.refuseIfVersionGone(q)
 		}
 	}
-	if len(q.route.Targets) > 1 {
-		r.recordResumption(q, "unknown")
-		return result.New(result.StreamVersionUnknown, "attempt %q; the route leads to several services", q.head.Resumes)
-	}
-	versions, isComplete, err := r.versionsInService(ctx, q.service)
+	return r.bindUnrecorded(ctx, q)
+}
+
+// bindUnrecorded binds a request that resumes a stream of which nothing is known to the only software version at which the stream can have
+// begun.
+func (r *Relay) bindUnrecorded(ctx context.Context, q *request) *result.Error {
+	s, err := r.servedLately(ctx, q)
 	if err != nil {
 		r.recordResumption(q, "unknown")
 		rerr := result.New(result.StreamVersionUnknown, "attempt %q; the software versions of %s could not be read: %v", q.head.Resumes, q.service, err)
 		rerr.RetryAfter = versionReadRetryDelay
 		return rerr
 	}
-	if len(versions) > 1 || !isComplete {
+	if len(s.services) != 1 || len(s.versions) > 1 || !s.isComplete {
 		r.recordResumption(q, "unknown")
-		return result.New(result.StreamVersionUnknown, "attempt %q; %s has versions %q, complete=%t", q.head.Resumes, q.service, versions, isComplete)
+		return result.New(result.StreamVersionUnknown, "attempt %q; the route leads or has led to services %q, %s has versions %q, complete=%t",
+			q.head.Resumes, s.services, q.service, s.versions, s.isComplete)
 	}
 	r.recordResumption(q, "only_version")
-	if len(versions) == 1 {
-		q.bindTo(versions[0])
-		q.origin = origin.Record{Attempt: q.head.Resumes, Service: q.service, Version: versions[0]}
+	if len(s.versions) == 1 {
+		q.bindTo(s.versions[0])
+		q.origin = origin.Record{Attempt: q.head.Resumes, Service: q.service, Version: s.versions[0]}
 	}
 	return nil
 }
@@ -163,25 +173,93 @@
 // versionReadRetryDelay is when a caller should resume its stream again if the store could not be read.
 const versionReadRetryDelay = 500 * time.Millisecond
 
-// versionsInService returns the software versions that have served a service lately, and whether none is missing. A box that has just
+// served tells where the streams of a route can have begun.
+type served struct {
+	// services lists those to which the route leads or has led lately. It is empty if the stored history does not list the route.
+	services []string
+	// versions lists those of the request's service.
+	versions   []string
+	isComplete bool
+}
+
+// servedLately returns the services of a request's route and the software versions that have served its service lately. A box that has just
 // started, or was cut off from the others, does not know all of them. If it knows of one only, it reads the history from the store.
-func (r *Relay) versionsInService(ctx context.Context, service string) (versions []string, isComplete bool, err error) {
-	present := r.endpointVersions(service)
+func (r *Relay) servedLately(ctx context.Context, q *request) (served, error) {
+	s := served{versions: r.endpointVersions(q.service), isComplete: true}
+	for _, t := range q.route.Targets {
+		s.services = union(s.services, []string{t.Service})
+	}
 	if r.cfg.VersionHistory == nil {
-		return r.serviceVersions.inService(clock.Now(), service, present), true, nil
+		s.versions = r.serviceVersions.inService(clock.Now(), q.service, s.versions)
+		return s, nil
 	}
-	listed, _ := r.cfg.VersionHistory.Known(service)
-	versions = r.serviceVersions.inService(clock.Now(), service, union(present, listed))
-	if len(versions) > 1 {
-		return versions, true, nil
+	known := s.with(r.cfg.VersionHistory.Known(), q)
+	known.versions = r.serviceVersions.inService(clock.Now(), q.service, known.versions)
+	if len(known.services) > 1 || len(known.versions) > 1 {
+		return known, nil
 	}
-	listed, isComplete, err = r.cfg.VersionHistory.Read(ctx, service)
+	stored, err := r.cfg.VersionHistory.Read(ctx)
 	if err != nil {
 		r.cfg.Scope.Counter("stream_version_history_reads_failed").Inc(1)
-		klog.V(1).InfoS("history of software versions not read", "service", service, "err", err)
-		return versions, false, err
+		klog.V(1).InfoS("history of software versions not read", "service", q.service, "err", err)
+		return known, err
+	}
+	if services, _ := stored.RouteServices(q.path()); len(services) == 0 {
+		// The coordinator does not know the route yet, nor where its requests went before.
+		known.services = nil
+	}
+	return known.with(stored, q), nil
+}
+
+// with returns s and what a history lists.
+func (s served) with(all softwareversion.Histories, q *request) served {
+	services, areServicesComplete := all.RouteServices(q.path())
+	versions, areVersionsComplete := all.Versions(q.service)
+	return served{
+		services: union(s.services, services), versions: union(s.versions, versions), isComplete: areServicesComplete && areVersionsComplete,
 	}
-	return union(versions, listed), isComplete, nil
+}
+
+// path returns the host of the request's route, in lower case, and the path of the request.
+func (q *request) path() (host, path string) {
+	return strings.ToLower(q.route.Host), q.incoming.URL.Path
+}
+
+// maxRouteWait is how long a request that begins a stream waits for the cell map to list the service of its route. The coordinator lists it
+// at once, and the map reaches all boxes within a heartbeat.
+const maxRouteWait = time.Second
+
+// waitUntilRouteListed waits until a stream may begin at the service of its route. If the route has led elsewhere, the stored history must
+// list the service: after the loss of all boxes the history tells where the streams can have begun.
+func (r *Relay) waitUntilRouteListed(ctx context.Context, q *request) *result.Error {
+	if r.cfg.VersionHistory == nil || r.isRouteListed(q) {
+		return nil
+	}
+	r.cfg.Scope.Counter("stream_route_waits").Inc(1)
+	wait := time.NewTimer(min(maxRouteWait, q.timeLeft()))
+	defer wait.Stop()
+	for {
+		changed := r.cfg.Catalog.NextChange()
+		if r.isRouteListed(q) {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return result.New(result.CallerGone, "%v", ctx.Err())
+		case <-wait.C:
+			r.cfg.Scope.Counter("stream_route_waits_failed").Inc(1)
+			rerr := result.New(result.NoEndpoint, "the cell map does not yet list service %q for the route", q.service)
+			rerr.RetryAfter = maxRouteWait
+			return rerr
+		}
+	}
+}
+
+// isRouteListed reports whether a stream may begin at the service of its route.
+func (r *Relay) isRouteListed(q *request) bool {
+	services, isComplete := r.cfg.VersionHistory.Known().RouteServices(q.path())
+	return !isComplete || len(services) == 0 || slices.Contains(services, q.service)
 }
 
 // union returns the texts that are in a or b.
@@ -201,7 +279,7 @@
 	if q.binding.bound || !q.isResumable() || r.cfg.VersionHistory == nil {
 		return q.binding.allows(version)
 	}
-	listed, isComplete := r.cfg.VersionHistory.Known(q.service)
+	listed, isComplete := r.cfg.VersionHistory.Known().Versions(q.service)
 	return !isComplete || slices.Contains(listed, version)
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -10,12 +10,15 @@
 
 	"github.com/bellgap/bellgap/internal/customer"
 	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 // Table is an immutable index of one version of the routing configuration.
 type Table struct {
 	// split holds the services of resumable routes that lead to several services.
-	split        map[string]bool
+	split map[string]bool
+	// resumable lists the routes whose streams may be resumed.
+	resumable    []softwareversion.Route
 	version      int64
 	routesByHost map[string][]*resource.Route
 	services     map[string]*resource.RouteService
@@ -33,7 +36,7 @@
 	}
 	for i := range r.Routes {
 		rt := &r.Routes[i]
-		t.addSplit(rt)
+		t.addResumable(rt)
 		host := strings.ToLower(rt.Host)
 		t.routesByHost[host] = append(t.routesByHost[host], rt)
 	}
@@ -48,14 +51,19 @@
 	return t
 }
 
-// addSplit adds the services of a route to which streams may move when they are resumed.
-func (t *Table) addSplit(r *resource.Route) {
-	if len(r.Targets) < 2 || r.Kind != resource.RouteStream || !r.Idempotent() {
+// addResumable adds a route if its streams may be resumed, and its services if streams may move to another one of them then.
+func (t *Table) addResumable(r *resource.Route) {
+	if r.Kind != resource.RouteStream || !r.Idempotent() {
 		return
 	}
+	var services []string
 	for _, target := range r.Targets {
-		t.split[target.Service] = true
+		services = append(services, target.Service)
+		if len(r.Targets) > 1 {
+			t.split[target.Service] = true
+		}
 	}
+	t.resumable = append(t.resumable, softwareversion.Route{Host: strings.ToLower(r.Host), Prefix: r.Prefix, Services: services})
 }
 
 // IsSplit reports whether a service is one of several to which a resumable route leads. With an empty name it reports whether any is.
@@ -63,6 +71,9 @@
 	return t.split[service] || service == "" && len(t.split) > 0
 }
 
+// Resumable returns the routes whose streams may be resumed.
+func (t *Table) Resumable() []softwareversion.Route { return t.resumable }
+
 // Version returns the version number that the operator gave the configuration.
 func (t *Table) Version() int64 { return t.version }
 
--- a/internal/softwareversion/history.go
+++ b/internal/softwareversion/history.go
@@ -23,6 +23,10 @@
 	Complete bool `json:"complete,omitempty"`
 	// Services lists the services that have endpoints or had some lately, sorted by name.
 	Services []Service `json:"services,omitempty"`
+	// RoutesComplete means that no service is missing to which a route has led within the retention time. Earlier builds list no routes.
+	RoutesComplete bool `json:"routes_complete,omitempty"`
+	// Routes lists the routes whose streams may be resumed, sorted by host and prefix.
+	Routes []Route `json:"routes,omitempty"`
 }
 
 // Service lists the versions of one service, sorted.
@@ -40,23 +44,37 @@
 	return h.Services[i].Versions
 }
 
-// Merge returns the versions of a service in the histories of all cells, and whether none is missing. A history is nil if its map does not
-// list versions.
-func Merge(all []*History, service string) (versions []string, isComplete bool) {
+// Histories are the histories in the maps of all cells. A history is nil if its map lists none.
+type Histories []*History
+
+// Versions returns the versions of a service, and whether none is missing.
+func (all Histories) Versions(service string) (versions []string, isComplete bool) {
+	return all.merge(func(h *History) ([]string, bool) { return h.Versions(service), h.Complete })
+}
+
+// RouteServices returns the services that requests for a path have been sent to lately, and whether none is missing. The host is in lower
+// case.
+func (all Histories) RouteServices(host, path string) (services []string, isComplete bool) {
+	return all.merge(func(h *History) ([]string, bool) { return h.RouteServices(host, path), h.RoutesComplete })
+}
+
+// merge returns what any of the histories lists, and whether all are complete.
+func (all Histories) merge(list func(h *History) (names []string, isComplete bool)) (merged []string, isComplete bool) {
 	isComplete = len(all) > 0
 	for _, h := range all {
 		if h == nil {
 			isComplete = false
 			continue
 		}
-		isComplete = isComplete && h.Complete
-		for _, v := range h.Versions(service) {
-			if !slices.Contains(versions, v) {
-				versions = append(versions, v)
+		names, isWhole := list(h)
+		isComplete = isComplete && isWhole
+		for _, name := range names {
+			if !slices.Contains(merged, name) {
+				merged = append(merged, name)
 			}
 		}
 	}
-	return versions, isComplete
+	return merged, isComplete
 }
 
 // Equal reports whether two histories, which may be nil, list the same.
@@ -64,9 +82,18 @@
 	if h == nil || other == nil {
 		return h == other
 	}
-	return h.Complete == other.Complete && slices.EqualFunc(h.Services, other.Services, func(a, b Service) bool {
-		return a.Service == b.Service && slices.Equal(a.Versions, b.Versions)
-	})
+	return h.Complete == other.Complete && h.RoutesComplete == other.RoutesComplete &&
+		slices.EqualFunc(h.Services, other.Services, func(a, b Service) bool {
+			return a.Service == b.Service && slices.Equal(a.Versions, b.Versions)
+		}) &&
+		slices.EqualFunc(h.Routes, other.Routes, func(a, b Route) bool {
+			return a.Host == b.Host && a.Prefix == b.Prefix && slices.Equal(a.Services, b.Services)
+		})
+}
+
+// Moved returns the routes that have led to several services lately.
+func (h *History) Moved() []Route {
+	return slices.DeleteFunc(slices.Clone(h.Routes), func(r Route) bool { return len(r.Services) < 2 })
 }
 
 // Size returns the approximate size of the encoded history in bytes.
@@ -82,6 +109,12 @@
 			size += len(v) + len(`"",`)
 		}
 	}
+	for _, r := range h.Routes {
+		size += overhead + len(r.Host) + len(r.Prefix)
+		for _, service := range r.Services {
+			size += len(service) + len(`"",`)
+		}
+	}
 	return size
 }
 
@@ -90,11 +123,12 @@
 
 // TrackerConfig configures a Tracker.
 type TrackerConfig struct {
-	// Retention is how long a version is listed after its last endpoint is gone.
+	// Retention is how long a version is listed after its last endpoint is gone, and a service of a route after the last configuration
+	// that named it.
 	Retention time.Duration
 }
 
-// Tracker follows the versions of all services and returns their history. It is safe for concurrent use.
+// Tracker follows the versions of all services and the services of routes, and returns their history. It is safe for concurrent use.
 type Tracker struct {
 	cfg TrackerConfig
 
@@ -102,11 +136,12 @@
 	seenAt map[key]time.Time
 	// completeAt is when the history is complete, zero if none was inherited.
 	completeAt time.Time
+	routes     *routeTracker
 }
 
-// NewTracker returns a Tracker that knows no version.
+// NewTracker returns a Tracker that knows no version and no route.
 func NewTracker(cfg TrackerConfig) *Tracker {
-	return &Tracker{cfg: cfg, seenAt: map[key]time.Time{}}
+	return &Tracker{cfg: cfg, seenAt: map[key]time.Time{}, routes: newRouteTracker(cfg.Retention)}
 }
 
 // Inherit continues from the history in the last cell map, nil if the map has none. isTrusted is set if no map was written after it. If
@@ -125,6 +160,10 @@
 	if !isTrusted || h == nil || !h.Complete {
 		t.completeAt = now.Add(t.cfg.Retention)
 	}
+	if h == nil {
+		h = &History{}
+	}
+	t.routes.inherit(now, h.Routes, isTrusted && h.RoutesComplete)
 }
 
 // Observe adds the versions of the present endpoints by service.
@@ -138,6 +177,20 @@
 	}
 }
 
+// ObserveRoutes adds the services of the present routes.
+func (t *Tracker) ObserveRoutes(now time.Time, present []Route) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.routes.observe(now, present)
+}
+
+// IsNewRoute reports whether a service of the present routes has not been observed.
+func (t *Tracker) IsNewRoute(present []Route) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.routes.isNew(present)
+}
+
 // History returns the present history.
 func (t *Tracker) History(now time.Time) *History {
 	t.mu.Lock()
@@ -160,6 +213,7 @@
 		last := &h.Services[len(h.Services)-1]
 		last.Versions = append(last.Versions, k.version)
 	}
+	h.Routes, h.RoutesComplete = t.routes.history(now)
 	return h
 }
 
--- a/internal/softwareversion/history_test.go
+++ b/internal/softwareversion/history_test.go
@@ -70,6 +70,8 @@
 				tracker.Observe(start.Add(o.at), map[string][]string{"s": o.versions})
 			}
 			got := tracker.History(start.Add(tt.after))
+			// TestHistoryOfRoutes checks the routes.
+			got.RoutesComplete = false
 			c.Check(got.Equal(tt.want), qt.IsTrue, qt.Commentf("%+v", got))
 		})
 	}
