Test: a moved route is listed without waiting for a heartbeat

Streams on a moved route wait until the map lists its new service, so the coordinator writes the map when it gets the configuration.

--- a/internal/member/cluster_test.go
+++ b/internal/member/cluster_test.go
@@ -24,6 +24,7 @@
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/objects"
 	"github.com/bellgap/bellgap/internal/resource"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 const (
@@ -57,6 +58,8 @@
 	countLoads func(from, to *node, loads []engineload.Sent, inBatch bool)
 	// zones are the availability zones over which the boxes are distributed. If empty, all boxes are in the constant zone.
 	zones []string
+	// versionRetention is how long coordinators list the services of routes; zero lists none.
+	versionRetention time.Duration
 }
 
 func (cl *cluster) zoneOf(port int) string {
@@ -155,6 +158,9 @@
 	if cl.newFigures != nil {
 		cfg.Figures = cl.newFigures(name)
 	}
+	if cl.versionRetention > 0 {
+		cfg.SoftwareVersions = softwareversion.NewTracker(softwareversion.TrackerConfig{Retention: cl.versionRetention})
+	}
 	n.Node = member.New(cfg)
 	n.feed = feed.New(feed.Config{Catalog: n.catalog, Scope: tally.NoopScope, PickSource: n.pickSource})
 	ctx, cancel := context.WithCancel(cl.c.Context())
