--- a/internal/box/surplus_test.go
+++ b/internal/box/surplus_test.go
@@ -67,3 +67,31 @@
 		c.Check(a.body, qt.Contains, `"service":"titles"`)
 	}
 }
+
+// TestPieceOfAnotherCallIsNoProof guards against a call on bellgap's own interface that gets the status of another one, runs twice or is
+// refused though it runs, because a piece of another answer came before its own.
+func TestPieceOfAnotherCallIsNoProof(t *testing.T) {
+	for _, piece := range []string{"HTTP/1.1 409 ", "HTTP/1.1 200 OK\r\nDate: ", "HTTP/1.1 503 Service Unavailable\r\nBellgap-Call-Id: ", "HTTP/1.1 409 Conflict\r\nBellgap-Call-Id: another\r\nDate: "} {
+		t.Run(piece, func(t *testing.T) {
+			c := qt.New(t)
+			f := startFleet(c, fleetConfig{boxes: 1, engines: []fakeengine.Config{smallEngine()}})
+			c.Assert(f.post(f.boxes[0], "/v1/completions", completionBody(modelName, 1, false)).status, qt.Equals, http.StatusOK)
+			before := f.countRuns()
+			surplus := func(r *http.Request) string {
+				if !strings.HasPrefix(r.URL.Path, "/v1/") && !strings.HasPrefix(r.URL.Path, "/lots") {
+					return ""
+				}
+				return piece
+			}
+			f.surplus.Store(&surplus)
+			const requests = 6
+			for i := range requests {
+				a := f.post(f.boxes[0], "/v1/completions", completionBody(modelName, 4, i%2 == 0))
+				c.Check(a.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s", a.body))
+				a = f.post(f.boxes[0], "/services/titles/lots", "call", "Bellgap-Repeatable", "yes")
+				c.Check(a.status, qt.Equals, http.StatusBadGateway, qt.Commentf("%s", a.body))
+			}
+			c.Check(f.countRuns()-before, qt.Equals, requests)
+		})
+	}
+}
