Test of bytes on idle connections waits until the connection has ended

TestBytesOnIdleConnection failed once under -race at a load of 40: the next request was sent on the connection that was being closed. The test went on once the closing was counted; the transport hands the connection out until it has closed it. It waits for the end of the connection now, and checks that none ended where all bytes can be dropped, so it is stricter than before.

--- a/internal/pairing/pairing_test.go
+++ b/internal/pairing/pairing_test.go
@@ -11,6 +11,7 @@
 	"net/http/httputil"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,10 +40,13 @@
 	address string
 	// dials counts the connections.
 	dials int
+	// ended counts the connections that have ended.
+	ended atomic.Int64
 }
 
 // newWorld starts an endpoint that calls answer with each request and its connection.
 func newWorld(c *qt.C, answer func(conn net.Conn, req *http.Request)) *world {
+	w := &world{c: c, scope: tally.NewTestScope("", nil)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
@@ -52,10 +56,13 @@
 			if err != nil {
 				return
 			}
-			go serve(conn, answer)
+			go func() {
+				serve(conn, answer)
+				w.ended.Add(1)
+			}()
 		}
 	}()
-	w := &world{c: c, scope: tally.NewTestScope("", nil), address: l.Addr().String()}
+	w.address = l.Addr().String()
 	w.pairing = pairing.New(pairing.Config{ID: func(h http.Header) string { return h.Get(idHeader) }, MaxSurplusBytes: maxSurplus, Scope: w.scope})
 	base := &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: 32 << 10, DisableCompression: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		w.dials++
@@ -315,6 +322,11 @@
 				for deadline := time.Now().Add(waitTime); w.count("surplus_answers")+w.count("surplus_connections_closed") == 0 && time.Now().Before(deadline); {
 					runtime.Gosched()
 				}
+				// The transport uses the connection until it has closed it, which is after it is counted.
+				for deadline := time.Now().Add(waitTime); w.ended.Load() < int64(tt.dials-1) && time.Now().Before(deadline); {
+					runtime.Gosched()
+				}
+				c.Check(w.ended.Load(), qt.Equals, int64(tt.dials-1))
 			}
 			c.Check(w.dials, qt.Equals, tt.dials)
 		})
