--- a/internal/box/leaving.go
+++ b/internal/box/leaving.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/operator"
 )
 
 const (
@@ -33,6 +34,16 @@
 	return max(1, clock.Since(*at))
 }
 
+// leaveStatus describes this box for operators while it is leaving. It returns nil if it is not.
+func (b *Routed) leaveStatus() *operator.Leave {
+	leavingFor := b.leavingDuration()
+	if leavingFor == 0 {
+		return nil
+	}
+	left := b.relay.LeaveStatus()
+	return &operator.Leave{AnswersEndIn: max(0, answersEnd(b.cfg.Settings.Timing.Leave)-leavingFor), Refused: left.Refused, Unfinished: left.Unfinished}
+}
+
 // closeIfIdle closes the box to new requests if none are in flight, and reports whether the box may stop. It checks for requests in flight again
 // after closing, since a request that arrived between the first check and the end of the process would be forwarded but get no response.
 // Once closed, the box stays closed. If a request arrived just before, a later call of closeIfIdle reports when this request has ended.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -92,6 +92,9 @@
 	_, _ = fmt.Fprintf(w, "box %s ready=%t revision=%s in_flight=%d cell=%s coordinator=%s frozen=%t heard=%s ago aggregator=%s passes_on=%d\n",
 		st.Box, st.Ready, st.Revision, st.InFlight, st.Member.Cell, st.Member.Coordinator, st.Member.Frozen,
 		st.Member.SinceReply.Round(time.Millisecond), cmp.Or(st.Member.Aggregator, "none"), st.Member.ForwardedBeats)
+	if l := st.Leaving; l != nil {
+		_, _ = fmt.Fprintf(w, "leaving, requests in flight are ended in %s; refused %d, ended unfinished %d\n", l.AnswersEndIn.Round(time.Millisecond), l.Refused, l.Unfinished)
+	}
 	if r := st.LastRestore; r != nil {
 		_, _ = fmt.Fprintf(w, "store restored from an older copy: era %d, %s ago; kept %d objects that it lacks, withheld %d that it has again\n",
 			r.Era, r.Ago.Round(time.Second), r.Kept, r.Withheld)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -42,6 +42,8 @@
 	Membership func() member.Status
 	Engines    func() []owner.Status
 	InFlight   func() int
+	// Leaving describes a box that is leaving, nil if it is not. If Leaving is nil, nothing is known.
+	Leaving func() *Leave
 	// RecentRequests holds the recent requests, which GET /explain returns.
 	RecentRequests *record.Log
 	// Quarantine holds the requests that have crashed endpoints.
@@ -96,6 +98,8 @@
 	Ready    bool             `json:"ready"`
 	Revision objects.Position `json:"revision"`
 	InFlight int              `json:"in_flight"`
+	// Leaving is set while the box is leaving.
+	Leaving *Leave `json:"leaving,omitempty"`
 	Member   member.Status    `json:"member"`
 	Engines  []owner.Status   `json:"engines"`
 	// SkippedObjects is the number of stored objects that this box could not decode.
@@ -166,9 +170,26 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// Leave describes a box that is leaving.
+type Leave struct {
+	// AnswersEndIn is the time until the box ends the requests that are still in flight.
+	AnswersEndIn time.Duration `json:"answers_end_in"`
+	// Refused is the number of requests that were refused since they could not end in time, Unfinished the number of those that may have run and were
+	// ended without the answer of their endpoint.
+	Refused    int64 `json:"refused"`
+	Unfinished int64 `json:"unfinished"`
+}
+
+func (o *Operator) leaving() *Leave {
+	if o.cfg.Leaving == nil {
+		return nil
+	}
+	return o.cfg.Leaving()
+}
+
 func (o *Operator) handleStatus(w http.ResponseWriter, _ *http.Request) {
 	httpx.WriteJSON(w, http.StatusOK, Status{
-		Box: o.cfg.Box, Ready: o.cfg.IsReady(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(),
+		Box: o.cfg.Box, Ready: o.cfg.IsReady(), Revision: o.cfg.Catalog.Revision(), InFlight: o.cfg.InFlight(), Leaving: o.leaving(),
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), BrittleEndpoints: o.cfg.BrittleEndpoints(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
 		EngineLoads: o.engineLoads(), Shortages: o.shortages(),
