A leaving box goes by ten known runs, with a margin by their number

Ten runs are enough now; the margin is a tenth of the longest run, and 5 / runs of it where that is more, so that it stays about as unlikely that a run is longer.

--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -99,9 +99,9 @@
 	Revision objects.Position `json:"revision"`
 	InFlight int              `json:"in_flight"`
 	// Leaving is set while the box is leaving.
-	Leaving *Leave `json:"leaving,omitempty"`
-	Member   member.Status    `json:"member"`
-	Engines  []owner.Status   `json:"engines"`
+	Leaving *Leave         `json:"leaving,omitempty"`
+	Member  member.Status  `json:"member"`
+	Engines []owner.Status `json:"engines"`
 	// SkippedObjects is the number of stored objects that this box could not decode.
 	SkippedObjects int `json:"skipped"`
 	// RateLimits lists the endpoints that report a rate limit, as far as this box has received the reports.
--- a/internal/relay/leaving.go
+++ b/internal/relay/leaving.go
@@ -154,12 +154,12 @@
 
 // longestRun returns how long a run of a kind may take, with a margin. Without enough recent runs it returns limit.
 func (r *Relay) longestRun(kind runKind, limit time.Duration) time.Duration {
-	longest, ok := r.runTimes.longest(clock.Now(), kind)
+	longest, margin, ok := r.runTimes.longest(clock.Now(), kind)
 	if !ok {
 		return limit
 	}
 	longest = max(longest, r.pending.oldestOf(kind))
-	return min(limit, longest+time.Duration(runMarginShare*float64(longest)))
+	return min(limit, longest+time.Duration(margin*float64(longest)))
 }
 
 // refuseIfLeaving refuses new requests that may not end before a leaving box ends all answers. The time for which a request waits for a place does
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -115,7 +115,7 @@
 // hang keeps a request until its box gives it up.
 func hang(_ http.ResponseWriter, r *http.Request, _ func()) { <-r.Context().Done() }
 
-// TestLongestRun checks how long a run may take by the runs of the last minute and the oldest one in flight.
+// TestLongestRun checks how long a run may take by the runs of the last minute.
 func TestLongestRun(t *testing.T) {
 	c := qt.New(t)
 	kind := runKind{service: "s", route: resource.RouteRepeatable}
@@ -124,25 +124,29 @@
 		name string
 		runs int
 		// age is the time from the last run to the question.
-		age  time.Duration
-		want time.Duration
-		ok   bool
+		age        time.Duration
+		want       time.Duration
+		wantMargin float64
+		ok         bool
 	}{
-		{"none", 0, 0, 0, false},
-		{"too few", minKnownRuns - 1, 0, time.Second, false},
-		{"enough", minKnownRuns, 0, time.Second, true},
-		{"in the previous window", minKnownRuns, runWindowLength + time.Second, time.Second, true},
-		{"too old", minKnownRuns, 2*runWindowLength + time.Second, 0, false},
+		{"none", 0, 0, 0, 0, false},
+		{"too few", minKnownRuns - 1, 0, 0, 0, false},
+		{"few", minKnownRuns, 0, time.Second, 0.5, true},
+		{"some", 25, 0, time.Second, 0.2, true},
+		{"many", 1000, 0, time.Second, 0.1, true},
+		{"in the previous window", 50, runWindowLength + time.Second, time.Second, 0.1, true},
+		{"too old", 1000, 2*runWindowLength + time.Second, 0, 0, false},
 	} {
 		c.Run(tt.name, func(c *qt.C) {
 			times := newRunTimes()
 			for range tt.runs {
 				times.record(start, kind, time.Second)
 			}
-			got, ok := times.longest(start.Add(tt.age), kind)
+			got, margin, ok := times.longest(start.Add(tt.age), kind)
 			c.Check(ok, qt.Equals, tt.ok)
 			c.Check(got, qt.Equals, tt.want)
-			_, ok = times.longest(start, runKind{service: "other"})
+			c.Check(margin, qt.Equals, tt.wantMargin)
+			_, _, ok = times.longest(start, runKind{service: "other"})
 			c.Check(ok, qt.IsFalse)
 		})
 	}
--- a/internal/relay/runtimes.go
+++ b/internal/relay/runtimes.go
@@ -11,9 +11,11 @@
 	// runWindowLength is the length of one of the two windows over which the longest runs are known.
 	runWindowLength = 30 * time.Second
 	// minKnownRuns is the number of runs in both windows from which the longest of them is a bound for others.
-	minKnownRuns = 50
-	// runMarginShare is the share of the longest run by which another run may be longer.
-	runMarginShare = 0.1
+	minKnownRuns = 10
+	// minRunMargin is the smallest share of the longest known run by which another one may be longer. With fewer runs known than
+	// runMarginRuns / minRunMargin the share is runMarginRuns through their number, so that it is about as unlikely that one is longer.
+	minRunMargin  = 0.1
+	runMarginRuns = 5.0
 )
 
 // runKind is a kind of requests that take similar times.
@@ -74,14 +76,18 @@
 	}
 }
 
-// longest returns the longest recent run of a kind. It returns false if there were too few.
-func (r *runTimes) longest(now time.Time, kind runKind) (time.Duration, bool) {
+// longest returns the longest recent run of a kind and the share of it by which another may be longer. It returns false if there were too few runs.
+func (r *runTimes) longest(now time.Time, kind runKind) (run time.Duration, margin float64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w := r.byKind[kind]
 	if w == nil {
-		return 0, false
+		return 0, 0, false
 	}
 	w.advance(now)
-	return max(w.current, w.previous), w.currentCount+w.previousCount >= minKnownRuns
+	count := w.currentCount + w.previousCount
+	if count < minKnownRuns {
+		return 0, 0, false
+	}
+	return max(w.current, w.previous), max(minRunMargin, runMarginRuns/float64(count)), true
 }
