Tests: ends of waiting requests and of connections with surplus bytes

A leaving box may set a read deadline on the connection of a request that has been answered. An endpoint counts as restarted after this side closed a connection on which bytes came that belong to no request (3 of 3 cases).

--- a/internal/pairing/merged_test.go
+++ b/internal/pairing/merged_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -339,3 +340,34 @@
 		})
 	}
 }
+
+// TestUnsolicitedBytesAreNoEnd guards against an endpoint that counts as restarted, so that streams are not resumed there, because this side closed a
+// connection on which bytes came that belong to no request.
+func TestUnsolicitedBytesAreNoEnd(t *testing.T) {
+	for _, tt := range []struct{ name, surplus string }{
+		{"merged head", "HTTP/1.1 200 OK\r\nSeal: HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"},
+		{"without an id", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
+		{"too many bytes", strings.Repeat("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1024\r\n\r\n"+strings.Repeat("x", 1024), 2*maxSurplus/1024)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(c, func(conn net.Conn, req *http.Request) {
+				text, _ := answerText(req.Header.Get(idHeader), sized)
+				_, _ = io.WriteString(conn, text+tt.surplus)
+			})
+			_, err := w.get("first")
+			c.Assert(err, qt.IsNil)
+			for deadline := time.Now().Add(waitTime); w.count("surplus_connections_closed") == 0 && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond)
+			}
+			address := netip.MustParseAddrPort(w.address)
+			for deadline := time.Now().Add(waitTime); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+				if since, _ := w.pairing.Contact(address); since.IsZero() {
+					break
+				}
+			}
+			_, endedAt := w.pairing.Contact(address)
+			c.Check(endedAt, qt.Equals, time.Time{})
+		})
+	}
+}
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -12,9 +12,11 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bellgap/bellgap/internal/catalog"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/slowpeer"
+	"github.com/bellgap/bellgap/internal/softwareversion"
 )
 
 // TestLeavingBoxEndsRequestsInFlight guards against requests that get no answer, an untrue one, or a further attempt when their box leaves while they
@@ -147,3 +149,51 @@
 		})
 	}
 }
+
+// TestLeavingBoxEndsRequestsBeforeAdmission guards against the answer for a caller that is gone, which does not say that the request did not run, to a
+// request that waits for its route to be listed when its box leaves.
+func TestLeavingBoxEndsRequestsBeforeAdmission(t *testing.T) {
+	c := qt.New(t)
+	w := startSlowPlain(c, startSmall(c, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { c.Error("the request was sent") })), slowpeer.Limits{})
+	putObject(c, w.relay.cfg.Catalog, 13, string(resource.KindRouting), catalog.RoutingName, &resource.Routing{
+		Version: 3, Services: []resource.RouteService{{Name: "p"}},
+		Routes: []resource.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: resource.RouteStream, Resumable: true, Attempts: 3, Timeout: resource.Duration(time.Minute),
+			Objective: resource.Duration(30 * time.Second), Targets: []resource.Target{{Service: "p", Weight: 1}},
+		}},
+	})
+	w.relay.cfg.VersionHistory = storedHistory{known: func() softwareversion.Histories { return softwareversion.Histories{routesHistory("A")} }}
+	var leaves atomic.Bool
+	w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = time.Second, func() bool { return false }
+	w.relay.cfg.Leaving = func() time.Duration {
+		if leaves.Load() {
+			return 1
+		}
+		return 0
+	}
+	conn := w.open("/", []byte("aaaa"))
+	for w.count("stream_route_waits") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	leaves.Store(true)
+	w.relay.EndLate()
+	resp, _, err := read(conn)
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(resp.Header.Get(result.HeaderCode), qt.Equals, fmt.Sprint(int(result.Leaving)))
+	c.Check(resp.Header.Get(result.HeaderRan), qt.Equals, "no")
+}
+
+// TestEndedRequestIsNotEndedAgain guards against a leaving box that ends the reading of a connection whose request has been answered.
+func TestEndedRequestIsNotEndedAgain(t *testing.T) {
+	c := qt.New(t)
+	all := newPendingRequests()
+	isRemoved := false
+	p := all.add(func() { c.Check(isRemoved, qt.IsFalse) })
+	found := all.look(time.Now())
+	c.Assert(found, qt.HasLen, 1)
+	found[0].endNow()
+	all.remove(p)
+	isRemoved = true
+	found[0].endNow()
+}
