Leaving: requests that wait before they are admitted are refused as not run

While a request waits for its route to be listed, for the version at which its stream began or for its customer's quota, a leaving box ends it through the read deadline of its connection.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -260,9 +260,6 @@
 	w = caller
 	q, rerr := r.readRequest(caller, req)
 	defer r.pending.remove(q.pending)
-	if rerr != nil && rerr.Code == result.SlowBody && q.pending.isEnded() {
-		rerr = r.newLeavingError()
-	}
 	if r.cfg.Leaving() > 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -278,6 +275,10 @@
 	if rerr == nil {
 		rerr = r.chargeUnits(q)
 	}
+	// To end the reading of a body that has been read ends the context. No endpoint has the request yet.
+	if rerr != nil && q.pending.isEnded() && (rerr.Code == result.SlowBody || req.Context().Err() != nil) {
+		rerr = r.newLeavingError()
+	}
 	if rerr != nil {
 		r.refuse(w, q, rerr)
 		return
