Leaving: a request that has been answered is not ended

A leaving box lists its requests in flight and then ends those that cannot end in time. A handler may return in between; the read deadline of its connection was then set to the past, which can end the next request on it. Ending a request that has been removed now does nothing, and removing one waits for a call that is ending it.

--- a/internal/relay/leaving.go
+++ b/internal/relay/leaving.go
@@ -21,6 +21,8 @@
 	// end ends what the request waits for. ended is set once it was called.
 	end   func()
 	ended bool
+	// removed is set once the request has been answered.
+	removed bool
 }
 
 // describe sets the kind and the deadline.
@@ -64,10 +66,20 @@
 func (p *pendingRequest) endNow() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.removed {
+		return
+	}
 	p.ended = true
 	p.end()
 }
 
+// remove records that the request has been answered. After it returns, nothing ends the request any more.
+func (p *pendingRequest) remove() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.removed = true
+}
+
 // run returns the kind of the request and how long its current or last endpoint has had it.
 func (p *pendingRequest) run(now time.Time) (runKind, time.Duration) {
 	p.mu.Lock()
@@ -107,6 +119,7 @@
 }
 
 func (s *pendingRequests) remove(p *pendingRequest) {
+	p.remove()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.all, p)
