Pairing: a connection that this side closes is no sign of a restart

A connection was counted as ended by its endpoint also where this side closed it: because bytes came while no request was in flight, or too many of other answers. With no older connection to it the endpoint then counts for 2 s as one that may have restarted with another software version, and no stream is resumed there. Only merged heads in flight were left out. TestUnsolicitedBytesAreNoEnd fails without the change in its three cases.

--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -85,10 +85,12 @@
 	return c.Conn.Close()
 }
 
-// recordIfEnded records that the endpoint's side ended the connection. The end of an answer that ends with its connection does not count.
+// recordIfEnded records that the endpoint's side ended the connection. The end of an answer that ends with its connection does not count, nor
+// does a connection that this side is about to close because of what the endpoint sent.
 func (c *conn) recordIfEnded(err error) {
 	c.mu.Lock()
-	isEnded := !c.isClosed && !errors.Is(err, ErrMergedHead) && (!c.isRaw || !errors.Is(err, io.EOF))
+	isOwnEnd := c.isClosed || errors.Is(err, ErrMergedHead) || errors.Is(err, errUnsolicited) || errors.Is(err, ErrSurplus)
+	isEnded := !isOwnEnd && (!c.isRaw || !errors.Is(err, io.EOF))
 	c.mu.Unlock()
 	if isEnded {
 		c.pairing.recordEnd(c.address)
