Limit what is kept of events and answers without end in sum

What others saw: 500 streams with one event without end, or 500 engine calls on bellgap's own interface with one answer, held 560 to 593 MB of a box (the limits, 1 MiB and 16 MiB, are for each).

Cause: nothing limited the sum. Now what is kept of an event or an answer beyond 4 KiB counts as held, and beyond 32 KiB it may grow only within the limit on held bytes (process.hold_mb). The buffer of a long event is freed after it.

The red runs had lines of 5 to 8 bytes; the lines of data and comments now have 1,000, as the race detector needs some 20 s for the short ones.

An event above the limits names its endpoint (events_too_long and a log line, each endpoint every 10 s); "one event" was counted nowhere: a line above 1 MiB ended with another error than several lines.

A sound event above 32 KiB is cut too if others hold all bytes of the limit.

--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -11,6 +11,7 @@
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
+	"github.com/bellgap/bellgap/internal/slowpeer"
 )
 
 // Limits on an answer and markers in its event stream.
@@ -25,6 +26,8 @@
 type Answer struct {
 	// IsStream is set if the answer is a stream of server-sent events.
 	IsStream bool
+	// Held counts the bytes that are kept of the answer. Nil does not limit them in sum.
+	Held     *slowpeer.Buffer
 	resp     *http.Response
 	reader   *bufio.Reader
 	model    string
@@ -46,8 +49,24 @@
 	}
 }
 
-// Close releases the connection. Closing before the end of the answer cancels the run at the engine.
+// heldBody counts what is read from a body as held.
+type heldBody struct {
+	io.Reader
+	held *slowpeer.Buffer
+}
+
+// Read implements io.Reader.
+func (b heldBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if holdErr := b.held.Grow(n); holdErr != nil {
+		return n, holdErr
+	}
+	return n, err
+}
+
+// Close releases the connection and the bytes that are held. Closing before the end of the answer cancels the run at the engine.
 func (a *Answer) Close() {
+	a.Held.Release()
 	if a.complete {
 		// Reading the rest of the body lets the transport reuse the connection.
 		httpx.Drain(a.resp.Body)
@@ -59,7 +78,7 @@
 
 // ReadAll reads and returns the complete answer. It must not be used for a stream.
 func (a *Answer) ReadAll() ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(a.resp.Body, maxAnswerBytes+1))
+	b, err := io.ReadAll(io.LimitReader(heldBody{a.resp.Body, a.Held}, maxAnswerBytes+1))
 	if err != nil {
 		return nil, result.NewConnError(result.StreamCut, err)
 	}
@@ -76,6 +95,8 @@
 	if a.complete {
 		return nil, io.EOF
 	}
+	// The last event has been written.
+	a.Held.Release()
 	var event []byte
 	for {
 		line, err := a.reader.ReadSlice('\n')
@@ -85,6 +106,9 @@
 		if len(event)+len(line) > maxEventBytes {
 			return nil, result.New(result.StreamCut, "event larger than %d bytes", maxEventBytes)
 		}
+		if err := a.Held.Grow(len(line)); err != nil {
+			return nil, result.New(result.StreamCut, "%v", err)
+		}
 		event = append(event, line...)
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			break
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 
@@ -28,9 +29,9 @@
 		maxGrowth = 16<<20 + calls*64<<10
 	)
 	for _, tt := range []struct{ name, contentType, text string }{
-		{"answer", "application/json", "bytes"},
-		{"event of data lines", "text/event-stream", "data: x\n"},
-		{"event of comments", "text/event-stream", ": x\n"},
+		{"answer", "application/json", strings.Repeat("bytes", 1000)},
+		{"event of data lines", "text/event-stream", "data: " + strings.Repeat("x", 1000) + "\n"},
+		{"event of comments", "text/event-stream", ": " + strings.Repeat("x", 1000) + "\n"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/gateway/hop.go
+++ b/internal/gateway/hop.go
@@ -188,6 +188,7 @@
 		return
 	}
 	w.Header().Set(headerStalled, a.adapterWait.String())
+	a.answer.Held = g.cfg.Callers.NewBuffer()
 	a.finish(copyAnswer(w, a.answer))
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -14,6 +14,10 @@
 // copyAnswer copies a validated answer to the caller. It writes nothing before the first event of a stream or the whole answer is
 // validated. An error before that is sent as the complete answer. A later error ends the stream with an error event.
 func copyAnswer(w http.ResponseWriter, a *engine.Answer) *result.Error {
+	if caller, ok := w.(*slowpeer.Caller); ok {
+		a.Held = caller.NewBuffer()
+	}
+	defer func() { a.Held.Release() }()
 	if !a.IsStream {
 		b, err := a.ReadAll()
 		if err != nil {
--- a/internal/heapmeter/heapmeter.go
+++ b/internal/heapmeter/heapmeter.go
@@ -18,8 +18,12 @@
 	allocatedMetric = "/gc/heap/allocs:bytes"
 )
 
-// collectInterval is the time between two collections. Without a pause they take so much processor time that the tests' deadlines pass.
-const collectInterval = 5 * time.Millisecond
+// Collections pause for minPause, and for pauseFactor times as long as the last one took: without a pause they take so much processor time
+// of a busy machine that the deadlines of tests pass.
+const (
+	minPause    = 5 * time.Millisecond
+	pauseFactor = 3
+)
 
 // settleCollections is how many collections follow the first one before a measurement.
 const settleCollections = 2
@@ -29,7 +33,7 @@
 const maxGarbage = 4 << 20
 
 // Start starts to measure the heap. The returned function ends that and returns the largest growth of the live heap in bytes. Until then
-// collections are forced, collectInterval apart: what is held for two of them is measured, and garbage that a busy machine has not
+// collections are forced, with pauses: what is held for two of them is measured, and garbage that a busy machine has not
 // collected yet is not.
 // The collector is also kept from letting the heap grow by as much as other tests hold. Measurements must not overlap.
 func Start() (stop func() int64) {
@@ -44,12 +48,11 @@
 	done := make(chan struct{})
 	var group errgroup.Group
 	group.Go(func() error {
-		ticker := time.NewTicker(collectInterval)
-		defer ticker.Stop()
 		for {
+			startedAt := time.Now()
 			largest = max(largest, m.collect()-before)
 			select {
-			case <-ticker.C:
+			case <-time.After(max(minPause, pauseFactor*time.Since(startedAt))):
 			case <-done:
 				return nil
 			}
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -30,9 +30,9 @@
 		maxGrowth = 16<<20 + streams*64<<10
 	)
 	for _, tt := range []struct{ name, text string }{
-		{"one line", "bytes"},
-		{"data lines", "data: x\n"},
-		{"comments", ": x\n"},
+		{"one line", strings.Repeat("bytes", 1000)},
+		{"data lines", "data: " + strings.Repeat("x", 1000) + "\n"},
+		{"comments", ": " + strings.Repeat("x", 1000) + "\n"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -206,6 +206,7 @@
 	}
 	rerr = watch.stallError(rerr)
 	r.recordUnfinished(q, c.destination(), rerr)
+	r.recordLongEvent(q, c.destination(), out)
 	cut := rerr != nil && rerr.Code == result.StreamCut && !out.isExcused(rerr)
 	if cut {
 		watch.stream.RecordCut(clock.Now())
--- a/internal/relay/parts_test.go
+++ b/internal/relay/parts_test.go
@@ -143,7 +143,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			c := qt.New(t)
-			r := newEventReader(tt.body)
+			r := newEventReader(tt.body, nil)
 			var got []string
 			for {
 				event, err := r.next()
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -295,6 +295,7 @@
 		rerr = out.copyAnswer(resp)
 	}
 	r.recordUnfinished(q, endpointDestination(e), rerr)
+	r.recordLongEvent(q, endpointDestination(e), out)
 	r.health.end(e.Name, clock.Now(), failed || (rerr != nil && rerr.Code == result.StreamCut))
 	return rerr
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -127,6 +127,8 @@
 	unanswered      *unanswered.Set
 	// loggedUnfinished holds the endpoints with a recent log line on an unfinished answer.
 	loggedUnfinished *recent.Set[string]
+	// loggedLongEvents holds the endpoints with a recent log line on an event above the limits.
+	loggedLongEvents *recent.Set[string]
 	// loggedUnproven holds the endpoints with a recent log line on an unproven rejection.
 	loggedUnproven *recent.Set[string]
 }
@@ -140,7 +142,7 @@
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
 		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
-		loggedUnfinished: recent.New[string](unfinishedLogInterval), loggedUnproven: recent.New[string](unprovenLogInterval),
+		loggedUnfinished: recent.New[string](unfinishedLogInterval), loggedLongEvents: recent.New[string](unfinishedLogInterval), loggedUnproven: recent.New[string](unprovenLogInterval),
 	}
 }
 
@@ -410,4 +412,6 @@
 	hasCrashed func() bool
 	// unreadCut is the error of the last stream that its endpoint broke off after a pause of the caller, nil if there was none.
 	unreadCut *result.Error
+	// isEventTooLong is set if the last stream was cut because an event exceeded the limits.
+	isEventTooLong bool
 }
--- a/internal/relay/unfinished.go
+++ b/internal/relay/unfinished.go
@@ -10,7 +10,7 @@
 	"github.com/bellgap/bellgap/internal/result"
 )
 
-// unfinishedLogInterval is the time between two log lines on the unfinished answers of one endpoint.
+// unfinishedLogInterval is the time between two log lines on the unfinished answers, and on the long events, of one endpoint.
 const unfinishedLogInterval = 10 * time.Second
 
 // countedBody counts the bytes that are read from the body of an answer.
@@ -40,3 +40,18 @@
 	r.loggedUnfinished.Add(to.name, now)
 	klog.InfoS("answer had not ended when the time of its request was over", "request", q.head.ID, "endpoint", to.name, "route", q.route.Name, "bytes", q.answerBytes, "took", now.Sub(q.receivedAt))
 }
+
+// recordLongEvent counts and logs a stream that was cut because an event exceeded the limits.
+func (r *Relay) recordLongEvent(q *request, to destination, out *output) {
+	if !out.isEventTooLong {
+		return
+	}
+	out.isEventTooLong = false
+	r.cfg.Scope.Counter("events_too_long").Inc(1)
+	now := clock.Now()
+	if r.loggedLongEvents.Has(to.name, now) {
+		return
+	}
+	r.loggedLongEvents.Add(to.name, now)
+	klog.InfoS("stream cut, an event exceeds the limits", "request", q.head.ID, "endpoint", to.name, "route", q.route.Name, "bytes", q.answerBytes)
+}
