Read errors of other boxes up to 64 KiB

500 calls of other boxes whose errors do not end held 593 MB of heap: an error was read up to the limit of a message, 64 MiB. Messages with status 200 may still have 64 MiB each: docs/design/answers-without-end.md.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -33,10 +33,11 @@
 	PathLostObjects = "/peer/lost"
 )
 
-// Limits of a call: its duration, apart from the wait that the caller requests, and the size of a message in bytes.
+// Limits of a call: its duration, apart from the wait that the caller requests, and the sizes of a message and of an error in bytes.
 const (
 	callTimeout     = 2 * time.Second
 	maxMessageBytes = 64 << 20
+	maxErrorBytes   = 64 << 10
 )
 
 // Client calls other boxes.
@@ -165,7 +166,7 @@
 	case http.StatusGone:
 		return objects.ErrGone
 	}
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxMessageBytes))
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
 	if err != nil {
 		return eris.Wrap(err, "peer: read response body failed")
 	}
