--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,6 +132,8 @@
 	pending                        *pendingRequests
 	runTimes                       *runTimes
 	refusedLeaving, leftUnfinished atomic.Int64
+	// loggedLongEvents holds the endpoints with a recent log line on an event above the limits.
+	loggedLongEvents *recent.Set[string]
 	// loggedUnproven holds the endpoints with a recent log line on an unproven rejection.
 	loggedUnproven *recent.Set[string]
 }
@@ -146,7 +148,7 @@
 		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
 		pending: newPendingRequests(), runTimes: newRunTimes(),
-		loggedUnfinished: recent.New[string](unfinishedLogInterval), loggedUnproven: recent.New[string](unprovenLogInterval),
+		loggedUnfinished: recent.New[string](unfinishedLogInterval), loggedLongEvents: recent.New[string](unfinishedLogInterval), loggedUnproven: recent.New[string](unprovenLogInterval),
 	}
 }
 
@@ -418,4 +420,6 @@
 	hasCrashed func() bool
 	// unreadCut is the error of the last stream that its endpoint broke off after a pause of the caller, nil if there was none.
 	unreadCut *result.Error
+	// isEventTooLong is set if the last stream was cut because an event exceeded the limits.
+	isEventTooLong bool
 }
