--- a/internal/relay/parts_test.go
+++ b/internal/relay/parts_test.go
@@ -136,6 +136,7 @@
 		{"whole events", strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), []string{"id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"}, true},
 		{"carriage returns", strings.NewReader("id: 1\r\n\r\n"), []string{"id: 1\r\n\r\n"}, true},
 		{"nothing", strings.NewReader(""), nil, true},
+		{"blank lines that have arrived are passed on together", strings.NewReader("\n\n\nid: 1\n\n\n\r\n"), []string{"\n\n\n", "id: 1\n\n", "\n", "\r\n"}, true},
 		{"the last event is incomplete", strings.NewReader("id: 1\n\nid: 2\nda"), []string{"id: 1\n\n"}, false},
 		{"broken between events", brokenBody{strings.NewReader("id: 1\n\n")}, []string{"id: 1\n\n"}, false},
 		{"an event longer than the reader's buffer", strings.NewReader("data: " + strings.Repeat("x", 3*eventBuffer) + "\n\n"), []string{"data: " + strings.Repeat("x", 3*eventBuffer) + "\n\n"}, true},
