--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -64,6 +64,8 @@
 	// leaving is set if the box is leaving, once if the stream may not be repeated, noBudget if the retry budget is used up, off if
 	// the mechanism is switched off.
 	leaving, once, noBudget, off bool
+	// endsSoon is set if the box begins to leave when the stream has begun, and ends before another run surely ends.
+	endsSoon bool
 	// callerPause is how long the caller does not read after its first event.
 	callerPause time.Duration
 	// wantRuns is the number of runs, wantCounter a counter that must be 1.
@@ -102,6 +104,9 @@
 		{name: "silent for good, granted", pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
 		{name: "silent for good before the first event", pause: time.Minute, answer: grantRequest, wantRuns: 2, wantCounter: "streams_resumed"},
 		{name: "silent for good, granted, leaving box", pauseAfter: pauseAfterEvent, pause: time.Minute, answer: grantRequest, leaving: true, wantRuns: 2, wantCounter: "streams_resumed"},
+		{name: "pause, box that ends soon", pauseAfter: pauseAfterEvent, pause: pause, answer: grantRequest, endsSoon: true, wantRuns: 1},
+		{name: "pause before the first event, box that ends soon", pause: pause, answer: grantRequest, endsSoon: true, wantRuns: 1},
+		{name: "pause, mechanism off, box that ends soon", pauseAfter: pauseAfterEvent, pause: pause, answer: grantRequest, endsSoon: true, off: true, wantRuns: 1},
 		{name: "other engine busy until it is too late", pauseAfter: pauseAfterEvent, pause: 2500 * time.Millisecond, answer: grantAfter(1500 * time.Millisecond), wantRuns: 1, wantCounter: "streams_kept"},
 		{name: "back before the grant", pauseAfter: pauseAfterEvent, pause: 1300 * time.Millisecond, answer: grantAfter(800 * time.Millisecond), wantRuns: 1},
 		{name: "owner lost between question and grant", pauseAfter: pauseAfterEvent, pause: pause, answer: func(http.ResponseWriter) { time.Sleep(time.Second) }, wantRuns: 1},
@@ -235,6 +240,17 @@
 		w.relay.cfg.LastStream, w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = time.Second, time.Minute, func() bool { return false }
 		w.relay.cfg.Leaving = func() time.Duration { return time.Since(began) }
 	}
+	if tt.endsSoon {
+		w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = 4*time.Second, func() bool { return false }
+		w.relay.cfg.Leaving = func() (leavingFor time.Duration) {
+			w.locked(func() {
+				if len(w.runs) > 0 {
+					leavingFor = max(1, time.Since(w.runs[0].start))
+				}
+			})
+			return leavingFor
+		}
+	}
 	if tt.noBudget {
 		w.relay.budgets.tokens["s"] = 0
 	}
--- a/internal/relay/leaving_test.go
+++ b/internal/relay/leaving_test.go
@@ -197,3 +197,40 @@
 	isRemoved = true
 	found[0].endNow()
 }
+
+// TestLeavingBoxWaitsForSilentEndpoint guards against a leaving box that gives a silent attempt up although it may not send the request again.
+func TestLeavingBoxWaitsForSilentEndpoint(t *testing.T) {
+	const objective, run = 100 * time.Millisecond, 400 * time.Millisecond
+	c := qt.New(t)
+	var leftAt atomic.Pointer[time.Time]
+	var runs atomic.Int64
+	w := startSlowPlain(c, startSmall(c, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		now := time.Now()
+		leftAt.CompareAndSwap(nil, &now)
+		runs.Add(1)
+		select {
+		case <-time.After(run):
+		case <-r.Context().Done():
+		}
+		rw.Header().Set("Id", r.Header.Get("Id"))
+		rw.Header().Set("Signed", "yes")
+	})), slowpeer.Limits{})
+	putObject(c, w.relay.cfg.Catalog, 13, string(resource.KindRouting), catalog.RoutingName, &resource.Routing{
+		Version: 3, Services: []resource.RouteService{{Name: "p"}},
+		Routes: []resource.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: resource.RouteRepeatable, Attempts: 3, Timeout: resource.Duration(time.Minute),
+			Objective: resource.Duration(objective), Targets: []resource.Target{{Service: "p", Weight: 1}},
+		}},
+	})
+	w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = 5*time.Second, func() bool { return false }
+	w.relay.cfg.Leaving = func() time.Duration {
+		if at := leftAt.Load(); at != nil {
+			return max(1, time.Since(*at))
+		}
+		return 0
+	}
+	resp, _, err := read(w.open("/", []byte("aaaa")))
+	c.Assert(err, qt.IsNil)
+	c.Check(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", resp.Header.Get(result.HeaderCode)))
+	c.Check(runs.Load(), qt.Equals, int64(1))
+}
