Leaving: silent attempts are not given up if the request may not be sent again

A box gives up an attempt that is silent for the objective if the request may run again, and a stream that pauses once another engine has granted its continuation. The box now asks before it gives a run up whether it could send the request again, and otherwise waits.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -255,6 +255,10 @@
 		w.timer.Reset(at.Sub(now))
 		return nil, false
 	}
+	if w.relay.refuseLateRun(w.asker) != nil {
+		// A leaving box could not send the request to another engine.
+		return nil, false
+	}
 	if !w.relay.cfg.Policy.IsEnabled(policy.ResumeFirst) {
 		w.cut = true
 		w.cancelRun()
@@ -287,7 +291,7 @@
 	w.cancelAsk = nil
 	now := clock.Now()
 	isAllowed := next != nil && (w.stream.ForwardedAt().IsZero() || next.engine.softwareVersion == w.softwareVersion)
-	if isAllowed && !w.stopped && w.stream.ShouldSwitch(now) && w.relay.spendRetry(w.asker, result.New(result.StreamCut, "")) {
+	if isAllowed && !w.stopped && w.stream.ShouldSwitch(now) && w.relay.refuseLateRun(w.asker) == nil && w.relay.spendRetry(w.asker, result.New(result.StreamCut, "")) {
 		w.cut, w.next = true, next
 		w.cancelRun()
 		return true
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -241,7 +241,7 @@
 		w.relay.cfg.Leaving = func() time.Duration { return time.Since(began) }
 	}
 	if tt.endsSoon {
-		w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = 4*time.Second, func() bool { return false }
+		w.relay.cfg.AnswersEnd, w.relay.cfg.Closing = 2500*time.Millisecond, func() bool { return false }
 		w.relay.cfg.Leaving = func() (leavingFor time.Duration) {
 			w.locked(func() {
 				if len(w.runs) > 0 {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/bellgap/bellgap/internal/catalog"
@@ -270,8 +271,18 @@
 		return ctx, func() bool { return false }
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	timer := time.AfterFunc(limit, cancel)
-	return ctx, func() bool { return !timer.Stop() }
+	var isCancelled atomic.Bool
+	timer := time.AfterFunc(limit, func() {
+		// A leaving box that may not send the request again waits for its answer.
+		if r.refuseLateRun(q) == nil {
+			isCancelled.Store(true)
+			cancel()
+		}
+	})
+	return ctx, func() bool {
+		timer.Stop()
+		return isCancelled.Load()
+	}
 }
 
 // isEndpointFault reports whether an error counts as a failure of the endpoint.
