Test: places of requests that run for minutes

A place at an endpoint expires a minute after it was granted, although its request may run for as long as the timeout of its route: the endpoint then gets more requests than it has slots for.

--- a/internal/places/keeper_test.go
+++ b/internal/places/keeper_test.go
@@ -183,3 +183,22 @@
 		})
 	})
 }
+
+// TestPlaceIsHeldUntilItsRequestMayEnd guards against endpoints that get more requests than they have slots because a request runs for longer than a
+// constant, though its route allows it.
+func TestPlaceIsHeldUntilItsRequestMayEnd(t *testing.T) {
+	const timeout = 3 * time.Minute
+	c := qt.New(t)
+	k := NewKeeper(1)
+	now := time.Now()
+	req := Request{Endpoint: "e", Slots: 1, MaxLatency: time.Millisecond, Hold: timeout}
+	granted := 0
+	for k.Acquire(now, req).Granted {
+		granted++
+		c.Assert(granted < 100, qt.IsTrue)
+	}
+	for _, age := range []time.Duration{59 * time.Second, 61 * time.Second, timeout - time.Second} {
+		c.Check(k.Acquire(now.Add(age), req).Granted, qt.IsFalse, qt.Commentf("after %s", age))
+	}
+	c.Check(k.Acquire(now.Add(timeout+time.Second), req).Granted, qt.IsTrue)
+}
