Places: a place is held for as long as its request may run

Places expired after a minute at most, a constant that stood for the longest time of a request; the operator may set the timeouts of routes to more. The bound is now 15 minutes, as for grants. Places still expire with the time that their request has left, so nothing changes on routes with timeouts of up to a minute.

--- a/internal/places/keeper.go
+++ b/internal/places/keeper.go
@@ -26,8 +26,9 @@
 	maxEndpoints = 4096
 	// maxOtherCounts limits the keepers whose counts are stored for one endpoint. When it is reached, all are discarded.
 	maxOtherCounts = 16
-	// maxHold is the longest time until a place expires whose request is never reported as ended.
-	maxHold = time.Minute
+	// maxHold limits the time until a place expires whose request is never reported as ended, whatever its box asks for. Routes may have
+	// timeouts of minutes.
+	maxHold = 15 * time.Minute
 )
 
 // Request is the message by which a box requests a place at an endpoint for one request.
