Test: pieces of answers wait for what the connection has received

The test counted bytes as read before the connection had counted them, so the request could begin in between, and the head was rightly not taken apart. It waits for the connection's own count now; all checks are as they were.

--- /dev/null
+++ b/internal/pairing/export_test.go
@@ -0,0 +1,17 @@
+package pairing
+
+// Received returns how many bytes have been received on the connection to address whose own address is local, and whether it is open.
+func (p *Pairing) Received(address, local string) (n int64, isOpen bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.contacts[address]
+	if known == nil {
+		return 0, false
+	}
+	for c := range known.open {
+		if c.LocalAddr().String() == local {
+			return c.received.Load(), true
+		}
+	}
+	return 0, false
+}
