A connection is not used again after an answer without an id

What callers saw: an endpoint that sends an answer without an id before the one due costs the next request on the connection its answer as well: the answer due arrives while no request is in flight, and the connection is closed while the transport may have given it to the next request.

Cause: the transport returns a connection to its pool before the caller sees an answer without a body, so the caller cannot keep it from being used.

Where endpoints return ids with all answers, an answer without one gets a field that makes the transport close the connection. Counter answers_without_id.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -169,7 +169,7 @@
 		Settings: cfg.Settings, Catalog: b.catalog, Dial: cfg.Deployment.DialEndpoint, IsLeaving: func() bool { return b.leavingDuration() > 0 }, OnDetached: func() { b.relay.GiveUpUnanswered() },
 		OnCarrierLost: func(box netip.AddrPort) { b.relay.GiveUpUnansweredThrough(box) }, Scope: b.metrics.Scope,
 	})
-	b.pairing = pairing.New(pairing.Config{ID: cfg.Deployment.Wire.ID, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
+	b.pairing = pairing.New(pairing.Config{ID: cfg.Deployment.Wire.ID, IsIDReturned: true, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
 	b.catalog.SetScarceSlots(cfg.Settings.Capacity.ScarceSlots)
 	b.catalog.SetAllSlots(cfg.Settings.Policy.Build().IsEnabled(policy.AllSlots))
 	b.ledger, b.locator = quota.NewLedger(quota.LedgerConfig{Bounds: quota.Bounds{
--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -197,10 +197,21 @@
 		return c.passRaw(head, request, isOpen)
 	}
 	c.pending, c.isFinal = head, resp.StatusCode >= http.StatusOK
+	if c.isFinal && answerID == "" && request.id != "" && c.pairing.cfg.IsIDReturned {
+		c.pairing.cfg.Scope.Counter("answers_without_id").Inc(1)
+		c.pending = withClose(head)
+	}
 	c.body, c.isRaw = c.bodyOf(resp)
 	return nil
 }
 
+// withClose returns a head with a field that makes the transport close the connection after the answer. The transport may give the connection to
+// the next request before the caller sees the answer, so the caller cannot close it in time.
+func withClose(head []byte) []byte {
+	fields := bytes.TrimRight(head, "\r\n")
+	return append(bytes.Clone(fields), "\r\nConnection: close\r\n\r\n"...)
+}
+
 // passRaw passes on all further bytes as they are. Without a request in flight they belong to none, and the connection must not be used
 // again.
 func (c *conn) passRaw(head []byte, request exchange, isOpen bool) error {
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -40,6 +40,9 @@
 type Config struct {
 	// ID returns the id that the headers of a request, or of the answer to it, carry. It is empty if they carry none.
 	ID func(http.Header) string
+	// IsIDReturned is set if endpoints return the id of a request with each answer to it. After an answer without one the connection is not
+	// used again, as the answer that is due may still follow.
+	IsIDReturned bool
 	// MaxSurplusBytes limits the bytes of surplus answers before one answer that is due. Above it the connection is closed.
 	MaxSurplusBytes int64
 	Scope           tally.Scope
--- a/internal/pairing/pairing_test.go
+++ b/internal/pairing/pairing_test.go
@@ -63,7 +63,7 @@
 		}
 	}()
 	w.address = l.Addr().String()
-	w.pairing = pairing.New(pairing.Config{ID: func(h http.Header) string { return h.Get(idHeader) }, MaxSurplusBytes: maxSurplus, Scope: w.scope})
+	w.pairing = pairing.New(pairing.Config{ID: func(h http.Header) string { return h.Get(idHeader) }, IsIDReturned: true, MaxSurplusBytes: maxSurplus, Scope: w.scope})
 	base := &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: 32 << 10, DisableCompression: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		w.dials++
 		return (&net.Dialer{}).DialContext(ctx, network, address)
@@ -333,6 +333,30 @@
 	}
 }
 
+// TestAnswerWithoutIDEndsItsConnection guards against a request that loses its answer because the answer that was due to the one before it, which got
+// an answer without an id, still follows on the connection.
+func TestAnswerWithoutIDEndsItsConnection(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, func(conn net.Conn, req *http.Request) {
+		id := req.Header.Get(idHeader)
+		text, _ := answerText(id, sized)
+		if id == "request-0" {
+			text = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" + text
+		}
+		_, _ = io.WriteString(conn, text)
+	})
+	_, err := w.get("request-0")
+	c.Assert(err, qt.IsNil)
+	for i := 1; i < 20; i++ {
+		id := fmt.Sprint("request-", i)
+		body, err := w.get(id)
+		c.Assert(err, qt.IsNil)
+		c.Check(body, qt.Equals, "answer to "+id)
+	}
+	c.Check(w.dials, qt.Equals, 2)
+	c.Check(w.count("answers_without_id"), qt.Equals, int64(1))
+}
+
 // BenchmarkAnswer measures what pairing adds to a small answer on a kept connection.
 func BenchmarkAnswer(b *testing.B) {
 	for _, paired := range []bool{false, true} {
