--- a/internal/pairing/merged_test.go
+++ b/internal/pairing/merged_test.go
@@ -73,11 +73,11 @@
 	{"success", "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: other\r\nContent-Length: 5\r\n\r\nother"},
 	{"id last", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nSeal: other\r\nDate: now\r\nId: ID\r\n\r\nother"},
 	{"failure", "HTTP/1.1 500 Internal Server Error\r\nDate: now\r\nSeal: other\r\nId: ID\r\nContent-Length: 0\r\n\r\n"},
-	{"rejection", "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nRetry-After: 3\r\nId: ID\r\nContent-Length: 0\r\n\r\n"},
+	{"rejection", "HTTP/1.1 503 Service Unavailable\r\nRejected: 1\r\nRetry-After: 3\r\nId: ID\r\nContent-Length: 0\r\n\r\n"},
 	{"no content", "HTTP/1.0 204 No Content\r\nSeal: other\r\nId: ID\r\n\r\n"},
 	{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nSeal: other\r\nId: ID\r\n\r\n5\r\nother\r\n0\r\nSum: 1\r\n\r\n"},
 	{"interim", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\nSeal: other\r\n\r\n"},
-	{"without an id", "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
+	{"without an id", "HTTP/1.1 503 Service Unavailable\r\nRejected: 1\r\nContent-Length: 0\r\n\r\n"},
 	{"quotes a status line", "HTTP/1.1 502 Bad Gateway\r\nUpstream: HTTP/1.1 200 OK\r\nSeal: other\r\nId: ID\r\nContent-Length: 0\r\n\r\n"},
 }
 
@@ -87,7 +87,7 @@
 	{"failure", "HTTP/1.1 500 Internal Server Error\r\nId: ID\r\nSeal: due\r\nContent-Length: 3\r\n\r\ndue"},
 	{"chunked", "HTTP/1.1 201 Created\r\nContent-Type: text/plain\r\nId: ID\r\nSeal: due\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ndue\r\n0\r\n\r\n"},
 	{"no content", "HTTP/1.1 204 No Content\r\nSeal: due\r\nId: ID\r\n\r\n"},
-	{"rejection", "HTTP/1.1 429 Too Many Requests\r\nNot-Executed: 1\r\nId: ID\r\nContent-Length: 0\r\n\r\n"},
+	{"rejection", "HTTP/1.1 429 Too Many Requests\r\nRejected: 1\r\nId: ID\r\nContent-Length: 0\r\n\r\n"},
 	{"after an interim answer", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 404 Not Found\r\nSeal: due\r\nId: ID\r\nContent-Length: 3\r\n\r\ndue"},
 }
 
