Relay: count and log what each promise to a caller rests on

A refusal in the log did not tell whether the request had been sent, nor whether the connection of a rejection had carried other requests, so the three hypotheses of docs/incidents/promises-that-did-not-hold.md could not be told apart. The line "request" has status and ground, tries names reused connections, and the counter promises has the grounds unsent, rejected and forwarded. Nothing is decided by them.

--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -62,13 +62,17 @@
 type SendTrace struct {
 	Request *http.Request
 	started atomic.Bool
+	reused  atomic.Bool
 }
 
 // NewSendTrace returns a SendTrace whose Request is req with tracing. Send that Request instead of req.
 func NewSendTrace(req *http.Request) *SendTrace {
 	s := &SendTrace{}
 	trace := &httptrace.ClientTrace{
-		GotConn:      func(httptrace.GotConnInfo) { s.started.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			s.started.Store(true)
+			s.reused.Store(info.Reused)
+		},
 		WroteRequest: func(httptrace.WroteRequestInfo) { s.started.Store(true) },
 	}
 	s.Request = req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
@@ -78,6 +82,9 @@
 // MayHaveSent reports whether the request was assigned a connection. From then on, bytes of the request may have been sent.
 func (s *SendTrace) MayHaveSent() bool { return s.started.Load() }
 
+// IsReused reports whether the request was assigned a connection that had carried other requests.
+func (s *SendTrace) IsReused() bool { return s.reused.Load() }
+
 // Drain reads up to maxDrainBytes of the rest of body, so that the connection can be reused, and closes body.
 func Drain(body io.ReadCloser) {
 	// An error here only prevents the reuse of the connection.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -130,7 +130,11 @@
 	q.wasRun = rerr == nil && resp.StatusCode < http.StatusMultipleChoices
 	r.handleNotice(q, to, head, rerr == nil)
 	if rerr != nil {
-		q.recordTry(to.name, rerr.Code.String()+":"+rerr.Detail)
+		outcome := rerr.Code.String() + ":" + rerr.Detail
+		if traced.IsReused() {
+			outcome += ",reused"
+		}
+		q.recordTry(to.name, outcome)
 		// Closing the unread body ends the connection, so that no part of this answer is mistaken for another answer.
 		_ = resp.Body.Close()
 		return nil, rerr
@@ -210,16 +214,6 @@
 	return nil
 }
 
-// impliesNotRun reports whether callers understand a status to mean that the request did not run and never will.
-func impliesNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	default:
-		return false
-	}
-}
-
 // crashCheck returns a function that reports whether an endpoint has crashed. An endpoint that leaves may stop accepting connections before
 // its last answers end, so it does not count as crashed.
 func (r *Relay) crashCheck(ctx context.Context, q *request, to destination) func() bool {
@@ -234,7 +228,7 @@
 	if o.started {
 		return
 	}
-	o.started = true
+	o.started, o.status = true, resp.StatusCode
 	h := o.w.Header()
 	for name, values := range forwardableHeaders(resp.Header) {
 		h[name] = values
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -231,6 +231,9 @@
 	sentVersion string
 	// resumption states how the software version of a resumed stream was found, empty if the request resumes none.
 	resumption string
+	// status is that of the answer to the caller, zero if the answer has no head. ground is what the answer rests on if it is a promise.
+	status int
+	ground ground
 }
 
 // timeLeft returns the time until the deadline of the request.
@@ -360,6 +363,9 @@
 
 // finish records the end of a request. If the answer is incomplete, it sends an error or aborts the connection.
 func (r *Relay) finish(callerCtx context.Context, out *output, q *request, rerr *result.Error) {
+	if out.started {
+		r.recordStatus(q, out.status, true)
+	}
 	if rerr == nil {
 		r.countResult(result.OK)
 		r.recordLatencies(q)
@@ -391,10 +397,6 @@
 // refuse sends an error of this box to the caller. If the request did not run, the status is always one that
 // guarantees this.
 func (r *Relay) refuse(w http.ResponseWriter, q *request, rerr *result.Error) {
-	r.countUntaken(q, rerr.Code)
-	r.countResult(rerr.Code)
-	r.countLeaving(rerr.Code)
-	r.logRequest(q, rerr)
 	info := rerr.Code.Info()
 	if wait := rerr.RetryDelay(); info.Ran == result.RanNo && wait > 0 {
 		r.cfg.Wire.WriteRetryAfter(w.Header(), wait)
@@ -403,6 +405,11 @@
 	if info.Ran == result.RanNo && (status >= http.StatusInternalServerError || status == http.StatusMisdirectedRequest) {
 		status = http.StatusServiceUnavailable
 	}
+	r.recordStatus(q, status, false)
+	r.countUntaken(q, rerr.Code)
+	r.countResult(rerr.Code)
+	r.countLeaving(rerr.Code)
+	r.logRequest(q, rerr)
 	rerr.WriteStatus(w, status, q.head.ID)
 }
 
@@ -410,6 +417,8 @@
 type output struct {
 	w       *slowpeer.Caller
 	started bool
+	// status is that of the forwarded answer, zero until the answer has been started.
+	status int
 	// onEvent, if set, is called for each event that arrives from the endpoint, and before an answer that is not a stream is
 	// forwarded. onForwarded is called when an event has been written.
 	onEvent     func()
--- a/internal/relay/telemetry.go
+++ b/internal/relay/telemetry.go
@@ -47,7 +47,7 @@
 	if q.routing.table != nil {
 		configVersion = q.routing.table.Version()
 	}
-	klog.InfoS("request", "request", q.head.ID, "fingerprint", q.suspect.Fingerprint, "result", rerr.Code.String(), "detail", rerr.Detail, "route", routeName, "config", configVersion, "config_age", q.routing.ageFor(q),
+	klog.InfoS("request", "request", q.head.ID, "fingerprint", q.suspect.Fingerprint, "result", rerr.Code.String(), "detail", rerr.Detail, "status", q.status, "ground", q.ground, "route", routeName, "config", configVersion, "config_age", q.routing.ageFor(q),
 		"service", q.service, "customer", q.customerName(), "adapter", q.head.Adapter, "ref", q.ref, "software", q.binding.version, "resumes", q.head.Resumes, "resume_after", q.head.LastEvent, "origin", q.resumption, "tries", q.tries, "endpoint", q.lastEndpoint, "arrivals", q.arrivals,
 		"waited", q.untilSent, "first", q.untilAnswered, "gap", q.longestGap, "took", clock.Since(q.receivedAt), "left", q.timeLeft(), "store_age", r.cfg.StoreAge(), "left_out", skipped)
 }
