A head that holds a second status line is not believed

Callers saw requests that had been refused with a promise though they had run, requests that ran twice, and answers with a seal like i-6.c12-HTTP/1.1 421.

Cause: an answer breaks off in a field of its head after its id, and an answer without an id follows on the connection. Both were read as one head: status and id of the request that ran, Not-Executed of a rejection that names nothing. The exception of proveHead for sound endpoints that quote a status line after their id has the same bytes, so it proved nothing.

Evidence: the cause is the log line 'head of an answer holds a second status line' with outcome one_answer beside each case.

Why it works: what follows a torn head and is an answer begins with a status line, so no such head is believed any more, whatever its ids say.

Price: sound endpoints that quote a status line after the id lose these answers (502, may have run), as those that quote one before it did already.

--- a/internal/pairing/merged.go
+++ b/internal/pairing/merged.go
@@ -1,7 +1,6 @@
 package pairing
 
 import (
-	"bytes"
 	"net/http"
 
 	"k8s.io/klog/v2"
@@ -18,20 +17,17 @@
 type mergedOutcome string
 
 const (
-	// mergedOne: it is the head of one answer, a field of which quotes a status line.
-	mergedOne mergedOutcome = "one_answer"
 	// mergedSeparated: what comes before the answer due is dropped.
 	mergedSeparated mergedOutcome = "separated"
 	// mergedClosed: the connection is closed.
 	mergedClosed mergedOutcome = "closed"
 )
 
-// proveHead returns the head of one answer, the last one that is part of head. A head that begins with a piece of another answer holds the
-// status line of the answer due after its first byte, so a head without a second status line is of one answer. The error is that of a head
-// that is not proved to be.
+// proveHead returns the head of one answer, the last one that is part of head. A head made of pieces of two answers holds the status line of
+// the second one after its first byte, so a head without a second status line is of one answer. The error is that of a head that is not
+// proved to be: a field that quotes a status line cannot be told from an answer that breaks off there.
 func (c *conn) proveHead(head answerHead, request exchange, isOpen bool) (answerHead, error) {
-	second, _ := statusLineAt(head.bytes, 1)
-	if second < 0 {
+	if second, _ := statusLineAt(head.bytes, 1); second < 0 {
 		return head, nil
 	}
 	if due, ok := c.separate(head, request, isOpen); ok {
@@ -39,10 +35,6 @@
 		c.surplusBytes += due.start - head.start
 		return due, nil
 	}
-	if c.quotesStatusLine(head.bytes, second, request) {
-		c.pairing.recordMerged(head, request, mergedOne)
-		return head, nil
-	}
 	c.pairing.recordMerged(head, request, mergedClosed)
 	if !isOpen {
 		return answerHead{}, c.closeUnsolicited(len(head.bytes), request)
@@ -68,21 +60,6 @@
 	return due, ok && id == request.id
 }
 
-// quotesStatusLine reports whether a head is that of one answer, of which a field after the id quotes a status line. An answer due to a
-// request with an id has its id after its status line.
-func (c *conn) quotesStatusLine(head []byte, second int, request exchange) bool {
-	if request.id == "" {
-		return false
-	}
-	before := head[:bytes.LastIndexByte(head[:second], '\n')+1]
-	idBefore, ok := c.idIn(append(bytes.Clone(before), "\r\n"...))
-	if !ok || idBefore == "" {
-		return false
-	}
-	idAfter, ok := c.idIn(head[second:])
-	return ok && idAfter == ""
-}
-
 // idIn returns the id in a head. ok is false if it cannot be read as a head.
 func (c *conn) idIn(head []byte) (id string, ok bool) {
 	resp, err := parseHead(head, http.MethodGet)
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -228,9 +228,7 @@
 		klog.V(level).InfoS("head of an answer holds a second status line", "endpoint", request.endpoint, "request", request.id, "first", first, "second", second,
 			"offset", offset, "bytes", len(head.bytes), "received_before", max(0, request.receivedBefore-head.start), "outcome", outcome)
 	}
-	if outcome != mergedOne {
-		p.list(request.endpoint, now, func(e *Endpoint) { e.MergedHeads++ })
-	}
+	p.list(request.endpoint, now, func(e *Endpoint) { e.MergedHeads++ })
 }
 
 // logLevel returns the level for a log line on an endpoint, which is higher if the endpoint was logged recently.
