A request whose id an endpoint has rejected before is sent over a new connection

What callers saw: a caller that repeats a refused request under its id at the same box is refused again though the request runs.

Cause: the endpoint's second copy of the first rejection comes on the kept connection in the place of the answer to the repeat, and carries the due id. New connections were used within one request only.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -135,6 +135,7 @@
 			outcome += ",reused"
 		}
 		q.recordTry(to.name, outcome)
+		r.recordRejection(q, to, rerr)
 		// Closing the unread body ends the connection, so that no part of this answer is mistaken for another answer.
 		_ = resp.Body.Close()
 		return nil, rerr
@@ -145,13 +146,16 @@
 	return resp, nil
 }
 
-// clientFor returns the client for a request to an endpoint, and records that the request is sent there.
+// clientFor returns the client for a request to an endpoint, and records that the request is sent there. An endpoint that has rejected this
+// request, or an earlier one with the same id, may send that rejection a second time on the same connection.
 func (r *Relay) clientFor(q *request, to destination) *http.Client {
-	if slices.Contains(q.receivers, to.name) && r.cfg.FreshEndpoints != nil {
-		return r.cfg.FreshEndpoints
-	}
+	mayBeAnswered := slices.Contains(q.receivers, to.name) || r.rejections.Has(rejection{to.name, q.head.ID}, clock.Now())
 	q.receivers = append(q.receivers, to.name)
-	return r.cfg.Endpoints
+	if !mayBeAnswered || r.cfg.FreshEndpoints == nil {
+		return r.cfg.Endpoints
+	}
+	r.cfg.Scope.Counter("repeats_on_new_connections").Inc(1)
+	return r.cfg.FreshEndpoints
 }
 
 // recordSlowEndpoint counts and logs a request that ended because the endpoint did not read its body.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -56,8 +56,8 @@
 	Grants *grant.Client
 	// Endpoints sends requests to endpoints. Its transport must never send a request twice.
 	Endpoints *http.Client
-	// FreshEndpoints does the same over new connections only. It is used for a request that its endpoint has received before: a late copy of
-	// that answer carries the id of the new try as well. If it is nil, Endpoints is used.
+	// FreshEndpoints does the same over new connections only. It is used for a request that its endpoint has received before, or whose id it has
+	// rejected: a late copy of that answer carries the id of the new try as well. If it is nil, Endpoints is used.
 	FreshEndpoints *http.Client
 	// Connections tells what the connections to endpoints show. If it is nil, nothing is known.
 	Connections Connections
@@ -134,6 +134,8 @@
 	refusedLeaving, leftUnfinished atomic.Int64
 	// loggedLongEvents holds the endpoints with a recent log line on an event above the limits.
 	loggedLongEvents *recent.Set[string]
+	// rejections holds the recent rejections by endpoints.
+	rejections *recent.Set[rejection]
 	// loggedUnproven holds the endpoints with a recent log line on an unproven rejection.
 	loggedUnproven *recent.Set[string]
 }
@@ -147,7 +149,7 @@
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
 		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
-		pending: newPendingRequests(), runTimes: newRunTimes(),
+		pending: newPendingRequests(), runTimes: newRunTimes(), rejections: recent.New[rejection](rejectionMemory),
 		loggedUnfinished: recent.New[string](unfinishedLogInterval), loggedLongEvents: recent.New[string](unfinishedLogInterval), loggedUnproven: recent.New[string](unprovenLogInterval),
 	}
 }
