Own interface: a refusal without an id is not believed of an engine that returns ids

What callers saw: requests that must run once ran up to four times, or were refused (ran: no) though they ran, if an engine's refusal without Bellgap-Call-Id came in the place of the answer due.

Answers without the id were believed for engines of older builds, which return none, and so for all.

Why it works: an engine that returned the id of a call within 10 minutes returns it with each refusal, so one without it is of no call. Engines that return none count as before.

--- a/internal/box/surplus_test.go
+++ b/internal/box/surplus_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bellgap/bellgap/internal/engine"
 	"github.com/bellgap/bellgap/internal/fakeengine"
+	"github.com/bellgap/bellgap/internal/result"
 )
 
 // TestRefusalOfAnotherCallIsNoProof guards against a request on bellgap's own interface that runs twice, or is refused though it runs,
@@ -39,6 +40,33 @@
 	}
 }
 
+// TestRefusalThatNamesNoCallIsNoProof guards against a request on bellgap's own interface that runs twice, or is refused though it runs, because
+// a refusal without the id of a call came in the place of its answer, at an engine whose answers carry their ids.
+func TestRefusalThatNamesNoCallIsNoProof(t *testing.T) {
+	for _, refusal := range []string{engine.RefusalNotLoaded, engine.RefusalNoSlot, engine.RefusalBusy, engine.RefusalBadRequest} {
+		t.Run(refusal, func(t *testing.T) {
+			c := qt.New(t)
+			f := startFleet(c, fleetConfig{boxes: 1, engines: []fakeengine.Config{smallEngine(), smallEngine()}})
+			c.Assert(f.post(f.boxes[0], "/v1/completions", completionBody(modelName, 1, false)).status, qt.Equals, http.StatusOK)
+			before := f.countRuns()
+			body := fmt.Sprintf(`{"error":{"type":%q,"message":"of no call"}}`, refusal)
+			surplus := func(r *http.Request) string {
+				if !strings.HasPrefix(r.URL.Path, "/v1/") {
+					return ""
+				}
+				return fmt.Sprintf("HTTP/1.1 409 Conflict\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			}
+			f.surplus.Store(&surplus)
+			const requests = 10
+			for i := range requests {
+				a := f.post(f.boxes[0], "/v1/completions", completionBody(modelName, 4, i%2 == 0))
+				c.Check(a.header.Get(result.HeaderRan), qt.Not(qt.Equals), result.RanNo.String(), qt.Commentf("%d %s", a.status, a.body))
+			}
+			c.Check(f.countRuns()-before <= requests, qt.IsTrue, qt.Commentf("%d requests ran %d times", requests, f.countRuns()-before))
+		})
+	}
+}
+
 // countRuns returns the number of requests that all engines have run.
 func (f *fleet) countRuns() int {
 	n := 0
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,10 +12,13 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/pairing"
+	"github.com/bellgap/bellgap/internal/recent"
 	"github.com/bellgap/bellgap/internal/resource"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/slowpeer"
@@ -26,6 +29,9 @@
 	orderTimeout      = 2 * time.Minute
 	reportTimeout     = 2 * time.Second
 	maxSmallBodyBytes = 1 << 20
+	// returnsIDsMemory is how long an engine that returned the id of a call is expected to return those of later calls. An engine of an older
+	// build may replace it at its address.
+	returnsIDsMemory = 10 * time.Minute
 )
 
 // OrderRefusedError is returned if the engine responded to an order without executing it.
@@ -52,10 +58,14 @@
 // Client is an HTTP client for engines.
 type Client struct {
 	http *http.Client
+	// returnsIDs holds the addresses of engines that recently returned the id of a call.
+	returnsIDs *recent.Set[netip.AddrPort]
 }
 
 // NewClient returns a Client that sends its calls with cfg.HTTP.
-func NewClient(cfg ClientConfig) *Client { return &Client{http: cfg.HTTP} }
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{http: cfg.HTTP, returnsIDs: recent.New[netip.AddrPort](returnsIDsMemory)}
+}
 
 // CallID returns the id of the call that the headers of a call to an engine, or of the answer to it, carry. It is empty if there is none.
 func CallID(h http.Header) string { return h.Get(result.HeaderCall) }
@@ -143,14 +153,32 @@
 		return nil, transportError(ctx, sent.MayHaveSent(), err)
 	}
 	engineNotice := NoticeHeaders.Read(resp.StatusCode, resp.Header)
-	if call.Notice != nil {
+	namesCall := c.namesCall(resp, call.Address)
+	if namesCall && call.Notice != nil {
 		call.Notice(engineNotice)
 	}
-	if resp.StatusCode != http.StatusOK {
-		defer httpx.Drain(resp.Body)
-		return nil, statusError(resp, engineNotice)
+	if resp.StatusCode == http.StatusOK {
+		return NewAnswer(resp, call.Ref, call.RunID), nil
+	}
+	if !namesCall {
+		// Closing the unread body ends the connection, as the answer that is due may still follow.
+		_ = resp.Body.Close()
+		klog.V(1).InfoS("refusal of an engine names no call", "engine", call.Address, "run", call.RunID, "status", resp.StatusCode)
+		return nil, result.New(result.AnswerLost, "engine responded with status %d to a call that it did not name", resp.StatusCode)
+	}
+	defer httpx.Drain(resp.Body)
+	return nil, statusError(resp, engineNotice)
+}
+
+// namesCall reports whether a response names its call, or is of an engine that has named none recently. A response with the id of another call
+// does not come this far.
+func (c *Client) namesCall(resp *http.Response, address netip.AddrPort) bool {
+	now := clock.Now()
+	if CallID(resp.Header) != "" {
+		c.returnsIDs.Add(address, now)
+		return true
 	}
-	return NewAnswer(resp, call.Ref, call.RunID), nil
+	return !c.returnsIDs.Has(address, now)
 }
 
 // transportError returns the error for a call without a response. started reports whether any part of the request may have been
