--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -149,9 +149,9 @@
 // clientFor returns the client for a request to an endpoint, and records that the request is sent there. An endpoint that has rejected this
 // request, or an earlier one with the same id, may send that rejection a second time on the same connection.
 func (r *Relay) clientFor(q *request, to destination) *http.Client {
-	mayBeAnswered := slices.Contains(q.receivers, to.name) || r.rejections.Has(rejection{to.name, q.head.ID}, clock.Now())
+	isRepeat := slices.Contains(q.receivers, to.name) || r.rejections.Has(rejection{to.name, q.head.ID}, clock.Now())
 	q.receivers = append(q.receivers, to.name)
-	if !mayBeAnswered || r.cfg.FreshEndpoints == nil {
+	if !isRepeat || r.cfg.FreshEndpoints == nil {
 		return r.cfg.Endpoints
 	}
 	r.cfg.Scope.Counter("repeats_on_new_connections").Inc(1)
