--- a/internal/brittle/limiter.go
+++ b/internal/brittle/limiter.go
@@ -196,7 +196,7 @@
 // RecordAnswer records that a request that was sent at sentAt was answered after took, zero if the time tells nothing. inFlight
 // requests were there with it when it was sent.
 func (l *Limiter) RecordAnswer(now, sentAt time.Time, inFlight int, took time.Duration) {
-	l.measure(now, took)
+	l.recordDuration(now, took)
 	if !l.active || sentAt.Before(l.lastRejection) {
 		return
 	}
@@ -215,8 +215,8 @@
 	l.isStarting = l.isStarting && l.limit < bound
 }
 
-// measure adds the time of a request to the present window.
-func (l *Limiter) measure(now time.Time, took time.Duration) {
+// recordDuration adds the time of a request to the present window.
+func (l *Limiter) recordDuration(now time.Time, took time.Duration) {
 	if took <= 0 {
 		return
 	}
--- a/internal/detour/carrier.go
+++ b/internal/detour/carrier.go
@@ -97,7 +97,7 @@
 			continue
 		}
 		isStarted := group.TryGo(func() error {
-			c.ask(ctx, silent)
+			c.checkCarrier(ctx, silent)
 			return nil
 		})
 		if !isStarted {
@@ -107,8 +107,8 @@
 	}
 }
 
-// ask asks a silent carrier and acts on its answer.
-func (c *Client) ask(ctx context.Context, silent *carrier) {
+// checkCarrier asks a silent carrier whether it still connects to endpoints, and stops using it if it does not.
+func (c *Client) checkCarrier(ctx context.Context, silent *carrier) {
 	connects := c.connectsToEndpoints(ctx, silent.address)
 	if ctx.Err() != nil {
 		return
--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -170,7 +170,7 @@
 		case r := <-results:
 			received++
 			if r.err == nil {
-				c.closeLoser(cancel, results, started-received)
+				c.closeLateConnection(cancel, results, started-received)
 				return r.conn, nil
 			}
 			if r.direct {
@@ -186,8 +186,8 @@
 	return nil, c.dialError(ctx, endpoint, directErr, detourErr)
 }
 
-// closeLoser ends the slower way and closes its connection if one comes up all the same.
-func (c *Client) closeLoser(cancel context.CancelFunc, results <-chan dialResult, open int) {
+// closeLateConnection ends the slower way and closes its connection if one comes up all the same.
+func (c *Client) closeLateConnection(cancel context.CancelFunc, results <-chan dialResult, open int) {
 	var group errgroup.Group
 	group.Go(func() error {
 		defer cancel()
--- a/internal/origin/client.go
+++ b/internal/origin/client.go
@@ -196,7 +196,7 @@
 	if firsthand {
 		return own, true
 	}
-	best, ok := c.askAll(ctx, c.cfg.Fleet.Keepers(attempt, askedBoxes), findQuestion{Attempt: attempt})
+	best, ok := c.findAtAll(ctx, c.cfg.Fleet.Keepers(attempt, askedBoxes), findQuestion{Attempt: attempt})
 	if found && (!ok || own.Sequence >= best.Sequence) {
 		return own, true
 	}
@@ -215,7 +215,7 @@
 		return Record{}, false
 	}
 	if readers := c.cfg.Fleet.ArchiveReaders(attempt); len(readers) > 0 {
-		return c.askAll(ctx, readers, findQuestion{Attempt: attempt, Archive: true})
+		return c.findAtAll(ctx, readers, findQuestion{Attempt: attempt, Archive: true})
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
@@ -227,8 +227,8 @@
 	return r, ok
 }
 
-// askAll asks boxes for the record of an attempt, all at once. If their answers differ, the record of the last endpoint counts.
-func (c *Client) askAll(ctx context.Context, boxes []netip.AddrPort, q findQuestion) (best Record, found bool) {
+// findAtAll asks boxes for the record of an attempt, all at once. If their answers differ, the record of the last endpoint counts.
+func (c *Client) findAtAll(ctx context.Context, boxes []netip.AddrPort, q findQuestion) (best Record, found bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	var mu sync.Mutex
@@ -238,7 +238,7 @@
 			continue
 		}
 		group.Go(func() error {
-			r, ok := c.ask(ctx, box, q)
+			r, ok := c.findAt(ctx, box, q)
 			mu.Lock()
 			defer mu.Unlock()
 			if ok && (!found || r.Sequence > best.Sequence) {
@@ -252,9 +252,9 @@
 	return best, found
 }
 
-// ask asks one box for the record of an attempt. A box that answers with an error, for example because it is of an older release,
+// findAt asks one box for the record of an attempt. A box that answers with an error, for example because it is of an older release,
 // knows none.
-func (c *Client) ask(ctx context.Context, box netip.AddrPort, q findQuestion) (Record, bool) {
+func (c *Client) findAt(ctx context.Context, box netip.AddrPort, q findQuestion) (Record, bool) {
 	var answer findAnswer
 	err := httpx.CallOnce(ctx, c.cfg.HTTP, "http://"+box.String()+pathFind, q, &answer)
 	// A slow read of the archive does not tell whether the box answers other questions.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -69,7 +69,7 @@
 		r.refundRetry(q)
 		return true, lastErr
 	}
-	r.firstRequests.setEndpoint(q.suspect.Fingerprint, e.Name)
+	r.flights.setEndpoint(q.suspect.Fingerprint, e.Name)
 	sentAt := clock.Now()
 	held := r.unanswered.Add(func() { place.End(places.Outcome{}) })
 	resp, rerr := r.callPlain(held.Trace(ctx), q, e)
@@ -235,7 +235,7 @@
 	if r.cfg.Quarantine.RanSuccessfully(q.suspect.Fingerprint) {
 		return ""
 	}
-	return r.firstRequests.endpointOf(q.suspect.Fingerprint)
+	return r.flights.endpointOf(q.suspect.Fingerprint)
 }
 
 // callPlain sends a request to an endpoint. A server error is returned as an error if the request may run again.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -119,7 +119,7 @@
 	budgets        *budgets
 	sampler        *logSampler
 	holdings       *holdings
-	firstRequests  *firstRequests
+	flights        *singleFlight
 	sends          *sends
 	speeds         *speeds
 	// serviceVersions remembers which software versions served which services.
@@ -146,7 +146,7 @@
 		cfg.Callers = slowpeer.New(slowpeer.Config{Scope: cfg.Scope})
 	}
 	return &Relay{
-		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), firstRequests: newFirstRequests(),
+		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), flights: newSingleFlight(),
 		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
 		pending: newPendingRequests(), runTimes: newRunTimes(), rejections: recent.New[rejection](rejectionMemory),
--- a/internal/relay/firstrequests.go
+++ b/internal/relay/singleflight.go
@@ -24,39 +24,39 @@
 // fingerprint.
 const firstWaitShare = 0.25
 
-// firstRequests holds the first request in flight from this box for each fingerprint.
-type firstRequests struct {
+// singleFlight holds the first request in flight from this box for each fingerprint.
+type singleFlight struct {
 	mu            sync.Mutex
-	byFingerprint map[quarantine.Fingerprint]*firstRequest
+	byFingerprint map[quarantine.Fingerprint]*flight
 }
 
-// firstRequest is a request in flight that other requests with the same fingerprint wait for.
-type firstRequest struct {
+// flight is a request in flight that other requests with the same fingerprint wait for.
+type flight struct {
 	// endpoint is where the request was sent, empty until an endpoint has been chosen. done is closed when the request
 	// has ended.
 	endpoint string
 	done     chan struct{}
 }
 
-func newFirstRequests() *firstRequests {
-	return &firstRequests{byFingerprint: map[quarantine.Fingerprint]*firstRequest{}}
+func newSingleFlight() *singleFlight {
+	return &singleFlight{byFingerprint: map[quarantine.Fingerprint]*flight{}}
 }
 
 // joinOrStart returns the first request with fingerprint f. If none is in flight, the calling request becomes the
 // first one, and started is true.
-func (r *firstRequests) joinOrStart(f quarantine.Fingerprint) (current *firstRequest, started bool) {
+func (r *singleFlight) joinOrStart(f quarantine.Fingerprint) (current *flight, started bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if current = r.byFingerprint[f]; current != nil {
 		return current, false
 	}
-	current = &firstRequest{done: make(chan struct{})}
+	current = &flight{done: make(chan struct{})}
 	r.byFingerprint[f] = current
 	return current, true
 }
 
 // finish removes the first request with fingerprint f and wakes the requests that wait for it.
-func (r *firstRequests) finish(f quarantine.Fingerprint, ended *firstRequest) {
+func (r *singleFlight) finish(f quarantine.Fingerprint, ended *flight) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.byFingerprint, f)
@@ -64,7 +64,7 @@
 }
 
 // setEndpoint records where the first request with fingerprint f is sent, unless this is already recorded.
-func (r *firstRequests) setEndpoint(f quarantine.Fingerprint, endpoint string) {
+func (r *singleFlight) setEndpoint(f quarantine.Fingerprint, endpoint string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if current := r.byFingerprint[f]; current != nil && current.endpoint == "" {
@@ -73,7 +73,7 @@
 }
 
 // endpointOf returns the endpoint of the first request with fingerprint f, empty if there is none.
-func (r *firstRequests) endpointOf(f quarantine.Fingerprint) string {
+func (r *singleFlight) endpointOf(f quarantine.Fingerprint) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if current := r.byFingerprint[f]; current != nil {
@@ -95,9 +95,9 @@
 		if r.cfg.Quarantine.RanSuccessfully(q.suspect.Fingerprint) {
 			return noop, nil
 		}
-		current, started := r.firstRequests.joinOrStart(q.suspect.Fingerprint)
+		current, started := r.flights.joinOrStart(q.suspect.Fingerprint)
 		if started {
-			return func() { r.firstRequests.finish(q.suspect.Fingerprint, current) }, nil
+			return func() { r.flights.finish(q.suspect.Fingerprint, current) }, nil
 		}
 		select {
 		case <-current.done:
