bellgap status counts the promises to callers by what they rest on

The counters of (promises by ground) had a metric and a log field, but an operator without a metrics store saw nothing: status told of surplus answers and merged heads alone. It says now how many callers were promised that their request did not run, since the start of the process, split as the metric is. Any number above 0 for "by the status of an endpoint" is a fault (docs/incidents/promises-that-did-not-hold.md).

TestPromisesAreCounted. An atomic counter for each promise; no decision reads it.

--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -402,7 +402,7 @@
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Leaving: b.leaveStatus, Scope: b.metrics.Scope, RecentRequests: record.New(),
 		Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, LastRestore: b.follower.LastRestore, EngineLoads: b.EngineLoads, Shortages: b.gate.Shortages, SlowPeers: b.callers.Status, Reach: b.links.reach.Status, Detours: b.links.status,
-		StreamOrigins: b.origins.Len, WaitingOrigins: b.streamArchive.Len, SurplusAnswers: b.pairing.Status,
+		StreamOrigins: b.origins.Len, WaitingOrigins: b.streamArchive.Len, SurplusAnswers: b.pairing.Status, Promises: b.relay.Promises,
 	})
 	b.root.Add(server{b.listeners.caller, b.relay})
 	b.root.Add(server{b.listeners.peer, peerMux})
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -17,6 +17,7 @@
 	"github.com/bellgap/bellgap/internal/operator"
 	"github.com/bellgap/bellgap/internal/owner"
 	"github.com/bellgap/bellgap/internal/reach"
+	"github.com/bellgap/bellgap/internal/relay"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/share"
 	"github.com/bellgap/bellgap/internal/slowpeer"
@@ -112,6 +113,10 @@
 		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes) and %d heads of more than one answer, the last %s ago\n",
 			e.Name, e.Answers, e.Bytes, e.MergedHeads, e.Ago.Round(time.Second))
 	}
+	if p := st.Promises; p != (relay.Promises{}) {
+		_, _ = fmt.Fprintf(w, "callers were promised that their requests did not run: %d before they were sent, %d after rejections by endpoints, %d by the status of an endpoint\n",
+			p.Unsent, p.Rejected, p.Forwarded)
+	}
 	fleet := summarize(topology, st.Member.Coordinator, st.Member.Cell)
 	fleet.addRateLimits(st.RateLimits)
 	fleet.addBrittle(st.BrittleEndpoints)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,7 @@
 	"github.com/bellgap/bellgap/internal/ratelimit"
 	"github.com/bellgap/bellgap/internal/reach"
 	"github.com/bellgap/bellgap/internal/record"
+	"github.com/bellgap/bellgap/internal/relay"
 	"github.com/bellgap/bellgap/internal/result"
 	"github.com/bellgap/bellgap/internal/share"
 	"github.com/bellgap/bellgap/internal/slowpeer"
@@ -74,6 +75,8 @@
 	WaitingOrigins func() int
 	// SurplusAnswers lists the endpoints that recently sent answers that belong to no request. It is nil on boxes that do not count them.
 	SurplusAnswers func(now time.Time) []pairing.Endpoint
+	// Promises returns the numbers of answers that promise callers that their requests did not run. It is nil on boxes that do not count them.
+	Promises func() relay.Promises
 }
 
 // Quarantine lists the requests that have crashed endpoints and allows an operator to release them.
@@ -131,6 +134,8 @@
 	SoftwareVersions []*softwareversion.History `json:"software_versions,omitempty"`
 	// SurplusAnswers lists the endpoints that recently sent answers that belong to no request.
 	SurplusAnswers []pairing.Endpoint `json:"surplus_answers,omitempty"`
+	// Promises counts the answers that promise callers that their requests did not run.
+	Promises relay.Promises `json:"promises"`
 }
 
 // EngineLoad is the known load of a scarce engine.
@@ -194,6 +199,7 @@
 		RateLimits: o.cfg.RateLimits(clock.Now()), BrittleEndpoints: o.cfg.BrittleEndpoints(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
 		EngineLoads: o.engineLoads(), Shortages: o.shortages(),
 		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(), StreamOrigins: o.streamOrigins(), WaitingOrigins: o.waitingOrigins(), SoftwareVersions: o.cfg.Catalog.Topology().SoftwareVersions, SurplusAnswers: o.surplusAnswers(),
+		Promises: o.promises(),
 	})
 }
 
@@ -211,6 +217,13 @@
 	return o.cfg.SurplusAnswers(clock.Now())
 }
 
+func (o *Operator) promises() relay.Promises {
+	if o.cfg.Promises == nil {
+		return relay.Promises{}
+	}
+	return o.cfg.Promises()
+}
+
 func (o *Operator) detours() detour.Status {
 	if o.cfg.Detours == nil {
 		return detour.Status{}
--- a/internal/relay/promise_test.go
+++ b/internal/relay/promise_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
 )
 
 // TestPromiseGround guards against a promise that is counted under a ground that it does not rest on.
@@ -29,3 +30,15 @@
 		})
 	}
 }
+
+// TestPromisesAreCounted guards against a status page that misses promises, or counts answers that are none.
+func TestPromisesAreCounted(t *testing.T) {
+	r := &Relay{cfg: Config{Scope: tally.NoopScope}}
+	r.recordStatus(&request{}, http.StatusServiceUnavailable, false)
+	r.recordStatus(&request{}, http.StatusTooManyRequests, false)
+	r.recordStatus(&request{arrivals: 2}, http.StatusServiceUnavailable, false)
+	r.recordStatus(&request{arrivals: 1}, http.StatusRequestTimeout, true)
+	r.recordStatus(&request{arrivals: 1}, http.StatusOK, true)
+	r.recordStatus(&request{arrivals: 1}, http.StatusBadGateway, false)
+	qt.Check(t, r.Promises(), qt.Equals, Promises{Unsent: 2, Rejected: 1, Forwarded: 1})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -132,6 +132,8 @@
 	pending                        *pendingRequests
 	runTimes                       *runTimes
 	refusedLeaving, leftUnfinished atomic.Int64
+	// promises counts the promises to callers.
+	promises promiseCounts
 	// loggedLongEvents holds the endpoints with a recent log line on an event above the limits.
 	loggedLongEvents *recent.Set[string]
 	// rejections holds the recent rejections by endpoints.
