Ratelimit: a new keeper does not deduct twice what it takes over with the tokens

Cause: a keeper whose tokens were full, or that does not know all keepers, takes over the tokens of the keeper before. These lack already what that one deducted for keepers before it. Boxes then bring newer counts of these keepers, and the difference was deducted again, down to one token below zero each time.

Change: a count says which counts of other keepers its tokens contain (Others, at most 16, only with the newest count in a request, dropped after 10 s as the counts are). The new keeper takes these over with the tokens. Older boxes ignore the field, and without it a keeper deducts as before. Weighed: to ignore all counts older than the tokens.

--- a/internal/places/keeper.go
+++ b/internal/places/keeper.go
@@ -24,8 +24,6 @@
 	maxWait = 2 * time.Second
 	// maxEndpoints is the number of endpoints at which a Keeper evicts the idle ones before it adds another.
 	maxEndpoints = 4096
-	// maxOtherCounts limits the keepers whose counts are stored for one endpoint. When it is reached, all are discarded.
-	maxOtherCounts = 16
 	// maxHold limits the time until a place expires whose request is never reported as ended, whatever its box asks for. Routes may have
 	// timeouts of minutes.
 	maxHold = 15 * time.Minute
@@ -107,9 +105,9 @@
 	// limiter enforces the rate limit that the endpoint reports. The keeper receives the limit in the Request and EndReport
 	// messages, so the limit needs no messages of its own. It also applies to boxes that don't know it.
 	limiter ratelimit.Limiter
-	// granted is the number of requests that were granted so far, otherCounts that of other keepers as far as known.
-	granted     uint64
-	otherCounts map[uint64]uint64
+	// granted is the number of requests that were granted so far. others contains that of other keepers, as far as it is deducted.
+	granted uint64
+	others  map[uint64]otherCount
 	// brittle limits the requests at the endpoint while it is brittle. start is the start time of the run for which it does so, and
 	// answered is set once a request has been answered by that run.
 	brittle  brittle.Limiter
@@ -117,6 +115,12 @@
 	answered bool
 }
 
+// otherCount is the number of requests that another keeper had granted at countedAt.
+type otherCount struct {
+	granted   uint64
+	countedAt time.Time
+}
+
 // place is a place in use by one request.
 type place struct {
 	expiresAt time.Time
@@ -168,31 +172,83 @@
 	if !c.limiter.IsLimited() {
 		return nil
 	}
-	return &ratelimit.KeeperCount{Keeper: k.id, Granted: c.granted, Tokens: c.limiter.Tokens()}
+	count := &ratelimit.KeeperCount{Keeper: k.id, Granted: c.granted, Tokens: c.limiter.Tokens()}
+	if len(c.others) > 0 {
+		count.Others = make(map[uint64]uint64, len(c.others))
+		for keeper, other := range c.others {
+			count.Others[keeper] = other.granted
+		}
+	}
+	return count
 }
 
 // applyCounts deducts the requests that other keepers have granted since their last known counts. Without this, a box that becomes the
-// keeper again would also grant what has accrued while another one granted the whole rate.
+// keeper again would also grant what has accrued while another one granted the whole rate. Tokens that are taken over from the keeper
+// before lack the requests that it has deducted itself; these must not be deducted again.
 func (k *Keeper) applyCounts(now time.Time, c *endpointCount, counts []ratelimit.KeeperCount) {
-	var newest *ratelimit.KeeperCount
-	granted, complete := uint64(0), true
+	c.expireOthers(now)
+	newest, isComplete := k.newestCount(c, counts)
+	if newest == nil {
+		return
+	}
+	if c.limiter.AdoptTokens(now, *newest, isComplete) {
+		countedAt := now.Add(-newest.Age)
+		c.recordOther(newest.Keeper, newest.Granted, countedAt)
+		for keeper, granted := range newest.Others {
+			if keeper != k.id {
+				c.recordOther(keeper, granted, countedAt)
+			}
+		}
+	}
+	requests := uint64(0)
 	for _, other := range counts {
-		before, isKnown := c.otherCounts[other.Keeper]
-		if other.Keeper == k.id || isKnown && other.Granted <= before {
-			continue
+		if other.Keeper != k.id {
+			requests += c.recordOther(other.Keeper, other.Granted, now.Add(-other.Age))
 		}
-		if c.otherCounts == nil || !isKnown && len(c.otherCounts) >= maxOtherCounts {
-			c.otherCounts = map[uint64]uint64{}
+	}
+	c.limiter.UseElsewhere(now, requests)
+}
+
+// newestCount returns the newest count of another keeper that contains requests not known before, or nil if there is none. isComplete
+// is false if one of these keepers is unknown.
+func (k *Keeper) newestCount(c *endpointCount, counts []ratelimit.KeeperCount) (newest *ratelimit.KeeperCount, isComplete bool) {
+	isComplete = true
+	for i := range counts {
+		other := &counts[i]
+		before, isKnown := c.others[other.Keeper]
+		if other.Keeper == k.id || isKnown && other.Granted <= before.granted {
+			continue
 		}
-		c.otherCounts[other.Keeper] = other.Granted
-		granted += other.Granted - before
-		complete = complete && isKnown
+		isComplete = isComplete && isKnown
 		if newest == nil || other.Age < newest.Age {
-			newest = &other
+			newest = other
 		}
 	}
-	if newest != nil {
-		c.limiter.UseElsewhere(now, granted, *newest, complete)
+	return newest, isComplete
+}
+
+// recordOther records the count of another keeper. It returns the number of requests since its last known count, zero if there is none.
+func (c *endpointCount) recordOther(keeper, granted uint64, countedAt time.Time) uint64 {
+	before, isKnown := c.others[keeper]
+	if isKnown && granted <= before.granted {
+		return 0
+	}
+	if c.others == nil || !isKnown && len(c.others) >= ratelimit.MaxOthers {
+		c.others = map[uint64]otherCount{}
+	}
+	c.others[keeper] = otherCount{granted, countedAt}
+	if !isKnown {
+		return 0
+	}
+	return granted - before.granted
+}
+
+// expireOthers removes the counts that no box passes on any more.
+func (c *endpointCount) expireOthers(now time.Time) {
+	for keeper, other := range c.others {
+		if now.Sub(other.countedAt) >= ratelimit.CountRetention {
+			delete(c.others, keeper)
+		}
 	}
 }
 
--- a/internal/ratelimit/book.go
+++ b/internal/ratelimit/book.go
@@ -36,10 +36,8 @@
 	// sumInterval is the time for which the sum of the rates of a service's endpoints is reused. There may be thousands of
 	// endpoints, and thousands of refused requests per second.
 	sumInterval = time.Second
-	// countRetention is how long a keeper's count is passed on to other keepers. maxCounts limits the keepers whose counts are stored for
-	// one endpoint. Usually there is only one.
-	countRetention = 10 * time.Second
-	maxCounts      = 8
+	// maxCounts limits the keepers whose counts are stored for one endpoint. Usually there is only one.
+	maxCounts = 8
 	// maxServices limits the services with a retry schedule. When it is reached, all schedules are discarded.
 	maxServices = 1024
 )
@@ -248,6 +246,9 @@
 	if !r.HasReports() {
 		return
 	}
+	if len(count.Others) > MaxOthers {
+		count.Others = nil
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[endpoint]
@@ -259,7 +260,7 @@
 			// The answers have overtaken each other.
 			count, sentAt = c.KeeperCount, c.sentAt
 		}
-		return c.Keeper == count.Keeper || sentAt.Sub(c.sentAt) >= countRetention
+		return c.Keeper == count.Keeper || sentAt.Sub(c.sentAt) >= CountRetention
 	})
 	if len(e.counts) >= maxCounts {
 		e.counts = slices.Delete(e.counts, 0, 1)
@@ -267,7 +268,8 @@
 	e.counts = append(e.counts, timedCount{count, sentAt})
 }
 
-// RecentCounts returns the counts of an endpoint's keepers that were received within countRetention.
+// RecentCounts returns the counts of an endpoint's keepers that were received within CountRetention. Only the newest one contains Others,
+// because a keeper takes over only the tokens of the newest one.
 func (r *Registry) RecentCounts(now time.Time, endpoint string) []KeeperCount {
 	if !r.HasReports() {
 		return nil
@@ -279,9 +281,18 @@
 		return nil
 	}
 	var counts []KeeperCount
+	newest := 0
 	for _, c := range e.counts {
-		if c.Age = max(0, now.Sub(c.sentAt)); c.Age < countRetention {
+		if c.Age = max(0, now.Sub(c.sentAt)); c.Age < CountRetention {
 			counts = append(counts, c.KeeperCount)
+			if c.Age < counts[newest].Age {
+				newest = len(counts) - 1
+			}
+		}
+	}
+	for i := range counts {
+		if i != newest {
+			counts[i].Others = nil
 		}
 	}
 	return counts
--- a/internal/ratelimit/book_test.go
+++ b/internal/ratelimit/book_test.go
@@ -99,7 +99,20 @@
 	registry.RecordCount(base.Add(2*time.Second), "e", KeeperCount{Keeper: 1, Granted: 7, Tokens: 3})
 	now := base.Add(5 * time.Second)
 	c.Check(registry.RecentCounts(now, "e"), qt.DeepEquals, []KeeperCount{{Keeper: 1, Granted: 8, Tokens: 2, Age: 4 * time.Second}})
-	c.Check(registry.RecentCounts(base.Add(time.Second+countRetention), "e"), qt.HasLen, 0)
+	c.Check(registry.RecentCounts(base.Add(time.Second+CountRetention), "e"), qt.HasLen, 0)
+	registry.RecordCount(base.Add(3*time.Second), "e", KeeperCount{Keeper: 2, Granted: 5, Others: map[uint64]uint64{1: 8}})
+	registry.RecordCount(base.Add(2*time.Second), "e", KeeperCount{Keeper: 3, Granted: 6, Others: map[uint64]uint64{1: 7}})
+	c.Check(registry.RecentCounts(now, "e"), qt.DeepEquals, []KeeperCount{
+		{Keeper: 1, Granted: 8, Tokens: 2, Age: 4 * time.Second},
+		{Keeper: 2, Granted: 5, Age: 2 * time.Second, Others: map[uint64]uint64{1: 8}},
+		{Keeper: 3, Granted: 6, Age: 3 * time.Second},
+	})
+	tooMany := map[uint64]uint64{}
+	for i := range uint64(MaxOthers + 1) {
+		tooMany[i+1] = 1
+	}
+	registry.RecordCount(now, "e", KeeperCount{Keeper: 4, Granted: 1, Others: tooMany})
+	c.Check(registry.RecentCounts(now, "e")[3], qt.DeepEquals, KeeperCount{Keeper: 4, Granted: 1})
 	for i := range uint64(2 * maxCounts) {
 		registry.RecordCount(now, "e", KeeperCount{Keeper: i, Granted: 9})
 	}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -152,18 +152,27 @@
 	}
 }
 
-// UseElsewhere consumes the tokens of requests that other keepers have granted since their last counts. newest is the latest of the new
-// counts. With complete set, requests includes all requests that were granted while this box was not the keeper.
-func (l *Limiter) UseElsewhere(now time.Time, requests uint64, newest KeeperCount, complete bool) {
+// AdoptTokens replaces the tokens by those of the keeper before, with what has accrued since. It does so if the requests that were
+// granted meanwhile cannot be deducted: they are not all known, as isComplete says, or tokens beyond the capacity were lost. It reports
+// whether it did.
+func (l *Limiter) AdoptTokens(now time.Time, before KeeperCount, isComplete bool) bool {
 	if !l.observed.Limited {
-		return
+		return false
 	}
 	l.refill(now)
-	if !complete || l.tokens >= l.capacity() {
-		// Tokens beyond the capacity were lost, so the requests cannot be deducted: the other keeper's tokens replace the own ones.
-		l.tokens = min(l.tokens, max(0, newest.Tokens+l.refillRate()*newest.Age.Seconds()))
+	if isComplete && l.tokens < l.capacity() {
+		return false
+	}
+	l.tokens = min(l.tokens, max(0, before.Tokens+l.refillRate()*before.Age.Seconds()))
+	return true
+}
+
+// UseElsewhere consumes the tokens of requests that other keepers have granted.
+func (l *Limiter) UseElsewhere(now time.Time, requests uint64) {
+	if !l.observed.Limited || requests == 0 {
 		return
 	}
+	l.refill(now)
 	lowest := -max(1, l.observed.Rate*burstPeriod.Seconds())
 	l.tokens = max(l.tokens-float64(requests), min(l.tokens, lowest))
 }
--- a/internal/ratelimit/word.go
+++ b/internal/ratelimit/word.go
@@ -69,6 +69,13 @@
 	return rate, nil
 }
 
+const (
+	// CountRetention is how long a keeper's count is passed on to other keepers.
+	CountRetention = 10 * time.Second
+	// MaxOthers limits the entries of KeeperCount.Others.
+	MaxOthers = 16
+)
+
 // KeeperCount is what one keeper has granted at an endpoint. Boxes pass it on to the next keeper.
 type KeeperCount struct {
 	// Keeper identifies the keeper.
@@ -77,6 +84,9 @@
 	Granted uint64 `json:"granted"`
 	// Tokens is the number of further requests that the keeper would have granted at once.
 	Tokens float64 `json:"tokens"`
+	// Others contains the requests granted by other keepers that are already deducted from Tokens, by keeper. Boxes of older versions
+	// don't send it.
+	Others map[uint64]uint64 `json:"others,omitempty"`
 	// Age is the time since then. It is set in messages between boxes.
 	Age time.Duration `json:"age,omitempty"`
 }
