Detours: a connection through a leaving box carries no further request

What callers saw: at a box that is cut off from endpoints, requests sent up to 3 s after another box was stopped ended as 502 with 4002, among them requests that may not be repeated. They went through the stopped box and were cut when its leave time was over.

Cause: the cut box closes idle connections through leaving boxes five times a second. Callers that come at once keep connections busy: the transport hands each to the next request as soon as its answer is over, so that they are never idle at a look.

Change: a connection through another box says once that box is seen to leave that it is retired (httpx.Retirer). The pairing of answers passes the next final answer on with Connection: close, as it does for answers without an id, and the transport closes the connection before it hands it on. Counter carriers_leaving and a log line. Between boxes nothing changes. Weighed: a new transport for each leaving box (connections that lead elsewhere would end as well); an error on the next write (the request then counts as sent).

--- a/internal/detour/carrier.go
+++ b/internal/detour/carrier.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -30,6 +31,8 @@
 	address netip.AddrPort
 	// open is the number of open detours. The mutex of the Client guards it.
 	open int
+	// isLeaving is set once the box was seen to leave.
+	isLeaving atomic.Bool
 
 	mu sync.Mutex
 	// unansweredSince is when the first byte was sent since the last byte arrived, zero if nothing was sent.
--- a/internal/detour/client.go
+++ b/internal/detour/client.go
@@ -337,7 +337,8 @@
 	return nil, result.New(code, "status %d", resp.StatusCode)
 }
 
-// Serve watches open detours until ctx is done. It closes idle connections if some lead through leaving boxes, which wait for their detours to end,
+// Serve watches open detours until ctx is done. It closes idle connections if some lead through leaving boxes, which wait for their detours to end
+// (busy ones close after their next answer),
 // through boxes that no longer connect to endpoints, or to endpoints that can be reached directly again.
 func (c *Client) Serve(ctx context.Context) error {
 	defer part.CloseIfEnded(ctx, c.done)
@@ -367,6 +368,7 @@
 	return ctx.Err()
 }
 
+// usesLeavingBox reports whether detours lead through leaving boxes, and marks these.
 func (c *Client) usesLeavingBox() bool {
 	if c.Open() == 0 {
 		return false
@@ -374,12 +376,19 @@
 	boxes := c.cfg.Boxes()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	uses := false
 	for _, b := range boxes {
-		if b.Leaving && c.carriers[b.Address] != nil {
-			return true
+		used := c.carriers[b.Address]
+		if !b.Leaving || used == nil {
+			continue
+		}
+		uses = true
+		if !used.isLeaving.Swap(true) {
+			c.cfg.Scope.Counter("carriers_leaving").Inc(1)
+			klog.InfoS("box through which endpoints are connected is leaving", "box", b.Name, "detours", used.open)
 		}
 	}
-	return false
+	return uses
 }
 
 // reachesDetouredEndpoint reports whether a direct connection to an endpoint to which a detour is open succeeds as fast as one that needs no detour.
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -110,6 +110,10 @@
 	return c.Conn.Write(p)
 }
 
+// IsRetired implements httpx.Retirer. A leaving box ends the connections that it carries when its leave time is over, so no further request must be sent over
+// them, also while callers keep them busy.
+func (c *framedConn) IsRetired() bool { return c.through.isLeaving.Load() }
+
 // Close implements net.Conn.
 func (c *framedConn) Close() error {
 	c.once.Do(c.onClose)
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -85,6 +85,23 @@
 // IsReused reports whether the request was assigned a connection that had carried other requests.
 func (s *SendTrace) IsReused() bool { return s.reused.Load() }
 
+// Retirer is a connection that says when no further request may be sent over it.
+type Retirer interface{ IsRetired() bool }
+
+// IsRetired reports whether no further request may be sent over a connection, or over one that it wraps and returns from NetConn.
+func IsRetired(c net.Conn) bool {
+	for {
+		if r, ok := c.(Retirer); ok {
+			return r.IsRetired()
+		}
+		wrapper, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return false
+		}
+		c = wrapper.NetConn()
+	}
+}
+
 // Drain reads up to maxDrainBytes of the rest of body, so that the connection can be reused, and closes body.
 func Drain(body io.ReadCloser) {
 	// An error here only prevents the reuse of the connection.
--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 
 	"k8s.io/klog/v2"
+
+	"github.com/bellgap/bellgap/internal/httpx"
 )
 
 const (
@@ -197,8 +199,11 @@
 		return c.passRaw(head, request, isOpen)
 	}
 	c.pending, c.isFinal = head, resp.StatusCode >= http.StatusOK
-	if c.isFinal && answerID == "" && request.id != "" && c.pairing.cfg.IsIDReturned {
+	isUnnamed := c.isFinal && answerID == "" && request.id != "" && c.pairing.cfg.IsIDReturned
+	if isUnnamed {
 		c.pairing.cfg.Scope.Counter("answers_without_id").Inc(1)
+	}
+	if isUnnamed || c.isFinal && httpx.IsRetired(c.Conn) {
 		c.pending = withClose(head)
 	}
 	c.body, c.isRaw = c.bodyOf(resp)
--- a/internal/slowpeer/dial.go
+++ b/internal/slowpeer/dial.go
@@ -42,6 +42,9 @@
 	stallTimeout time.Duration
 }
 
+// NetConn returns the wrapped connection.
+func (c *boundedConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c *boundedConn) Write(p []byte) (int, error) {
 	n, looks := 0, 0
