--- a/internal/pairing/pairing_test.go
+++ b/internal/pairing/pairing_test.go
@@ -40,6 +40,8 @@
 	address string
 	// dials counts the connections.
 	dials int
+	// retired is set if no further request may be sent over the open connections.
+	retired atomic.Bool
 	// ended counts the connections that have ended.
 	ended atomic.Int64
 }
@@ -66,13 +68,28 @@
 	w.pairing = pairing.New(pairing.Config{ID: func(h http.Header) string { return h.Get(idHeader) }, IsIDReturned: true, MaxSurplusBytes: maxSurplus, Scope: w.scope})
 	base := &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: 32 << 10, DisableCompression: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		w.dials++
-		return (&net.Dialer{}).DialContext(ctx, network, address)
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return wrappedConn{retirableConn{conn, &w.retired}}, err
 	}}
 	c.Cleanup(base.CloseIdleConnections)
 	w.client = &http.Client{Transport: w.pairing.Transport(base)}
 	return w
 }
 
+// retirableConn is a connection that can be retired, and wrappedConn wraps it, as others do.
+type retirableConn struct {
+	net.Conn
+	retired *atomic.Bool
+}
+
+// IsRetired implements httpx.Retirer.
+func (r retirableConn) IsRetired() bool { return r.retired.Load() }
+
+type wrappedConn struct{ net.Conn }
+
+// NetConn returns the wrapped connection.
+func (w wrappedConn) NetConn() net.Conn { return w.Conn }
+
 // serve answers the requests on a connection in turn until a write or a read fails.
 func serve(conn net.Conn, answer func(net.Conn, *http.Request)) {
 	defer func() { _ = conn.Close() }()
@@ -358,6 +375,27 @@
 }
 
 // BenchmarkAnswer measures what pairing adds to a small answer on a kept connection.
+// TestRetiredConnectionCarriesNoFurtherRequest guards against connections that are to be given up and go on for as long as they are in demand.
+func TestRetiredConnectionCarriesNoFurtherRequest(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, func(conn net.Conn, req *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 4\r\n\r\nbody", idHeader, req.Header.Get(idHeader))
+	})
+	get := func(id string, wantDials int) {
+		body, err := w.get(id)
+		c.Check(err, qt.IsNil)
+		c.Check(body, qt.Equals, "body")
+		c.Check(w.dials, qt.Equals, wantDials, qt.Commentf("%s", id))
+	}
+	get("first", 1)
+	get("second", 1)
+	w.retired.Store(true)
+	get("last", 1)
+	w.retired.Store(false)
+	get("next", 2)
+	get("after", 2)
+}
+
 func BenchmarkAnswer(b *testing.B) {
 	for _, paired := range []bool{false, true} {
 		b.Run(fmt.Sprint("paired=", paired), func(b *testing.B) {
