--- a/internal/pairing/pairing_test.go
+++ b/internal/pairing/pairing_test.go
@@ -41,8 +41,10 @@
 	pairing *pairing.Pairing
 	client  *http.Client
 	address string
-	// dials counts the connections, slow the requests that took reuseWait or longer, after which the transport may not have used a connection again.
-	dials, slow int
+	// dials counts the connections.
+	dials atomic.Int64
+	// slow counts the requests that took reuseWait or longer, after which the transport may not have used a connection again.
+	slow int
 	// retired is set if no further request may be sent over the open connections.
 	retired atomic.Bool
 	// ended counts the connections that have ended.
@@ -70,7 +72,7 @@
 	w.address = l.Addr().String()
 	w.pairing = pairing.New(pairing.Config{ID: func(h http.Header) string { return h.Get(idHeader) }, IsIDReturned: true, MaxSurplusBytes: maxSurplus, Scope: w.scope})
 	base := &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: 32 << 10, DisableCompression: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		w.dials++
+		w.dials.Add(1)
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		return wrappedConn{retirableConn{conn, &w.retired}}, err
 	}}
@@ -132,7 +134,8 @@
 
 // checkDials checks the number of connections. Each slow request may have cost one more.
 func (w *world) checkDials(want int) {
-	w.c.Check(w.dials >= want && w.dials <= want+w.slow, qt.IsTrue, qt.Commentf("%d connections, %d expected, %d slow requests", w.dials, want, w.slow))
+	dials := int(w.dials.Load())
+	w.c.Check(dials >= want && dials <= want+w.slow, qt.IsTrue, qt.Commentf("%d connections, %d expected, %d slow requests", dials, want, w.slow))
 }
 
 // count returns the sum of the counters with the given name.
