Pairing: count requests on connections that have carried their id

A box logs a rejection alike whether its connection had carried the request's id before or not, so the hypotheses on copies of refusals cannot be told apart. Each connection now keeps hashes of the ids that it has carried, and a request whose id is among them is counted (ids_carried_again) and logged. No decision uses them yet.

--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -22,6 +22,8 @@
 	readBuffer = 2 << 10
 	// maxHeadBytes limits a head, and the trailer of a chunked answer. It is the limit of the transports.
 	maxHeadBytes = 32 << 10
+	// maxCarriedIDs bounds the ids that are kept of one connection.
+	maxCarriedIDs = 1024
 )
 
 var (
@@ -58,6 +60,8 @@
 	// last is the last request sent over the connection, isOpen is set until its answer has been passed on.
 	last   exchange
 	isOpen bool
+	// carried holds the ids of all requests sent over the connection, as far as it has room for them.
+	carried carriedIDs
 	// isClosed is set once this side has closed the connection.
 	isClosed bool
 }
@@ -101,10 +105,21 @@
 
 // begin records a request that is about to be sent.
 func (c *conn) begin(e exchange) {
+	if c.recordExchange(e) {
+		c.pairing.recordCarriedAgain(e)
+	}
+}
+
+// recordExchange records a request and reports whether the connection has carried its id before.
+func (c *conn) recordExchange(e exchange) (wasCarried bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e.receivedBefore = c.received.Load()
 	c.last, c.isOpen = e, true
+	if e.id == "" || c.carried.isFull(maxCarriedIDs) {
+		return false
+	}
+	return c.carried.add(e.id)
 }
 
 // end records that the answer to the request in flight has been passed on.
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -51,8 +51,9 @@
 // Pairing pairs the answers on the connections of all its transports.
 type Pairing struct {
 	cfg Config
-	// logged holds the endpoints whose surplus answers were logged recently, loggedMerged those whose merged heads were.
-	logged, loggedMerged *recent.Set[string]
+	// logged holds the endpoints whose surplus answers were logged recently, loggedMerged those whose merged heads were, loggedCarried those that
+	// were sent an id over a connection that had carried it.
+	logged, loggedMerged, loggedCarried *recent.Set[string]
 
 	mu sync.Mutex
 	// endpoints counts the surplus answers of endpoints, by name.
@@ -86,7 +87,7 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
-	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), loggedMerged: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
+	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), loggedMerged: recent.New[string](logInterval), loggedCarried: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
 }
 
 // Transport makes t pair the answers on its connections. Requests must be sent with the returned transport.
@@ -231,6 +232,15 @@
 	p.list(request.endpoint, now, func(e *Endpoint) { e.MergedHeads++ })
 }
 
+// recordCarriedAgain counts and logs a request on a connection that has carried its id before: the id of an answer then does not tell whether
+// it belongs to this request.
+func (p *Pairing) recordCarriedAgain(e exchange) {
+	p.cfg.Scope.Counter("ids_carried_again").Inc(1)
+	if level := logLevel(p.loggedCarried, e.endpoint, clock.Now()); klog.V(level).Enabled() {
+		klog.V(level).InfoS("request goes over a connection that has carried its id before", "endpoint", e.endpoint, "request", e.id)
+	}
+}
+
 // logLevel returns the level for a log line on an endpoint, which is higher if the endpoint was logged recently.
 func logLevel(logged *recent.Set[string], endpoint string, now time.Time) klog.Level {
 	if logged.Has(endpoint, now) {
