Pairing: no connection carries two requests with one id

Cause: the id tells nothing if one connection carries it twice, and what a connection had carried was kept in a set of the relay, for a minute and 4,096 rejections of all endpoints, while the danger lasts as long as the connection.

Why it works: each connection keeps the ids that it has carried until it closes, and ends after endpoints.max_requests of them. A request whose id an open connection of its transport has carried, or another request of that id that is being sent, goes over a connection of its own. So it holds for all ways on which an id comes back, and the relay's set and its second client go.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -111,7 +111,7 @@
 		root: suture.New("box", suture.Spec{EventHook: logSupervisorEvent}),
 	}
 	b.links = newLinks(linksConfig{Settings: cfg.Settings, Catalog: b.catalog, Dial: cfg.DialEndpoint, IsLeaving: func() bool { return b.node.Leaving() }, OnDetached: func() { b.gateway.GiveUpUnanswered() }, Scope: b.metrics.Scope})
-	b.pairing = pairing.New(pairing.Config{ID: engine.CallID, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
+	b.pairing = pairing.New(pairing.Config{ID: engine.CallID, MaxRequests: cfg.Settings.Endpoints.MaxRequests, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
 	b.engines = engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), cfg.Settings.Callers.StallTimeout))}})
 	api := objects.NewClient(objects.ClientConfig{
 		Address: cfg.Settings.Platform.Address.String(), HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -169,7 +169,7 @@
 		Settings: cfg.Settings, Catalog: b.catalog, Dial: cfg.Deployment.DialEndpoint, IsLeaving: func() bool { return b.leavingDuration() > 0 }, OnDetached: func() { b.relay.GiveUpUnanswered() },
 		OnCarrierLost: func(box netip.AddrPort) { b.relay.GiveUpUnansweredThrough(box) }, Scope: b.metrics.Scope,
 	})
-	b.pairing = pairing.New(pairing.Config{ID: cfg.Deployment.Wire.ID, IsIDReturned: true, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
+	b.pairing = pairing.New(pairing.Config{ID: cfg.Deployment.Wire.ID, IsIDReturned: true, MaxRequests: cfg.Settings.Endpoints.MaxRequests, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
 	b.catalog.SetScarceSlots(cfg.Settings.Capacity.ScarceSlots)
 	b.catalog.SetAllSlots(cfg.Settings.Policy.Build().IsEnabled(policy.AllSlots))
 	b.ledger, b.locator = quota.NewLedger(quota.LedgerConfig{Bounds: quota.Bounds{
@@ -364,9 +364,8 @@
 	s := b.cfg.Settings
 	cfg := relay.Config{
 		Box: s.Box.Name, Zone: s.Box.Zone, Catalog: b.catalog, Owners: b.owners, Grants: grants, Wire: b.cfg.Deployment.Wire, Scope: b.metrics.Scope,
-		Endpoints:      &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
-		FreshEndpoints: &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.transport(httpx.NewSingleUseTransport(), b.links.detours.Dial), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
-		Connections:    b.pairing, ReadEndpoint: b.cfg.Deployment.ReadEndpoint,
+		Endpoints:   &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
+		Connections: b.pairing, ReadEndpoint: b.cfg.Deployment.ReadEndpoint,
 		Budget: relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
 		Policy: s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
 		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -110,8 +110,8 @@
 	}
 	printSoftwareVersions(w, st)
 	for _, e := range st.SurplusAnswers {
-		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes) and %d heads of more than one answer, the last %s ago\n",
-			e.Name, e.Answers, e.Bytes, e.MergedHeads, e.Ago.Round(time.Second))
+		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes) and %d heads of more than one answer, and got %d requests again under their ids, the last %s ago\n",
+			e.Name, e.Answers, e.Bytes, e.MergedHeads, e.Repeats, e.Ago.Round(time.Second))
 	}
 	if p := st.Promises; p != (relay.Promises{}) {
 		_, _ = fmt.Fprintf(w, "callers were promised that their requests did not run: %d before they were sent, %d after rejections by endpoints, %d by the status of an endpoint\n",
--- a/internal/pairing/carried.go
+++ b/internal/pairing/carried.go
@@ -29,5 +29,5 @@
 	return ok
 }
 
-// isFull reports whether max ids have been added.
-func (c *carriedIDs) isFull(max int) bool { return len(c.hashes) >= max }
+// len returns the number of ids, those with one hash counted once.
+func (c *carriedIDs) len() int { return len(c.hashes) }
--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -22,8 +22,6 @@
 	readBuffer = 2 << 10
 	// maxHeadBytes limits a head, and the trailer of a chunked answer. It is the limit of the transports.
 	maxHeadBytes = 32 << 10
-	// maxCarriedIDs bounds the ids that are kept of one connection.
-	maxCarriedIDs = 1024
 )
 
 var (
@@ -39,6 +37,8 @@
 type conn struct {
 	net.Conn
 	pairing *Pairing
+	// transport is the one that opened the connection.
+	transport *transport
 	// address is that of the endpoint, also if the connection leads through another box.
 	address string
 	in      *bufio.Reader
@@ -60,14 +60,14 @@
 	// last is the last request sent over the connection, isOpen is set until its answer has been passed on.
 	last   exchange
 	isOpen bool
-	// carried holds the ids of all requests sent over the connection, as far as it has room for them.
+	// carried holds the ids of all requests sent over the connection.
 	carried carriedIDs
 	// isClosed is set once this side has closed the connection.
 	isClosed bool
 }
 
-func newConn(p *Pairing, address string, c net.Conn) *conn {
-	paired := &conn{Conn: c, pairing: p, address: address}
+func newConn(p *Pairing, t *transport, address string, c net.Conn) *conn {
+	paired := &conn{Conn: c, pairing: p, transport: t, address: address}
 	paired.in = bufio.NewReaderSize(receiver{paired}, readBuffer)
 	return paired
 }
@@ -116,10 +116,21 @@
 	defer c.mu.Unlock()
 	e.receivedBefore = c.received.Load()
 	c.last, c.isOpen = e, true
-	if e.id == "" || c.carried.isFull(maxCarriedIDs) {
-		return false
-	}
-	return c.carried.add(e.id)
+	return e.id != "" && c.carried.add(e.id)
+}
+
+// hasCarried reports whether a request with the given id was sent over the connection.
+func (c *conn) hasCarried(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.carried.has(id)
+}
+
+// isFull reports whether the connection has carried as many requests as it may.
+func (c *conn) isFull() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.carried.len() >= c.pairing.cfg.MaxRequests
 }
 
 // end records that the answer to the request in flight has been passed on.
@@ -218,7 +229,12 @@
 	if isUnnamed {
 		c.pairing.cfg.Scope.Counter("answers_without_id").Inc(1)
 	}
-	if isUnnamed || c.isFinal && httpx.IsRetired(c.Conn) {
+	isFull := c.isFinal && c.isFull()
+	if isFull {
+		c.pairing.cfg.Scope.Counter("full_connections_closed").Inc(1)
+		klog.V(1).InfoS("connection closed, it has carried as many requests as it may", "endpoint", request.endpoint, "requests", c.pairing.cfg.MaxRequests)
+	}
+	if isUnnamed || isFull || c.isFinal && httpx.IsRetired(c.Conn) {
 		c.pending = withClose(head)
 	}
 	c.body, c.isRaw = c.bodyOf(resp)
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -27,6 +27,8 @@
 const (
 	// defaultMaxSurplusBytes applies where the configuration sets no limit.
 	defaultMaxSurplusBytes = 1 << 20
+	// defaultMaxRequests applies where the configuration sets no limit.
+	defaultMaxRequests = 1024
 	// logInterval is the time between two log lines on the surplus answers of one endpoint.
 	logInterval = 10 * time.Second
 	// statusTTL is how long an endpoint is listed in the status after its last surplus answer. maxListedEndpoints bounds the list.
@@ -43,6 +45,8 @@
 	// IsIDReturned is set if endpoints return the id of a request with each answer to it. After an answer without one the connection is not
 	// used again, as the answer that is due may still follow.
 	IsIDReturned bool
+	// MaxRequests is the maximum number of requests with ids on one connection. The last one closes it.
+	MaxRequests int
 	// MaxSurplusBytes limits the bytes of surplus answers before one answer that is due. Above it the connection is closed.
 	MaxSurplusBytes int64
 	Scope           tally.Scope
@@ -70,29 +74,34 @@
 	endedAt time.Time
 }
 
-// Endpoint describes the surplus answers and merged heads of one endpoint within the last minute or longer.
+// Endpoint describes the surplus answers, merged heads and repeated requests of one endpoint within the last minute or longer.
 type Endpoint struct {
 	Name    string `json:"name"`
 	Answers int64  `json:"answers"`
 	Bytes   int64  `json:"bytes"`
 	// MergedHeads counts the heads made of more than one answer.
-	MergedHeads int64         `json:"merged_heads,omitempty"`
-	Ago         time.Duration `json:"ago"`
-	last        time.Time
+	MergedHeads int64 `json:"merged_heads,omitempty"`
+	// Repeats counts the requests that went over new connections because one in use had carried their ids.
+	Repeats int64         `json:"repeats,omitempty"`
+	Ago     time.Duration `json:"ago"`
+	last    time.Time
 }
 
 // New returns a Pairing.
 func New(cfg Config) *Pairing {
 	cfg.MaxSurplusBytes = cmp.Or(cfg.MaxSurplusBytes, defaultMaxSurplusBytes)
+	cfg.MaxRequests = cmp.Or(cfg.MaxRequests, defaultMaxRequests)
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
 	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), loggedMerged: recent.New[string](logInterval), loggedCarried: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
 }
 
-// Transport makes t pair the answers on its connections. Requests must be sent with the returned transport.
+// Transport makes t pair the answers on its connections. Requests must be sent with the returned transport. It sends a request whose id an open
+// connection to the same address has carried over a connection that is used once.
 func (p *Pairing) Transport(t *http.Transport) http.RoundTripper {
 	dial := t.DialContext
+	paired := &transport{pairing: p, base: t, sending: map[sentRequest]struct{}{}}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -101,14 +110,16 @@
 		if err != nil {
 			return nil, err
 		}
-		return p.open(address, c), nil
+		return p.open(paired, address, c), nil
 	}
-	return &transport{p, t}
+	paired.singleUse = t.Clone()
+	paired.singleUse.DisableKeepAlives = true
+	return paired
 }
 
 // open adds a connection that has been established.
-func (p *Pairing) open(address string, c net.Conn) *conn {
-	paired := newConn(p, address, c)
+func (p *Pairing) open(t *transport, address string, c net.Conn) *conn {
+	paired := newConn(p, t, address, c)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.contactOf(address).open[paired] = clock.Now()
@@ -176,7 +187,7 @@
 		all = append(all, e)
 	}
 	slices.SortFunc(all, func(a, b Endpoint) int {
-		return cmp.Or(cmp.Compare(b.Answers+b.MergedHeads, a.Answers+a.MergedHeads), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Answers+b.MergedHeads+b.Repeats, a.Answers+a.MergedHeads+a.Repeats), cmp.Compare(a.Name, b.Name))
 	})
 	return all
 }
@@ -241,6 +252,13 @@
 	}
 }
 
+// recordRepeat counts a request that goes over a new connection because one in use has carried its id.
+func (p *Pairing) recordRepeat(e exchange) {
+	p.cfg.Scope.Counter("repeats_on_new_connections").Inc(1)
+	klog.V(2).InfoS("request goes over a new connection, its id was sent before", "endpoint", e.endpoint, "request", e.id)
+	p.list(e.endpoint, clock.Now(), func(listed *Endpoint) { listed.Repeats++ })
+}
+
 // logLevel returns the level for a log line on an endpoint, which is higher if the endpoint was logged recently.
 func logLevel(logged *recent.Set[string], endpoint string, now time.Time) klog.Level {
 	if logged.Has(endpoint, now) {
@@ -268,13 +286,38 @@
 	return context.WithValue(ctx, endpointKey{}, name)
 }
 
+// hasCarried reports whether an open connection of a transport to an address has carried an id.
+func (p *Pairing) hasCarried(t *transport, to sentRequest) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.contacts[to.address]
+	if known == nil {
+		return false
+	}
+	for c := range known.open {
+		if c.transport == t && c.hasCarried(to.id) {
+			return true
+		}
+	}
+	return false
+}
+
+// sentRequest identifies a request by its address and id.
+type sentRequest struct{ address, id string }
+
 // transport sends requests over connections that know them.
 type transport struct {
 	pairing *Pairing
-	base    *http.Transport
+	// base keeps its connections for further requests, singleUse closes them.
+	base, singleUse *http.Transport
+
+	mu sync.Mutex
+	// sending holds the requests that base is sending, until the heads of their answers arrive.
+	sending map[sentRequest]struct{}
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. No connection carries two requests with one id: a late copy of the answer to the first one could not be
+// told from the answer to the second.
 func (t *transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
 	name, _ := ctx.Value(endpointKey{}).(string)
@@ -284,5 +327,32 @@
 			c.begin(e)
 		}
 	}}
-	return t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	req = req.WithContext(httptrace.WithClientTrace(ctx, trace))
+	if e.id == "" {
+		return t.base.RoundTrip(req)
+	}
+	sent := sentRequest{req.URL.Host, e.id}
+	if !t.beginSending(sent) {
+		t.pairing.recordRepeat(e)
+		return t.singleUse.RoundTrip(req)
+	}
+	defer t.endSending(sent)
+	return t.base.RoundTrip(req)
+}
+
+// beginSending returns false if base may not send a request, because one of its connections has carried the id or is about to.
+func (t *transport) beginSending(r sentRequest) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.sending[r]; ok || t.pairing.hasCarried(t, r) {
+		return false
+	}
+	t.sending[r] = struct{}{}
+	return true
+}
+
+func (t *transport) endSending(r sentRequest) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.sending, r)
 }
--- a/internal/pairing/pairing_test.go
+++ b/internal/pairing/pairing_test.go
@@ -53,6 +53,11 @@
 
 // newWorld starts an endpoint that calls answer with each request and its connection.
 func newWorld(c *qt.C, answer func(conn net.Conn, req *http.Request)) *world {
+	return newLimitedWorld(c, 0, answer)
+}
+
+// newLimitedWorld does the same with a limit on the requests of a connection, zero for the default.
+func newLimitedWorld(c *qt.C, maxRequests int, answer func(conn net.Conn, req *http.Request)) *world {
 	w := &world{c: c, scope: tally.NewTestScope("", nil)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
@@ -70,7 +75,7 @@
 		}
 	}()
 	w.address = l.Addr().String()
-	w.pairing = pairing.New(pairing.Config{ID: func(h http.Header) string { return h.Get(idHeader) }, IsIDReturned: true, MaxSurplusBytes: maxSurplus, Scope: w.scope})
+	w.pairing = pairing.New(pairing.Config{ID: func(h http.Header) string { return h.Get(idHeader) }, IsIDReturned: true, MaxRequests: maxRequests, MaxSurplusBytes: maxSurplus, Scope: w.scope})
 	base := &http.Transport{MaxIdleConnsPerHost: 4, MaxResponseHeaderBytes: 32 << 10, DisableCompression: true, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 		w.dials.Add(1)
 		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
@@ -425,8 +430,8 @@
 				w.client = &http.Client{Transport: &http.Transport{}}
 			}
 			b.ReportAllocs()
-			for b.Loop() {
-				_, err := w.get("a")
+			for i := 0; b.Loop(); i++ {
+				_, err := w.get(fmt.Sprint("a", i))
 				c.Assert(err, qt.IsNil)
 			}
 		})
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/netip"
 	"net/textproto"
-	"slices"
 	"strings"
 	"syscall"
 
@@ -109,7 +108,7 @@
 	q.sentVersion = to.softwareVersion
 	q.lastEndpoint, q.untilSent = to.name, clock.Since(q.receivedAt)
 	traced := httpx.NewSendTrace(outgoing)
-	resp, err := r.clientFor(q, to).Do(traced.Request)
+	resp, err := r.cfg.Endpoints.Do(traced.Request)
 	if err != nil {
 		rerr := r.classifySendError(ctx, traced.MayHaveSent(), slowpeer.SendError(sendCtx, err))
 		if rerr.Code == result.EndpointNotReading {
@@ -135,7 +134,6 @@
 			outcome += ",reused"
 		}
 		q.recordTry(to.name, outcome)
-		r.recordRejection(q, to, rerr)
 		// Closing the unread body ends the connection, so that no part of this answer is mistaken for another answer.
 		_ = resp.Body.Close()
 		return nil, rerr
@@ -146,18 +144,6 @@
 	return resp, nil
 }
 
-// clientFor returns the client for a request to an endpoint, and records that the request is sent there. An endpoint that has rejected this
-// request, or an earlier one with the same id, may send that rejection a second time on the same connection.
-func (r *Relay) clientFor(q *request, to destination) *http.Client {
-	isRepeat := slices.Contains(q.receivers, to.name) || r.rejections.Has(rejection{to.name, q.head.ID}, clock.Now())
-	q.receivers = append(q.receivers, to.name)
-	if !isRepeat || r.cfg.FreshEndpoints == nil {
-		return r.cfg.Endpoints
-	}
-	r.cfg.Scope.Counter("repeats_on_new_connections").Inc(1)
-	return r.cfg.FreshEndpoints
-}
-
 // recordSlowEndpoint counts and logs a request that ended because the endpoint did not read its body.
 func (r *Relay) recordSlowEndpoint(q *request, to destination) {
 	r.cfg.Scope.Counter("slow_endpoints_ended").Inc(1)
--- a/internal/relay/rejection.go
+++ b/internal/relay/rejection.go
@@ -6,25 +6,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/clock"
-	"github.com/bellgap/bellgap/internal/result"
 )
 
 // unprovenLogInterval is the time between two log lines on the unproven rejections of one endpoint.
 const unprovenLogInterval = 10 * time.Second
 
-// rejectionMemory is how long a second copy of a rejection is expected on the connection of the first one. Idle connections end sooner.
-const rejectionMemory = time.Minute
-
-// rejection identifies the rejection of a request by an endpoint.
-type rejection struct{ endpoint, id string }
-
-// recordRejection records that an endpoint has rejected a request.
-func (r *Relay) recordRejection(q *request, to destination, rerr *result.Error) {
-	if q.head.ID != "" && rerr.Code.Info().Ran == result.RanNo {
-		r.rejections.Add(rejection{to.name, q.head.ID}, clock.Now())
-	}
-}
-
 // Reasons why a rejection does not show that its request did not run.
 const (
 	unprovenNoID        = "no_id"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -54,11 +54,8 @@
 	// Owners holds the engines that this box owns. Grants requests grants from the owners on other boxes.
 	Owners *owner.Set
 	Grants *grant.Client
-	// Endpoints sends requests to endpoints. Its transport must never send a request twice.
+	// Endpoints sends requests to endpoints. Its transport must never send a request twice, and no two requests with one id over one connection.
 	Endpoints *http.Client
-	// FreshEndpoints does the same over new connections only. It is used for a request that its endpoint has received before, or whose id it has
-	// rejected: a late copy of that answer carries the id of the new try as well. If it is nil, Endpoints is used.
-	FreshEndpoints *http.Client
 	// Connections tells what the connections to endpoints show. If it is nil, nothing is known.
 	Connections Connections
 	// ReadEndpoint reads the current entry of an endpoint from the store. If it is nil, none is read.
@@ -136,8 +133,6 @@
 	promises promiseCounts
 	// loggedLongEvents holds the endpoints with a recent log line on an event above the limits.
 	loggedLongEvents *recent.Set[string]
-	// rejections holds the recent rejections by endpoints.
-	rejections *recent.Set[rejection]
 	// loggedUnproven holds the endpoints with a recent log line on an unproven rejection.
 	loggedUnproven *recent.Set[string]
 }
@@ -151,7 +146,7 @@
 		cfg: cfg, health: newHealth(), budgets: newBudgets(cfg.Budget), sampler: &logSampler{}, holdings: newHoldings(), flights: newSingleFlight(),
 		sends: newSends(), speeds: newSpeeds(), serviceVersions: newServiceVersions(cfg.StreamMemory), unanswered: unanswered.New(unanswered.Config{Scope: cfg.Scope}),
 		unresponsiveBoxes: recent.New[string](unresponsivePeriod), crowdedRefs: recent.New[resource.Ref](crowdedTTL), exhaustedRates: recent.New[exhaustedRate](exhaustedRateTTL),
-		pending: newPendingRequests(), runTimes: newRunTimes(), rejections: recent.New[rejection](rejectionMemory),
+		pending: newPendingRequests(), runTimes: newRunTimes(),
 		loggedUnfinished: recent.New[string](unfinishedLogInterval), loggedLongEvents: recent.New[string](unfinishedLogInterval), loggedUnproven: recent.New[string](unprovenLogInterval),
 	}
 }
@@ -183,8 +178,6 @@
 	// possibleRuns counts the endpoints that may have run the request. arrivals counts all endpoints that received it.
 	possibleRuns int
 	arrivals     int
-	// receivers are the names of the endpoints that the request was sent to.
-	receivers []string
 	// connectFailures counts the endpoints that could not be reached, for example because nothing listened there.
 	connectFailures int
 	// rateLimited counts the endpoints that were skipped because of their rate limits. rateLimitedAsks counts those of
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -214,6 +214,9 @@
 	// MaxSurplusKB limits the answers to other requests that an endpoint may send before an answer that is due, in KB. Above it, the box
 	// closes the connection.
 	MaxSurplusKB int64 `toml:"max_surplus_kb"`
+	// MaxRequests is the maximum number of requests that one connection to an endpoint carries. The box keeps their ids as long as the connection
+	// lives.
+	MaxRequests int `toml:"max_requests"`
 }
 
 // MaxSurplusBytes returns MaxSurplusKB in bytes.
@@ -269,7 +272,7 @@
 		Quarantine: Quarantine{Endpoints: 3, Hold: 10 * time.Minute},
 		Detours:    Detours{MaxConns: 256},
 		Streams:    Streams{Origins: 16384, OriginTTL: time.Minute, ArchiveInterval: 25 * time.Millisecond},
-		Endpoints:  Endpoints{MaxSurplusKB: 1024},
+		Endpoints:  Endpoints{MaxSurplusKB: 1024, MaxRequests: 1024},
 	}
 }
 
@@ -435,6 +438,10 @@
 			"endpoints.max_surplus_kb", "How many KB of answers to other requests an endpoint may send before an answer that is due; above it the box closes the connection.", fmt.Sprint(d.Endpoints.MaxSurplusKB),
 			func(s *Settings) string { return checkRange(s.Endpoints.MaxSurplusKB, 1, 1<<20) },
 		},
+		{
+			"endpoints.max_requests", "How many requests one connection to an endpoint carries before the box closes it. The box keeps their ids, some 10 bytes each, as long as the connection lives, and sends none of them over it again.", fmt.Sprint(d.Endpoints.MaxRequests),
+			func(s *Settings) string { return checkRange(s.Endpoints.MaxRequests, 1, 1<<20) },
+		},
 		{
 			"quarantine.endpoints", "How many endpoints end under a request, over all boxes, before it reaches no more of them.", fmt.Sprint(d.Quarantine.Endpoints),
 			func(s *Settings) string { return checkRange(s.Quarantine.Endpoints, 1, 16) },
