Intake: one budget for what clients send, on all listeners

What callers saw: a process that clients fill with large bodies, held open just short of their end, or with heads of thousands of short lines, uses more memory than its machine has, and ends. Connections that send nothing take all descriptors.

Cause: each connection was bounded, their sum was not; hold_mb ends stalled transfers only, after the bytes have been read.

Why it works: heads (as they cost in memory), and the buffers of bodies before they are allocated, are taken from one budget. Without room, requests that are still arriving and made no progress for 250 ms give way, the longest first; otherwise the newcomer is refused with 503 and 3019, before an endpoint has it, or closed in its head. Large requests leave a quarter to small ones, and one that is alone always fits. Each listener has a share of the descriptors; a new connection takes the place of the longest idle one. Bodies are copied once, into a buffer of their length.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -299,15 +299,16 @@
 	notice.NewServer(notice.ServerConfig{Board: b.notices}).Register(peerMux)
 	quarantine.NewServer(quarantine.ServerConfig{Client: b.quarantine}).Register(peerMux)
 	places.NewServer(places.ServerConfig{Keeper: b.keeper, Rates: b.rates}).Register(peerMux)
+	all := newServers(b.cfg.Settings.Process, b.metrics.Scope)
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: api, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.feed.IsReady,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Scope: b.metrics.Scope,
-		RecentRequests: records, Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, SlowPeers: b.callers.Status, SurplusAnswers: b.pairing.Status,
+		RecentRequests: records, Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, SlowPeers: b.callers.Status, SurplusAnswers: b.pairing.Status, Intake: all.pool.Status,
 		Reach: b.links.reach.Status, Detours: b.links.status,
 	})
-	b.root.Add(server{b.listeners.caller, b.gateway.Handler()})
-	b.root.Add(server{b.listeners.peer, peerMux})
-	b.root.Add(server{b.listeners.operator, op.Handler()})
+	b.root.Add(all.add("caller", callerShare, b.listeners.caller, b.gateway.Handler()))
+	b.root.Add(all.add("peer", peerShare, b.listeners.peer, peerMux))
+	b.root.Add(all.add("operator", otherShare, b.listeners.operator, op.Handler()))
 	b.root.Add(b.feed)
 	b.root.Add(b.callers)
 	b.root.Add(b.quarantine)
@@ -317,22 +318,6 @@
 	b.root.Add(delayedNode{b.feed.Ready(), b.node})
 }
 
-// server is the supervised HTTP server of a listener.
-type server struct {
-	listener net.Listener
-	handler  http.Handler
-}
-
-// Serve implements suture.Service.
-func (s server) Serve(ctx context.Context) error {
-	err := httpx.Serve(ctx, httpx.NewServer(s.handler), s.listener)
-	if ctx.Err() == nil {
-		// A restart of this server cannot reopen a failed listener, so the whole supervisor tree must end.
-		return errors.Join(err, suture.ErrTerminateSupervisorTree)
-	}
-	return err
-}
-
 // delayedNode starts membership after the catalog is loaded, so that a box never owns an engine that it does not know.
 type delayedNode struct {
 	ready <-chan struct{}
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -397,17 +397,18 @@
 	origin.NewServer(origin.ServerConfig{Register: b.originRegister, Archive: b.streamArchive}).Register(peerMux)
 	b.links.addTo(b.root, peerMux)
 	quota.NewServer(quota.ServerConfig{Ledger: b.ledger, Accountable: b.locator, Customer: b.customer}).Register(peerMux)
+	all := newServers(b.cfg.Settings.Process, b.metrics.Scope)
 	op := operator.New(operator.Config{
 		Box: b.cfg.Settings.Box.Name, API: b.cfg.Deployment.API, Catalog: b.catalog, Metrics: b.metrics.Handler, IsReady: b.Ready,
 		Membership: b.node.Status, Engines: b.owners.Status, InFlight: b.InFlight, Leaving: b.leaveStatus, Scope: b.metrics.Scope, RecentRequests: record.New(),
 		Quarantine: b.quarantine, RateLimits: b.rates.Limits, BrittleEndpoints: b.rates.BrittleEndpoints, Notices: b.notices, LastRestore: b.follower.LastRestore, EngineLoads: b.EngineLoads, Shortages: b.gate.Shortages, SlowPeers: b.callers.Status, Reach: b.links.reach.Status, Detours: b.links.status,
-		StreamOrigins: b.origins.Len, WaitingOrigins: b.streamArchive.Len, SurplusAnswers: b.pairing.Status, Promises: b.relay.Promises,
+		StreamOrigins: b.origins.Len, WaitingOrigins: b.streamArchive.Len, SurplusAnswers: b.pairing.Status, Intake: all.pool.Status, Promises: b.relay.Promises,
 	})
-	b.root.Add(server{b.listeners.caller, b.relay})
-	b.root.Add(server{b.listeners.peer, peerMux})
-	b.root.Add(server{b.listeners.operator, op.Handler()})
-	b.root.Add(server{b.readyListener, b.cfg.Deployment.NewReadyHandler(b)})
-	b.root.Add(server{b.directoryListener, b.cfg.Deployment.NewDirectoryHandler(b)})
+	b.root.Add(all.add("caller", callerShare, b.listeners.caller, b.relay))
+	b.root.Add(all.add("peer", peerShare, b.listeners.peer, peerMux))
+	b.root.Add(all.add("operator", otherShare, b.listeners.operator, op.Handler()))
+	b.root.Add(all.add("ready", otherShare, b.readyListener, b.cfg.Deployment.NewReadyHandler(b)))
+	b.root.Add(all.add("directory", otherShare, b.directoryListener, b.cfg.Deployment.NewDirectoryHandler(b)))
 	b.root.Add(b.follower)
 	b.root.Add(b.callers)
 	b.root.Add(grants)
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -79,6 +79,9 @@
 		return err
 	}
 	debug.SetGCPercent(s.Process.GCPercent)
+	if limit := s.Process.RuntimeBytes(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	if s.Platform.Form == settings.FormObjects {
 		return runRoutedBox(ctx, s, file, cfg.DialEndpoint, hup)
 	}
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -109,6 +109,9 @@
 		_, _ = fmt.Fprintf(w, "streams whose software version is recorded here: %d\n", st.StreamOrigins)
 	}
 	printSoftwareVersions(w, st)
+	if i := st.Intake; i.Evicted+i.Refused > 0 {
+		_, _ = fmt.Fprintf(w, "requests that arrive hold %d of %d bytes on %d connections; closed to make room since the start: %d, refused: %d\n", i.HeldBytes, i.MaxBytes, i.Connections, i.Evicted, i.Refused)
+	}
 	for _, e := range st.SurplusAnswers {
 		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes) and %d heads of more than one answer, and got %d requests again under their ids, the last %s ago\n",
 			e.Name, e.Answers, e.Bytes, e.MergedHeads, e.Repeats, e.Ago.Round(time.Second))
--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -142,7 +142,11 @@
 	defer closeBoth()
 	// The server of the peer listener may have set deadlines.
 	_ = caller.SetDeadline(time.Time{})
-	if tcp, ok := caller.(*net.TCPConn); ok {
+	wrapped := caller
+	if wrapper, ok := caller.(interface{ NetConn() net.Conn }); ok {
+		wrapped = wrapper.NetConn()
+	}
+	if tcp, ok := wrapped.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(keepAlive)
 	}
 	if _, err := io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err != nil {
--- a/internal/httpx/httpx.go
+++ b/internal/httpx/httpx.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/bellgap/bellgap/internal/intake"
 )
 
 // Limits of every listener and connection.
@@ -34,7 +36,7 @@
 // NewServer returns a server with the common limits.
 func NewServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: intake.Handler(h), ConnContext: intake.ConnContext, ConnState: intake.ConnState, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -15,6 +15,7 @@
 	"github.com/bellgap/bellgap/internal/engineload"
 	"github.com/bellgap/bellgap/internal/follow"
 	"github.com/bellgap/bellgap/internal/httpx"
+	"github.com/bellgap/bellgap/internal/intake"
 	"github.com/bellgap/bellgap/internal/member"
 	"github.com/bellgap/bellgap/internal/notice"
 	"github.com/bellgap/bellgap/internal/objects"
@@ -73,6 +74,8 @@
 	StreamOrigins func() int
 	// WaitingOrigins returns how many of these records wait to be written to the stream archive. It is nil on boxes without an archive.
 	WaitingOrigins func() int
+	// Intake describes what requests that arrive hold. It is nil where it is not counted.
+	Intake func() intake.Status
 	// SurplusAnswers lists the endpoints that recently sent answers that belong to no request. It is nil on boxes that do not count them.
 	SurplusAnswers func(now time.Time) []pairing.Endpoint
 	// Promises returns the numbers of answers that promise callers that their requests did not run. It is nil on boxes that do not count them.
@@ -132,6 +135,8 @@
 	WaitingOrigins int `json:"waiting_origins,omitempty"`
 	// SoftwareVersions lists, for each cell, the software versions that have served lately. An entry is nil if its map does not list them.
 	SoftwareVersions []*softwareversion.History `json:"software_versions,omitempty"`
+	// Intake describes what requests that arrive hold.
+	Intake intake.Status `json:"intake"`
 	// SurplusAnswers lists the endpoints that recently sent answers that belong to no request.
 	SurplusAnswers []pairing.Endpoint `json:"surplus_answers,omitempty"`
 	// Promises counts the answers that promise callers that their requests did not run.
@@ -198,7 +203,7 @@
 		Member: o.cfg.Membership(), Engines: o.cfg.Engines(), SkippedObjects: o.cfg.Catalog.UnreadableObjects(),
 		RateLimits: o.cfg.RateLimits(clock.Now()), BrittleEndpoints: o.cfg.BrittleEndpoints(clock.Now()), LeavingEndpoints: o.cfg.Notices.LeavingEndpoints(clock.Now()), PausedEndpoints: o.cfg.Notices.PausedEndpoints(clock.Now()), LastRestore: o.lastRestore(),
 		EngineLoads: o.engineLoads(), Shortages: o.shortages(),
-		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(), StreamOrigins: o.streamOrigins(), WaitingOrigins: o.waitingOrigins(), SoftwareVersions: o.cfg.Catalog.Topology().SoftwareVersions, SurplusAnswers: o.surplusAnswers(),
+		SlowPeers: o.cfg.SlowPeers(clock.Now()), Reach: o.reach(), Detours: o.detours(), StreamOrigins: o.streamOrigins(), WaitingOrigins: o.waitingOrigins(), SoftwareVersions: o.cfg.Catalog.Topology().SoftwareVersions, SurplusAnswers: o.surplusAnswers(), Intake: o.intake(),
 		Promises: o.promises(),
 	})
 }
@@ -210,6 +215,13 @@
 	return o.cfg.Reach()
 }
 
+func (o *Operator) intake() intake.Status {
+	if o.cfg.Intake == nil {
+		return intake.Status{}
+	}
+	return o.cfg.Intake()
+}
+
 func (o *Operator) surplusAnswers() []pairing.Endpoint {
 	if o.cfg.SurplusAnswers == nil {
 		return nil
--- a/internal/result/result.go
+++ b/internal/result/result.go
@@ -48,6 +48,8 @@
 	StreamVersionUnknown Code = 3017
 	StreamVersionGone    Code = 3018
 
+	TooMuchHeld Code = 3019
+
 	BackendUnreachable Code = 4001
 	AnswerLost         Code = 4002
 	StreamCut          Code = 4003
@@ -151,6 +153,7 @@
 	{OverShare, "over_share", http.StatusServiceUnavailable, RanNo, time.Second, "the share of the request's customer or urgency is used up, and no engine that was asked has room that no other request needs"},
 	{StreamVersionUnknown, "stream_version_unknown", http.StatusServiceUnavailable, RanNo, 0, "several software versions are in service, and no box knows at which of them the stream to be resumed began"},
 	{StreamVersionGone, "stream_version_gone", http.StatusServiceUnavailable, RanNo, 0, "the endpoints of the software version at which the stream began are gone or leave"},
+	{TooMuchHeld, "too_much_held", http.StatusServiceUnavailable, RanNo, time.Second, "this box holds too much for other requests"},
 	{NotReady, "not_ready", http.StatusServiceUnavailable, RanNo, time.Second, "this box has no configuration yet"},
 
 	{BackendUnreachable, "backend_unreachable", http.StatusBadGateway, RanNo, time.Second, "the back end could not be reached"},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -231,6 +231,10 @@
 	// endpoints; zero derives it from MemoryMB.
 	MemoryMB float64 `toml:"memory_mb"`
 	HoldMB   float64 `toml:"hold_mb"`
+	// IntakeMB bounds the bytes that requests hold while they arrive and run; zero derives it from MemoryMB.
+	IntakeMB float64 `toml:"intake_mb"`
+	// MaxDescriptors is the number of descriptors that the platform allows the process, zero takes the limit of the process.
+	MaxDescriptors int `toml:"max_descriptors"`
 }
 
 const (
@@ -239,6 +243,14 @@
 	// defaultHoldMB applies if neither hold_mb nor memory_mb is set.
 	defaultHoldMB = 16
 	bytesPerMB    = 1 << 20
+	// intakeMemoryShare is the fraction of the process memory that requests may hold if intake_mb is not set, defaultIntakeMB applies if memory_mb
+	// is not set either.
+	intakeMemoryShare = 1.0 / 8
+	defaultIntakeMB   = 64
+	// runtimeMemoryShare is the fraction of the process memory from which on the runtime collects garbage more often. minRuntimeMB keeps it from
+	// collecting all the time where the memory is small.
+	runtimeMemoryShare = 2.0 / 5
+	minRuntimeMB       = 32
 )
 
 // HoldBytes returns the maximum number of bytes to hold for slow callers and endpoints.
@@ -253,6 +265,26 @@
 	return int64(hold * bytesPerMB)
 }
 
+// IntakeBytes returns the maximum number of bytes that requests may hold.
+func (p Process) IntakeBytes() int64 {
+	intake := p.IntakeMB
+	if intake == 0 {
+		intake = defaultIntakeMB
+		if p.MemoryMB > 0 {
+			intake = p.MemoryMB * intakeMemoryShare
+		}
+	}
+	return int64(intake * bytesPerMB)
+}
+
+// RuntimeBytes returns the memory limit of the Go runtime in bytes, zero if the memory of the process is not known.
+func (p Process) RuntimeBytes() int64 {
+	if p.MemoryMB == 0 {
+		return 0
+	}
+	return int64(max(minRuntimeMB, p.MemoryMB*runtimeMemoryShare) * bytesPerMB)
+}
+
 // Default returns the settings that apply to keys missing from the file.
 func Default() Settings {
 	return Settings{
@@ -509,6 +541,16 @@
 			"process.hold_mb", "Bytes held for callers and endpoints that do not read, in MB; above it, those that have stalled longest are ended. Zero: a sixteenth of `process.memory_mb` if that is set, else 16.", fmt.Sprint(d.Process.HoldMB),
 			checkHold,
 		},
+		{
+			"process.intake_mb", "Bytes that requests hold while they arrive and run, on all listeners, in MB: bodies, and heads as they cost in memory; above it, those that arrive without progress are ended and new ones refused with code 3019. A request that is alone is never refused for it. Zero: an eighth of `process.memory_mb` if that is set, else 64.", fmt.Sprint(d.Process.IntakeMB),
+			checkIntake,
+		},
+		{
+			"process.max_descriptors", "Descriptors that the process may have: callers get 5/16 of them, other boxes 3/16, operators, readiness checks and the directory 1/16 each; above it, the connections without a request that have been idle longest are closed. Zero: the limit of the process.", fmt.Sprint(d.Process.MaxDescriptors),
+			func(s *Settings) string {
+				return checkZeroOrRange(float64(s.Process.MaxDescriptors), minDescriptors, maxDescriptors)
+			},
+		},
 		{
 			"callers.stall_timeout", "How long a caller may leave its answer, or an endpoint a request body, without reading any of it before the box ends it.", d.Callers.StallTimeout.String(),
 			func(s *Settings) string {
@@ -525,6 +567,22 @@
 	minHoldMB   = 1
 )
 
+// Bounds of process.max_descriptors.
+const (
+	minDescriptors = 64
+	maxDescriptors = 1 << 24
+)
+
+func checkIntake(s *Settings) string {
+	if reason := checkZeroOrRange(s.Process.IntakeMB, minHoldMB, maxMemoryMB); reason != "" {
+		return reason
+	}
+	if s.Process.MemoryMB > 0 && s.Process.IntakeMB > s.Process.MemoryMB/2 {
+		return fmt.Sprintf("is %v, must be at most half of process.memory_mb, which is %v", s.Process.IntakeMB, s.Process.MemoryMB)
+	}
+	return ""
+}
+
 func checkHold(s *Settings) string {
 	if reason := checkZeroOrRange(s.Process.HoldMB, minHoldMB, maxMemoryMB); reason != "" {
 		return reason
