Follow: a box tells what it cannot know to have been deleted

Cause: the coordinator is killed as entries go, starts again within its lease, lists the store, and passes its changes on as complete, though it cannot know what was deleted before its list. The same promise was broken by a box that holds deletions back after an outage and is lost.

Change: a box keeps the first revision that it knew of each kind, and sends the names of all objects to receivers that know an older one; it says for how long it holds deletions back, and when it has sent what came of them. Receivers that are told the one and not the other request all objects. Deletions that follow from a list are passed on. Builds without the fields behave as before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -281,6 +281,8 @@
 		return err
 	}
 	f.detectNewEra(k.Name, all.Revision)
+	// A list shows all deletions, also those that another box was holding back.
+	k.isHolding = true
 	k.addKnown(f.cfg.Catalog.Names(k.Name))
 	f.applyChanges(k, k.processList(clock.Now(), all, f.keepMissingUntil(k)))
 	f.recordConfirmed(k.Name, began)
@@ -348,7 +350,12 @@
 	defer f.mu.Unlock()
 	status := f.statusOf(k.Name)
 	// Another box may have sent later changes during the call. confirmedAt covers these.
-	status.knownRevision, status.keptObjects = max(status.knownRevision, k.revision), len(k.missing)
+	status.advanceKnown(k.revision)
+	status.keptObjects = len(k.missing)
+	if until := k.heldUntil(); k.isHolding || !until.IsZero() {
+		k.isHolding = !until.IsZero()
+		status.recordHeld(clock.Now(), addMargin(until))
+	}
 	f.lateChanges = appendLateDeletions(f.lateChanges, k, ch, clock.Now())
 }
 
--- a/internal/follow/kind_status.go
+++ b/internal/follow/kind_status.go
@@ -12,6 +12,8 @@
 type kindStatus struct {
 	// knownRevision is the revision up to which the kind is known, through calls or from another box.
 	knownRevision objects.Position
+	// knownFrom is the first revision that this box knew of the kind. It does not know what was deleted before.
+	knownFrom objects.Position
 	// previousEraRevision is the revision up to which the kind was known when it switched to the present era. eraChangedAt is
 	// when it switched; it is reset to zero after withholdTime.
 	previousEraRevision objects.Position
@@ -28,6 +30,9 @@
 	failingSince time.Time
 	// keptObjects counts the objects that are kept although the store no longer has them.
 	keptObjects int
+	// heldUntil is when this box, or the one that relays changes to it, has applied all deletions that it holds back, zero if it holds none.
+	// heldEndedAt is when the last of them ended.
+	heldUntil, heldEndedAt time.Time
 	// needsFull is set if another box must send all objects of the kind. needsCall is set if the store must be called although
 	// changes are relayed.
 	needsFull, needsCall bool
@@ -47,6 +52,22 @@
 	return k
 }
 
+// advanceKnown records that the kind is known up to a revision.
+func (k *kindStatus) advanceKnown(revision objects.Position) {
+	if k.knownRevision == 0 {
+		k.knownFrom = revision
+	}
+	k.knownRevision = max(k.knownRevision, revision)
+}
+
+// recordHeld records until when deletions are held back, zero if none are.
+func (k *kindStatus) recordHeld(now, until time.Time) {
+	if until.IsZero() && !k.heldUntil.IsZero() {
+		k.heldEndedAt = now
+	}
+	k.heldUntil = until
+}
+
 // recordCall records the result of a call for a kind. It ignores errInterrupted and errWatchCut, which do not show whether the
 // store answers.
 func (f *Follower) recordCall(kind string, err error) {
--- a/internal/follow/kind_watcher.go
+++ b/internal/follow/kind_watcher.go
@@ -27,6 +27,8 @@
 	knownNames   map[string]bool
 	// missing maps each object that was removed during or shortly after an outage to the time at which the removal is applied.
 	missing map[string]time.Time
+	// isHolding is set if this box was holding deletions back, or may have been told of some that it has now.
+	isHolding bool
 	// reappeared names objects that exist again after they were kept as missing. Other boxes may have dropped them.
 	reappeared []string
 }
@@ -138,6 +140,17 @@
 	return changed
 }
 
+// heldUntil returns when the last missing object is removed, zero if no object is missing.
+func (k *kindWatcher) heldUntil() time.Time {
+	var last time.Time
+	for _, until := range k.missing {
+		if until.After(last) {
+			last = until
+		}
+	}
+	return last
+}
+
 // untilNextDeletion returns the time until the next missing object is removed, and false if no object is missing.
 func (k *kindWatcher) untilNextDeletion(now time.Time) (time.Duration, bool) {
 	var shortest time.Duration
--- a/internal/follow/relay_receive.go
+++ b/internal/follow/relay_receive.go
@@ -41,6 +41,10 @@
 		if !k.needsFullAt.IsZero() && !now.Before(k.needsFullAt) {
 			k.needsFull, k.needsFullAt = true, time.Time{}
 		}
+		if !k.heldUntil.IsZero() && !now.Before(k.heldUntil) {
+			// The box that held deletions back is gone, and no other one may know of them.
+			k.needsFull, k.heldUntil = true, time.Time{}
+		}
 		if k.knownRevision > 0 && !k.needsFull {
 			known[name] = k.knownRevision
 		}
@@ -152,13 +156,17 @@
 }
 
 // newChanges returns the changes from another box that are new here. It omits deletions of objects that are already gone,
-// because those are sent more than once. It adds the deletions that a full list implies, unless keepMissing is set.
+// because those are sent more than once. It adds the deletions that a full list or a list of
+// names implies, unless keepMissing is set.
 func (f *Follower) newChanges(ch objects.KindChanges, keepMissing bool) []objects.Object {
 	inCatalog := map[string]bool{}
 	for _, name := range f.cfg.Catalog.Names(ch.Kind) {
 		inCatalog[name] = true
 	}
 	listed := map[string]bool{}
+	for _, name := range ch.Names {
+		listed[name] = true
+	}
 	var all []objects.Object
 	for _, o := range ch.Objects {
 		listed[o.Name] = true
@@ -167,7 +175,7 @@
 		}
 	}
 	for name := range inCatalog {
-		if ch.IsFullList && !keepMissing && !listed[name] {
+		if (ch.IsFullList || ch.HasNames) && !keepMissing && !listed[name] {
 			all = append(all, objects.Object{Kind: ch.Kind, Name: name, Version: ch.Revision, Deleted: true})
 		}
 	}
@@ -188,11 +196,18 @@
 		klog.V(1).InfoS("objects changed", "kind", ch.Kind, "revision", ch.Revision, "changed", changed, "gone", gone, "through", "coordinator")
 		f.reportSkipped(ch.Kind, ch.Revision, f.cfg.Catalog.Apply(objects.Changes{Objects: all, Revision: ch.Revision}))
 	}
-	f.recordLateReceived(ch)
+	f.recordLateReceived(ch, all)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.statusOf(ch.Kind)
-	k.knownRevision, k.needsFull = max(k.knownRevision, ch.Revision), k.needsFull && !ch.IsFullList
+	k.advanceKnown(ch.Revision)
+	switch now := clock.Now(); {
+	case ch.HeldFor > 0:
+		k.recordHeld(now, now.Add(ch.HeldFor))
+	case ch.HeldEnded || ch.IsFullList:
+		k.recordHeld(now, time.Time{})
+	}
+	k.needsFull = k.needsFull && !ch.IsFullList
 	if isNewEra && ch.IsFullList {
 		k.needsFullAt = clock.Now().Add(f.cfg.Grace)
 	}
@@ -200,17 +215,25 @@
 
 // recordLateReceived makes this box relay received changes that its revision does not show, so that the boxes it sends changes
 // to receive the same as from the original sender. These are deletions that were late at the sender, and objects that
-// reappeared there and are unchanged here.
-func (f *Follower) recordLateReceived(ch objects.KindChanges) {
+// reappeared there and are unchanged here. applied holds the changes that were new here, with the deletions that a list implied.
+func (f *Follower) recordLateReceived(ch objects.KindChanges, applied []objects.Object) {
 	isExpiring := slices.ContainsFunc(f.cfg.Kinds, func(k Kind) bool { return k.Name == ch.Kind && k.MayExpire })
-	if !isExpiring || ch.IsFullList {
+	if !isExpiring {
 		return
 	}
+	deletions := slices.DeleteFunc(slices.Clone(applied), func(o objects.Object) bool { return !o.Deleted })
+	received := ch.Objects
+	switch {
+	case ch.IsFullList:
+		received = deletions
+	case ch.HasNames:
+		received = slices.Concat(ch.Objects, deletions)
+	}
 	now := clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lateChanges = dropExpired(f.lateChanges, now)
-	for _, o := range ch.Objects {
+	for _, o := range received {
 		isSame := func(d lateChange) bool {
 			return d.object.Name == o.Name && d.object.Kind == o.Kind && d.object.Version == o.Version
 		}
--- a/internal/follow/relay_send.go
+++ b/internal/follow/relay_send.go
@@ -166,7 +166,48 @@
 	if !k.Relayed || f.currentRevision(k.Name) <= known {
 		return 0
 	}
-	return f.cfg.Catalog.KindChangesSize(k.Name, f.relayFrom(k.Name, known))
+	size := f.cfg.Catalog.KindChangesSize(k.Name, f.relayFrom(k.Name, known))
+	for _, name := range f.namesFor(k.Name, known) {
+		size += len(name) + nameOverhead
+	}
+	return size
+}
+
+// heldMargin is how long after the end of its grace period a held deletion must have been sent to all boxes.
+const heldMargin = lateChangeTTL / 2
+
+// addMargin adds heldMargin to the time until which deletions are held back, unless it is zero.
+func addMargin(until time.Time) time.Time {
+	if until.IsZero() {
+		return until
+	}
+	return until.Add(heldMargin)
+}
+
+// held returns how long deletions of a kind may still be held back, and whether some were until recently.
+func (f *Follower) held(kind string) (heldFor time.Duration, ended bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now, k := clock.Now(), f.statusOf(kind)
+	if k.heldUntil.After(now) {
+		return k.heldUntil.Sub(now), false
+	}
+	return 0, !k.heldEndedAt.IsZero() && now.Sub(k.heldEndedAt) <= lateChangeTTL
+}
+
+// nameOverhead is the size of a name in a message, in bytes, without the name.
+const nameOverhead = 3
+
+// namesFor returns the names of all objects of a kind if this box may not know all deletions since the revision that another box knows,
+// otherwise nil. A box does not know what was deleted before its start.
+func (f *Follower) namesFor(kind string, known objects.Position) []string {
+	f.mu.Lock()
+	isKnown := known == 0 || known >= f.statusOf(kind).knownFrom
+	f.mu.Unlock()
+	if isKnown {
+		return nil
+	}
+	return append([]string{}, f.cfg.Catalog.Names(kind)...)
 }
 
 // relayFrom returns the position after which changes of a kind are sent to a box that knows the kind up to a position. Zero
@@ -185,9 +226,15 @@
 		return objects.KindChanges{}, false
 	}
 	late := f.lateChangesFor(k.Name, known)
+	heldFor, heldEnded := f.held(k.Name)
 	if current <= known {
-		return objects.KindChanges{Kind: k.Name, Revision: known, Objects: late}, len(late) > 0
+		ch := objects.KindChanges{Kind: k.Name, Revision: known, Objects: late, HeldFor: heldFor, HeldEnded: heldEnded}
+		return ch, len(late) > 0 || heldFor > 0 || heldEnded
 	}
+	names := f.namesFor(k.Name, known)
 	changed, complete := f.cfg.Catalog.KindChangesSince(k.Name, f.relayFrom(k.Name, known))
-	return objects.KindChanges{Kind: k.Name, Revision: current, IsFullList: !complete, Objects: append(changed, late...)}, true
+	return objects.KindChanges{
+		Kind: k.Name, Revision: current, IsFullList: !complete, Objects: append(changed, late...), HasNames: names != nil, Names: names,
+		HeldFor: heldFor, HeldEnded: heldEnded,
+	}, true
 }
--- a/internal/objects/objects.go
+++ b/internal/objects/objects.go
@@ -58,6 +58,14 @@
 	// MustRefetch is set, without Objects, if the changes of the kind are too large to be relayed. The receiver must request them from
 	// the store.
 	MustRefetch bool `json:"ask,omitempty"`
+	// HasNames is set if Names lists all objects of the kind. The sender does not know which objects were deleted between the revision that the
+	// receiver knows and the first one that it knows itself. An earlier build ignores both fields.
+	HasNames bool     `json:"has_names,omitempty"`
+	Names    []string `json:"names,omitempty"`
+	// HeldFor is how long the sender may still hold deletions back, zero if it holds none. HeldEnded is set if it held some until recently and has sent
+	// what came of them. A receiver that is told the one and not the other requests all objects of the kind.
+	HeldFor   time.Duration `json:"held_for,omitempty"`
+	HeldEnded bool          `json:"held_ended,omitempty"`
 }
 
 // Confirmation holds the age of a box's data of one kind. Boxes send it to each other.
