--- a/internal/follow/relay_send.go
+++ b/internal/follow/relay_send.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/bellgap/bellgap/internal/clock"
 	"github.com/bellgap/bellgap/internal/objects"
 )
@@ -232,6 +234,10 @@
 		return ch, len(late) > 0 || heldFor > 0 || heldEnded
 	}
 	names := f.namesFor(k.Name, known)
+	if names != nil {
+		f.cfg.Scope.Counter("names_relayed").Inc(1)
+		klog.V(1).InfoS("another box knows the kind from before this box started; sending all names", "kind", k.Name, "known", known, "names", len(names))
+	}
 	changed, complete := f.cfg.Catalog.KindChangesSince(k.Name, f.relayFrom(k.Name, known))
 	return objects.KindChanges{
 		Kind: k.Name, Revision: current, IsFullList: !complete, Objects: append(changed, late...), HasNames: names != nil, Names: names,
