Pairing: test of the counter of ids carried again

The test is back with the same expectation, on a connection that is handed the id twice; the transport's part is in TestIDComesOnceToOneConnection. The package passes under -race.

--- a/internal/pairing/carried_test.go
+++ b/internal/pairing/carried_test.go
@@ -138,3 +138,11 @@
 	c.Check(seen.repeated(), qt.HasLen, 0)
 	c.Check(w.count("ids_carried_again"), qt.Equals, int64(0))
 }
+
+// TestIDsCarriedAgainAreCounted guards against an id that one connection carries twice, and that nobody notices.
+func TestIDsCarriedAgainAreCounted(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(c, (&connections{}).answer)
+	w.pairing.SendTwice("first")
+	c.Check(w.count("ids_carried_again"), qt.Equals, int64(1))
+}
--- a/internal/pairing/export_test.go
+++ b/internal/pairing/export_test.go
@@ -15,3 +15,11 @@
 	}
 	return 0, false
 }
+
+// SendTwice records that an id is sent twice over one connection, which the transport prevents.
+func (p *Pairing) SendTwice(id string) {
+	c := newConn(p, nil, "", nil)
+	for range 2 {
+		c.begin(exchange{id: id, endpoint: "p-1"})
+	}
+}
