--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -111,7 +111,7 @@
 		}
 	}
 	for i := range boxCount {
-		d.boxes = append(d.boxes, &box{name: fmt.Sprintf("edge-%s-1", zones[i]), ip: d.network + strconv.Itoa(i+1)})
+		d.boxes = append(d.boxes, &box{name: fmt.Sprintf("edge-%s-%d", zones[i%len(zones)], 1+i/len(zones)), ip: d.network + strconv.Itoa(i+1)})
 	}
 	for i, b := range d.boxes {
 		if err := d.startBox(i, b); err != nil {
@@ -242,7 +242,7 @@
 func (d *deployment) fields(number int, b *box) map[string]string {
 	at := func(port int) string { return b.ip + ":" + strconv.Itoa(port) }
 	return map[string]string{
-		"nodeName": b.name, "zone": zones[number], "region": "lima", "ip": b.ip, "limits.linkMbps": "1000.0", "limits.memoryMb": "284", "limits.maxFds": "4100",
+		"nodeName": b.name, "zone": zones[number%len(zones)], "region": "lima", "ip": b.ip, "limits.linkMbps": "1000.0", "limits.memoryMb": "284", "limits.maxFds": "4100",
 		"listen.front": at(frontPort), "listen.ready": at(readyPort), "listen.directory": at(directoryPort), "listen.controlPlane": at(controlPort),
 		"internalPorts.0": strconv.Itoa(firstInternal), "internalPorts.1": strconv.Itoa(lastInternal), "platform.address": d.network + "250:" + strconv.Itoa(storePort),
 		"bounds.retryBudgetRatio": "0.2", "bounds.retryAllowance": "52", "bounds.configMs": "2000", "bounds.graceS": "8", "bounds.leaseMs": "3000",
