Answers that are reset in an upload are cut, whichever call meets the reset

What callers saw: a worker answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: an answer without a length ends with its connection, and only the reset shows that it was cut. The kernel reports a reset to one call. If the write of the upload meets it, the next read returns io.EOF, as after an end in order, and the reader of the body took it for one.

Change: httpx.TrackedConn lies under the transport. At the end of an answer that ends with its connection it waits until the request has been written or writing has failed, and returns ErrUploadFailed if it has failed. httpx.Checked puts it under every HTTP client of the product: endpoints (through pairing), services of the own interface that must run once, hops, store, boxes, tool. Counter answers_cut_in_upload, a log line, bellgap status.

Why it works: the reader looks at what the writer met after both calls have returned, so their order does not matter. An end in order is whole if the rest of the request can be written, and cut if it is reset: a killed process that had read what had arrived leaves just that. Answers with a length or in chunks are not held, and keep their connections.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -114,9 +114,9 @@
 	b.pairing = pairing.New(pairing.Config{ID: engine.CallID, MaxRequests: cfg.Settings.Endpoints.MaxRequests, MaxSurplusBytes: cfg.Settings.Endpoints.MaxSurplusBytes(), Scope: b.metrics.Scope})
 	b.engines = engine.NewClient(engine.ClientConfig{HTTP: &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerEngine), cfg.Settings.Callers.StallTimeout))}})
 	api := objects.NewClient(objects.ClientConfig{
-		Address: cfg.Settings.Platform.Address.String(), HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
+		Address: cfg.Settings.Platform.Address.String(), HTTP: httpx.NewClient(connsPerPeer),
 	})
-	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
+	peers := peer.NewClient(peer.ClientConfig{HTTP: httpx.NewClient(connsPerPeer)})
 	b.feed = feed.New(feed.Config{
 		Catalog: b.catalog, Scope: b.metrics.Scope, PickSource: func() feed.Source { return b.changeSource(api, peers) },
 		LostObjects: func(ctx context.Context) ([]objects.Object, error) { return b.lostObjects(ctx, api, peers) },
@@ -132,7 +132,7 @@
 	b.noticeClient = newNoticeClient(noticeClientConfig{Board: b.notices, Catalog: b.catalog, Box: cfg.Settings.Box.Name, Scope: b.metrics.Scope})
 	b.keeper = places.NewKeeper(mathrand.Uint64())
 	b.places = places.NewClient(places.ClientConfig{
-		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
+		HTTP: httpx.NewClient(connsPerPeer), Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
 		Locator: newLocator(locatorConfig{
 			Box: cfg.Settings.Box.Name, Beat: cfg.Settings.Timing.Beat, Catalog: b.catalog, Membership: func() member.Status { return b.node.Status() },
 		}),
@@ -268,9 +268,9 @@
 	b.gateway = gateway.New(gateway.Config{
 		Box: s.Box.Name, Catalog: b.catalog, Owners: b.owners, Callers: b.callers, Record: records, Scope: b.metrics.Scope, NewID: rand.Text,
 		Engines:              b.engines,
-		PeerClient:           &http.Client{Transport: httpx.NewTransport(connsPerPeer)},
+		PeerClient:           httpx.NewClient(connsPerPeer),
 		Services:             &http.Client{Transport: b.pairing.Transport(slowpeer.BoundWrites(b.links.anyWay(connsPerService), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
-		UnrepeatableServices: &http.Client{Transport: slowpeer.BoundWrites(b.links.transport(httpx.NewSingleUseTransport(), b.links.detours.Dial), s.Callers.StallTimeout), CheckRedirect: noRedirect},
+		UnrepeatableServices: &http.Client{Transport: httpx.Checked(slowpeer.BoundWrites(b.links.transport(httpx.NewSingleUseTransport(), b.links.detours.Dial), s.Callers.StallTimeout)), CheckRedirect: noRedirect},
 		Limits: gateway.Limits{
 			BodyBytes: s.Request.BodyBytes, BodyTime: s.Request.BodyTime, DefaultWait: s.Request.DefaultWait,
 			MaxDuration: s.Request.MaxDuration, LocateTTL: s.Request.LocateKeep,
--- a/internal/box/fleet.go
+++ b/internal/box/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"net/netip"
 	"sync"
 
@@ -93,7 +92,7 @@
 // newQuarantine returns a box's quarantine client. isDown is quarantine.ClientConfig.IsDown.
 func newQuarantine(s settings.Settings, c *catalog.Catalog, scope tally.Scope, isDown func(context.Context, netip.AddrPort) bool) *quarantine.Client {
 	return quarantine.NewClient(quarantine.ClientConfig{
-		HTTP:     &http.Client{Transport: httpx.NewTransport(connsPerQuarantinePeer)},
+		HTTP:     httpx.NewClient(connsPerQuarantinePeer),
 		Register: quarantine.NewRegister(quarantine.RegisterConfig{CrashLimit: s.Quarantine.Endpoints, HoldTime: s.Quarantine.Hold}),
 		Fleet:    newQuarantineFleet(quarantineFleetConfig{Catalog: c, Box: s.Box.Name, Cell: s.Box.Cell}),
 		Scope:    scope,
--- a/internal/box/harness_test.go
+++ b/internal/box/harness_test.go
@@ -44,8 +44,9 @@
 	engines  []*fakeengine.Engine
 	service  *fakeservice.Service
 	boxes    []*runningBox
-	// leave, if set, is the setting timing.leave of every box that is added.
-	leave time.Duration
+	// leave, if set, is the setting timing.leave of every box that is added, bodyBytes the setting request.body_bytes.
+	leave     time.Duration
+	bodyBytes int64
 	// surplus returns what engines and services write to the connection of a request before they serve it, nil for nothing.
 	surplus atomic.Pointer[func(r *http.Request) string]
 	// torn returns the first bytes of the answers of engines and services, which then close the connection. Requests for which it returns
@@ -67,10 +68,12 @@
 	engines []fakeengine.Config
 	// leave, if set, is the time of a planned stop.
 	leave time.Duration
+	// bodyBytes, if set, bounds the bytes of a request body. Bodies then have a minute to arrive.
+	bodyBytes int64
 }
 
 func startFleet(c *qt.C, cfg fleetConfig) *fleet {
-	f := &fleet{c: c, platform: fakeplatform.New(), service: fakeservice.New("titles"), leave: cfg.leave}
+	f := &fleet{c: c, platform: fakeplatform.New(), service: fakeservice.New("titles"), leave: cfg.leave, bodyBytes: cfg.bodyBytes}
 	f.address = f.startServer(f.platform.Handler())
 	f.declare("downs", &resource.Cooperative{MaxInFlight: 1000})
 	f.declare("gate", &resource.Priority{Urgency: 50, MaxWait: resource.Duration(time.Minute)})
@@ -167,6 +170,9 @@
 	s.Timing.Leave = cmp.Or(f.leave, s.Timing.Leave)
 	s.Loads = settings.Loads{PerSecond: 1000, MaxConcurrent: 16}
 	s.Request.BodyBytes, s.Request.BodyTime = 64<<10, 200*time.Millisecond
+	if f.bodyBytes > 0 {
+		s.Request.BodyBytes, s.Request.BodyTime = f.bodyBytes, time.Minute
+	}
 	return s
 }
 
--- a/internal/box/links.go
+++ b/internal/box/links.go
@@ -47,7 +47,7 @@
 func newLinks(cfg linksConfig) *links {
 	l := &links{cfg: cfg}
 	l.reach = reach.New(reach.Config{Dial: cfg.Dial, Endpoints: l.endpointAddresses, OnChange: l.handleChange, Scope: cfg.Scope})
-	l.detours = detour.NewClient(detour.ClientConfig{Reach: l.reach, Boxes: l.carriers, CloseIdle: l.closeIdle, OnLost: l.handleLostCarrier, HTTP: &http.Client{Transport: httpx.NewTransport(1)}, Scope: cfg.Scope})
+	l.detours = detour.NewClient(detour.ClientConfig{Reach: l.reach, Boxes: l.carriers, CloseIdle: l.closeIdle, OnLost: l.handleLostCarrier, HTTP: httpx.NewClient(1), Scope: cfg.Scope})
 	l.carrier = detour.NewServer(detour.ServerConfig{
 		Reach: l.reach, IsEndpoint: func(a netip.AddrPort) bool { return slices.Contains(l.endpointAddresses(), a) },
 		IsLeaving: cfg.IsLeaving, MaxConns: cfg.Settings.Detours.MaxConns, Scope: cfg.Scope,
--- a/internal/box/notice_client.go
+++ b/internal/box/notice_client.go
@@ -25,7 +25,7 @@
 // kept open.
 func newNoticeClient(cfg noticeClientConfig) *notice.Client {
 	return notice.NewClient(notice.ClientConfig{
-		HTTP: &http.Client{Transport: httpx.NewSingleUseTransport()}, Board: cfg.Board, Scope: cfg.Scope,
+		HTTP: &http.Client{Transport: httpx.Checked(httpx.NewSingleUseTransport())}, Board: cfg.Board, Scope: cfg.Scope,
 		OtherBoxes: func() []netip.AddrPort { return peerAddresses(cfg.Catalog, cfg.Box) },
 	})
 }
--- a/internal/box/routed.go
+++ b/internal/box/routed.go
@@ -181,7 +181,7 @@
 	b.buildNotices()
 	b.keeper = places.NewKeeper(mathrand.Uint64())
 	b.places = places.NewClient(places.ClientConfig{
-		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Locator: b.locator, Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
+		HTTP: httpx.NewClient(connsPerPeer), Locator: b.locator, Keeper: b.keeper, Rates: b.rates, Scope: b.metrics.Scope,
 	})
 	b.follower = follow.New(follow.Config{
 		Source: cfg.Deployment.Source, Catalog: b.catalog, Kinds: followedKinds(cfg.Settings.Customers), Grace: cfg.Settings.Platform.MissingEndpointGrace, Scope: b.metrics.Scope,
@@ -191,8 +191,8 @@
 	if cfg.Settings.Capacity.ScarceSlots > 0 {
 		b.engineLoads = engineload.NewTable(engineload.TableConfig{Scope: b.metrics.Scope})
 	}
-	peers := peer.NewClient(peer.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}})
-	grants := grant.NewClient(grant.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Rates: b.rates, EngineLoads: b.engineLoads, Scope: b.metrics.Scope})
+	peers := peer.NewClient(peer.ClientConfig{HTTP: httpx.NewClient(connsPerPeer)})
+	grants := grant.NewClient(grant.ClientConfig{HTTP: httpx.NewClient(connsPerPeer), Rates: b.rates, EngineLoads: b.engineLoads, Scope: b.metrics.Scope})
 	scheduler := b.buildOwners(peers)
 	b.buildShares()
 	b.buildFigures()
@@ -355,7 +355,7 @@
 		Writers: fleet.Archivists, IsCleaner: fleet.IsArchivist, Scope: b.metrics.Scope,
 	})
 	b.origins = origin.NewClient(origin.ClientConfig{
-		HTTP: &http.Client{Transport: httpx.NewTransport(connsPerOriginPeer)}, Register: b.originRegister,
+		HTTP: httpx.NewClient(connsPerOriginPeer), Register: b.originRegister,
 		Fleet: fleet, Archive: b.streamArchive, Scope: b.metrics.Scope,
 	})
 }
@@ -368,7 +368,7 @@
 		Connections: b.pairing, ReadEndpoint: b.cfg.Deployment.ReadEndpoint,
 		Budget: relay.BudgetConfig{RetriesPerRequest: s.Routes.RetryRatio, Allowance: s.Routes.RetryAllowance, Boxes: b.boxCount},
 		Policy: s.Policy.Build(), PrefillRate: s.Routes.PrefillRate,
-		Quotas: quota.NewClient(quota.ClientConfig{HTTP: &http.Client{Transport: httpx.NewTransport(connsPerPeer)}, Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
+		Quotas: quota.NewClient(quota.ClientConfig{HTTP: httpx.NewClient(connsPerPeer), Accountable: b.locator, Ledger: b.ledger, Scope: b.metrics.Scope}),
 		Places: b.places, Quarantine: b.quarantine, Rates: b.rates, Notices: b.notices, Gate: b.gate, Demand: b.demand, Callers: b.callers,
 		Origins: b.origins, StreamMemory: s.Streams.OriginTTL,
 		VersionHistory: newVersionHistory(versionHistoryConfig{Catalog: b.catalog, API: b.cfg.Deployment.API}),
--- a/internal/cli/ask.go
+++ b/internal/cli/ask.go
@@ -30,7 +30,7 @@
 
 func runAsk(ctx context.Context, cmd *cli.Command) error {
 	model, prompt := cmd.Args().First(), cmd.Args().Get(1)
-	client := &operatorClient{base: "http://" + cmd.String("at"), http: &http.Client{Transport: httpx.NewTransport(1)}}
+	client := &operatorClient{base: "http://" + cmd.String("at"), http: httpx.NewClient(1)}
 	var location gateway.LocateResponse
 	if err := client.call(ctx, http.MethodGet, "/locate?model="+model, nil, &location); err != nil {
 		return err
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -31,7 +31,7 @@
 	if address == "" {
 		return nil, eris.New("no box address given; use --box ADDRESS or set BELLGAP_BOX")
 	}
-	return &operatorClient{base: "http://" + address, http: &http.Client{Transport: httpx.NewTransport(1)}}, nil
+	return &operatorClient{base: "http://" + address, http: httpx.NewClient(1)}, nil
 }
 
 // send sends a request and returns the response body if the status is 200. The caller closes the body.
--- a/internal/cli/fake.go
+++ b/internal/cli/fake.go
@@ -95,7 +95,7 @@
 
 // newWeightFetcher returns a function that downloads weights from the weight store at an address.
 func newWeightFetcher(store string) func(context.Context, string) error {
-	client := &http.Client{Transport: httpx.NewTransport(1)}
+	client := httpx.NewClient(1)
 	return func(ctx context.Context, weights string) error {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+store+"/weights/"+weights, nil)
 		if err != nil {
--- a/internal/cli/routed.go
+++ b/internal/cli/routed.go
@@ -38,7 +38,7 @@
 }
 
 func serveRoutedBox(ctx context.Context, s settings.Settings, path string, dialEndpoint reach.DialFunc, hup <-chan os.Signal) error {
-	store := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address, HTTP: &http.Client{Transport: httpx.NewTransport(maxIdleStoreConns)}})
+	store := platform.NewStore(platform.StoreConfig{Address: s.Platform.Address, HTTP: httpx.NewClient(maxIdleStoreConns)})
 	locateKeep := s.Request.LocateKeep
 	b, err := box.NewRouted(box.RoutedConfig{Settings: s, Deployment: box.Deployment{
 		API: store, Source: store, Wire: platform.Wire{}, DialEndpoint: dialEndpoint, ReadEndpoint: store.Endpoint,
--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -82,6 +82,9 @@
 	return n, err
 }
 
+// NetConn returns the connection to the endpoint, or to the box that leads to it.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -153,6 +156,10 @@
 	if err != nil {
 		c.recordIfEnded(err)
 	}
+	if errors.Is(err, httpx.ErrUploadFailed) {
+		request, _ := c.current()
+		c.pairing.recordCut(request, err)
+	}
 	return n, err
 }
 
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -21,6 +21,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/bellgap/bellgap/internal/clock"
+	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/recent"
 )
 
@@ -56,8 +57,8 @@
 type Pairing struct {
 	cfg Config
 	// logged holds the endpoints whose surplus answers were logged recently, loggedMerged those whose merged heads were, loggedCarried those that
-	// were sent an id over a connection that had carried it.
-	logged, loggedMerged, loggedCarried *recent.Set[string]
+	// were sent an id over a connection that had carried it, loggedCut those whose answers were cut in an upload.
+	logged, loggedMerged, loggedCarried, loggedCut *recent.Set[string]
 
 	mu sync.Mutex
 	// endpoints counts the surplus answers of endpoints, by name.
@@ -74,19 +75,24 @@
 	endedAt time.Time
 }
 
-// Endpoint describes the surplus answers, merged heads and repeated requests of one endpoint within the last minute or longer.
+// Endpoint describes the surplus answers, merged heads, cut answers and repeated requests of one endpoint within the last minute or longer.
 type Endpoint struct {
 	Name    string `json:"name"`
 	Answers int64  `json:"answers"`
 	Bytes   int64  `json:"bytes"`
 	// MergedHeads counts the heads made of more than one answer.
 	MergedHeads int64 `json:"merged_heads,omitempty"`
+	// CutAnswers counts the answers without a length that ended while their requests could not be written.
+	CutAnswers int64 `json:"cut_answers,omitempty"`
 	// Repeats counts the requests that went over new connections because one in use had carried their ids.
 	Repeats int64         `json:"repeats,omitempty"`
 	Ago     time.Duration `json:"ago"`
 	last    time.Time
 }
 
+// events returns the number of answers, heads and requests that the Endpoint counts.
+func (e Endpoint) events() int64 { return e.Answers + e.MergedHeads + e.CutAnswers + e.Repeats }
+
 // New returns a Pairing.
 func New(cfg Config) *Pairing {
 	cfg.MaxSurplusBytes = cmp.Or(cfg.MaxSurplusBytes, defaultMaxSurplusBytes)
@@ -94,14 +100,14 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
-	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), loggedMerged: recent.New[string](logInterval), loggedCarried: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
+	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), loggedMerged: recent.New[string](logInterval), loggedCarried: recent.New[string](logInterval), loggedCut: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
 }
 
 // Transport makes t pair the answers on its connections. Requests must be sent with the returned transport. It sends a request whose id an open
 // connection to the same address has carried over a connection that is used once.
 func (p *Pairing) Transport(t *http.Transport) http.RoundTripper {
+	paired := &transport{pairing: p, base: httpx.Checked(t), sending: map[sentRequest]struct{}{}}
 	dial := t.DialContext
-	paired := &transport{pairing: p, base: t, sending: map[sentRequest]struct{}{}}
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if errors.Is(err, syscall.ECONNREFUSED) {
@@ -112,8 +118,7 @@
 		}
 		return p.open(paired, address, c), nil
 	}
-	paired.singleUse = t.Clone()
-	paired.singleUse.DisableKeepAlives = true
+	paired.singleUse = paired.base.SingleUse()
 	return paired
 }
 
@@ -173,7 +178,7 @@
 	return connectedSince, known.endedAt
 }
 
-// Status lists the endpoints that recently sent surplus answers, those with the most first.
+// Status lists the endpoints that recently sent surplus or broken answers, those with the most first.
 func (p *Pairing) Status(now time.Time) []Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -187,7 +192,7 @@
 		all = append(all, e)
 	}
 	slices.SortFunc(all, func(a, b Endpoint) int {
-		return cmp.Or(cmp.Compare(b.Answers+b.MergedHeads+b.Repeats, a.Answers+a.MergedHeads+a.Repeats), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.events(), a.events()), cmp.Compare(a.Name, b.Name))
 	})
 	return all
 }
@@ -243,6 +248,16 @@
 	p.list(request.endpoint, now, func(e *Endpoint) { e.MergedHeads++ })
 }
 
+// recordCut counts and logs an answer that ended while its request could not be written, for each endpoint at most once in logInterval.
+func (p *Pairing) recordCut(request exchange, err error) {
+	p.cfg.Scope.Counter("answers_cut_in_upload").Inc(1)
+	now := clock.Now()
+	if level := logLevel(p.loggedCut, request.endpoint, now); klog.V(level).Enabled() {
+		klog.V(level).InfoS("answer counts as cut, its connection ended while the request was being written", "endpoint", request.endpoint, "request", request.id, "err", err)
+	}
+	p.list(request.endpoint, now, func(e *Endpoint) { e.CutAnswers++ })
+}
+
 // recordCarriedAgain counts and logs a request on a connection that has carried its id before: the id of an answer then does not tell whether
 // it belongs to this request.
 func (p *Pairing) recordCarriedAgain(e exchange) {
@@ -309,7 +324,7 @@
 type transport struct {
 	pairing *Pairing
 	// base keeps its connections for further requests, singleUse closes them.
-	base, singleUse *http.Transport
+	base, singleUse *httpx.Transport
 
 	mu sync.Mutex
 	// sending holds the requests that base is sending, until the heads of their answers arrive.
