A reset that the carrying box meets in an upload stays one on a detour

What callers saw: the same part of an answer as a whole one, where the box reaches the endpoint through another box only.

Cause: the carrying box copies each direction on its own. Its write of the upload met the reset, its read then returned io.EOF, and it sent the mark of an end in order.

Change: it reads and writes through httpx.TrackedConn, so no mark is sent for an end behind a failed write; the connection to the other box is closed.

Why it works: the mark needs a read that returned io.EOF while no write had failed, and a write under way is waited for.

--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
+	"github.com/bellgap/bellgap/internal/httpx"
 	"github.com/bellgap/bellgap/internal/reach"
 	"github.com/bellgap/bellgap/internal/result"
 )
@@ -152,15 +153,17 @@
 	if _, err := io.WriteString(caller, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+protocol+"\r\n\r\n"); err != nil {
 		return
 	}
+	// A reset that a write to the endpoint meets must not reach the other box as an end in order.
+	tracked := httpx.NewTrackedConn(endpoint)
 	var copying errgroup.Group
 	copying.Go(func() error {
 		defer closeBoth()
-		_, err := io.Copy(endpoint, buffered)
+		_, err := io.Copy(tracked, buffered)
 		return err
 	})
 	copying.Go(func() error {
 		defer closeBoth()
-		return copyFrames(caller, endpoint)
+		return copyFrames(caller, tracked)
 	})
 	if err := copying.Wait(); err != nil {
 		klog.V(1).InfoS("detour ended", "endpoint", endpoint.RemoteAddr(), "err", err)
