A detour no longer cuts the upload of an endpoint that has ended its answer

What callers saw: nothing before. Since answers without a length are whole only if their request can be written, a whole early answer would be cut on a detour where it is whole over a direct connection.

Cause: the carrying box closed both connections as soon as the endpoint had ended its side, and so reset the upload of an endpoint that reads on.

Change: the end is passed on, and the connections are closed when the other box closes its own, or when one of them fails. The other box closes it after each end: its transport does not use such a connection again.

Evidence: TestEndpointReadsOnAfterItsEnd on, three of three runs: the upload fails with a reset or a broken pipe after 94,208 to 157,696 of 3,145,756 bytes. Now it arrives as a whole; all tests of the package pass.

--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -128,7 +128,8 @@
 	}
 }
 
-// carry copies bytes between another box and an endpoint until one of them closes its connection.
+// carry copies bytes between another box and an endpoint until the box closes its connection or one of the connections fails. The end of an endpoint's
+// connection is passed on, while the endpoint may read on.
 func (s *Server) carry(w http.ResponseWriter, endpoint net.Conn) {
 	caller, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
@@ -162,8 +163,11 @@
 		return err
 	})
 	copying.Go(func() error {
-		defer closeBoth()
-		return copyFrames(caller, tracked)
+		err := copyFrames(caller, tracked)
+		if err != nil {
+			closeBoth()
+		}
+		return err
 	})
 	if err := copying.Wait(); err != nil {
 		klog.V(1).InfoS("detour ended", "endpoint", endpoint.RemoteAddr(), "err", err)
--- a/internal/detour/upload_test.go
+++ b/internal/detour/upload_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,3 +57,29 @@
 	}
 	c.Check(ended, qt.Equals, 0, qt.Commentf("resets that read like an end in order, of %d", uploads))
 }
+
+// TestEndpointReadsOnAfterItsEnd guards against a whole answer whose upload is cut off by the box that carries it, because the endpoint has ended its
+// side in order before it has read the upload.
+func TestEndpointReadsOnAfterItsEnd(t *testing.T) {
+	c := qt.New(t)
+	var received atomic.Int64
+	done := make(chan struct{})
+	f := newFleet(c, 8, func(conn net.Conn) {
+		defer close(done)
+		_, _ = io.WriteString(conn, "whole answer")
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		n, _ := io.Copy(io.Discard, conn)
+		received.Store(n)
+		_ = conn.Close()
+	})
+	got, readErr, writeErr := f.upload()
+	c.Check(readErr, qt.IsNil)
+	c.Check(writeErr, qt.IsNil)
+	c.Check(got, qt.Equals, "whole answer")
+	<-done
+	// The endpoint's server has read ahead.
+	const readAhead = 4 << 10
+	c.Check(received.Load() >= uploadSize-readAhead, qt.IsTrue, qt.Commentf("%d bytes", received.Load()))
+}
