A status outside of 200 to 599 is no answer

What callers saw: for a status 000, 099 or +20 of a worker no answer at all (the connection closes, "panic serving ... invalid WriteHeader code"), and after a few dozen of them nobody was served: the panic passes by what gives back grants and places. 000 with Not-Executed was passed on as a rejection. 600, 999 and an unasked 101 were passed on, with the endpoint's seal.

Cause: net/http takes any three characters that read as a number for a status, and no part of the product asked whether it is one.

Change: httpx.CheckHead, one place that tells whether a head can be that of a final answer. Every client asks it (httpx.Transport); connections to endpoints ask it in pairing, before the transport can give the connection to the next request. Result 4002, may have run; counter invalid_heads, a log line, bellgap status. The store's clients took each status below 300 for success: a write answered with 000 counted as done, {} as an empty list. They use httpx.NewClient, so the call counts as unanswered.

Why it works: the check comes before anything of the answer is read, on the one way that all answers take. It replaces no status: the caller gets the box's own result, which says that the request may have run.

--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -113,8 +113,8 @@
 		_, _ = fmt.Fprintf(w, "requests that arrive hold %d of %d bytes on %d connections; closed to make room since the start: %d, refused: %d\n", i.HeldBytes, i.MaxBytes, i.Connections, i.Evicted, i.Refused)
 	}
 	for _, e := range st.SurplusAnswers {
-		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes), %d heads of more than one answer and %d answers that were cut while their requests were being written, and got %d requests again under their ids, the last %s ago\n",
-			e.Name, e.Answers, e.Bytes, e.MergedHeads, e.CutAnswers, e.Repeats, e.Ago.Round(time.Second))
+		_, _ = fmt.Fprintf(w, "endpoint %s sent %d answers that belong to no request (%d bytes), %d heads of more than one answer, %d invalid heads and %d answers that were cut while their requests were being written, and got %d requests again under their ids, the last %s ago\n",
+			e.Name, e.Answers, e.Bytes, e.MergedHeads, e.InvalidHeads, e.CutAnswers, e.Repeats, e.Ago.Round(time.Second))
 	}
 	if p := st.Promises; p != (relay.Promises{}) {
 		_, _ = fmt.Fprintf(w, "callers were promised that their requests did not run: %d before they were sent, %d after rejections by endpoints, %d by the status of an endpoint\n",
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -193,7 +193,7 @@
 		return result.New(result.EndpointNotReading, "%v", err)
 	case errors.Is(err, pairing.ErrSurplus):
 		return result.New(result.TooMuchSurplus, "%v", err)
-	case errors.Is(err, pairing.ErrMergedHead):
+	case errors.Is(err, pairing.ErrMergedHead), httpx.IsInvalidHead(err):
 		return result.New(result.AnswerLost, "%v", err)
 	default:
 		return result.NewConnError(result.AnswerLost, err)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -238,7 +238,7 @@
 		return nil, result.New(result.EndpointNotReading, "%v", err)
 	case errors.Is(err, pairing.ErrSurplus):
 		return nil, result.New(result.TooMuchSurplus, "%v", err)
-	case errors.Is(err, pairing.ErrMergedHead):
+	case errors.Is(err, pairing.ErrMergedHead), httpx.IsInvalidHead(err):
 		return nil, result.New(result.AnswerLost, "%v", err)
 	default:
 		return nil, result.NewConnError(result.AnswerLost, err)
--- a/internal/httpx/transport.go
+++ b/internal/httpx/transport.go
@@ -11,7 +11,8 @@
 	return &http.Client{Transport: Checked(NewTransport(connsPerHost))}
 }
 
-// Transport is an http.RoundTripper that returns an error in place of an answer that is not known to be whole.
+// Transport is an http.RoundTripper that returns an error in place of an answer whose head is invalid, and in place of the end of one that is not
+// known to be whole.
 type Transport struct{ base *http.Transport }
 
 // Checked returns a Transport that sends requests over the connections of t. Its user may change t.DialContext before the first request.
@@ -27,7 +28,7 @@
 	return &Transport{base}
 }
 
-// RoundTrip implements http.RoundTripper. The error of reading an answer that ended with its connection while its request could not be written is
+// RoundTrip implements http.RoundTripper. It returns an InvalidHeadError for an answer that fails CheckHead. The error of reading an answer that ended with its connection while its request could not be written is
 // ErrUploadFailed.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	// The base transport may send a request a second time.
@@ -50,6 +51,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	if sent := last.Load(); sent != nil && EndsWithConnection(resp) {
 		sent.endsWithConnection.Store(true)
 	}
--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -98,7 +98,7 @@
 // does a connection that this side is about to close because of what the endpoint sent.
 func (c *conn) recordIfEnded(err error) {
 	c.mu.Lock()
-	isOwnEnd := c.isClosed || errors.Is(err, ErrMergedHead) || errors.Is(err, errUnsolicited) || errors.Is(err, ErrSurplus)
+	isOwnEnd := c.isClosed || errors.Is(err, ErrMergedHead) || errors.Is(err, errUnsolicited) || errors.Is(err, ErrSurplus) || httpx.IsInvalidHead(err)
 	isEnded := !isOwnEnd && (!c.isRaw || !errors.Is(err, io.EOF))
 	c.mu.Unlock()
 	if isEnded {
@@ -228,9 +228,13 @@
 	if answerID != "" && (!isOpen || answerID != request.id) {
 		return c.drop(resp, head, surplus{endpoint: request.endpoint, requestID: request.id, answerID: answerID, status: resp.StatusCode, isIdle: !isOpen})
 	}
-	if !isOpen || resp.StatusCode == http.StatusSwitchingProtocols {
+	if !isOpen {
 		return c.passRaw(head, request, isOpen)
 	}
+	if err := httpx.CheckFinalHead(resp); err != nil {
+		c.pairing.recordInvalidHead(request, err)
+		return err
+	}
 	c.pending, c.isFinal = head, resp.StatusCode >= http.StatusOK
 	isUnnamed := c.isFinal && answerID == "" && request.id != "" && c.pairing.cfg.IsIDReturned
 	if isUnnamed {
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -57,8 +57,9 @@
 type Pairing struct {
 	cfg Config
 	// logged holds the endpoints whose surplus answers were logged recently, loggedMerged those whose merged heads were, loggedCarried those that
-	// were sent an id over a connection that had carried it, loggedCut those whose answers were cut in an upload.
-	logged, loggedMerged, loggedCarried, loggedCut *recent.Set[string]
+	// were sent an id over a connection that had carried it, loggedCut those whose answers were cut in an upload,
+	// loggedInvalid those whose heads were invalid.
+	logged, loggedMerged, loggedCarried, loggedCut, loggedInvalid *recent.Set[string]
 
 	mu sync.Mutex
 	// endpoints counts the surplus answers of endpoints, by name.
@@ -75,13 +76,15 @@
 	endedAt time.Time
 }
 
-// Endpoint describes the surplus answers, merged heads, cut answers and repeated requests of one endpoint within the last minute or longer.
+// Endpoint describes the surplus answers, merged and invalid heads, cut answers and repeated requests of one endpoint within the last minute or longer.
 type Endpoint struct {
 	Name    string `json:"name"`
 	Answers int64  `json:"answers"`
 	Bytes   int64  `json:"bytes"`
 	// MergedHeads counts the heads made of more than one answer.
 	MergedHeads int64 `json:"merged_heads,omitempty"`
+	// InvalidHeads counts the heads that are those of no answer.
+	InvalidHeads int64 `json:"invalid_heads,omitempty"`
 	// CutAnswers counts the answers without a length that ended while their requests could not be written.
 	CutAnswers int64 `json:"cut_answers,omitempty"`
 	// Repeats counts the requests that went over new connections because one in use had carried their ids.
@@ -91,7 +94,9 @@
 }
 
 // events returns the number of answers, heads and requests that the Endpoint counts.
-func (e Endpoint) events() int64 { return e.Answers + e.MergedHeads + e.CutAnswers + e.Repeats }
+func (e Endpoint) events() int64 {
+	return e.Answers + e.MergedHeads + e.InvalidHeads + e.CutAnswers + e.Repeats
+}
 
 // New returns a Pairing.
 func New(cfg Config) *Pairing {
@@ -100,7 +105,7 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
-	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), loggedMerged: recent.New[string](logInterval), loggedCarried: recent.New[string](logInterval), loggedCut: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
+	return &Pairing{cfg: cfg, logged: recent.New[string](logInterval), loggedMerged: recent.New[string](logInterval), loggedCarried: recent.New[string](logInterval), loggedCut: recent.New[string](logInterval), loggedInvalid: recent.New[string](logInterval), endpoints: map[string]Endpoint{}, contacts: map[string]*contact{}}
 }
 
 // Transport makes t pair the answers on its connections. Requests must be sent with the returned transport. It sends a request whose id an open
@@ -248,6 +253,20 @@
 	p.list(request.endpoint, now, func(e *Endpoint) { e.MergedHeads++ })
 }
 
+// recordInvalidHead counts and logs a head that is that of no answer, for each endpoint at most once in logInterval.
+func (p *Pairing) recordInvalidHead(request exchange, err error) {
+	var invalid *httpx.InvalidHeadError
+	if !errors.As(err, &invalid) {
+		return
+	}
+	p.cfg.Scope.Tagged(map[string]string{"fault": string(invalid.Fault)}).Counter("invalid_heads").Inc(1)
+	now := clock.Now()
+	if level := logLevel(p.loggedInvalid, request.endpoint, now); klog.V(level).Enabled() {
+		klog.V(level).InfoS("head of an answer is invalid", "endpoint", request.endpoint, "request", request.id, "fault", invalid.Fault, "detail", invalid.Detail)
+	}
+	p.list(request.endpoint, now, func(e *Endpoint) { e.InvalidHeads++ })
+}
+
 // recordCut counts and logs an answer that ended while its request could not be written, for each endpoint at most once in logInterval.
 func (p *Pairing) recordCut(request exchange, err error) {
 	p.cfg.Scope.Counter("answers_cut_in_upload").Inc(1)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -174,7 +174,7 @@
 		return result.New(result.EndpointNotReading, "%v", err)
 	case errors.Is(err, pairing.ErrSurplus):
 		return result.New(result.TooMuchSurplus, "%v", err)
-	case errors.Is(err, pairing.ErrMergedHead):
+	case errors.Is(err, pairing.ErrMergedHead), httpx.IsInvalidHead(err):
 		return result.New(result.AnswerLost, "%v", err)
 	case ctx.Err() != nil:
 		return result.New(result.TimedOut, "%v", context.Cause(ctx))
