A head with a field whose name is no token is that of no answer

What callers saw: with a blank in or behind the name of a field of a worker's answer they got the answer without that line. For "Transfer-Encoding : chunked" the sizes of the chunks were part of the body, each time.

Cause: net/http keeps a name with a blank as it is. It finds neither coding nor length under it, does not refuse the head either, and the server leaves the line out as it writes the answer.

--- a/internal/box/broken_heads_test.go
+++ b/internal/box/broken_heads_test.go
@@ -24,6 +24,21 @@
 	}
 }
 
+// TestInvalidFieldNameIsNoAnswer guards against a caller of bellgap's own interface that gets an answer with a body that is not the endpoint's, since the
+// name of a field in its head holds a blank or a control byte.
+func TestInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for _, lines := range []string{
+		"X Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
+		"Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+		"Content-Length : 4\r\n\r\nbody",
+		"X\x01Odd: 1\r\nContent-Length: 4\r\n\r\nbody",
+	} {
+		t.Run(lines, func(t *testing.T) {
+			checkBrokenHead(qt.New(t), "HTTP/1.1 200 OK\r\nBellgap-Call-Id: %s\r\nContent-Type: text/plain\r\n"+lines)
+		})
+	}
+}
+
 // checkBrokenHead checks that each call of an engine or a service that answers with answer, which holds the id of the call, gets one answer of the box.
 func checkBrokenHead(c *qt.C, answer string) {
 	f := startFleet(c, fleetConfig{boxes: 1, engines: []fakeengine.Config{smallEngine()}})
