A panic at an answer no longer holds the place of its request for good

Cause: grants, places, the count of requests in flight and the log line are given back or written in the lines behind those that handle the answer. A panic skipped them, and the HTTP server only closed the connection.

After a panic in a body the request is not sent again, as it is not known which event the caller got last.

Why it works: what follows runs as after any other failed try, so nothing has to be given back in a second place.

Not changed: the own interface, whose handlers release grants in the same way.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -123,11 +123,7 @@
 		return nil, rerr
 	}
 	q.untilAnswered = clock.Since(q.receivedAt)
-	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
-	r.recordUnproven(q, to, resp.StatusCode, head)
-	rerr := checkAnswer(q, resp.StatusCode, head)
-	q.wasRun = rerr == nil && resp.StatusCode < http.StatusMultipleChoices
-	r.handleNotice(q, to, head, rerr == nil)
+	rerr := r.guardHead(q, func() *result.Error { return r.readAnswerHead(q, to, resp) })
 	if rerr != nil {
 		outcome := rerr.Code.String() + ":" + rerr.Detail
 		if traced.IsReused() {
@@ -144,6 +140,16 @@
 	return resp, nil
 }
 
+// readAnswerHead reads the head of an answer with what it says of the endpoint. It returns an error unless the answer is one to this request.
+func (r *Relay) readAnswerHead(q *request, to destination, resp *http.Response) *result.Error {
+	head := r.cfg.Wire.ReadAnswer(resp.StatusCode, resp.Header)
+	r.recordUnproven(q, to, resp.StatusCode, head)
+	rerr := checkAnswer(q, resp.StatusCode, head)
+	q.wasRun = rerr == nil && resp.StatusCode < http.StatusMultipleChoices
+	r.handleNotice(q, to, head, rerr == nil)
+	return rerr
+}
+
 // recordSlowEndpoint counts and logs a request that ended because the endpoint did not read its body.
 func (r *Relay) recordSlowEndpoint(q *request, to destination) {
 	r.cfg.Scope.Counter("slow_endpoints_ended").Inc(1)
--- a/internal/relay/model.go
+++ b/internal/relay/model.go
@@ -195,11 +195,14 @@
 	out.hasCrashed = r.crashCheck(ctx, q, c.destination())
 	if resp.StatusCode != http.StatusOK || q.route.Kind != resource.RouteStream {
 		out.onEvent = watch.recordArrival
-		rerr = r.forwardNonStream(out, q, resp)
+		rerr = r.guardBody(q, func() *result.Error { return r.forwardNonStream(out, q, resp) })
 		watch.stop(q)
 	} else {
 		out.onEvent, out.onForwarded = watch.newArrivalCallback(c), watch.recordForwarded
-		lastEvent, rerr = out.copyEvents(r.cfg.Wire, resp, a.LastEvent)
+		rerr = r.guardBody(q, func() (rerr *result.Error) {
+			lastEvent, rerr = out.copyEvents(r.cfg.Wire, resp, a.LastEvent)
+			return rerr
+		})
 		watch.stop(q)
 		if out.started {
 			q.bindTo(c.softwareVersion)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -179,7 +179,7 @@
 
 // canTryNext reports whether another endpoint may be tried after rerr.
 func (r *Relay) canTryNext(q *request, rerr *result.Error) bool {
-	if q.timeLeft() <= 0 || rerr.Code == result.Quarantined || rerr.Code == result.Leaving || q.pending.isEnded() {
+	if q.timeLeft() <= 0 || rerr.Code == result.Quarantined || rerr.Code == result.Leaving || q.pending.isEnded() || q.isForwardedUnknown {
 		return false
 	}
 	if rerr.Code.Info().Ran == result.RanNo {
@@ -299,13 +299,13 @@
 func (r *Relay) forwardPlain(out *output, resp *http.Response, e catalog.EndpointView, q *request) *result.Error {
 	defer func() { _ = resp.Body.Close() }()
 	failed := resp.StatusCode >= http.StatusInternalServerError
-	var rerr *result.Error
-	if q.route.Kind == resource.RouteStream {
-		_, rerr = out.copyEvents(r.cfg.Wire, resp, q.head.LastEvent)
-		rerr = out.excuseCut(rerr)
-	} else {
-		rerr = out.copyAnswer(resp)
-	}
+	rerr := r.guardBody(q, func() *result.Error {
+		if q.route.Kind != resource.RouteStream {
+			return out.copyAnswer(resp)
+		}
+		_, rerr := out.copyEvents(r.cfg.Wire, resp, q.head.LastEvent)
+		return out.excuseCut(rerr)
+	})
 	r.recordUnfinished(q, endpointDestination(e), rerr)
 	r.recordLongEvent(q, endpointDestination(e), out)
 	r.health.end(e.Name, clock.Now(), failed || (rerr != nil && rerr.Code == result.StreamCut))
