An answer whose request is given up in its upload is not whole

What callers would have seen: a part of an answer as the whole one at their deadline, if the endpoint had ended its side and did not read the rest of the request.

Cause: the wait for the end of the upload also ended when this side closed the connection, and then counted as an upload without an error.

Change: the read of a connection that was closed meanwhile fails.

--- a/internal/httpx/tracked.go
+++ b/internal/httpx/tracked.go
@@ -109,6 +109,7 @@
 		select {
 		case <-sent.written:
 		case <-c.closed:
+			return net.ErrClosed
 		}
 	}
 	// The last part of a request may be written after the transport has reported the end of the request.
@@ -116,6 +117,7 @@
 	case c.writing <- struct{}{}:
 		<-c.writing
 	case <-c.closed:
+		return net.ErrClosed
 	}
 	if sent != nil && sent.writeError() != nil {
 		return sent.writeError()
--- a/internal/pairing/reset_test.go
+++ b/internal/pairing/reset_test.go
@@ -38,6 +38,8 @@
 	// endsFirst makes the endpoint's side end before the second write, and returnsLast makes the write that meets the reset return after the read
 	// that follows it.
 	endsFirst, returnsLast bool
+	// hangs makes the second write wait until the connection is closed.
+	hangs bool
 }
 
 func newEarlyConn(answer string) *earlyConn {
@@ -57,6 +59,10 @@
 	case c.writes == 2 && c.endsFirst:
 		c.end()
 		c.wait(c.read)
+	case c.writes == 2 && c.hangs:
+		c.end()
+		<-c.closed
+		return 0, net.ErrClosed
 	}
 	if c.writes != c.resetAt {
 		return len(p), nil
@@ -100,6 +106,33 @@
 	return nil
 }
 
+// TestRequestGivenUpInUploadIsNotWhole guards against an answer that counts as whole because its request was given up while the endpoint, which had ended
+// its side, did not read the rest of it.
+func TestRequestGivenUpInUploadIsNotWhole(t *testing.T) {
+	const tries, patience = 300, 2 * time.Millisecond
+	c := qt.New(t)
+	whole := 0
+	for range tries {
+		conn := newEarlyConn("HTTP/1.1 200 OK\r\nId: early\r\n\r\npart")
+		conn.hangs = true
+		base := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return conn, nil }}
+		p := pairing.New(pairing.Config{ID: func(h http.Header) string { return h.Get(idHeader) }, IsIDReturned: true})
+		client := &http.Client{Transport: p.Transport(base)}
+		ctx, cancel := context.WithTimeout(c.Context(), patience)
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://127.0.0.1:1", strings.NewReader(strings.Repeat("x", uploadSize)))
+		c.Assert(err, qt.IsNil)
+		req.Header.Set(idHeader, "early")
+		if resp, err := client.Do(req); err == nil {
+			if _, err := io.ReadAll(resp.Body); err == nil {
+				whole++
+			}
+			c.Check(resp.Body.Close(), qt.IsNil)
+		}
+		cancel()
+	}
+	c.Check(whole, qt.Equals, 0, qt.Commentf("of %d", tries))
+}
+
 // isClosed reports whether the transport has closed the connection.
 func (c *earlyConn) isClosed() bool {
 	select {
