Broken answers: names and comments reworked after reading the diff

CheckFinalHead goes; the pairing asks httpx.IsInterim. findTracked names the function that looks for a TrackedConn. Comments say what is waited for, and which status and names are invalid. No behaviour changes; httpx, pairing and detour pass under -race.

--- a/internal/httpx/head.go
+++ b/internal/httpx/head.go
@@ -11,20 +11,21 @@
 // maxStatus is the highest status of an answer in RFC 9110, section 15.
 const maxStatus = 599
 
-// HeadFault is why a head is that of no answer.
+// HeadFault tells what is wrong with the head of an answer.
 type HeadFault string
 
 const (
-	// FaultStatus is a status that is none of a final answer. No request asks for another protocol.
+	// FaultStatus is a status outside of 200 to 599. That includes 101 (Switching Protocols), which no request asks for.
 	FaultStatus HeadFault = "status"
-	// FaultField is a field whose name is no token. What the field says is not known: it may be the length of the answer or its coding.
+	// FaultField is a field whose name is not a token, for example because it holds a blank. The field may be meant as the length of the answer, or as
+	// its coding.
 	FaultField HeadFault = "field"
 )
 
-// InvalidHeadError is the error of an answer whose head no sound peer sends. Nothing in it is believed: the request may have run.
+// InvalidHeadError is the error of an answer with an invalid head. Nothing in such a head counts, so the request may have run.
 type InvalidHeadError struct {
 	Fault HeadFault
-	// Detail is the part of the head that is at fault.
+	// Detail is the status or the name of the field.
 	Detail string
 }
 
@@ -39,7 +40,7 @@
 	return errors.As(err, &invalid)
 }
 
-// CheckHead returns an InvalidHeadError unless resp can be a final answer.
+// CheckHead returns an InvalidHeadError if the head of a final answer is invalid.
 func CheckHead(resp *http.Response) error {
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 		return &InvalidHeadError{FaultStatus, fmt.Sprintf("%03d", resp.StatusCode)}
@@ -63,15 +64,7 @@
 	})
 }
 
-// isInterim reports whether a status is that of an interim answer, which the final one follows.
-func isInterim(status int) bool {
+// IsInterim reports whether a status is that of an interim answer, which the final one follows.
+func IsInterim(status int) bool {
 	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
 }
-
-// CheckFinalHead does the same as CheckHead for a head that may be that of an interim answer.
-func CheckFinalHead(resp *http.Response) error {
-	if isInterim(resp.StatusCode) {
-		return nil
-	}
-	return CheckHead(resp)
-}
--- a/internal/httpx/tracked.go
+++ b/internal/httpx/tracked.go
@@ -10,8 +10,8 @@
 	"sync/atomic"
 )
 
-// ErrUploadFailed is the error of an answer that ended with its connection although its request could not be written as a whole, so that the
-// answer may have been cut short.
+// ErrUploadFailed is the error of an answer without a length whose connection ended before its request had been written. The answer may have been cut
+// short.
 var ErrUploadFailed = errors.New("httpx: answer ended while its request could not be written")
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -28,8 +28,8 @@
 	}
 }
 
-// TrackedConn is a connection on which a reset that a write met does not read like an end in order. The kernel reports a reset to one call only:
-// if that is a write, the next read returns io.EOF.
+// TrackedConn is a connection whose reads fail after a reset, also if a write has met it. The kernel reports a reset to one call only: if that is a write,
+// the next read returns io.EOF, as at the end of a whole answer.
 type TrackedConn struct {
 	net.Conn
 	// writing is held during a write. It is a channel, because a mutex that is held during a write stops the virtual time of tests.
@@ -98,8 +98,8 @@
 	return c.sent
 }
 
-// uploadError returns why what was sent last could not be written as a whole. It is nil if it was written, or if the end of the connection does
-// not end an answer.
+// uploadError waits until what is being sent has been written, and returns the error if that failed. If the last HTTP request has an answer with a length
+// or in chunks, the end of the connection does not end the answer, and uploadError returns nil at once.
 func (c *TrackedConn) uploadError() error {
 	sent := c.lastSent()
 	if sent != nil {
@@ -127,8 +127,8 @@
 	return c.writeErr
 }
 
-// trackedConn returns the TrackedConn that c is or wraps, nil if there is none.
-func trackedConn(c net.Conn) *TrackedConn {
+// findTracked returns the TrackedConn that c is or wraps, nil if there is none.
+func findTracked(c net.Conn) *TrackedConn {
 	for {
 		if tracked, ok := c.(*TrackedConn); ok {
 			return tracked
--- a/internal/httpx/transport.go
+++ b/internal/httpx/transport.go
@@ -11,8 +11,8 @@
 	return &http.Client{Transport: Checked(NewTransport(connsPerHost))}
 }
 
-// Transport is an http.RoundTripper that returns an error in place of an answer whose head is invalid, and in place of the end of one that is not
-// known to be whole.
+// Transport is an http.RoundTripper that refuses answers with invalid heads, and does not take answers for whole that were reset while their requests
+// were being written.
 type Transport struct{ base *http.Transport }
 
 // Checked returns a Transport that sends requests over the connections of t. Its user may change t.DialContext before the first request.
@@ -28,7 +28,7 @@
 	return &Transport{base}
 }
 
-// RoundTrip implements http.RoundTripper. It returns an InvalidHeadError for an answer that fails CheckHead. The error of reading an answer that ended with its connection while its request could not be written is
+// RoundTrip implements http.RoundTripper. It returns an InvalidHeadError for an answer that fails CheckHead. Reading a body may fail with
 // ErrUploadFailed.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	// The base transport may send a request a second time.
@@ -37,7 +37,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			sent := newSentRequest()
 			last.Store(sent)
-			if c := trackedConn(info.Conn); c != nil {
+			if c := findTracked(info.Conn); c != nil {
 				c.begin(sent)
 			}
 		},
--- a/internal/pairing/conn.go
+++ b/internal/pairing/conn.go
@@ -231,9 +231,11 @@
 	if !isOpen {
 		return c.passRaw(head, request, isOpen)
 	}
-	if err := httpx.CheckFinalHead(resp); err != nil {
-		c.pairing.recordInvalidHead(request, err)
-		return err
+	if !httpx.IsInterim(resp.StatusCode) {
+		if err := httpx.CheckHead(resp); err != nil {
+			c.pairing.recordInvalidHead(request, err)
+			return err
+		}
 	}
 	c.pending, c.isFinal = head, resp.StatusCode >= http.StatusOK
 	isUnnamed := c.isFinal && answerID == "" && request.id != "" && c.pairing.cfg.IsIDReturned
--- a/internal/pairing/pairing.go
+++ b/internal/pairing/pairing.go
@@ -83,7 +83,7 @@
 	Bytes   int64  `json:"bytes"`
 	// MergedHeads counts the heads made of more than one answer.
 	MergedHeads int64 `json:"merged_heads,omitempty"`
-	// InvalidHeads counts the heads that are those of no answer.
+	// InvalidHeads counts the answers with invalid heads.
 	InvalidHeads int64 `json:"invalid_heads,omitempty"`
 	// CutAnswers counts the answers without a length that ended while their requests could not be written.
 	CutAnswers int64 `json:"cut_answers,omitempty"`
@@ -93,7 +93,7 @@
 	last    time.Time
 }
 
-// events returns the number of answers, heads and requests that the Endpoint counts.
+// events returns the sum of all that the Endpoint counts, but for the bytes.
 func (e Endpoint) events() int64 {
 	return e.Answers + e.MergedHeads + e.InvalidHeads + e.CutAnswers + e.Repeats
 }
@@ -253,7 +253,7 @@
 	p.list(request.endpoint, now, func(e *Endpoint) { e.MergedHeads++ })
 }
 
-// recordInvalidHead counts and logs a head that is that of no answer, for each endpoint at most once in logInterval.
+// recordInvalidHead counts and logs an invalid head of an answer, for each endpoint at most once in logInterval.
 func (p *Pairing) recordInvalidHead(request exchange, err error) {
 	var invalid *httpx.InvalidHeadError
 	if !errors.As(err, &invalid) {
--- a/internal/relay/panic.go
+++ b/internal/relay/panic.go
@@ -9,8 +9,8 @@
 	"github.com/bellgap/bellgap/internal/result"
 )
 
-// guardHead calls f, which reads the head of an answer of the last endpoint of q. If f panics, the answer counts as lost, so that the request gives back
-// what it holds and its caller gets an answer.
+// guardHead calls f, which reads the head of an answer. If f panics, the answer counts as lost, so that the request gives back its place at the endpoint and
+// its caller gets an error.
 func (r *Relay) guardHead(q *request, f func() *result.Error) *result.Error {
 	rerr, cause := r.callRecovered(q, f)
 	if cause != nil {
@@ -19,8 +19,8 @@
 	return rerr
 }
 
-// guardBody does the same with an f that forwards the body of an answer. If f panics, it is not known what the caller has got, so the request is not
-// sent again.
+// guardBody calls f, which forwards the body of an answer. If f panics, the answer counts as cut. It is then not known how much of it the caller has
+// received, so the request is not sent again.
 func (r *Relay) guardBody(q *request, f func() *result.Error) *result.Error {
 	rerr, cause := r.callRecovered(q, f)
 	if cause != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -201,7 +201,7 @@
 	answerBytes int64
 	// wasRun is set if the status of the last answer shows that the endpoint ran the request.
 	wasRun bool
-	// isForwardedUnknown is set if it is not known what of the answer has been forwarded.
+	// isForwardedUnknown is set if it is not known how much of the answer has been forwarded.
 	isForwardedUnknown bool
 	// ref is the adapter version that the request needs. tries lists the owners and endpoints that were tried, with the
 	// outcomes.
