--- a/internal/box/broken_heads_test.go
+++ b/internal/box/broken_heads_test.go
@@ -12,10 +12,10 @@
 	"github.com/bellgap/bellgap/internal/result"
 )
 
-// invalidStatuses are status lines that are those of no answer.
+// invalidStatuses are status codes, with their texts, that no final answer has.
 var invalidStatuses = []string{"000 ", "099 OK", "+20 OK", "600 OK", "999 OK", "101 Switching Protocols"}
 
-// TestInvalidStatusIsNoAnswer guards against a caller of bellgap's own interface that gets, or gets no answer because of, a status that is none of an answer.
+// TestInvalidStatusIsNoAnswer guards against an invalid status that is passed on to a caller of bellgap's own interface, or leaves it without any answer.
 func TestInvalidStatusIsNoAnswer(t *testing.T) {
 	for _, status := range invalidStatuses {
 		t.Run(status, func(t *testing.T) {
--- a/internal/detour/upload_test.go
+++ b/internal/detour/upload_test.go
@@ -58,8 +58,7 @@
 	c.Check(ended, qt.Equals, 0, qt.Commentf("resets that read like an end in order, of %d", uploads))
 }
 
-// TestEndpointReadsOnAfterItsEnd guards against a whole answer whose upload is cut off by the box that carries it, because the endpoint has ended its
-// side in order before it has read the upload.
+// TestEndpointReadsOnAfterItsEnd guards against a box that cuts off an upload because the endpoint has ended its answer, though it still reads.
 func TestEndpointReadsOnAfterItsEnd(t *testing.T) {
 	c := qt.New(t)
 	var received atomic.Int64
--- a/internal/pairing/reset_test.go
+++ b/internal/pairing/reset_test.go
@@ -22,8 +22,8 @@
 // uploadSize is the size in bytes of a request that takes several writes.
 const uploadSize = 1 << 20
 
-// earlyConn is a connection to an endpoint that answers, without a length, after the first write of a request. Its methods fail in the order in
-// which those of a socket do that the endpoint closes or resets: the reset is reported to one call only, to all others the connection has ended.
+// earlyConn is a connection to an endpoint that answers after the first write of a request. Like a socket, it reports a reset to one call only; for all
+// others the connection has ended.
 type earlyConn struct {
 	net.Conn
 	answer io.Reader
@@ -91,10 +91,10 @@
 
 func (c *earlyConn) end() { c.endOnce.Do(func() { close(c.ended) }) }
 
-// wait waits for a moment of the other side's. A transport that does not read on must not hold the write.
-func (c *earlyConn) wait(moment chan struct{}) {
+// wait waits until a channel is closed, but no longer than waitTime, as the transport may not read on.
+func (c *earlyConn) wait(done chan struct{}) {
 	select {
-	case <-moment:
+	case <-done:
 	case <-c.closed:
 	case <-time.After(waitTime):
 	}
